--- /dev/null
+++ b/Libraries/LibConfiguration/Records.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <LibConfiguration/Settings.h>
+#include <LibCore/Identifier.h>
+#include <LibCore/Quantity.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace Ibisturn {
+
+/// The newest schema version of records that this program understands.
+constexpr std::uint32_t newestRecordSchema = 1;
+
+/// A customer whose requests are kept apart from those of the others.
+struct Workspace {
+    WorkspaceId id;
+    ResidencyRuleId residency;
+    TokensPerSecond rate;
+    TokenCount burst;
+};
+
+/// A caller's key; the store holds its digest only.
+struct Key {
+    KeyDigest digest;
+    WorkspaceId workspace;
+};
+
+/// The regions in which a workspace's requests and their data may be.
+struct ResidencyRule {
+    ResidencyRuleId id;
+    std::vector<RegionId> regions;
+};
+
+enum class BackendKind : std::uint8_t {
+    Engine,
+    Service,
+};
+
+enum class RouteAccess : std::uint8_t {
+    /// Only for the workspaces that the route names, by their keys.
+    Workspaces,
+    /// For every caller, without a key.
+    OpenToAll,
+};
+
+enum class Repeatability : std::uint8_t {
+    Idempotent,
+    NonIdempotent,
+};
+
+/// Which requests go to which backend servers.
+struct Route {
+    RouteId id;
+    /// Requests whose path begins with this.
+    std::string pathPrefix;
+    /// Requests for this model; empty for every model and for plain services.
+    ModelName model;
+    BackendKind kind { BackendKind::Engine };
+    RouteAccess access { RouteAccess::Workspaces };
+    Repeatability repeatability { Repeatability::Idempotent };
+    /// Workspaces that may use it; empty for all of them.
+    std::vector<WorkspaceId> workspaces;
+};
+
+enum class FencingSupport : std::uint8_t {
+    Ignored,
+    Checked,
+};
+
+/// A model engine or a plain service that runs requests.
+struct BackendServer {
+    BackendServerId id;
+    BackendKind kind { BackendKind::Engine };
+    Endpoint endpoint;
+    RegionId region;
+    DataCentreId dataCentre;
+    /// Routes that it serves.
+    std::vector<RouteId> routes;
+    FencingSupport fencing { FencingSupport::Ignored };
+};
+
+/// A record of a schema version that this program does not understand. What it touches fails closed.
+struct UnknownRecord {
+    std::uint32_t schema { 0 };
+};
+
+using RecordBody = std::variant<Workspace, Key, ResidencyRule, Route, BackendServer, UnknownRecord>;
+
+/// A record as the store holds it.
+struct Record {
+    /// `workspaces`, `keys`, `residency`, `routes` or `backend_servers`.
+    std::string kind;
+    std::string name;
+    Revision revision;
+    RecordBody body;
+};
+
+/// Reads the JSON text of a record. Throws Error with RecordInvalid, which names record and field.
+/// Thread safety: any thread.
+Record parseRecord(std::string_view kind, std::string_view name, std::string_view json, Revision revision);
+
+/// Whether `kind` names a kind of record. Thread safety: any thread.
+bool isRecordKind(std::string_view kind);
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibConfiguration/Settings.cpp
@@ -0,0 +1,184 @@
+#include <LibConfiguration/Settings.h>
+
+#include <LibConfiguration/SettingsError.h>
+#include <LibConfiguration/SettingsSection.h>
+
+#include <arpa/inet.h>
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+#include <fmt/format.h>
+
+namespace Ibisturn {
+
+namespace {
+
+constexpr std::uint32_t mostWorkers = 64;
+constexpr std::size_t digestLength = 64;
+
+bool isIpAddress(const std::string& text)
+{
+    in6_addr buffer {};
+    return inet_pton(AF_INET, text.c_str(), &buffer) == 1 || inet_pton(AF_INET6, text.c_str(), &buffer) == 1;
+}
+
+// Port 0 takes any free port, so two of them do not clash.
+bool isSameListener(const Endpoint& left, const Endpoint& right)
+{
+    return left.port != 0 && left == right;
+}
+
+std::optional<TlsSettings> readTls(SettingsSection section, bool needsAuthority)
+{
+    if (!section.isPresent())
+        return std::nullopt;
+    TlsSettings tls { section.text("certificate"), section.text("private_key"), {} };
+    if (needsAuthority)
+        tls.authority = section.text("authority");
+    section.finish();
+    return tls;
+}
+
+void readIdentity(SettingsSection& root, Settings& settings)
+{
+    settings.identity.instance = InstanceId(root.text("instance"));
+    settings.identity.region = RegionId(root.text("region"));
+    settings.identity.dataCentre = DataCentreId(root.text("data_centre"));
+}
+
+void readListeners(SettingsSection& root, Settings& settings)
+{
+    auto callers = root.section("callers");
+    settings.callersListen = callers.endpoint("listen");
+    settings.callersTls = readTls(callers.section("tls"), false);
+    callers.finish();
+
+    auto operators = root.section("operators");
+    settings.operatorsListen = operators.endpoint("listen");
+    for (auto& credential : operators.sections("credentials")) {
+        const auto digest = credential.text("digest");
+        if (digest.size() != digestLength)
+            credential.fail("digest", "must be a SHA-256 digest of 64 hexadecimal digits");
+        settings.operatorCredentials.push_back({ credential.text("name"), KeyDigest(digest) });
+        credential.finish();
+    }
+    operators.finish();
+
+    auto peers = root.section("peers");
+    settings.peersListen = peers.endpoint("listen");
+    settings.peersTls = readTls(peers.section("tls"), true);
+    peers.finish();
+    if (isSameListener(settings.callersListen, settings.operatorsListen) || isSameListener(settings.callersListen, settings.peersListen))
+        root.fail("callers", "listens where another listener does");
+    if (isSameListener(settings.operatorsListen, settings.peersListen))
+        root.fail("operators", "listens where another listener does");
+}
+
+void readPlatform(SettingsSection& root, Settings& settings)
+{
+    auto platform = root.section("platform");
+    auto store = platform.section("store");
+    settings.storeKind = store.text("kind", settings.storeKind);
+    settings.storeEndpoints = store.endpoints("endpoints");
+    settings.storePrefix = store.text("prefix", settings.storePrefix);
+    if (settings.storePrefix.back() != '/')
+        store.fail("prefix", "must end in /");
+    store.finish();
+    auto liveList = platform.section("live_list");
+    settings.liveListEndpoint = liveList.endpoint("endpoint");
+    settings.liveListPoll = liveList.duration("poll", settings.liveListPoll);
+    liveList.finish();
+    platform.finish();
+}
+
+void readLimits(SettingsSection& root, Settings& settings)
+{
+    auto limits = root.section("limits");
+    settings.headLimit = limits.size("head", settings.headLimit);
+    settings.bodyLimit = limits.size("body", settings.bodyLimit);
+    limits.finish();
+    auto timeouts = root.section("timeouts");
+    settings.requestTimeout = timeouts.duration("request", settings.requestTimeout);
+    settings.idleTimeout = timeouts.duration("idle", settings.idleTimeout);
+    settings.connectTimeout = timeouts.duration("connect", settings.connectTimeout);
+    settings.drainTimeout = timeouts.duration("drain", settings.drainTimeout);
+    if (settings.connectTimeout > settings.requestTimeout)
+        timeouts.fail("connect", "must not exceed timeouts.request");
+    timeouts.finish();
+    settings.workers = root.number("workers", settings.workers, 1, mostWorkers);
+}
+
+void readObservation(SettingsSection& root, Settings& settings)
+{
+    auto log = root.section("log");
+    const auto level = logLevelFromName(log.text("level", "info"));
+    if (!level)
+        log.fail("level", "must be debug, info, warning or error");
+    settings.logLevel = *level;
+    log.finish();
+    auto traces = root.section("traces");
+    settings.traceCollector = traces.text("collector", settings.traceCollector);
+    const auto isNamed = settings.traceCollector == "none" || settings.traceCollector == "stderr";
+    if (!isNamed && !parseEndpoint(settings.traceCollector))
+        traces.fail("collector", "must be none, stderr, or an IP address and a port");
+    traces.finish();
+}
+
+} // namespace
+
+std::string Endpoint::toString() const
+{
+    const auto isVersion6 = address.find(':') != std::string::npos;
+    return isVersion6 ? fmt::format("[{}]:{}", address, port) : fmt::format("{}:{}", address, port);
+}
+
+std::optional<Endpoint> parseEndpoint(const std::string& text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos)
+        return std::nullopt;
+    auto address = text.substr(0, colon);
+    if (address.size() > 2 && address.front() == '[' && address.back() == ']')
+        address = address.substr(1, address.size() - 2);
+    Endpoint endpoint { address, 0 };
+    const auto* last = text.data() + text.size();
+    const auto [end, error] = std::from_chars(text.data() + colon + 1, last, endpoint.port);
+    if (error != std::errc {} || end != last || !isIpAddress(address))
+        return std::nullopt;
+    return endpoint;
+}
+
+Settings loadSettings(const std::string& path)
+{
+    const std::ifstream file(path);
+    if (!file)
+        throw SettingsError(fmt::format("{}:1: the file cannot be read", path));
+    std::ostringstream text;
+    text << file.rdbuf();
+    return parseSettings(text.str(), path);
+}
+
+Settings parseSettings(const std::string& text, const std::string& fileName)
+{
+    YAML::Node document;
+    try {
+        document = YAML::Load(text);
+    } catch (const YAML::Exception& exception) {
+        throw SettingsError(fmt::format("{}:{}: {}", fileName, exception.mark.line + 1, exception.msg));
+    }
+    if (!document.IsMap())
+        throw SettingsError(fmt::format("{}:1: the file must be a mapping", fileName));
+    SettingsSection root(fileName, "", document);
+    Settings settings;
+    readIdentity(root, settings);
+    readListeners(root, settings);
+    readPlatform(root, settings);
+    readLimits(root, settings);
+    settings.routingStrategy = root.text("routing", settings.routingStrategy);
+    readObservation(root, settings);
+    root.finish();
+    return settings;
+}
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibConfiguration/SettingsSection.cpp
@@ -0,0 +1,196 @@
+#include <LibConfiguration/SettingsSection.h>
+
+#include <LibConfiguration/SettingsError.h>
+
+#include <array>
+#include <charconv>
+#include <limits>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace Ibisturn {
+
+namespace {
+
+struct Unit {
+    std::string_view suffix;
+    std::uint64_t factor;
+};
+
+// Longer suffixes first, so that "ms" is not read as "s".
+constexpr std::array<Unit, 4> durationUnits { { { "ms", 1'000'000 }, { "us", 1'000 }, { "min", 60'000'000'000 }, { "s", 1'000'000'000 } } };
+constexpr std::array<Unit, 4> sizeUnits { { { "KiB", 1024 }, { "MiB", 1024 * 1024 }, { "GiB", 1024 * 1024 * 1024 }, { "B", 1 } } };
+
+template <std::size_t Count>
+std::optional<std::uint64_t> parseWithUnit(std::string_view text, const std::array<Unit, Count>& units)
+{
+    std::uint64_t count = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), count);
+    if (error != std::errc {})
+        return std::nullopt;
+    const auto suffix = text.substr(static_cast<std::size_t>(end - text.data()));
+    for (const auto& unit : units) {
+        if (suffix != unit.suffix)
+            continue;
+        if (count > static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max()) / unit.factor)
+            return std::nullopt;
+        return count * unit.factor;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+SettingsSection::SettingsSection(std::string fileName, std::string path, const YAML::Node& node)
+    : fileName_(std::move(fileName))
+    , path_(std::move(path))
+    , node_(node)
+{
+    if (node_.IsDefined() && !node_.IsMap())
+        failAt(node_.Mark(), path_, "must be a mapping");
+}
+
+bool SettingsSection::isPresent() const
+{
+    return node_.IsDefined();
+}
+
+SettingsSection SettingsSection::section(const std::string& key)
+{
+    return { fileName_, path_.empty() ? key : path_ + "." + key, find(key) };
+}
+
+std::string SettingsSection::text(const std::string& key)
+{
+    return scalar(key, require(key));
+}
+
+std::string SettingsSection::text(const std::string& key, const std::string& fallback)
+{
+    const auto node = find(key);
+    return node.IsDefined() ? scalar(key, node) : fallback;
+}
+
+Endpoint SettingsSection::endpoint(const std::string& key)
+{
+    const auto endpoint = parseEndpoint(text(key));
+    if (!endpoint)
+        fail(key, "must be an IP address and a port, such as 127.0.0.1:8080");
+    return *endpoint;
+}
+
+std::vector<Endpoint> SettingsSection::endpoints(const std::string& key)
+{
+    const auto list = require(key);
+    if (!list.IsSequence() || list.size() == 0)
+        fail(key, "must be a list of at least one IP address and port");
+    std::vector<Endpoint> endpoints;
+    for (const auto& item : list) {
+        const auto endpoint = parseEndpoint(scalar(key, item));
+        if (!endpoint)
+            fail(key, "must hold an IP address and a port in each item, such as 127.0.0.1:8080");
+        endpoints.push_back(*endpoint);
+    }
+    return endpoints;
+}
+
+std::vector<SettingsSection> SettingsSection::sections(const std::string& key)
+{
+    const auto list = find(key);
+    std::vector<SettingsSection> sections;
+    if (!list.IsDefined())
+        return sections;
+    if (!list.IsSequence())
+        fail(key, "must be a list");
+    for (const auto& item : list)
+        sections.emplace_back(fileName_, path_ + "." + key, item);
+    return sections;
+}
+
+Duration SettingsSection::duration(const std::string& key, Duration fallback)
+{
+    const auto node = find(key);
+    if (!node.IsDefined())
+        return fallback;
+    const auto nanoseconds = parseWithUnit(scalar(key, node), durationUnits);
+    if (!nanoseconds || *nanoseconds == 0)
+        fail(key, "must be a positive duration with a unit (us, ms, s, min), such as 250ms");
+    return Duration(static_cast<Duration::rep>(*nanoseconds));
+}
+
+ByteCount SettingsSection::size(const std::string& key, ByteCount fallback)
+{
+    const auto node = find(key);
+    if (!node.IsDefined())
+        return fallback;
+    const auto bytes = parseWithUnit(scalar(key, node), sizeUnits);
+    if (!bytes || *bytes == 0)
+        fail(key, "must be a positive size with a unit (B, KiB, MiB, GiB), such as 64KiB");
+    return ByteCount(*bytes);
+}
+
+std::uint32_t SettingsSection::number(const std::string& key, std::uint32_t fallback, std::uint32_t least, std::uint32_t most)
+{
+    const auto node = find(key);
+    if (!node.IsDefined())
+        return fallback;
+    const auto digits = scalar(key, node);
+    std::uint32_t value = 0;
+    const auto* last = digits.data() + digits.size();
+    const auto [end, error] = std::from_chars(digits.data(), last, value);
+    if (error != std::errc {} || end != last || value < least || value > most)
+        fail(key, fmt::format("must be a whole number from {} to {}", least, most));
+    return value;
+}
+
+void SettingsSection::finish() const
+{
+    if (!node_.IsDefined())
+        return;
+    for (const auto& entry : node_) {
+        const auto key = entry.first.Scalar();
+        if (!known_.contains(key))
+            failAt(entry.first.Mark(), path_.empty() ? key : path_ + "." + key, "is not a known setting");
+    }
+}
+
+void SettingsSection::fail(const std::string& key, const std::string& problem) const
+{
+    const auto node = node_.IsDefined() ? node_[key] : node_;
+    const auto fullKey = path_.empty() ? key : path_ + "." + key;
+    if (node.IsDefined())
+        failAt(node.Mark(), fullKey, problem);
+    failAt(node_.IsDefined() ? node_.Mark() : YAML::Mark {}, fullKey, problem);
+}
+
+YAML::Node SettingsSection::find(const std::string& key)
+{
+    known_.insert(key);
+    if (!node_.IsDefined())
+        return YAML::Node(YAML::NodeType::Undefined);
+    return std::as_const(node_)[key];
+}
+
+YAML::Node SettingsSection::require(const std::string& key)
+{
+    auto node = find(key);
+    if (!node.IsDefined())
+        fail(key, "is missing");
+    return node;
+}
+
+std::string SettingsSection::scalar(const std::string& key, const YAML::Node& node) const
+{
+    if (!node.IsScalar() || node.Scalar().empty())
+        failAt(node.Mark(), path_.empty() ? key : path_ + "." + key, "must be a single value");
+    return node.Scalar();
+}
+
+void SettingsSection::failAt(const YAML::Mark& mark, const std::string& key, const std::string& problem) const
+{
+    const auto line = mark.line < 0 ? 1 : mark.line + 1;
+    throw SettingsError(fmt::format("{}:{}: {} {}", fileName_, line, key, problem));
+}
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibConfiguration/SettingsSection.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <LibConfiguration/Settings.h>
+
+#include <set>
+#include <string>
+
+#include <yaml-cpp/yaml.h>
+
+namespace Ibisturn {
+
+/// Reads one mapping of a YAML file and remembers which keys were asked for, so that the others can be refused.
+/// Every reader throws SettingsError with file, line and key. Thread safety: one thread.
+class SettingsSection {
+public:
+    /// Precondition: `node` is the value of `path`, or undefined if the file leaves it out.
+    SettingsSection(std::string fileName, std::string path, const YAML::Node& node);
+
+    /// Whether the file has this section.
+    bool isPresent() const;
+
+    /// The section below `key`, which may be absent.
+    SettingsSection section(const std::string& key);
+
+    /// The value of `key`; it must be there.
+    std::string text(const std::string& key);
+    Endpoint endpoint(const std::string& key);
+    std::vector<Endpoint> endpoints(const std::string& key);
+    std::vector<SettingsSection> sections(const std::string& key);
+
+    /// The value of `key`, or `fallback` if the file leaves it out.
+    std::string text(const std::string& key, const std::string& fallback);
+    Duration duration(const std::string& key, Duration fallback);
+    ByteCount size(const std::string& key, ByteCount fallback);
+    std::uint32_t number(const std::string& key, std::uint32_t fallback, std::uint32_t least, std::uint32_t most);
+
+    /// Refuses keys that no reader asked for. Call it after the last reader.
+    void finish() const;
+
+    /// Throws SettingsError about `key`.
+    [[noreturn]] void fail(const std::string& key, const std::string& problem) const;
+
+private:
+    YAML::Node find(const std::string& key);
+    YAML::Node require(const std::string& key);
+    std::string scalar(const std::string& key, const YAML::Node& node) const;
+    [[noreturn]] void failAt(const YAML::Mark& mark, const std::string& key, const std::string& problem) const;
+
+    std::string fileName_;
+    std::string path_;
+    YAML::Node node_;
+    std::set<std::string> known_;
+};
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibConfiguration/Snapshot.cpp
@@ -0,0 +1,120 @@
+#include <LibConfiguration/Snapshot.h>
+
+#include <algorithm>
+
+namespace Ibisturn {
+
+namespace {
+
+template <typename Map, typename Id>
+const typename Map::mapped_type* findIn(const Map& map, const Id& id)
+{
+    const auto found = map.find(id);
+    return found == map.end() ? nullptr : &found->second;
+}
+
+std::string labelOf(std::string_view kind, std::string_view name)
+{
+    return fmt::format("{}/{}", kind, name);
+}
+
+} // namespace
+
+Snapshot::Snapshot(Revision revision, const std::vector<Record>& records)
+    : revision_(revision)
+    , recordCount_(records.size())
+{
+    for (const auto& record : records) {
+        const auto addBody = [this, &record](const auto& body) {
+            if constexpr (std::is_same_v<std::decay_t<decltype(body)>, UnknownRecord>)
+                unknown_.insert(labelOf(record.kind, record.name));
+            else
+                add(body);
+        };
+        std::visit(addBody, record.body);
+    }
+    const auto isLonger = [](const Route& left, const Route& right) {
+        if (left.pathPrefix.size() != right.pathPrefix.size())
+            return left.pathPrefix.size() > right.pathPrefix.size();
+        return left.id < right.id;
+    };
+    std::sort(routes_.begin(), routes_.end(), isLonger);
+    for (auto& [route, servers] : backendServersByRoute_)
+        std::sort(servers.begin(), servers.end());
+}
+
+const Workspace* Snapshot::findWorkspace(const WorkspaceId& id) const
+{
+    return findIn(workspaces_, id);
+}
+
+const Key* Snapshot::findKey(const KeyDigest& digest) const
+{
+    return findIn(keys_, digest);
+}
+
+const ResidencyRule* Snapshot::findResidencyRule(const ResidencyRuleId& id) const
+{
+    return findIn(residencyRules_, id);
+}
+
+const Route* Snapshot::findRoute(const RouteId& id) const
+{
+    const auto found = std::find_if(routes_.begin(), routes_.end(), [&id](const Route& route) { return route.id == id; });
+    return found == routes_.end() ? nullptr : &*found;
+}
+
+const BackendServer* Snapshot::findBackendServer(const BackendServerId& id) const
+{
+    return findIn(backendServers_, id);
+}
+
+bool Snapshot::isUnknown(std::string_view kind, std::string_view name) const
+{
+    return unknown_.contains(labelOf(kind, name));
+}
+
+const std::vector<BackendServerId>& Snapshot::backendServersOf(const RouteId& route) const
+{
+    static const std::vector<BackendServerId> none;
+    const auto* servers = findIn(backendServersByRoute_, route);
+    return servers ? *servers : none;
+}
+
+const std::vector<RegionId>* Snapshot::permittedRegions(const WorkspaceId& workspace) const
+{
+    const auto* found = findWorkspace(workspace);
+    if (!found)
+        return nullptr;
+    const auto* rule = findResidencyRule(found->residency);
+    return rule ? &rule->regions : nullptr;
+}
+
+void Snapshot::add(const Workspace& workspace)
+{
+    workspaces_.emplace(workspace.id, workspace);
+}
+
+void Snapshot::add(const Key& key)
+{
+    keys_.emplace(key.digest, key);
+}
+
+void Snapshot::add(const ResidencyRule& rule)
+{
+    residencyRules_.emplace(rule.id, rule);
+}
+
+void Snapshot::add(const Route& route)
+{
+    routes_.push_back(route);
+}
+
+void Snapshot::add(const BackendServer& server)
+{
+    backendServers_.emplace(server.id, server);
+    for (const auto& route : server.routes)
+        backendServersByRoute_[route].push_back(server.id);
+}
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibCore/Digest.cpp
@@ -0,0 +1,32 @@
+#include <LibCore/Digest.h>
+
+#include <array>
+
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+
+namespace Ibisturn {
+
+std::string digestOfContent(std::string_view content)
+{
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
+    unsigned int length = 0;
+    EVP_Digest(content.data(), content.size(), digest.data(), &length, EVP_sha256(), nullptr);
+    std::string hexadecimal;
+    hexadecimal.reserve(length * 2);
+    for (unsigned int index = 0; index < length; ++index)
+        fmt::format_to(std::back_inserter(hexadecimal), "{:02x}", digest.at(index));
+    return hexadecimal;
+}
+
+KeyDigest digestOfKey(std::string_view key)
+{
+    return KeyDigest(digestOfContent(key));
+}
+
+bool equalInConstantTime(std::string_view left, std::string_view right)
+{
+    return left.size() == right.size() && CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
+}
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibCore/Digest.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <LibCore/Identifier.h>
+
+#include <string>
+#include <string_view>
+
+namespace Ibisturn {
+
+/// The SHA-256 digest of a caller's or operator's key, as 64 lower-case hexadecimal digits.
+/// Looking a digest up reveals nothing of the key by its timing, since the digest's bits cannot be steered.
+/// Thread safety: any thread.
+KeyDigest digestOfKey(std::string_view key);
+
+/// The SHA-256 digest of `content`, in hexadecimal. Thread safety: any thread.
+std::string digestOfContent(std::string_view content);
+
+/// Compares in a time that depends only on the lengths. Thread safety: any thread.
+bool equalInConstantTime(std::string_view left, std::string_view right);
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibCore/Log.cpp
@@ -0,0 +1,71 @@
+#include <LibCore/Log.h>
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <cstdio>
+#include <utility>
+
+#include <fmt/chrono.h>
+
+namespace Ibisturn {
+
+namespace {
+
+constexpr std::array<std::string_view, 4> levelNames { "debug", "info", "warning", "error" };
+
+std::atomic<LogLevel> leastLevel { LogLevel::Info };
+
+} // namespace
+
+std::optional<LogLevel> logLevelFromName(std::string_view name)
+{
+    for (std::size_t index = 0; index < levelNames.size(); ++index) {
+        if (levelNames.at(index) == name)
+            return static_cast<LogLevel>(index);
+    }
+    return std::nullopt;
+}
+
+void setLogLevel(LogLevel level)
+{
+    leastLevel = level;
+}
+
+void Log::debug(std::string_view sentence, std::initializer_list<LogField> fields) const
+{
+    write(LogLevel::Debug, sentence, fields);
+}
+
+void Log::info(std::string_view sentence, std::initializer_list<LogField> fields) const
+{
+    write(LogLevel::Info, sentence, fields);
+}
+
+void Log::warning(std::string_view sentence, std::initializer_list<LogField> fields) const
+{
+    write(LogLevel::Warning, sentence, fields);
+}
+
+void Log::error(std::string_view sentence, std::initializer_list<LogField> fields) const
+{
+    write(LogLevel::Error, sentence, fields);
+}
+
+void Log::write(LogLevel level, std::string_view sentence, std::initializer_list<LogField> fields) const
+{
+    if (level < leastLevel.load())
+        return;
+    const auto now = std::chrono::system_clock::now();
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count() % 1000;
+    const auto seconds = std::chrono::system_clock::to_time_t(now);
+    auto line = fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z {} {}: {}", fmt::gmtime(seconds), milliseconds,
+        levelNames.at(static_cast<std::size_t>(level)), prefix_, sentence);
+    for (const auto& field : fields)
+        fmt::format_to(std::back_inserter(line), " {}={}", field.key, field.value);
+    line += '\n';
+    // One call a line keeps lines of several threads whole.
+    std::fwrite(line.data(), 1, line.size(), stderr);
+}
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibCore/Log.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <fmt/format.h>
+
+namespace Ibisturn {
+
+enum class LogLevel : std::uint8_t {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+/// The level named `name`, if there is one. Thread safety: any thread.
+std::optional<LogLevel> logLevelFromName(std::string_view name);
+
+/// Sets the least level that is written, for the whole process. Thread safety: any thread.
+void setLogLevel(LogLevel level);
+
+/// One key=value pair of a log line.
+struct LogField {
+    template <typename T>
+    LogField(std::string_view name, const T& fieldValue)
+        : key(name)
+        , value(fmt::format("{}", fieldValue))
+    {
+    }
+
+    std::string_view key;
+    std::string value;
+};
+
+/// Writes lines of one part to standard error: time, level, prefix, sentence, fields.
+/// Thread safety: all methods from any thread.
+class Log {
+public:
+    /// Precondition: `prefix` outlives the log; it is a literal.
+    explicit constexpr Log(std::string_view prefix)
+        : prefix_(prefix)
+    {
+    }
+
+    /// Precondition for all four: no key and no prompt text in the sentence or the fields.
+    void debug(std::string_view sentence, std::initializer_list<LogField> fields = {}) const;
+    void info(std::string_view sentence, std::initializer_list<LogField> fields = {}) const;
+    void warning(std::string_view sentence, std::initializer_list<LogField> fields = {}) const;
+    void error(std::string_view sentence, std::initializer_list<LogField> fields = {}) const;
+
+private:
+    void write(LogLevel level, std::string_view sentence, std::initializer_list<LogField> fields) const;
+
+    std::string_view prefix_;
+};
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibCore/Span.cpp
@@ -0,0 +1,104 @@
+#include <LibCore/Span.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <utility>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <openssl/rand.h>
+
+namespace Ibisturn {
+
+namespace {
+
+constexpr std::size_t traceIdBytes = 16;
+constexpr std::size_t spanIdBytes = 8;
+constexpr std::size_t traceparentLength = 55;
+constexpr std::size_t traceIdOffset = 3;
+constexpr std::size_t spanIdOffset = 36;
+
+template <std::size_t Count>
+std::string randomHexadecimal()
+{
+    std::array<unsigned char, Count> bytes {};
+    RAND_bytes(bytes.data(), static_cast<int>(bytes.size()));
+    std::string text;
+    for (const auto byte : bytes)
+        fmt::format_to(std::back_inserter(text), "{:02x}", byte);
+    return text;
+}
+
+bool isIdentifier(std::string_view text)
+{
+    const auto isDigit = [](unsigned char c) { return std::isdigit(c) || (c >= 'a' && c <= 'f'); };
+    const auto isZero = [](char c) { return c == '0'; };
+    return std::all_of(text.begin(), text.end(), isDigit) && !std::all_of(text.begin(), text.end(), isZero);
+}
+
+std::string nanosecondsSinceEpoch(std::chrono::system_clock::time_point time)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::nanoseconds>(time.time_since_epoch()).count());
+}
+
+} // namespace
+
+std::optional<TraceContext> parseTraceparent(std::string_view header)
+{
+    if (header.size() != traceparentLength || header.substr(0, traceIdOffset) != "00-")
+        return std::nullopt;
+    const auto traceId = header.substr(traceIdOffset, traceIdBytes * 2);
+    const auto spanId = header.substr(spanIdOffset, spanIdBytes * 2);
+    if (!isIdentifier(traceId) || !isIdentifier(spanId))
+        return std::nullopt;
+    return TraceContext { std::string(traceId), std::string(spanId) };
+}
+
+std::string formatTraceparent(const TraceContext& context)
+{
+    return fmt::format("00-{}-{}-01", context.traceId, context.spanId);
+}
+
+Span::Span(std::string name, const std::optional<TraceContext>& parent)
+    : name_(std::move(name))
+    , start_(std::chrono::system_clock::now())
+{
+    context_.spanId = randomHexadecimal<spanIdBytes>();
+    if (!parent) {
+        context_.traceId = randomHexadecimal<traceIdBytes>();
+        return;
+    }
+    context_.traceId = parent->traceId;
+    parentSpanId_ = parent->spanId;
+}
+
+void Span::setAttribute(std::string key, std::string value)
+{
+    attributes_.push_back({ std::move(key), std::move(value) });
+}
+
+void Span::end()
+{
+    if (!end_)
+        end_ = std::chrono::system_clock::now();
+}
+
+std::string Span::toJson() const
+{
+    auto attributes = nlohmann::json::array();
+    for (const auto& attribute : attributes_)
+        attributes.push_back({ { "key", attribute.key }, { "value", { { "stringValue", attribute.value } } } });
+    const nlohmann::json span {
+        { "traceId", context_.traceId },
+        { "spanId", context_.spanId },
+        { "parentSpanId", parentSpanId_ },
+        { "name", name_ },
+        { "startTimeUnixNano", nanosecondsSinceEpoch(start_) },
+        { "endTimeUnixNano", nanosecondsSinceEpoch(end_.value_or(start_)) },
+        { "attributes", std::move(attributes) },
+    };
+    return span.dump();
+}
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibCore/TableLock.cpp
@@ -0,0 +1,58 @@
+#include <LibCore/TableLock.h>
+
+#include <cstdlib>
+#include <vector>
+
+#include <fmt/format.h>
+
+namespace Ibisturn {
+
+#ifdef IBISTURN_CHECK_LOCK_ORDER
+
+namespace {
+
+std::vector<TableLevel>& heldLevels()
+{
+    thread_local std::vector<TableLevel> levels;
+    return levels;
+}
+
+void noteLocked(TableLevel level)
+{
+    auto& held = heldLevels();
+    if (!held.empty() && held.back() >= level) {
+        fmt::print(stderr, "lock order: table {} locked while table {} is held\n", static_cast<int>(level), static_cast<int>(held.back()));
+        std::abort();
+    }
+    held.push_back(level);
+}
+
+} // namespace
+
+void TableLock::lock()
+{
+    noteLocked(level_);
+    mutex_.lock();
+}
+
+void TableLock::unlock()
+{
+    mutex_.unlock();
+    std::erase(heldLevels(), level_);
+}
+
+#else
+
+void TableLock::lock()
+{
+    mutex_.lock();
+}
+
+void TableLock::unlock()
+{
+    mutex_.unlock();
+}
+
+#endif
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibDecision/Routing/HeadDecision.cpp
@@ -0,0 +1,49 @@
+#include <LibDecision/Routing/HeadDecision.h>
+
+#include <algorithm>
+
+namespace Ibisturn {
+
+namespace {
+
+bool isOpenPath(const Snapshot& snapshot, const std::string& path)
+{
+    const auto matches = [&path](const Route& route) {
+        return route.access == RouteAccess::OpenToAll && path.starts_with(route.pathPrefix);
+    };
+    return std::any_of(snapshot.routes().begin(), snapshot.routes().end(), matches);
+}
+
+bool hasUnknownRecord(const Snapshot& snapshot, const WorkspaceId& workspace)
+{
+    if (snapshot.isUnknown("workspaces", workspace.value()))
+        return true;
+    const auto* found = snapshot.findWorkspace(workspace);
+    return found && snapshot.isUnknown("residency", found->residency.value());
+}
+
+} // namespace
+
+HeadVerdict decideHead(const Snapshot& snapshot, const RegionId& here, const RequestHead& head)
+{
+    if (!head.key)
+        return { isOpenPath(snapshot, head.path) ? ResultCode::Ok : ResultCode::KeyMissing, {} };
+    const auto* key = snapshot.findKey(*head.key);
+    if (!key)
+        return { snapshot.isUnknown("keys", head.key->value()) ? ResultCode::RecordSchemaUnknown : ResultCode::KeyUnknown, {} };
+    if (hasUnknownRecord(snapshot, key->workspace))
+        return { ResultCode::RecordSchemaUnknown, key->workspace };
+    if (!isPermittedRegion(snapshot, key->workspace, here))
+        return { ResultCode::ResidencyRefused, key->workspace };
+    return { ResultCode::Ok, key->workspace };
+}
+
+bool isPermittedRegion(const Snapshot& snapshot, const WorkspaceId& workspace, const RegionId& region)
+{
+    if (workspace.isEmpty())
+        return true;
+    const auto* regions = snapshot.permittedRegions(workspace);
+    return regions && std::find(regions->begin(), regions->end(), region) != regions->end();
+}
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibDecision/Routing/PlaceDecision.cpp
@@ -0,0 +1,92 @@
+#include <LibDecision/Routing/PlaceDecision.h>
+
+#include <LibDecision/Membership/EntryDirectory.h>
+#include <LibDecision/Routing/HeadDecision.h>
+
+#include <algorithm>
+#include <set>
+
+namespace Ibisturn {
+
+namespace {
+
+/// The backend servers that may take the request, here and elsewhere.
+struct Candidates {
+    std::vector<BackendCandidate> here;
+    std::set<DataCentreId> elsewhere;
+};
+
+Candidates collectCandidates(const PlaceQuery& query)
+{
+    Candidates candidates;
+    for (const auto& id : query.snapshot.backendServersOf(query.route.id)) {
+        const auto* server = query.snapshot.findBackendServer(id);
+        if (!server || !isPermittedRegion(query.snapshot, query.workspace, server->region))
+            continue;
+        if (query.membership.leavingBackendServers.contains(id))
+            continue;
+        if (server->dataCentre == query.here.dataCentre)
+            candidates.here.push_back({ id, query.outstanding(id) });
+        else
+            candidates.elsewhere.insert(server->dataCentre);
+    }
+    return candidates;
+}
+
+const Member* choosePeer(const PlaceQuery& query, const std::set<DataCentreId>& dataCentres)
+{
+    const Member* best = nullptr;
+    std::uint64_t bestScore = 0;
+    const auto subject = std::to_string(query.requestHash);
+    for (const auto& member : query.membership.instances) {
+        const bool isCandidate = member.state == MemberState::Live && dataCentres.contains(member.dataCentre)
+            && member.id != query.here.instance && isPermittedRegion(query.snapshot, query.workspace, member.region);
+        if (!isCandidate)
+            continue;
+        const auto score = rendezvousScore(subject, member.id.value());
+        if (!best || score > bestScore) {
+            best = &member;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+const Route* findRouteFor(const Snapshot& snapshot, std::string_view path, const ModelName& model)
+{
+    const auto serves = [&](const Route& route) {
+        return path.starts_with(route.pathPrefix) && (route.model.isEmpty() || route.model == model);
+    };
+    const auto found = std::find_if(snapshot.routes().begin(), snapshot.routes().end(), serves);
+    return found == snapshot.routes().end() ? nullptr : &*found;
+}
+
+bool mayUseRoute(const Route& route, const WorkspaceId& workspace)
+{
+    if (route.access == RouteAccess::OpenToAll)
+        return true;
+    if (workspace.isEmpty())
+        return false;
+    return route.workspaces.empty() || std::find(route.workspaces.begin(), route.workspaces.end(), workspace) != route.workspaces.end();
+}
+
+Place decidePlace(const PlaceQuery& query, RoutingStrategy& strategy)
+{
+    if (!isPermittedRegion(query.snapshot, query.workspace, query.here.region))
+        return RefuseRequest { ResultCode::ResidencyRefused };
+    const auto candidates = collectCandidates(query);
+    if (!candidates.here.empty()) {
+        const auto chosen = strategy.choose(candidates.here, query.requestHash);
+        return RunHere { candidates.here.at(chosen).id };
+    }
+    if (query.hops == HopsLeft::None)
+        return RefuseRequest { ResultCode::NoBackendServer };
+    const auto* peer = choosePeer(query, candidates.elsewhere);
+    if (!peer)
+        return RefuseRequest { ResultCode::NoBackendServer };
+    return ForwardTo { peer->id };
+}
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibHTTP/AnswerCompleteness.cpp
@@ -0,0 +1,41 @@
+#include <LibHTTP/AnswerCompleteness.h>
+
+namespace Ibisturn {
+
+namespace {
+
+constexpr std::string_view terminalEvent = "data: [DONE]";
+constexpr std::size_t mostLineEnds = 4;
+constexpr std::size_t tailBytes = terminalEvent.size() + mostLineEnds + 1;
+
+} // namespace
+
+AnswerCompleteness::AnswerCompleteness(std::string_view contentType)
+    : isEventStream_(contentType.starts_with("text/event-stream"))
+{
+}
+
+void AnswerCompleteness::add(std::string_view part)
+{
+    if (!isEventStream_)
+        return;
+    tail_.append(part.substr(part.size() > tailBytes ? part.size() - tailBytes : 0));
+    if (tail_.size() > tailBytes)
+        tail_.erase(0, tail_.size() - tailBytes);
+}
+
+bool AnswerCompleteness::isWhole() const
+{
+    if (!isEventStream_)
+        return true;
+    const auto last = tail_.find_last_not_of("\r\n");
+    if (last == std::string::npos || last + 1 == tail_.size())
+        return false;
+    const auto line = std::string_view(tail_).substr(0, last + 1);
+    if (!line.ends_with(terminalEvent))
+        return false;
+    const auto before = line.size() - terminalEvent.size();
+    return before == 0 || line[before - 1] == '\n';
+}
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibHTTP/CallerCredentials.cpp
@@ -0,0 +1,79 @@
+#include <LibHTTP/CallerCredentials.h>
+
+#include <LibCore/Digest.h>
+
+#include <cctype>
+#include <charconv>
+
+namespace Ibisturn {
+
+namespace {
+
+constexpr std::string_view bearer = "Bearer ";
+constexpr int hexadecimal = 16;
+
+std::string decodePercent(std::string_view text)
+{
+    std::string decoded;
+    for (std::size_t index = 0; index < text.size(); ++index) {
+        unsigned char byte = 0;
+        const auto digits = text.substr(index + 1 <= text.size() ? index + 1 : text.size(), 2);
+        const bool isEscape = text[index] == '%' && digits.size() == 2
+            && std::from_chars(digits.data(), digits.data() + 2, byte, hexadecimal).ptr == digits.data() + 2;
+        decoded += isEscape ? static_cast<char>(byte) : text[index];
+        index += isEscape ? 2 : 0;
+    }
+    return decoded;
+}
+
+bool isKeyParameter(std::string_view name)
+{
+    auto decoded = decodePercent(name);
+    for (auto& character : decoded)
+        character = static_cast<char>(std::tolower(static_cast<unsigned char>(character)));
+    return decoded == "key" || decoded == "api_key";
+}
+
+bool isBearer(std::string_view authorization)
+{
+    if (authorization.size() <= bearer.size())
+        return false;
+    for (std::size_t index = 0; index < bearer.size(); ++index) {
+        if (std::tolower(static_cast<unsigned char>(authorization[index])) != std::tolower(static_cast<unsigned char>(bearer[index])))
+            return false;
+    }
+    return true;
+}
+
+} // namespace
+
+CallerCredentials extractCredentials(std::string_view authorization, std::string_view apiKey, std::string_view target)
+{
+    CallerCredentials credentials;
+    const auto question = target.find('?');
+    credentials.target = target.substr(0, question);
+    std::string keyInQuery;
+    char separator = '?';
+    auto rest = question == std::string_view::npos ? std::string_view() : target.substr(question + 1);
+    while (!rest.empty()) {
+        const auto parameter = rest.substr(0, rest.find('&'));
+        rest.remove_prefix(std::min(rest.size(), parameter.size() + 1));
+        const auto equals = parameter.find('=');
+        if (isKeyParameter(parameter.substr(0, equals))) {
+            keyInQuery = equals == std::string_view::npos ? "" : decodePercent(parameter.substr(equals + 1));
+            continue;
+        }
+        credentials.target += separator;
+        credentials.target += parameter;
+        separator = '&';
+    }
+    if (isBearer(authorization))
+        credentials.key = digestOfKey(authorization.substr(bearer.size()));
+    else if (!apiKey.empty())
+        credentials.key = digestOfKey(apiKey);
+    else if (!keyInQuery.empty())
+        credentials.key = digestOfKey(keyInQuery);
+    return credentials;
+}
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibHTTP/CallerSession.cpp
@@ -0,0 +1,352 @@
+#include <LibHTTP/CallerSession.h>
+
+#include <LibCore/SteadyClock.h>
+#include <LibDecision/Membership/EntryDirectory.h>
+#include <LibDecision/Routing/HeadDecision.h>
+#include <LibHTTP/CallerCredentials.h>
+#include <LibHTTP/ErrorBody.h>
+#include <LibHTTP/RequestUnderWay.h>
+
+#include <utility>
+
+#include <boost/beast/http.hpp>
+#include <boost/beast/ssl.hpp>
+#include <nlohmann/json.hpp>
+
+namespace Ibisturn {
+
+namespace Beast = boost::beast;
+namespace Http = boost::beast::http;
+
+namespace {
+
+constexpr Log callerLog("caller");
+constexpr int httpVersion11 = 11;
+constexpr const char* jsonType = "application/json";
+constexpr std::string_view eventStreamType = "text/event-stream";
+
+using PlainStream = Beast::tcp_stream;
+using TlsStream = Beast::ssl_stream<Beast::tcp_stream>;
+using RequestParser = Http::request_parser<Http::string_body>;
+
+enum class AfterRequest : std::uint8_t {
+    KeepAlive,
+    Close,
+};
+
+/// Writes an answer to a caller as chunked HTTP.
+template <typename Stream>
+class CallerSink final : public AnswerSink {
+public:
+    CallerSink(Stream& stream, Duration timeout)
+        : stream_(stream)
+        , timeout_(timeout)
+    {
+    }
+
+    bool hasStarted() const { return hasStarted_; }
+    bool isEventStream() const { return isEventStream_; }
+
+    Task<void> writeHead(const AnswerHead& head) override
+    {
+        hasStarted_ = true;
+        isEventStream_ = head.contentType.starts_with(eventStreamType);
+        Http::response<Http::empty_body> response(static_cast<Http::status>(head.status), httpVersion11);
+        response.set(Http::field::content_type, head.contentType);
+        response.chunked(true);
+        Http::response_serializer<Http::empty_body> serializer(response);
+        Beast::get_lowest_layer(stream_).expires_after(timeout_);
+        boost::system::error_code error;
+        co_await Http::async_write_header(stream_, serializer, Asio::redirect_error(Asio::use_awaitable, error));
+        check(error);
+    }
+
+    Task<void> writePart(std::string_view part) override
+    {
+        Beast::get_lowest_layer(stream_).expires_after(timeout_);
+        boost::system::error_code error;
+        const auto chunk = Http::make_chunk(Asio::buffer(part.data(), part.size()));
+        co_await Asio::async_write(stream_, chunk, Asio::redirect_error(Asio::use_awaitable, error));
+        check(error);
+    }
+
+    Task<void> writeEnd() override
+    {
+        Beast::get_lowest_layer(stream_).expires_after(timeout_);
+        boost::system::error_code error;
+        const auto last = Http::make_chunk_last();
+        co_await Asio::async_write(stream_, last, Asio::redirect_error(Asio::use_awaitable, error));
+        check(error);
+    }
+
+private:
+    static void check(const boost::system::error_code& error)
+    {
+        if (error)
+            throw Error(ResultCode::CallerGone, Ran::Unknown, "The caller is gone");
+    }
+
+    Stream& stream_;
+    Duration timeout_;
+    bool hasStarted_ { false };
+    bool isEventStream_ { false };
+};
+
+/// One caller's connection.
+template <typename Stream>
+class CallerSession {
+public:
+    CallerSession(Stream stream, InstanceTables& tables, RequestRunner& runner)
+        : stream_(std::move(stream))
+        , tables_(tables)
+        , runner_(runner)
+    {
+    }
+
+    Stream& stream() { return stream_; }
+
+    Task<void> run()
+    {
+        auto after = AfterRequest::KeepAlive;
+        while (after == AfterRequest::KeepAlive)
+            after = co_await serveOne();
+        boost::system::error_code ignored;
+        Beast::get_lowest_layer(stream_).socket().shutdown(Asio::ip::tcp::socket::shutdown_send, ignored);
+    }
+
+private:
+    Task<AfterRequest> serveOne()
+    {
+        RequestParser parser;
+        parser.header_limit(static_cast<std::uint32_t>(tables_.settings.headLimit.count()));
+        parser.body_limit(tables_.settings.bodyLimit.count());
+        expireAfter(tables_.settings.idleTimeout);
+        boost::system::error_code error;
+        co_await Http::async_read_header(stream_, buffer_, parser, Asio::redirect_error(Asio::use_awaitable, error));
+        if (error)
+            co_return co_await refuseHead(error);
+        const RequestUnderWay underWay(tables_.requestsUnderWay);
+        const auto started = SteadyClock().now();
+        auto after = co_await serveParsedHead(parser);
+        // A body that nobody read can't be told from the next request.
+        if (!parser.is_done())
+            after = AfterRequest::Close;
+        tables_.metrics.observe("ibisturn_request_seconds", SteadyClock().now() - started);
+        co_return after;
+    }
+
+    Task<AfterRequest> refuseHead(boost::system::error_code error)
+    {
+        if (error == Http::error::header_limit)
+            co_return co_await refuse({ ResultCode::HeadTooLarge, Ran::No, "The request's head exceeds the limit" });
+        const bool isProtocolError = error.category() == make_error_code(Http::error::bad_version).category();
+        if (isProtocolError && error != Http::error::end_of_stream && error != Http::error::partial_message)
+            co_return co_await refuse({ ResultCode::MalformedRequest, Ran::No, "The request is not valid HTTP" });
+        co_return AfterRequest::Close;
+    }
+
+    Task<AfterRequest> serveParsedHead(RequestParser& parser)
+    {
+        const auto& head = parser.get();
+        Span span("entry", parseTraceparent(toView(head["traceparent"])));
+        auto credentials = extractCredentials(toView(head[Http::field::authorization]), toView(head["X-Api-Key"]), toView(head.target()));
+        const std::string path = credentials.target.substr(0, credentials.target.find('?'));
+        if (path == "/healthz" || path == "/readyz")
+            co_return co_await serveHealth(path);
+        std::optional<Error> failure;
+        auto after = AfterRequest::Close;
+        try {
+            after = co_await serveGateway(parser, std::move(credentials), span);
+        } catch (const Error& error) {
+            failure = error;
+        }
+        if (failure) {
+            span.setAttribute("result", std::string(resultCodeEntry(failure->code()).name));
+            after = co_await refuse(*failure);
+        }
+        tables_.tracer.finish(span);
+        co_return after;
+    }
+
+    Task<AfterRequest> serveGateway(RequestParser& parser, CallerCredentials credentials, Span& span)
+    {
+        const auto snapshot = tables_.configuration.get();
+        if (!snapshot)
+            throw Error(ResultCode::ConfigurationNotReady, Ran::No, "The instance has no configuration yet");
+        GatewayRequest request;
+        request.target = std::move(credentials.target);
+        const std::string path(request.path());
+        const HeadVerdict verdict = decideHead(*snapshot, tables_.settings.identity.region, { path, credentials.key });
+        // Callers of any workspace may ask which entries to use, also where their data may not be.
+        if (path == "/v1/entries" && (verdict.code == ResultCode::Ok || verdict.code == ResultCode::ResidencyRefused))
+            co_return co_await serveEntries(*snapshot, verdict.workspace);
+        if (verdict.code == ResultCode::ResidencyRefused)
+            co_return co_await refuseElsewhere(*snapshot, verdict.workspace);
+        if (verdict.code != ResultCode::Ok)
+            throw Error(verdict.code, Ran::No, std::string(resultCodeEntry(verdict.code).meaning));
+        if (path == "/v1/models")
+            co_return co_await serveModels(*snapshot, verdict.workspace);
+        if (tables_.isDraining)
+            throw Error(ResultCode::Draining, Ran::No, "The instance is shutting down");
+        co_await readBody(parser);
+        request.workspace = verdict.workspace;
+        request.method = std::string(parser.get().method_string());
+        request.contentType = std::string(parser.get()[Http::field::content_type]);
+        request.idempotencyKey = IdempotencyKey(std::string(parser.get()["Idempotency-Key"]));
+        request.body = std::move(parser.get().body());
+        request.parent = span.context();
+        request.deadline = SteadyClock().now() + tables_.settings.requestTimeout;
+        span.setAttribute("workspace", request.workspace.value());
+        co_return co_await runRequest(std::move(request), parser.keep_alive());
+    }
+
+    Task<AfterRequest> runRequest(GatewayRequest request, bool keepAlive)
+    {
+        CallerSink<Stream> sink(stream_, tables_.settings.idleTimeout);
+        std::optional<Error> failure;
+        try {
+            co_await runner_.runFromCaller(std::move(request), sink);
+        } catch (const Error& error) {
+            failure = error;
+        }
+        if (!failure) {
+            tables_.metrics.increment("ibisturn_requests_total{result=\"ok\"}");
+            co_return keepAlive && !tables_.isDraining ? AfterRequest::KeepAlive : AfterRequest::Close;
+        }
+        if (!sink.hasStarted())
+            throw *failure;
+        countFailure(*failure);
+        if (sink.isEventStream() && failure->code() != ResultCode::CallerGone)
+            co_await writeErrorEvent(sink, *failure);
+        // The missing last chunk shows the caller that the answer is cut.
+        co_return AfterRequest::Close;
+    }
+
+    Task<void> readBody(RequestParser& parser)
+    {
+        expireAfter(tables_.settings.idleTimeout);
+        boost::system::error_code error;
+        if (Beast::iequals(parser.get()[Http::field::expect], "100-continue")) {
+            const Http::response<Http::empty_body> proceed(Http::status::continue_, httpVersion11);
+            co_await Http::async_write(stream_, proceed, Asio::redirect_error(Asio::use_awaitable, error));
+        }
+        co_await Http::async_read(stream_, buffer_, parser, Asio::redirect_error(Asio::use_awaitable, error));
+        if (error == Http::error::body_limit)
+            throw Error(ResultCode::BodyTooLarge, Ran::No, "The request's body exceeds the limit");
+        if (error == Beast::error::timeout)
+            throw Error(ResultCode::RequestReadTimeout, Ran::No, "The request's body did not arrive in time");
+        if (error)
+            throw Error(ResultCode::MalformedRequest, Ran::No, "The request's body is not valid HTTP");
+    }
+
+    Task<void> writeErrorEvent(CallerSink<Stream>& sink, Error failure)
+    {
+        const std::string event = "data: " + formatErrorBody(failure) + "\n\n";
+        try {
+            co_await sink.writePart(event);
+        } catch (const Error&) {
+            callerLog.debug("Caller gone before the error event.");
+        }
+    }
+
+    Task<AfterRequest> serveHealth(std::string path)
+    {
+        const bool isReady = tables_.configuration.get() && !tables_.isDraining;
+        const bool isWell = path == "/healthz" || isReady;
+        const unsigned status = isWell ? 200 : 503;
+        std::string body = isWell ? R"({"status":"ok"})" : R"({"status":"not ready"})";
+        co_return co_await respond(status, std::move(body), AfterRequest::KeepAlive);
+    }
+
+    Task<AfterRequest> serveEntries(const Snapshot& snapshot, WorkspaceId workspace)
+    {
+        std::string body = formatEntries(entriesOf(snapshot, workspace));
+        co_return co_await respond(200, std::move(body), AfterRequest::KeepAlive);
+    }
+
+    Task<AfterRequest> serveModels(const Snapshot& snapshot, WorkspaceId workspace)
+    {
+        auto list = nlohmann::json::array();
+        for (const auto& route : snapshot.routes()) {
+            if (!route.model.isEmpty() && mayUseRoute(route, workspace))
+                list.push_back({ { "id", route.model.value() }, { "object", "model" }, { "created", 0 }, { "owned_by", "ibisturn" } });
+        }
+        std::string body = nlohmann::json { { "object", "list" }, { "data", std::move(list) } }.dump();
+        co_return co_await respond(200, std::move(body), AfterRequest::KeepAlive);
+    }
+
+    Task<AfterRequest> refuseElsewhere(const Snapshot& snapshot, WorkspaceId workspace)
+    {
+        const Error error(ResultCode::ResidencyRefused, Ran::No, "This instance lies outside the permitted regions");
+        countFailure(error);
+        std::string body = formatErrorBody(error, entriesOf(snapshot, workspace));
+        co_return co_await respond(resultCodeEntry(error.code()).httpStatus, std::move(body), AfterRequest::Close);
+    }
+
+    Task<AfterRequest> refuse(Error error)
+    {
+        countFailure(error);
+        std::string body = formatErrorBody(error);
+        co_return co_await respond(resultCodeEntry(error.code()).httpStatus, std::move(body), AfterRequest::Close);
+    }
+
+    Task<AfterRequest> respond(unsigned status, std::string body, AfterRequest after)
+    {
+        Http::response<Http::string_body> response(static_cast<Http::status>(status), httpVersion11);
+        response.set(Http::field::content_type, jsonType);
+        response.keep_alive(after == AfterRequest::KeepAlive);
+        response.body() = std::move(body);
+        response.prepare_payload();
+        expireAfter(tables_.settings.idleTimeout);
+        boost::system::error_code error;
+        co_await Http::async_write(stream_, response, Asio::redirect_error(Asio::use_awaitable, error));
+        co_return error ? AfterRequest::Close : after;
+    }
+
+    std::vector<Member> entriesOf(const Snapshot& snapshot, const WorkspaceId& workspace) const
+    {
+        const auto membership = tables_.membership.get();
+        if (!membership)
+            return {};
+        return entriesFor(snapshot, *membership, workspace, tables_.settings.identity.region);
+    }
+
+    void countFailure(const Error& error) const
+    {
+        tables_.metrics.increment(fmt::format("ibisturn_requests_total{{result=\"{}\"}}", resultCodeEntry(error.code()).name));
+    }
+
+    void expireAfter(Duration duration) { Beast::get_lowest_layer(stream_).expires_after(duration); }
+
+    static std::string_view toView(Beast::string_view text) { return { text.data(), text.size() }; }
+
+    Stream stream_;
+    InstanceTables& tables_;
+    RequestRunner& runner_;
+    Beast::flat_buffer buffer_;
+};
+
+} // namespace
+
+Task<void> serveCaller(Asio::ip::tcp::socket socket, TlsContextPointer tls, InstanceTables& tables, RequestRunner& runner)
+{
+    boost::system::error_code ignored;
+    socket.set_option(Asio::ip::tcp::no_delay(true), ignored);
+    try {
+        if (!tls) {
+            CallerSession<PlainStream> session(PlainStream(std::move(socket)), tables, runner);
+            co_await session.run();
+            co_return;
+        }
+        CallerSession<TlsStream> session(TlsStream(PlainStream(std::move(socket)), *tls), tables, runner);
+        Beast::get_lowest_layer(session.stream()).expires_after(tables.settings.idleTimeout);
+        co_await session.stream().async_handshake(Asio::ssl::stream_base::server, Asio::use_awaitable);
+        co_await session.run();
+    } catch (const boost::system::system_error& error) {
+        callerLog.debug("Connection ended.", { { "reason", error.code().message() } });
+    } catch (const std::exception& error) {
+        callerLog.error("Connection failed.", { { "reason", error.what() } });
+    }
+}
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibHTTP/ErrorBody.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <LibCore/Error.h>
+#include <LibDecision/Membership/MembershipView.h>
+
+#include <string>
+#include <vector>
+
+namespace Ibisturn {
+
+/// The JSON text of an error in the shape of the OpenAI API, with the result code's number, whether the
+/// request ran, and the entries to use instead, if any. Thread safety: any thread.
+std::string formatErrorBody(const Error& error, const std::vector<Member>& entries = {});
+
+/// The JSON text that lists entries for callers. Thread safety: any thread.
+std::string formatEntries(const std::vector<Member>& entries);
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibHTTP/InstanceTables.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <LibConfiguration/Settings.h>
+#include <LibConfiguration/Snapshot.h>
+#include <LibCore/Metrics.h>
+#include <LibCore/SharedValue.h>
+#include <LibDecision/Membership/MembershipView.h>
+#include <LibHTTP/LoadTable.h>
+#include <LibHTTP/Tracer.h>
+
+#include <atomic>
+
+namespace Ibisturn {
+
+/// What all workers of one instance share. Tables lock in the order of TableLevel.
+/// Thread safety: each member as its type says.
+struct InstanceTables {
+    explicit InstanceTables(Settings instanceSettings, Tracer::Destination spans)
+        : settings(std::move(instanceSettings))
+        , tracer(settings.identity.instance.value(), std::move(spans))
+    {
+    }
+
+    const Settings settings;
+    SharedValue<Snapshot> configuration { TableLevel::Configuration };
+    SharedValue<MembershipView> membership { TableLevel::Membership };
+    LoadTable load;
+    Metrics metrics;
+    Tracer tracer;
+    /// Set once the instance refuses new requests.
+    std::atomic<bool> isDraining { false };
+    /// Requests from callers and peers that are under way.
+    std::atomic<std::uint64_t> requestsUnderWay { 0 };
+};
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibHTTP/PeerClient.cpp
@@ -0,0 +1,89 @@
+#include <LibHTTP/PeerClient.h>
+
+#include <utility>
+
+namespace Ibisturn {
+
+namespace {
+
+Error errorOf(const FailureMessage& failure)
+{
+    const auto code = resultCodeFromNumber(failure.code).value_or(ResultCode::OutcomeUnknown);
+    const auto ran = failure.ran <= static_cast<std::uint8_t>(Ran::Yes) ? static_cast<Ran>(failure.ran) : Ran::Unknown;
+    return { code, ran, failure.text };
+}
+
+} // namespace
+
+PeerClient::PeerClient(HelloMessage self, Limits limits)
+    : self_(std::move(self))
+    , limits_(limits)
+{
+}
+
+Task<void> PeerClient::run(const Member& peer, ForwardMessage message, AnswerSink& sink)
+{
+    const Endpoint endpoint = peer.peers;
+    ConnectionPointer connection = co_await obtain(endpoint);
+    const RequestId request(++lastRequest_);
+    std::string problem;
+    PeerMessage outgoing(std::move(message));
+    try {
+        co_await connection->write(request, std::move(outgoing), limits_.silenceTimeout);
+        co_await passAnswer(*connection, request, sink);
+    } catch (const boost::system::system_error& error) {
+        problem = error.what();
+    }
+    // The frame may have arrived, so only the receiver could say that nothing ran.
+    if (!problem.empty())
+        throw Error(ResultCode::OutcomeUnknown, Ran::Unknown, "The link to the peer broke: " + problem);
+    idle_[endpoint].push_back(std::move(connection));
+}
+
+Task<PeerClient::ConnectionPointer> PeerClient::obtain(Endpoint endpoint)
+{
+    auto& idle = idle_[endpoint];
+    if (!idle.empty()) {
+        ConnectionPointer connection = std::move(idle.back());
+        idle.pop_back();
+        co_return connection;
+    }
+    auto connection = std::make_unique<PeerConnection>(co_await PeerConnection::connect(endpoint, limits_.connectTimeout, limits_.frame));
+    bool failed = false;
+    HelloMessage hello = self_;
+    try {
+        co_await connection->handshake(std::move(hello), limits_.silenceTimeout);
+    } catch (const boost::system::system_error&) {
+        failed = true;
+    }
+    if (failed)
+        throw Error(ResultCode::PeerUnreachable, Ran::No, "The peer did not complete the handshake");
+    co_return connection;
+}
+
+Task<void> PeerClient::passAnswer(PeerConnection& connection, RequestId request, AnswerSink& sink)
+{
+    for (;;) {
+        const Frame frame = co_await connection.read(limits_.silenceTimeout);
+        // A frame of an earlier request on this connection came late.
+        if (frame.request != request)
+            continue;
+        if (const auto* failure = std::get_if<FailureMessage>(&frame.message))
+            throw errorOf(*failure);
+        if (std::holds_alternative<AnswerEndMessage>(frame.message)) {
+            co_await sink.writeEnd();
+            co_return;
+        }
+        if (const auto* part = std::get_if<AnswerPartMessage>(&frame.message)) {
+            co_await sink.writePart(part->part);
+            continue;
+        }
+        const auto* head = std::get_if<AnswerHeadMessage>(&frame.message);
+        if (!head)
+            throw Error(ResultCode::MalformedFrame, Ran::Unknown, "The peer sent a frame that does not belong to an answer");
+        const AnswerHead answerHead { head->status, head->contentType };
+        co_await sink.writeHead(answerHead);
+    }
+}
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibHTTP/PeerClient.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <LibDecision/Membership/MembershipView.h>
+#include <LibKernel/AnswerSink.h>
+#include <LibPeer/PeerConnection.h>
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace Ibisturn {
+
+/// Hands requests to other instances and passes their answers on. It never repeats a request.
+/// Thread safety: the worker that owns it.
+class PeerClient {
+public:
+    struct Limits {
+        Duration connectTimeout;
+        Duration silenceTimeout;
+        ByteCount frame;
+    };
+
+    /// `self` is what this instance says of itself in every handshake.
+    PeerClient(HelloMessage self, Limits limits);
+
+    /// Runs `message` on `peer` and writes its answer to `sink`. Throws Error, whose ran() says whether
+    /// the request may have reached a backend server.
+    Task<void> run(const Member& peer, ForwardMessage message, AnswerSink& sink);
+
+private:
+    using ConnectionPointer = std::unique_ptr<PeerConnection>;
+
+    Task<ConnectionPointer> obtain(Endpoint endpoint);
+    Task<void> passAnswer(PeerConnection& connection, RequestId request, AnswerSink& sink);
+
+    HelloMessage self_;
+    Limits limits_;
+    std::uint64_t lastRequest_ { 0 };
+    std::map<Endpoint, std::vector<ConnectionPointer>> idle_;
+};
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibKernel/AnswerSink.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <LibKernel/Asio.h>
+
+#include <string>
+#include <string_view>
+
+namespace Ibisturn {
+
+/// The head of a backend server's answer.
+struct AnswerHead {
+    unsigned status { 0 };
+    std::string contentType;
+};
+
+/// Takes one answer in order: a head, parts, an end. Each call returns once the part is handed to the
+/// network, so a slow reader slows the one who writes.
+/// Thread safety: one coroutine at a time.
+class AnswerSink {
+public:
+    virtual ~AnswerSink() = default;
+
+    /// Begins the answer. Precondition: nothing was written yet. Throws if the reader is gone.
+    virtual Task<void> writeHead(const AnswerHead& head) = 0;
+
+    /// Precondition: the head was written and the end was not. Throws if the reader is gone.
+    virtual Task<void> writePart(std::string_view part) = 0;
+
+    /// Ends a whole answer. Precondition: the head was written.
+    virtual Task<void> writeEnd() = 0;
+};
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibKernel/HttpClient.cpp
@@ -0,0 +1,90 @@
+#include <LibKernel/HttpClient.h>
+
+#include <array>
+#include <utility>
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace Ibisturn {
+
+namespace Beast = boost::beast;
+namespace Http = boost::beast::http;
+
+namespace {
+
+constexpr int httpVersion11 = 11;
+constexpr std::size_t mostReplyBytes = 256UL * 1024 * 1024;
+constexpr std::size_t lineReadBytes = 16UL * 1024;
+
+Http::request<Http::string_body> makeRequest(const HttpCall& call)
+{
+    Http::request<Http::string_body> request(Http::string_to_verb(call.method), call.target, httpVersion11);
+    request.set(Http::field::host, call.endpoint.toString());
+    request.set(Http::field::connection, "close");
+    for (const auto& header : call.headers)
+        request.set(header.name, header.value);
+    request.body() = call.body;
+    request.prepare_payload();
+    return request;
+}
+
+Task<void> connectAndSend(Beast::tcp_stream& stream, const HttpCall& call)
+{
+    stream.expires_after(call.timeout);
+    const Asio::ip::tcp::endpoint target(Asio::ip::make_address(call.endpoint.address), call.endpoint.port);
+    co_await stream.async_connect(target, Asio::use_awaitable);
+    const auto request = makeRequest(call);
+    co_await Http::async_write(stream, request, Asio::use_awaitable);
+}
+
+void passLines(std::string& pending, const std::function<void(std::string_view)>& onLine)
+{
+    std::size_t start = 0;
+    for (auto end = pending.find('\n'); end != std::string::npos; end = pending.find('\n', start)) {
+        if (end > start)
+            onLine(std::string_view(pending).substr(start, end - start));
+        start = end + 1;
+    }
+    pending.erase(0, start);
+}
+
+} // namespace
+
+Task<HttpReply> exchangeHttp(HttpCall call)
+{
+    const auto executor = co_await Asio::this_coro::executor;
+    Beast::tcp_stream stream(executor);
+    co_await connectAndSend(stream, call);
+    Beast::flat_buffer buffer;
+    Http::response_parser<Http::string_body> parser;
+    parser.body_limit(mostReplyBytes);
+    co_await Http::async_read(stream, buffer, parser, Asio::use_awaitable);
+    co_return HttpReply { parser.get().result_int(), std::move(parser.get().body()) };
+}
+
+Task<void> readHttpLines(HttpCall call, std::function<void(std::string_view)> onLine)
+{
+    const auto executor = co_await Asio::this_coro::executor;
+    Beast::tcp_stream stream(executor);
+    co_await connectAndSend(stream, call);
+    Beast::flat_buffer buffer;
+    Http::response_parser<Http::buffer_body> parser;
+    parser.body_limit(boost::none);
+    co_await Http::async_read_header(stream, buffer, parser, Asio::use_awaitable);
+    std::array<char, lineReadBytes> part {};
+    std::string pending;
+    while (!parser.is_done()) {
+        parser.get().body().data = part.data();
+        parser.get().body().size = part.size();
+        stream.expires_after(call.timeout);
+        boost::system::error_code error;
+        co_await Http::async_read_some(stream, buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
+        if (error && error != Http::error::need_buffer)
+            throw boost::system::system_error(error);
+        pending.append(part.data(), part.size() - parser.get().body().size);
+        passLines(pending, onLine);
+    }
+}
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibKernel/WorkerPool.cpp
@@ -0,0 +1,34 @@
+#include <LibKernel/WorkerPool.h>
+
+namespace Ibisturn {
+
+WorkerPool::WorkerPool(std::uint32_t count)
+{
+    for (std::uint32_t index = 0; index < count; ++index) {
+        // A concurrency hint of 1 spares the event loop's own locks: one thread runs each.
+        contexts_.push_back(std::make_unique<Asio::io_context>(1));
+        guards_.push_back(Asio::make_work_guard(*contexts_.back()));
+    }
+}
+
+WorkerPool::~WorkerPool()
+{
+    stop();
+    for (auto& thread : threads_)
+        thread.join();
+}
+
+void WorkerPool::run()
+{
+    for (std::size_t index = 1; index < contexts_.size(); ++index)
+        threads_.emplace_back([this, index] { contexts_.at(index)->run(); });
+    contexts_.front()->run();
+}
+
+void WorkerPool::stop()
+{
+    for (const auto& context : contexts_)
+        context->stop();
+}
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibKernel/WorkerPool.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <LibKernel/Asio.h>
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <thread>
+#include <vector>
+
+namespace Ibisturn {
+
+/// A pool of workers, each a thread with an event loop of its own. A connection stays on the worker it
+/// was accepted on; workers share only tables that TableLock guards.
+class WorkerPool {
+public:
+    /// Precondition: `count` is positive.
+    explicit WorkerPool(std::uint32_t count);
+    ~WorkerPool();
+    WorkerPool(const WorkerPool&) = delete;
+    WorkerPool& operator=(const WorkerPool&) = delete;
+
+    /// The number of workers. Thread safety: any thread.
+    std::size_t size() const { return contexts_.size(); }
+
+    /// The event loop of one worker. Precondition: `index` < size(). Thread safety: any thread.
+    Asio::io_context& context(std::size_t index) { return *contexts_.at(index); }
+
+    /// The worker that takes the next connection, in turn. Thread safety: any thread.
+    std::size_t nextIndex() { return next_++ % contexts_.size(); }
+
+    /// Runs all workers, the first on the calling thread, until stop(). Thread safety: once, one thread.
+    void run();
+
+    /// Ends run(). Thread safety: any thread.
+    void stop();
+
+private:
+    using WorkGuard = Asio::executor_work_guard<Asio::io_context::executor_type>;
+
+    std::vector<std::unique_ptr<Asio::io_context>> contexts_;
+    std::vector<WorkGuard> guards_;
+    std::vector<std::thread> threads_;
+    std::atomic<std::size_t> next_ { 0 };
+};
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibPeer/Frame.cpp
@@ -0,0 +1,101 @@
+#include <LibPeer/Frame.h>
+
+#include <fmt/format.h>
+
+namespace Ibisturn {
+
+namespace {
+
+constexpr std::size_t mostElements = 64;
+constexpr std::size_t mostDepth = 8;
+
+/// The part of a frame before its message.
+struct FrameHeader {
+    std::uint8_t version { 0 };
+    std::uint8_t type { 0 };
+    std::uint64_t incarnation { 0 };
+    std::uint64_t request { 0 };
+    MSGPACK_DEFINE(version, type, incarnation, request)
+};
+
+// Each element's size is bounded by the frame's own length, which was checked before.
+msgpack::unpack_limit limitFor(std::size_t length)
+{
+    return { mostElements, mostElements, length, length, 0, mostDepth };
+}
+
+template <typename Message>
+PeerMessage convertMessage(const msgpack::object& object)
+{
+    return object.as<Message>();
+}
+
+using Converter = PeerMessage (*)(const msgpack::object&);
+
+template <std::size_t... Index>
+PeerMessage convertByType(std::uint8_t type, const msgpack::object& object, std::index_sequence<Index...> /*indices*/)
+{
+    static constexpr Converter converters[] = { convertMessage<std::variant_alternative_t<Index, PeerMessage>>... };
+    if (type >= sizeof...(Index))
+        throw Error(ResultCode::MalformedFrame, Ran::No, fmt::format("Frame type {} is unknown", type));
+    return converters[type](object);
+}
+
+msgpack::object_handle unpackNext(std::string_view bytes, std::size_t& offset)
+{
+    return msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr, nullptr, limitFor(bytes.size()));
+}
+
+FrameHeader unpackHeader(std::string_view bytes, std::size_t& offset)
+{
+    const auto header = unpackNext(bytes, offset)->as<FrameHeader>();
+    if (header.version != frameVersion)
+        throw Error(ResultCode::FrameVersionUnknown, Ran::No, fmt::format("Frame version {} is unknown", header.version));
+    return header;
+}
+
+} // namespace
+
+std::string encodeFrame(const Frame& frame)
+{
+    msgpack::sbuffer buffer;
+    const std::string placeholder(frameLengthBytes, '\0');
+    buffer.write(placeholder.data(), placeholder.size());
+    const auto type = static_cast<std::uint8_t>(frame.message.index());
+    msgpack::pack(buffer, FrameHeader { frameVersion, type, frame.incarnation.count(), frame.request.count() });
+    std::visit([&buffer](const auto& message) { msgpack::pack(buffer, message); }, frame.message);
+    std::string bytes(buffer.data(), buffer.size());
+    const auto length = bytes.size() - frameLengthBytes;
+    for (std::size_t index = 0; index < frameLengthBytes; ++index)
+        bytes[index] = static_cast<char>((length >> (8 * (frameLengthBytes - 1 - index))) & 0xff);
+    return bytes;
+}
+
+std::size_t decodeFrameLength(std::string_view bytes, std::size_t limit)
+{
+    std::size_t length = 0;
+    for (std::size_t index = 0; index < frameLengthBytes; ++index)
+        length = (length << 8) | static_cast<unsigned char>(bytes[index]);
+    if (length > limit)
+        throw Error(ResultCode::FrameTooLarge, Ran::No, fmt::format("A frame of {} bytes exceeds the limit of {}", length, limit));
+    return length;
+}
+
+Frame decodeFrame(std::string_view bytes)
+{
+    try {
+        std::size_t offset = 0;
+        const auto header = unpackHeader(bytes, offset);
+        const auto body = unpackNext(bytes, offset);
+        if (offset != bytes.size())
+            throw Error(ResultCode::MalformedFrame, Ran::No, "A frame has bytes after its message");
+        auto message = convertByType(header.type, *body, std::make_index_sequence<std::variant_size_v<PeerMessage>> {});
+        return { Incarnation(header.incarnation), RequestId(header.request), std::move(message) };
+    } catch (const msgpack::unpack_error&) {
+        throw Error(ResultCode::MalformedFrame, Ran::No, "A frame is not valid msgpack");
+    } catch (const msgpack::type_error&) {
+        throw Error(ResultCode::MalformedFrame, Ran::No, "A frame's message has fields of the wrong type");
+    }
+}
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibPeer/Frame.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <LibCore/Error.h>
+#include <LibCore/Quantity.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include <msgpack.hpp>
+
+namespace Ibisturn {
+
+/// The version of frames that this program writes.
+constexpr std::uint8_t frameVersion = 1;
+
+/// Bytes of the big-endian length before each frame.
+constexpr std::size_t frameLengthBytes = 4;
+
+/// First frame of each side of a connection: who speaks, and in which life.
+struct HelloMessage {
+    std::string instance;
+    std::string region;
+    std::string dataCentre;
+    std::int64_t revision { 0 };
+    MSGPACK_DEFINE(instance, region, dataCentre, revision)
+};
+
+/// A request that one instance hands to another. It holds no key.
+struct ForwardMessage {
+    std::string workspace;
+    std::string route;
+    /// Revision of the sender's configuration.
+    std::int64_t revision { 0 };
+    std::string method;
+    std::string target;
+    std::string contentType;
+    std::string idempotencyKey;
+    std::string traceparent;
+    std::uint64_t timeoutMilliseconds { 0 };
+    std::string body;
+    MSGPACK_DEFINE(workspace, route, revision, method, target, contentType, idempotencyKey, traceparent, timeoutMilliseconds, body)
+};
+
+/// The head of the answer to a forwarded request.
+struct AnswerHeadMessage {
+    std::uint32_t status { 0 };
+    std::string contentType;
+    MSGPACK_DEFINE(status, contentType)
+};
+
+/// A part of the answer, in order.
+struct AnswerPartMessage {
+    std::string part;
+    MSGPACK_DEFINE(part)
+};
+
+/// The answer is whole.
+struct AnswerEndMessage {
+    std::uint8_t reserved { 0 };
+    MSGPACK_DEFINE(reserved)
+};
+
+/// The request failed; says whether it may have run.
+struct FailureMessage {
+    std::uint16_t code { 0 };
+    std::uint8_t ran { 0 };
+    std::string text;
+    MSGPACK_DEFINE(code, ran, text)
+};
+
+using PeerMessage = std::variant<HelloMessage, ForwardMessage, AnswerHeadMessage, AnswerPartMessage, AnswerEndMessage, FailureMessage>;
+
+/// A message between two instances with what ties it to its request.
+struct Frame {
+    /// The life of the sender's connection; frames of another life are refused.
+    Incarnation incarnation;
+    RequestId request;
+    PeerMessage message;
+};
+
+/// The frame as bytes, with its length in front. Thread safety: any thread.
+std::string encodeFrame(const Frame& frame);
+
+/// Reads the length in front of a frame. Throws Error with FrameTooLarge above `limit`.
+/// Precondition: `bytes` has frameLengthBytes. Thread safety: any thread.
+std::size_t decodeFrameLength(std::string_view bytes, std::size_t limit);
+
+/// Reads a frame without its length. Throws Error with MalformedFrame or FrameVersionUnknown.
+/// Thread safety: any thread.
+Frame decodeFrame(std::string_view bytes);
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibPlatform/LiveListClient.cpp
@@ -0,0 +1,64 @@
+#include <LibPlatform/LiveListClient.h>
+
+#include <LibCore/Error.h>
+#include <LibKernel/HttpClient.h>
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+namespace Ibisturn {
+
+namespace {
+
+Endpoint readEndpoint(const nlohmann::json& entry, const char* field)
+{
+    const auto endpoint = parseEndpoint(entry.at(field).get<std::string>());
+    if (!endpoint)
+        throw Error(ResultCode::MalformedBody, Ran::No, "The live list has an endpoint that is not an IP address and a port");
+    return *endpoint;
+}
+
+Member readMember(const nlohmann::json& entry)
+{
+    Member member;
+    member.id = InstanceId(entry.at("id").get<std::string>());
+    member.region = RegionId(entry.at("region").get<std::string>());
+    member.dataCentre = DataCentreId(entry.at("data_centre").get<std::string>());
+    member.callers = readEndpoint(entry, "callers");
+    member.peers = readEndpoint(entry, "peers");
+    member.state = entry.value("state", "live") == "leaving" ? MemberState::Leaving : MemberState::Live;
+    return member;
+}
+
+} // namespace
+
+MembershipView parseLiveList(std::string_view json)
+{
+    MembershipView view;
+    try {
+        const auto list = nlohmann::json::parse(json);
+        for (const auto& entry : list.at("instances"))
+            view.instances.push_back(readMember(entry));
+        for (const auto& entry : list.at("backend_servers")) {
+            if (entry.value("state", "live") == "leaving")
+                view.leavingBackendServers.emplace(entry.at("id").get<std::string>());
+        }
+    } catch (const nlohmann::json::exception&) {
+        throw Error(ResultCode::MalformedBody, Ran::No, "The live list is not valid");
+    }
+    const auto isBefore = [](const Member& left, const Member& right) { return left.id < right.id; };
+    std::sort(view.instances.begin(), view.instances.end(), isBefore);
+    return view;
+}
+
+Task<MembershipView> fetchLiveList(Endpoint endpoint)
+{
+    HttpCall call;
+    call.endpoint = std::move(endpoint);
+    call.target = "/v1/live";
+    const HttpReply reply = co_await exchangeHttp(std::move(call));
+    co_return parseLiveList(reply.body);
+}
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibPlatform/StoreClient.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <LibConfiguration/Settings.h>
+#include <LibCore/Quantity.h>
+#include <LibKernel/Asio.h>
+#include <LibKernel/PluginRegistry.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Ibisturn {
+
+/// A key and its value as the store holds them.
+struct StoreEntry {
+    std::string key;
+    std::string value;
+    Revision revision;
+};
+
+/// All entries below a prefix at one revision.
+struct StoreRange {
+    Revision revision;
+    std::vector<StoreEntry> entries;
+};
+
+/// One key's change, which takes effect only while the key is at `expected`; zero expects no such key.
+struct StoreWrite {
+    std::string key;
+    /// The new value; nothing deletes the key.
+    std::optional<std::string> value;
+    Revision expected;
+};
+
+enum class WriteOutcome : std::uint8_t {
+    Written,
+    Conflict,
+};
+
+/// What became of a transaction.
+struct StoreWriteResult {
+    WriteOutcome outcome { WriteOutcome::Conflict };
+    Revision revision;
+    /// On a conflict, the present entries of the keys.
+    std::vector<StoreEntry> current;
+};
+
+/// A change that a watch saw; no value means that the key was deleted.
+struct StoreChange {
+    std::string key;
+    std::optional<std::string> value;
+    Revision revision;
+};
+
+/// Changes up to `revision`, in order.
+struct StoreChanges {
+    Revision revision;
+    std::vector<StoreChange> changes;
+};
+
+/// The platform's key-value service. Store clients are plug-ins.
+/// Thread safety: one worker.
+class StoreClient {
+public:
+    virtual ~StoreClient() = default;
+
+    /// Reads all entries below `prefix`. Throws Error with StoreUnavailable.
+    virtual Task<StoreRange> range(std::string prefix) = 0;
+
+    /// Writes all of `writes` or none. Throws Error with StoreUnavailable if nothing was written and with
+    /// WriteOutcomeUnknown if the reply was lost.
+    virtual Task<StoreWriteResult> transact(std::vector<StoreWrite> writes) = 0;
+
+    /// Passes changes below `prefix` from revision `from` on, until the watch breaks; then throws Error.
+    virtual Task<void> watch(std::string prefix, Revision from, std::function<void(StoreChanges)> onChanges) = 0;
+};
+
+using StoreClientRegistry = PluginRegistry<StoreClient, const Settings&>;
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Plugins/EtcdStoreClient.cpp
@@ -0,0 +1,216 @@
+#include <LibCore/Error.h>
+#include <LibKernel/HttpClient.h>
+#include <LibPlatform/StoreClient.h>
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+namespace Ibisturn {
+
+namespace {
+
+constexpr Duration callTimeout = std::chrono::seconds(2);
+constexpr Duration watchSilence = std::chrono::seconds(30);
+constexpr unsigned httpOk = 200;
+
+std::string encodeBase64(std::string_view bytes)
+{
+    std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
+    const auto length = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+        reinterpret_cast<const unsigned char*>(bytes.data()), static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(length));
+    return text;
+}
+
+std::string decodeBase64(const std::string& text)
+{
+    std::string bytes(text.size() + 1, '\0');
+    const auto length = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
+        reinterpret_cast<const unsigned char*>(text.data()), static_cast<int>(text.size()));
+    if (length < 0)
+        throw Error(ResultCode::StoreUnavailable, Ran::No, "The store's reply is not valid base64");
+    const auto padding = text.ends_with("==") ? 2U : text.ends_with("=") ? 1U
+                                                                         : 0U;
+    bytes.resize(static_cast<std::size_t>(length) - padding);
+    return bytes;
+}
+
+// The gateway writes 64-bit numbers as texts.
+Revision readRevision(const nlohmann::json& object, const char* field)
+{
+    const auto found = object.find(field);
+    if (found == object.end())
+        return Revision(0);
+    return Revision(found->is_string() ? std::stoll(found->get<std::string>()) : found->get<std::int64_t>());
+}
+
+// A prefix ends before the key in which its last byte is one greater.
+std::string endOfPrefix(std::string prefix)
+{
+    ++prefix.back();
+    return prefix;
+}
+
+StoreEntry readEntry(const nlohmann::json& entry)
+{
+    return { decodeBase64(entry.at("key").get<std::string>()), decodeBase64(entry.value("value", "")), readRevision(entry, "mod_revision") };
+}
+
+nlohmann::json makeComparison(const StoreWrite& write)
+{
+    const auto key = encodeBase64(write.key);
+    if (write.expected == Revision(0))
+        return { { "key", key }, { "target", "CREATE" }, { "result", "EQUAL" }, { "create_revision", "0" } };
+    return { { "key", key }, { "target", "MOD" }, { "result", "EQUAL" }, { "mod_revision", std::to_string(write.expected.count()) } };
+}
+
+nlohmann::json makeOperation(const StoreWrite& write)
+{
+    const auto key = encodeBase64(write.key);
+    if (!write.value)
+        return { { "request_delete_range", { { "key", key } } } };
+    return { { "request_put", { { "key", key }, { "value", encodeBase64(*write.value) } } } };
+}
+
+nlohmann::json makeTransaction(const std::vector<StoreWrite>& writes)
+{
+    auto compare = nlohmann::json::array();
+    auto success = nlohmann::json::array();
+    auto failure = nlohmann::json::array();
+    for (const auto& write : writes) {
+        compare.push_back(makeComparison(write));
+        success.push_back(makeOperation(write));
+        failure.push_back({ { "request_range", { { "key", encodeBase64(write.key) } } } });
+    }
+    return { { "compare", compare }, { "success", success }, { "failure", failure } };
+}
+
+StoreWriteResult readTransactionReply(const nlohmann::json& reply)
+{
+    StoreWriteResult result;
+    result.revision = readRevision(reply.at("header"), "revision");
+    if (reply.value("succeeded", false)) {
+        result.outcome = WriteOutcome::Written;
+        return result;
+    }
+    for (const auto& response : reply.value("responses", nlohmann::json::array())) {
+        const auto range = response.value("response_range", nlohmann::json::object());
+        for (const auto& entry : range.value("kvs", nlohmann::json::array()))
+            result.current.push_back(readEntry(entry));
+    }
+    return result;
+}
+
+StoreChange readEvent(const nlohmann::json& event)
+{
+    const auto& entry = event.at("kv");
+    StoreChange change { decodeBase64(entry.at("key").get<std::string>()), {}, readRevision(entry, "mod_revision") };
+    if (event.value("type", "PUT") != "DELETE")
+        change.value = decodeBase64(entry.value("value", ""));
+    return change;
+}
+
+StoreChanges readWatchLine(std::string_view line)
+{
+    const auto result = nlohmann::json::parse(line).at("result");
+    if (result.value("canceled", false))
+        throw Error(ResultCode::StoreUnavailable, Ran::No, "The store ended the watch");
+    StoreChanges changes;
+    changes.revision = readRevision(result.at("header"), "revision");
+    for (const auto& event : result.value("events", nlohmann::json::array()))
+        changes.changes.push_back(readEvent(event));
+    return changes;
+}
+
+/// The store by etcd v3's JSON gateway over HTTP.
+class EtcdStoreClient final : public StoreClient {
+public:
+    explicit EtcdStoreClient(const Settings& settings)
+        : endpoints_(settings.storeEndpoints)
+    {
+    }
+
+    Task<StoreRange> range(std::string prefix) override
+    {
+        const nlohmann::json body { { "key", encodeBase64(prefix) }, { "range_end", encodeBase64(endOfPrefix(prefix)) } };
+        const nlohmann::json reply = co_await call("/v3/kv/range", body.dump(), ResultCode::StoreUnavailable);
+        StoreRange range;
+        range.revision = readRevision(reply.at("header"), "revision");
+        for (const auto& entry : reply.value("kvs", nlohmann::json::array()))
+            range.entries.push_back(readEntry(entry));
+        co_return range;
+    }
+
+    Task<StoreWriteResult> transact(std::vector<StoreWrite> writes) override
+    {
+        const std::string body = makeTransaction(writes).dump();
+        const nlohmann::json reply = co_await call("/v3/kv/txn", body, ResultCode::WriteOutcomeUnknown);
+        co_return readTransactionReply(reply);
+    }
+
+    Task<void> watch(std::string prefix, Revision from, std::function<void(StoreChanges)> onChanges) override
+    {
+        const nlohmann::json body { { "create_request", { { "key", encodeBase64(prefix) }, { "range_end", encodeBase64(endOfPrefix(prefix)) }, { "start_revision", std::to_string(from.count()) }, { "progress_notify", true } } } };
+        HttpCall request = makeCall("/v3/watch", body.dump());
+        request.timeout = watchSilence;
+        std::function<void(std::string_view)> onLine = [&onChanges](std::string_view line) { onChanges(readWatchLine(line)); };
+        std::string problem;
+        try {
+            co_await readHttpLines(std::move(request), std::move(onLine));
+        } catch (const std::exception& exception) {
+            problem = exception.what();
+        }
+        useNextEndpoint();
+        throw Error(ResultCode::StoreUnavailable, Ran::No, "The watch broke: " + problem);
+    }
+
+private:
+    HttpCall makeCall(std::string target, std::string body) const
+    {
+        HttpCall call;
+        call.endpoint = endpoints_.at(current_);
+        call.method = "POST";
+        call.target = std::move(target);
+        call.headers.push_back({ "Content-Type", "application/json" });
+        call.body = std::move(body);
+        call.timeout = callTimeout;
+        return call;
+    }
+
+    void useNextEndpoint() { current_ = (current_ + 1) % endpoints_.size(); }
+
+    Task<nlohmann::json> call(std::string target, std::string body, ResultCode lostReply)
+    {
+        HttpCall request = makeCall(std::move(target), std::move(body));
+        HttpReply reply;
+        bool isLost = false;
+        bool isRefused = false;
+        try {
+            reply = co_await exchangeHttp(std::move(request));
+        } catch (const boost::system::system_error& error) {
+            isRefused = error.code() == Asio::error::connection_refused;
+            isLost = !isRefused;
+        }
+        if (isRefused || isLost)
+            useNextEndpoint();
+        if (isLost)
+            throw Error(lostReply, Ran::No, "The store's reply was lost");
+        if (isRefused || reply.status != httpOk)
+            throw Error(ResultCode::StoreUnavailable, Ran::No, "The store did not take the call");
+        auto parsed = nlohmann::json::parse(reply.body, nullptr, false);
+        if (!parsed.is_object())
+            throw Error(lostReply, Ran::No, "The store's reply is not valid JSON");
+        co_return parsed;
+    }
+
+    std::vector<Endpoint> endpoints_;
+    std::size_t current_ { 0 };
+};
+
+const PluginRegistration<StoreClientRegistry> registration("etcd", [](const Settings& settings) { return std::make_unique<EtcdStoreClient>(settings); });
+
+} // namespace
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Programs/ibisturn/Instance.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <LibCore/SteadyClock.h>
+#include <LibCore/TimerService.h>
+#include <LibHTTP/CallerSession.h>
+#include <LibHTTP/InstanceTables.h>
+#include <LibHTTP/OperatorInterface.h>
+#include <LibHTTP/RequestRunner.h>
+#include <LibKernel/WorkerPool.h>
+#include <LibPlatform/ConfigurationFeed.h>
+
+#include <memory>
+#include <vector>
+
+namespace Ibisturn {
+
+/// One running instance: listeners, workers, and what they share.
+/// Thread safety: one thread, but for what its parts say.
+class Instance {
+public:
+    /// Opens the listeners. Throws Error or boost::system::system_error; nothing is then left open.
+    explicit Instance(const Settings& settings);
+
+    /// Serves until SIGTERM or SIGINT and then until the requests under way are finished.
+    void run();
+
+private:
+    using Acceptor = Asio::ip::tcp::acceptor;
+    using Serve = void (Instance::*)(Asio::ip::tcp::socket, std::size_t);
+
+    Task<void> accept(Acceptor& acceptor, Serve serve);
+    Task<void> followLiveList();
+    Task<void> driveTimers();
+    Task<void> awaitShutdown();
+    void serveCallerOn(Asio::ip::tcp::socket socket, std::size_t worker);
+    void servePeerOn(Asio::ip::tcp::socket socket, std::size_t worker);
+    void serveOperatorOn(Asio::ip::tcp::socket socket, std::size_t worker);
+
+    InstanceTables tables_;
+    WorkerPool workers_;
+    TimerService timers_;
+    std::vector<std::unique_ptr<RequestRunner>> runners_;
+    std::unique_ptr<StoreClient> store_;
+    ConfigurationFeed feed_;
+    OperatorInterface operators_;
+    Acceptor callersAcceptor_;
+    Acceptor peersAcceptor_;
+    Acceptor operatorsAcceptor_;
+};
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Programs/ibisturn/Main.cpp
@@ -0,0 +1,144 @@
+#include "ControlCommand.h"
+#include "Instance.h"
+
+#include <LibConfiguration/SettingsError.h>
+#include <LibCore/Digest.h>
+
+#include <csignal>
+#include <iostream>
+
+#include <CLI/CLI.hpp>
+
+namespace Ibisturn {
+
+namespace {
+
+constexpr int exitInvalidSettings = 2;
+
+int check(const std::string& path)
+{
+    loadSettings(path);
+    fmt::print("{}: ok\n", path);
+    return 0;
+}
+
+int serve(const std::string& path)
+{
+    const auto settings = loadSettings(path);
+    setLogLevel(settings.logLevel);
+    std::signal(SIGPIPE, SIG_IGN);
+    Instance instance(settings);
+    instance.run();
+    return 0;
+}
+
+// Reads the key from standard input, so that it appears in no process list.
+int printDigest()
+{
+    std::string key;
+    std::getline(std::cin, key);
+    if (key.empty())
+        return 1;
+    fmt::print("{}\n", digestOfKey(key).value());
+    return 0;
+}
+
+void addControlOptions(CLI::App& command, ControlOptions& options, bool& json)
+{
+    command.add_option("--instance", options.instance, "Operators' listener of an instance, as IP:PORT")->capture_default_str();
+    command.add_option("--credential-variable", options.credentialVariable, "Environment variable that holds your credential")->capture_default_str();
+    command.add_flag("--json", json, "Print JSON on one line");
+}
+
+/// The command line and what it was parsed into.
+struct CommandLine {
+    CLI::App app { "ibisturn: a multi-region inference gateway" };
+    std::string settingsFile;
+    ControlOptions control;
+    ControlArguments arguments;
+    bool json { false };
+    std::function<int()> action;
+
+    CommandLine()
+    {
+        app.set_version_flag("--version", IBISTURN_VERSION);
+        app.require_subcommand(1);
+        addServe();
+        addControl();
+    }
+
+    void addServe()
+    {
+        auto* serveCommand = app.add_subcommand("serve", "Run one instance");
+        serveCommand->add_option("--settings", settingsFile, "Settings file (YAML)")->required();
+        serveCommand->callback([this] { action = [this] { return serve(settingsFile); }; });
+        auto* checkCommand = app.add_subcommand("check", "Check a settings file and open nothing");
+        checkCommand->add_option("file", settingsFile, "Settings file (YAML)")->required();
+        checkCommand->callback([this] { action = [this] { return check(settingsFile); }; });
+        auto* digestCommand = app.add_subcommand("digest", "Print the digest of a key read from standard input");
+        digestCommand->callback([this] { action = printDigest; });
+    }
+
+    void addControl()
+    {
+        auto* status = app.add_subcommand("status", "Show an instance's state");
+        addControlOptions(*status, control, json);
+        status->callback([this] { action = [this] { return runStatus(control); }; });
+        auto* command = app.add_subcommand("ctl", "Read and write records");
+        command->require_subcommand(1);
+        addControlOptions(*command, control, json);
+        auto* put = addAction(*command, "put", "Write the record in a JSON file", runControlPut);
+        put->add_option("file", arguments.file, "File with kind, name and record")->required();
+        addNamed(*command, "get", "Show one record", runControlGet);
+        addNamed(*command, "withdraw", "Delete one record", runControlWithdraw);
+        auto* list = addAction(*command, "list", "List records", runControlList);
+        list->add_option("kind", arguments.kind, "Only this kind of record");
+    }
+
+    using Action = int (*)(const ControlOptions&, const ControlArguments&);
+
+    CLI::App* addAction(CLI::App& parent, const std::string& name, const std::string& help, Action run)
+    {
+        auto* command = parent.add_subcommand(name, help);
+        command->fallthrough();
+        command->callback([this, run] { action = [this, run] { return run(control, arguments); }; });
+        return command;
+    }
+
+    void addNamed(CLI::App& parent, const std::string& name, const std::string& help, Action run)
+    {
+        auto* command = addAction(parent, name, help, run);
+        command->add_option("kind", arguments.kind, "Kind of record")->required();
+        command->add_option("name", arguments.name, "Name of the record")->required();
+    }
+};
+
+int runProgram(int argc, char** argv)
+{
+    CommandLine commandLine;
+    try {
+        commandLine.app.parse(argc, argv);
+    } catch (const CLI::ParseError& error) {
+        const int code = commandLine.app.exit(error);
+        return code == 0 ? 0 : exitInvalidSettings;
+    }
+    commandLine.control.format = commandLine.json ? OutputFormat::Json : OutputFormat::Text;
+    try {
+        return commandLine.action();
+    } catch (const SettingsError& error) {
+        fmt::print(stderr, "{}\n", error.what());
+        return exitInvalidSettings;
+    } catch (const std::exception& error) {
+        fmt::print(stderr, "ibisturn: {}\n", error.what());
+        return 1;
+    }
+}
+
+} // namespace
+
+} // namespace Ibisturn
+
+int main(int argc, char** argv)
+{
+    return Ibisturn::runProgram(argc, argv);
+}
