Meta: Share the compiler cache between worktrees

Cause: the cache's key holds the folder, so that each worktree would compile everything anew. Change: base folder and no hashed working folder for ccache. Ruled out: one shared build folder, which worktrees would overwrite for each other. Before and after: not measured; the verdict of the tests does not change.

--- a/Meta/ibisturn.sh
+++ b/Meta/ibisturn.sh
@@ -8,7 +8,8 @@
     ninja-build ccache cmake g++ clang-format clang-tidy curl"
 JOBS=${IBISTURN_JOBS:-$(nproc)}
 BUILD=${IBISTURN_BUILD:-build}
-export CCACHE_SLOPPINESS=pch_defines,time_macros
+# Worktrees in different folders share one cache.
+export CCACHE_SLOPPINESS=pch_defines,time_macros CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=true
 
 usage() {
     cat <<TEXT
