LibHTTP: Reload callers' certificates and export spans to a collector

Cause: settings named a certificate and a collector, and nothing used them. Change: TlsIdentity compares the files' content every second and replaces the context for new connections only; SpanExporter queues at most 1,024 documents, so that an absent collector costs spans and never requests. Ruled out: watching modification times, which miss a change within their granularity; replacing the context inside running sessions, which would drop callers. Before: plain HTTP only. Conclusion: TLS for callers holds; mutual TLS between instances is still to come.

--- a/Libraries/LibHTTP/CallerSession.h
+++ b/Libraries/LibHTTP/CallerSession.h
@@ -2,13 +2,10 @@
 
 #include <LibHTTP/InstanceTables.h>
 #include <LibHTTP/RequestRunner.h>
-
-#include <boost/asio/ssl/context.hpp>
+#include <LibHTTP/TlsIdentity.h>
 
 namespace Ibisturn {
 
-using TlsContextPointer = std::shared_ptr<Asio::ssl::context>;
-
 /// Serves one caller's connection until it closes, in plain HTTP or, with `tls`, in HTTPS.
 /// Precondition: `tables` and `runner` outlive the coroutine. Thread safety: the worker of `runner`.
 Task<void> serveCaller(Asio::ip::tcp::socket socket, TlsContextPointer tls, InstanceTables& tables, RequestRunner& runner);
--- a/Libraries/LibHTTP/InstanceTables.h
+++ b/Libraries/LibHTTP/InstanceTables.h
@@ -15,7 +15,7 @@
 /// What all workers of one instance share. Tables lock in the order of TableLevel.
 /// Thread safety: each member as its type says.
 struct InstanceTables {
-    explicit InstanceTables(Settings instanceSettings, Tracer::Destination spans)
+    explicit InstanceTables(Settings instanceSettings, Tracer::Destination spans = nullptr)
         : settings(std::move(instanceSettings))
         , tracer(settings.identity.instance.value(), std::move(spans))
     {
--- a/Libraries/LibHTTP/Tracer.cpp
+++ b/Libraries/LibHTTP/Tracer.cpp
@@ -24,6 +24,11 @@
         resource.dump(), span.toJson()));
 }
 
+void Tracer::setDestination(Destination destination)
+{
+    destination_ = std::move(destination);
+}
+
 void writeSpansToStandardError(std::string document)
 {
     document += '\n';
--- a/Libraries/LibHTTP/Tracer.h
+++ b/Libraries/LibHTTP/Tracer.h
@@ -20,6 +20,9 @@
     /// Ends `span` and exports it. Precondition: the span holds no key and no prompt text.
     void finish(Span& span) const;
 
+    /// Where spans go from now on. Precondition: no thread uses the tracer yet.
+    void setDestination(Destination destination);
+
 private:
     std::string service_;
     Destination destination_;
--- a/Programs/ibisturn/Instance.cpp
+++ b/Programs/ibisturn/Instance.cpp
@@ -12,6 +12,7 @@
 
 constexpr Log instanceLog("instance");
 constexpr Duration timerGranularity = std::chrono::milliseconds(10);
+constexpr Duration certificatePoll = std::chrono::seconds(1);
 constexpr Duration drainPoll = std::chrono::milliseconds(20);
 
 Task<void> pause(Duration duration)
@@ -40,17 +41,10 @@
     return store;
 }
 
-Tracer::Destination makeSpanDestination(const Settings& settings)
-{
-    if (settings.traceCollector == "none")
-        return nullptr;
-    return writeSpansToStandardError;
-}
-
 } // namespace
 
 Instance::Instance(const Settings& settings)
-    : tables_(settings, makeSpanDestination(settings))
+    : tables_(settings)
     , workers_(tables_.settings.workers)
     , store_(makeStore(tables_.settings))
     , feed_(*store_, tables_.settings.storePrefix, [this](SnapshotPointer snapshot) { tables_.configuration.set(std::move(snapshot)); })
@@ -61,6 +55,8 @@
 {
     for (std::size_t index = 0; index < workers_.size(); ++index)
         runners_.push_back(std::make_unique<RequestRunner>(tables_));
+    sendSpans();
+    watchCertificate();
 }
 
 void Instance::run()
@@ -78,6 +74,26 @@
     workers_.run();
 }
 
+void Instance::sendSpans()
+{
+    const auto& collector = tables_.settings.traceCollector;
+    if (collector == "stderr")
+        tables_.tracer.setDestination(writeSpansToStandardError);
+    const auto endpoint = parseEndpoint(collector);
+    if (!endpoint)
+        return;
+    spanExporter_ = std::make_unique<SpanExporter>(workers_.context(0), *endpoint);
+    tables_.tracer.setDestination([this](std::string document) { spanExporter_->add(std::move(document)); });
+}
+
+void Instance::watchCertificate()
+{
+    if (!tables_.settings.callersTls)
+        return;
+    callersTls_ = std::make_unique<TlsIdentity>(*tables_.settings.callersTls);
+    timers_.subscribe(SteadyClock().now(), certificatePoll, [this](TimePoint) { callersTls_->reloadIfChanged(); });
+}
+
 Task<void> Instance::accept(Acceptor& acceptor, Serve serve)
 {
     for (;;) {
@@ -133,7 +149,8 @@
 
 void Instance::serveCallerOn(Asio::ip::tcp::socket socket, std::size_t worker)
 {
-    Asio::co_spawn(workers_.context(worker), serveCaller(std::move(socket), nullptr, tables_, *runners_.at(worker)), Asio::detached);
+    const auto tls = callersTls_ ? callersTls_->context() : nullptr;
+    Asio::co_spawn(workers_.context(worker), serveCaller(std::move(socket), tls, tables_, *runners_.at(worker)), Asio::detached);
 }
 
 void Instance::servePeerOn(Asio::ip::tcp::socket socket, std::size_t worker)
--- a/Programs/ibisturn/Instance.h
+++ b/Programs/ibisturn/Instance.h
@@ -6,6 +6,8 @@
 #include <LibHTTP/InstanceTables.h>
 #include <LibHTTP/OperatorInterface.h>
 #include <LibHTTP/RequestRunner.h>
+#include <LibHTTP/SpanExporter.h>
+#include <LibHTTP/TlsIdentity.h>
 #include <LibKernel/WorkerPool.h>
 #include <LibPlatform/ConfigurationFeed.h>
 
@@ -28,6 +30,8 @@
     using Acceptor = Asio::ip::tcp::acceptor;
     using Serve = void (Instance::*)(Asio::ip::tcp::socket, std::size_t);
 
+    void sendSpans();
+    void watchCertificate();
     Task<void> accept(Acceptor& acceptor, Serve serve);
     Task<void> followLiveList();
     Task<void> driveTimers();
@@ -39,6 +43,8 @@
     InstanceTables tables_;
     WorkerPool workers_;
     TimerService timers_;
+    std::unique_ptr<SpanExporter> spanExporter_;
+    std::unique_ptr<TlsIdentity> callersTls_;
     std::vector<std::unique_ptr<RequestRunner>> runners_;
     std::unique_ptr<StoreClient> store_;
     ConfigurationFeed feed_;
