LibDecision: Queue fairly between workspaces and choose backend servers by corrected load

Cause: every request went at once to the backend server with the fewest of this instance's own requests. Change: FairQueue, ConcurrencyLimit, BackendPool, five strategies, AdmissionControl, LinkMeter and chooseDataCentre, as pure state machines with benchmarks against random, round robin, least reported load, one queue and no limits. Found by a test that failed first: without reports, each request sent wiped the memory of those before it. Not yet in the data path.

--- /dev/null
+++ b/Benchmarks/FairnessBenchmark.cpp
@@ -0,0 +1,58 @@
+#include "Benchmark.h"
+#include "PoolModel.h"
+
+namespace Ibisturn::Benchmarks {
+
+namespace {
+
+constexpr Duration length = std::chrono::seconds(3600);
+constexpr std::uint64_t seeds = 5;
+constexpr double loadFactor = 1.25;
+
+// Capacity of the pool is near 43 requests/s of this size, so the large workspace sends twice what can run.
+const WorkspaceLoad large { "large", 80, 400, 100, 4, std::chrono::seconds(30) };
+const WorkspaceLoad small { "small", 10.0 / 60, 400, 100, 2, std::chrono::seconds(30) };
+
+/// Waits of the small workspace for the first token, in seconds.
+struct SmallWaits {
+    double p50 { 0 };
+    double p90 { 0 };
+    double p99 { 0 };
+};
+
+enum class QueueKind : std::uint8_t {
+    FairQueue,
+    OneQueue,
+};
+
+SmallWaits measure(const std::vector<WorkspaceLoad>& loads, QueueKind queue, std::uint64_t seed)
+{
+    PoolModelOptions options;
+    options.queue = queue == QueueKind::OneQueue ? LaneKind::OneForAll : LaneKind::OnePerWorkspace;
+    PoolModel model(
+        options, [] { return std::make_unique<PrefixAffinityStrategy>(loadFactor); }, seed);
+    const auto outcomes = model.run(drawWorkload(loads, length, seed));
+    const auto quantile = [&outcomes](double probability) { return firstTokenQuantile(outcomes, "small", probability); };
+    return { quantile(0.5), quantile(0.9), quantile(0.99) };
+}
+
+// The small workspace's wait beside one that sends twice the capacity, against alone and against one queue for all.
+void run(std::uint64_t seed)
+{
+    for (std::uint64_t offset = 0; offset < seeds; ++offset) {
+        const auto current = seed + offset;
+        const auto alone = measure({ small }, QueueKind::FairQueue, current);
+        const auto fair = measure({ small, large }, QueueKind::FairQueue, current);
+        const auto oneQueue = measure({ small, large }, QueueKind::OneQueue, current);
+        print({ "fairness", "small_p50_seconds_fair_vs_alone", fair.p50, alone.p50, current });
+        print({ "fairness", "small_p90_seconds_fair_vs_alone", fair.p90, alone.p90, current });
+        print({ "fairness", "small_p99_seconds_fair_vs_alone", fair.p99, alone.p99, current });
+        print({ "fairness", "small_p99_seconds_fair_vs_one_queue", fair.p99, oneQueue.p99, current });
+    }
+}
+
+const BenchmarkRegistration registration("fairness", run);
+
+} // namespace
+
+} // namespace Ibisturn::Benchmarks
--- /dev/null
+++ b/Benchmarks/OverloadBenchmark.cpp
@@ -0,0 +1,56 @@
+#include "Benchmark.h"
+#include "PoolModel.h"
+
+#include <fmt/format.h>
+
+namespace Ibisturn::Benchmarks {
+
+namespace {
+
+constexpr Duration length = std::chrono::seconds(180);
+constexpr std::uint64_t seeds = 3;
+constexpr double capacityRequestsPerSecond = 45;
+constexpr Duration patience = std::chrono::seconds(5);
+constexpr std::uint32_t unlimited = 100000;
+
+// Requests per second whose first token came within the caller's patience.
+double goodput(double multiple, bool isControlled, std::uint64_t seed)
+{
+    constexpr int workspaces = 10;
+    std::vector<WorkspaceLoad> loads;
+    loads.reserve(workspaces);
+    for (int index = 0; index < workspaces; ++index)
+        loads.push_back({ fmt::format("workspace-{}", index), capacityRequestsPerSecond * multiple / workspaces, 400, 100, 4, patience });
+    PoolModelOptions options;
+    if (!isControlled) {
+        // Without limits and reports every request goes to a replica's own queue at once.
+        options.reportLoss = 1;
+        options.initialLimit = unlimited;
+        options.mostLimit = unlimited;
+    }
+    PoolModel model(
+        options, [] { return std::make_unique<LeastLoadedStrategy>(); }, seed);
+    const auto outcomes = model.run(drawWorkload(loads, length, seed));
+    const auto good = std::count_if(outcomes.begin(), outcomes.end(), [](const auto& outcome) { return outcome.isGood; });
+    return static_cast<double>(good) / std::chrono::duration<double>(length).count();
+}
+
+void run(std::uint64_t seed)
+{
+    for (std::uint64_t offset = 0; offset < seeds; ++offset) {
+        const auto current = seed + offset;
+        double peak = 0;
+        for (const double multiple : { 0.5, 0.8, 1.0, 1.2, 1.5, 2.0, 3.0 }) {
+            const auto controlled = goodput(multiple, true, current);
+            peak = std::max(peak, controlled);
+            print({ "overload", fmt::format("goodput_per_second_at_{}x_vs_no_limits", multiple), controlled, goodput(multiple, false, current), current });
+        }
+        print({ "overload", "goodput_per_second_at_3x_vs_peak", goodput(3.0, true, current), peak, current });
+    }
+}
+
+const BenchmarkRegistration registration("overload", run);
+
+} // namespace
+
+} // namespace Ibisturn::Benchmarks
--- /dev/null
+++ b/Benchmarks/PoolModel.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "ReplicaModel.h"
+
+#include <LibDecision/Admission/AdmissionControl.h>
+
+#include <functional>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace Ibisturn::Benchmarks {
+
+/// One request of a workload.
+struct WorkloadRequest {
+    TimePoint arrives;
+    WorkspaceId workspace;
+    ReplicaJob job;
+    Duration patience { std::chrono::seconds(10) };
+};
+
+/// What became of one request.
+struct RequestOutcome {
+    WorkspaceId workspace;
+    /// From arrival to the first token; nothing if it was refused.
+    std::optional<Duration> firstToken;
+    /// Whether its first token came within its patience.
+    bool isGood { false };
+    std::uint32_t tokens { 0 };
+};
+
+enum class LaneKind : std::uint8_t {
+    OnePerWorkspace,
+    /// As without fair queueing.
+    OneForAll,
+};
+
+struct PoolModelOptions {
+    std::size_t replicas { 8 };
+    /// Instances that decide each for themselves and share the replicas.
+    std::size_t instances { 3 };
+    ReplicaSpeed speed;
+    FairQueueLimits admission;
+    std::uint32_t initialLimit { 4 };
+    std::uint32_t mostLimit { 64 };
+    Duration reportPeriod { std::chrono::milliseconds(500) };
+    Duration reportLag { std::chrono::milliseconds(500) };
+    /// Share of load reports that never arrive.
+    double reportLoss { 0.2 };
+    /// Share of requests that come to the instance that their workspace was told to use.
+    double directedShare { 0.8 };
+    LaneKind queue { LaneKind::OnePerWorkspace };
+};
+
+/// Runs a workload through the decision objects on virtual time, against queue models of replicas.
+/// Thread safety: one thread.
+class PoolModel {
+public:
+    using StrategyFactory = std::function<std::unique_ptr<PoolStrategy>()>;
+
+    PoolModel(PoolModelOptions options, const StrategyFactory& makeStrategy, std::uint64_t seed);
+
+    /// Runs `workload`, sorted by arrival, to its end; outcomes are in the same order.
+    std::vector<RequestOutcome> run(const std::vector<WorkloadRequest>& workload);
+
+    /// Requests whose prefix was cached, as a share of those that ran.
+    double cacheHitShare() const;
+
+private:
+    enum class EventKind : std::uint8_t {
+        Arrival,
+        End,
+        Report,
+        ReportArrival,
+    };
+    struct Event {
+        TimePoint time;
+        std::uint64_t sequence;
+        EventKind kind;
+        std::uint64_t subject;
+        LoadReport report {};
+        bool operator>(const Event& other) const { return std::pair(time, sequence) > std::pair(other.time, other.sequence); }
+    };
+    struct Flight {
+        std::size_t instance { 0 };
+        BackendPool::Index server { 0 };
+        TimePoint sent;
+        TimePoint firstToken;
+    };
+
+    void push(TimePoint time, EventKind kind, std::uint64_t subject, LoadReport report = {});
+    void handle(const Event& event);
+    void arrive(TimePoint now, std::uint64_t request);
+    std::size_t chooseInstance(const WorkspaceId& workspace);
+    void end(TimePoint now, std::uint64_t request);
+    void takeReport(TimePoint now, std::size_t replica);
+    void apply(TimePoint now, std::size_t instance, const std::vector<AdmissionAction>& actions);
+    void begin(const ReplicaStart& start);
+
+    PoolModelOptions options_;
+    std::mt19937_64 random_;
+    std::vector<std::unique_ptr<AdmissionControl>> instances_;
+    std::vector<ReplicaModel> replicas_;
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+    std::uint64_t sequence_ { 0 };
+    std::size_t unfinished_ { 0 };
+    const std::vector<WorkloadRequest>* workload_ { nullptr };
+    std::vector<RequestOutcome> outcomes_;
+    std::vector<Flight> flights_;
+};
+
+/// Poisson arrivals of one workspace.
+struct WorkspaceLoad {
+    std::string workspace;
+    double requestsPerSecond { 1 };
+    std::uint32_t promptTokens { 400 };
+    std::uint32_t answerTokens { 100 };
+    /// Distinct prompt beginnings that it uses.
+    std::uint64_t prefixes { 4 };
+    Duration patience { std::chrono::seconds(10) };
+};
+
+/// Draws the arrivals of all workspaces within `length`, sorted.
+std::vector<WorkloadRequest> drawWorkload(const std::vector<WorkspaceLoad>& loads, Duration length, std::uint64_t seed);
+
+/// The quantile of the waits for the first token of one workspace, or of all if it is empty, in seconds.
+double firstTokenQuantile(const std::vector<RequestOutcome>& outcomes, const std::string& workspace, double probability);
+
+} // namespace Ibisturn::Benchmarks
--- /dev/null
+++ b/Benchmarks/ReplicaModel.cpp
@@ -0,0 +1,67 @@
+#include "ReplicaModel.h"
+
+#include <algorithm>
+
+namespace Ibisturn::Benchmarks {
+
+namespace {
+
+/// The part of a prompt that a cached prefix spares.
+constexpr double cachedShare = 0.8;
+
+Duration seconds(double count)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(count));
+}
+
+} // namespace
+
+ReplicaModel::ReplicaModel(ReplicaSpeed speed)
+    : speed_(speed)
+{
+}
+
+std::optional<ReplicaStart> ReplicaModel::arrive(TimePoint now, const ReplicaJob& job)
+{
+    if (running_ >= speed_.slots) {
+        const bool goesFirst = job.priority == EnginePriority::High;
+        waiting_.insert(goesFirst ? waiting_.begin() : waiting_.end(), job);
+        return std::nullopt;
+    }
+    return start(now, job);
+}
+
+std::optional<ReplicaStart> ReplicaModel::finish(TimePoint now)
+{
+    --running_;
+    if (waiting_.empty())
+        return std::nullopt;
+    const auto job = waiting_.front();
+    waiting_.pop_front();
+    return start(now, job);
+}
+
+ReplicaStart ReplicaModel::start(TimePoint now, const ReplicaJob& job)
+{
+    ++running_;
+    const double uncached = touchCache(job.prefix) ? job.promptTokens * (1 - cachedShare) : job.promptTokens;
+    const double crowding = 1 + 0.5 * running_ / speed_.slots;
+    const auto firstToken = now + seconds(uncached / speed_.prefillTokensPerSecond * crowding) + speed_.tokenTime;
+    const auto perToken = std::chrono::duration<double>(speed_.tokenTime).count() * crowding;
+    return { job.request, firstToken, firstToken + seconds(perToken * job.answerTokens) };
+}
+
+bool ReplicaModel::touchCache(std::uint64_t prefix)
+{
+    const auto found = std::find(cache_.begin(), cache_.end(), prefix);
+    const bool isHit = found != cache_.end();
+    if (isHit)
+        cache_.erase(found);
+    cache_.push_front(prefix);
+    if (cache_.size() > speed_.cachedPrefixes)
+        cache_.pop_back();
+    cacheHits_ += isHit ? 1 : 0;
+    return isHit;
+}
+
+} // namespace Ibisturn::Benchmarks
--- /dev/null
+++ b/Libraries/LibDecision/Admission/ConcurrencyLimit.cpp
@@ -0,0 +1,90 @@
+#include <LibDecision/Admission/ConcurrencyLimit.h>
+
+#include <algorithm>
+
+namespace Ibisturn {
+
+namespace {
+
+/// An average above this multiple of the floor means that the backend server queues.
+constexpr double congestedMultiple = 2.0;
+constexpr double decreaseFactor = 0.9;
+/// Weight of the newest sample in the average.
+constexpr double averageGain = 0.1;
+/// Samples before the average counts as a floor.
+constexpr std::uint32_t warmUpSamples = 20;
+/// Per sample, the floor moves up by this share.
+constexpr double floorDrift = 0.001;
+/// A backend server that lets a request wait now and then is busy, not congested.
+constexpr std::uint32_t toleratedWaiting = 1;
+constexpr Duration reportLifetime = std::chrono::seconds(3);
+/// One decrease answers for all samples that were under way together.
+constexpr Duration decreasePause = std::chrono::seconds(1);
+/// The limit grows only while more than this share of it is in use.
+constexpr double usedShare = 0.8;
+
+} // namespace
+
+ConcurrencyLimit::ConcurrencyLimit(std::uint32_t initial, std::uint32_t most)
+    : limit_(initial)
+    , most_(most)
+{
+}
+
+void ConcurrencyLimit::finish(TimePoint now, Duration firstToken, std::uint32_t outstanding, ServiceSignal signal)
+{
+    if (signal == ServiceSignal::Overloaded) {
+        decrease(now);
+        return;
+    }
+    noteFirstToken(firstToken);
+    if (isCongested(now)) {
+        decrease(now);
+        return;
+    }
+    if (outstanding > limit_ * usedShare)
+        limit_ = std::min(most_, limit_ + 1.0 / limit_);
+}
+
+void ConcurrencyLimit::report(TimePoint now, std::uint32_t waiting)
+{
+    lastReport_ = now;
+    reportedWaiting_ = waiting;
+    if (isCongested(now))
+        decrease(now);
+}
+
+bool ConcurrencyLimit::isCongested(TimePoint now) const
+{
+    if (lastReport_ && now - *lastReport_ < reportLifetime)
+        return reportedWaiting_ > toleratedWaiting;
+    return averageSeconds_ > floorSeconds_ * congestedMultiple;
+}
+
+void ConcurrencyLimit::noteFirstToken(Duration firstToken)
+{
+    const auto seconds = std::chrono::duration<double>(firstToken).count();
+    // Single samples differ by the prompt's length and the cache; only their average tells of queueing.
+    averageSeconds_ = samples_ == 0 ? seconds : averageSeconds_ + averageGain * (seconds - averageSeconds_);
+    if (samples_ < warmUpSamples) {
+        ++samples_;
+        floorSeconds_ = averageSeconds_;
+        return;
+    }
+    // Under congestion the floor stays, or the limit would grow into the queue that it is to prevent. With one
+    // request at a time there is no queue of ours: then the average is the floor.
+    const bool isCongested = averageSeconds_ > floorSeconds_ * congestedMultiple;
+    if (isCongested && limit_ > 1)
+        return;
+    floorSeconds_ = isCongested ? averageSeconds_ : std::min(floorSeconds_ * (1 + floorDrift), averageSeconds_);
+}
+
+void ConcurrencyLimit::decrease(TimePoint now)
+{
+    if (lastDecrease_ != TimePoint {} && now - lastDecrease_ < decreasePause)
+        return;
+    lastDecrease_ = now;
+    limit_ = std::max(1.0, limit_ * decreaseFactor);
+}
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibDecision/Routing/BackendPool.cpp
@@ -0,0 +1,182 @@
+#include <LibDecision/Routing/BackendPool.h>
+
+#include <LibDecision/Membership/EntryDirectory.h>
+
+#include <algorithm>
+
+namespace Ibisturn {
+
+namespace {
+
+constexpr std::size_t pointsPerServer = 16;
+/// Share of a backend server's slots that workspaces with running requests leave free.
+constexpr double reservedShare = 0.125;
+/// Share of the slots that an instance leaves free where it is not the primary one.
+constexpr double secondaryShare = 0.25;
+constexpr Duration slotsProbePeriod = std::chrono::minutes(5);
+constexpr Duration reportLifetime = std::chrono::seconds(10);
+/// Points that a search along the ring visits at most.
+constexpr std::size_t mostRingSteps = 64;
+
+} // namespace
+
+BackendPool::BackendPool(const std::vector<BackendServerId>& servers, std::uint32_t initialLimit, std::uint32_t mostLimit)
+{
+    for (const auto& id : servers) {
+        const auto index = servers_.size();
+        servers_.push_back({ id, ConcurrencyLimit(initialLimit, mostLimit) });
+        byLoad_.insert({ 0, index });
+        for (std::size_t point = 0; point < pointsPerServer; ++point)
+            ring_.push_back({ rendezvousScore(std::to_string(point), id.value()), index });
+    }
+    std::sort(ring_.begin(), ring_.end());
+}
+
+void BackendPool::setPrimary(Index index, bool isPrimary)
+{
+    update(index, [isPrimary](Server& server) { server.isPrimary = isPrimary; });
+}
+
+void BackendPool::report(TimePoint now, Index index, const LoadReport& report)
+{
+    update(index, [now, &report](Server& server) {
+        if (report.takenAt <= server.reportedAt)
+            return;
+        server.reportedAt = report.takenAt;
+        server.reported = report.requests;
+        server.forgetUntil(report.takenAt);
+        server.limit.report(now, report.waiting);
+        server.learnSlots(now, report);
+    });
+}
+
+void BackendPool::begin(TimePoint now, Index index)
+{
+    update(index, [now](Server& server) {
+        server.forgetOldReport(now);
+        ++server.outstanding;
+        server.sentSince.push_back(now);
+    });
+}
+
+void BackendPool::finish(TimePoint now, Index index, Duration firstToken, ServiceSignal signal)
+{
+    update(index, [&](Server& server) {
+        server.limit.finish(now, firstToken, server.outstanding, signal);
+        --server.outstanding;
+        server.finishedSince.push_back(now);
+        server.forgetOldReport(now);
+    });
+}
+
+void BackendPool::setAvailable(Index index, bool isAvailable)
+{
+    update(index, [isAvailable](Server& server) { server.isAvailable = isAvailable; });
+}
+
+bool BackendPool::hasRoom(Index index, RoomClass room) const
+{
+    return servers_.at(index).hasRoom(room);
+}
+
+double BackendPool::meanLoad() const
+{
+    return byLoad_.empty() ? 0 : static_cast<double>(totalLoad_) / static_cast<double>(byLoad_.size());
+}
+
+std::optional<BackendPool::Index> BackendPool::leastLoaded(RoomClass room) const
+{
+    for (const auto& entry : byLoad_) {
+        if (hasRoom(entry.index, room))
+            return entry.index;
+    }
+    return std::nullopt;
+}
+
+std::optional<BackendPool::Index> BackendPool::firstOnRing(std::uint64_t hash, std::uint32_t mostLoad, RoomClass room) const
+{
+    auto point = std::lower_bound(ring_.begin(), ring_.end(), RingPoint { hash, 0 });
+    const auto steps = std::min(ring_.size(), mostRingSteps);
+    for (std::size_t step = 0; step < steps; ++step, ++point) {
+        if (point == ring_.end())
+            point = ring_.begin();
+        if (hasRoom(point->index, room) && load(point->index) <= mostLoad)
+            return point->index;
+    }
+    return std::nullopt;
+}
+
+std::uint32_t BackendPool::Server::load() const
+{
+    const auto arrived = reported + sentSince.size();
+    const auto estimated = arrived > finishedSince.size() ? arrived - finishedSince.size() : 0;
+    return std::max(static_cast<std::uint32_t>(estimated), outstanding);
+}
+
+std::uint32_t BackendPool::Server::margin() const
+{
+    return isPrimary ? 0 : static_cast<std::uint32_t>(slots * secondaryShare);
+}
+
+bool BackendPool::Server::hasRoom(RoomClass room) const
+{
+    if (!isAvailable || outstanding >= limit.limit())
+        return false;
+    if (slots == 0)
+        return true;
+    if (room == RoomClass::IdleWorkspace)
+        return load() + margin() / 2 < slots;
+    const auto reserved = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(slots * reservedShare));
+    return load() + reserved + margin() < slots;
+}
+
+void BackendPool::Server::learnSlots(TimePoint now, const LoadReport& report)
+{
+    const auto running = report.requests - std::min(report.requests, report.waiting);
+    const bool isFull = report.waiting > 0;
+    if (isFull || (slots > 0 && running > slots)) {
+        slots = running;
+        slotsSeenAt = now;
+        return;
+    }
+    if (slots == 0 || now - slotsSeenAt < slotsProbePeriod)
+        return;
+    // Without a probe, slots that were added would never be found.
+    ++slots;
+    slotsSeenAt = now;
+}
+
+void BackendPool::Server::forgetUntil(TimePoint time)
+{
+    while (!sentSince.empty() && sentSince.front() <= time)
+        sentSince.pop_front();
+    while (!finishedSince.empty() && finishedSince.front() <= time)
+        finishedSince.pop_front();
+}
+
+// Without reports, only this instance's own requests are known.
+void BackendPool::Server::forgetOldReport(TimePoint now)
+{
+    if (now - reportedAt < reportLifetime)
+        return;
+    reported = 0;
+    // A report that is still on its way can't be older than this.
+    forgetUntil(now - reportLifetime);
+}
+
+template <typename Change>
+void BackendPool::update(Index index, Change change)
+{
+    auto& server = servers_.at(index);
+    if (server.isAvailable) {
+        byLoad_.erase({ server.rank(), index });
+        totalLoad_ -= server.load();
+    }
+    change(server);
+    if (server.isAvailable) {
+        byLoad_.insert({ server.rank(), index });
+        totalLoad_ += server.load();
+    }
+}
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibDecision/Routing/DataCentreChoice.cpp
@@ -0,0 +1,44 @@
+#include <LibDecision/Routing/DataCentreChoice.h>
+
+namespace Ibisturn {
+
+namespace {
+
+bool isReadyFor(TimePoint now, const DataCentreCandidate& candidate, const SpillPolicy& policy, double spread)
+{
+    if (!candidate.returnedAt)
+        return true;
+    const auto elapsed = now - *candidate.returnedAt;
+    return spread < static_cast<double>(elapsed.count()) / static_cast<double>(policy.returnRamp.count());
+}
+
+// Both ways over the link, and what makes the move worth it.
+Duration totalWait(const DataCentreCandidate& candidate, const SpillPolicy& policy)
+{
+    return candidate.expectedWait + 2 * candidate.distance + policy.leastGain;
+}
+
+} // namespace
+
+std::size_t chooseDataCentre(TimePoint now, std::span<const DataCentreCandidate> candidates, const SpillPolicy& policy, double spread)
+{
+    const auto& home = candidates.front();
+    const bool isHomeReady = isReadyFor(now, home, policy, spread);
+    std::size_t best = 0;
+    std::optional<Duration> bestWait;
+    if (isHomeReady)
+        bestWait = home.expectedWait;
+    for (std::size_t index = 1; index < candidates.size(); ++index) {
+        const auto& candidate = candidates[index];
+        if (candidate.linkUtilisation > policy.mostLinkUtilisation || !isReadyFor(now, candidate, policy, spread))
+            continue;
+        const auto wait = totalWait(candidate, policy);
+        if (!bestWait || wait < *bestWait) {
+            best = index;
+            bestWait = wait;
+        }
+    }
+    return best;
+}
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibDecision/Routing/LinkMeter.cpp
@@ -0,0 +1,35 @@
+#include <LibDecision/Routing/LinkMeter.h>
+
+#include <cmath>
+
+namespace Ibisturn {
+
+namespace {
+
+constexpr std::chrono::duration<double> averagingTime { 2.0 };
+
+} // namespace
+
+LinkMeter::LinkMeter(double bytesPerSecond)
+    : bytesPerSecond_(bytesPerSecond)
+{
+}
+
+void LinkMeter::add(TimePoint now, ByteCount bytes)
+{
+    averageBytes_ = decayed(now) + static_cast<double>(bytes.count());
+    last_ = now;
+}
+
+double LinkMeter::utilisation(TimePoint now) const
+{
+    return decayed(now) / (bytesPerSecond_ * averagingTime.count());
+}
+
+double LinkMeter::decayed(TimePoint now) const
+{
+    const std::chrono::duration<double> elapsed = now - last_;
+    return averageBytes_ * std::exp(-elapsed / averagingTime);
+}
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibDecision/Routing/PoolStrategy.cpp
@@ -0,0 +1,62 @@
+#include <LibDecision/Routing/PoolStrategy.h>
+
+#include <cmath>
+
+namespace Ibisturn {
+
+namespace {
+
+// The first that has room from `start` on, in the pool's order.
+std::optional<BackendPool::Index> firstWithRoom(const BackendPool& pool, std::size_t start, RoomClass room)
+{
+    for (std::size_t step = 0; step < pool.size(); ++step) {
+        const auto index = (start + step) % pool.size();
+        if (pool.hasRoom(index, room))
+            return index;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::optional<BackendPool::Index> RandomStrategy::choose(const BackendPool& pool, const PoolQuery& query)
+{
+    if (pool.size() == 0)
+        return std::nullopt;
+    return firstWithRoom(pool, query.requestHash % pool.size(), query.room);
+}
+
+std::optional<BackendPool::Index> RoundRobinStrategy::choose(const BackendPool& pool, const PoolQuery& query)
+{
+    return firstWithRoom(pool, next_++, query.room);
+}
+
+std::optional<BackendPool::Index> LeastReportedStrategy::choose(const BackendPool& pool, const PoolQuery& query)
+{
+    std::optional<BackendPool::Index> best;
+    for (std::size_t step = 0; step < pool.size(); ++step) {
+        const auto index = (query.requestHash + step) % pool.size();
+        if (pool.hasRoom(index, query.room) && (!best || pool.reportedLoad(index) < pool.reportedLoad(*best)))
+            best = index;
+    }
+    return best;
+}
+
+std::optional<BackendPool::Index> LeastLoadedStrategy::choose(const BackendPool& pool, const PoolQuery& query)
+{
+    return pool.leastLoaded(query.room);
+}
+
+PrefixAffinityStrategy::PrefixAffinityStrategy(double loadFactor)
+    : loadFactor_(loadFactor)
+{
+}
+
+std::optional<BackendPool::Index> PrefixAffinityStrategy::choose(const BackendPool& pool, const PoolQuery& query)
+{
+    const auto bound = static_cast<std::uint32_t>(std::ceil(loadFactor_ * (pool.meanLoad() + 1)));
+    const auto owner = pool.firstOnRing(query.prefixHash, bound, query.room);
+    return owner ? owner : pool.leastLoaded(query.room);
+}
+
+} // namespace Ibisturn
