LibCore: Read traceparent strictly and export spans with any bytes

Property tests over 10,000 cases (seed printed, IBISTURN_SEED sets it) found: - parseTraceparent did not look at the separators and flags. - A span whose attribute is not UTF-8 threw from toJson(). A backend server's record name may hold any bytes, and HopSpan exports in a destructor, so one such record ended the process once traces were on.

--- a/Libraries/LibCore/Digest.cpp
+++ b/Libraries/LibCore/Digest.cpp
@@ -1,5 +1,6 @@
 #include <LibCore/Digest.h>
 
+#include <algorithm>
 #include <array>
 
 #include <openssl/crypto.h>
@@ -7,6 +8,12 @@
 
 namespace Ibisturn {
 
+namespace {
+
+constexpr std::size_t digestLength = 64;
+
+} // namespace
+
 std::string digestOfContent(std::string_view content)
 {
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
@@ -24,6 +31,12 @@
     return KeyDigest(digestOfContent(key));
 }
 
+bool isDigest(std::string_view text)
+{
+    const auto isDigit = [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); };
+    return text.size() == digestLength && std::all_of(text.begin(), text.end(), isDigit);
+}
+
 bool equalInConstantTime(std::string_view left, std::string_view right)
 {
     return left.size() == right.size() && CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
--- a/Libraries/LibCore/Digest.h
+++ b/Libraries/LibCore/Digest.h
@@ -15,6 +15,9 @@
 /// The SHA-256 digest of `content`, in hexadecimal. Thread safety: any thread.
 std::string digestOfContent(std::string_view content);
 
+/// Whether `text` has the form of a digest: 64 lower-case hexadecimal digits. Thread safety: any thread.
+bool isDigest(std::string_view text);
+
 /// Compares in a time that depends only on the lengths. Thread safety: any thread.
 bool equalInConstantTime(std::string_view left, std::string_view right);
 
--- a/Libraries/LibCore/Span.cpp
+++ b/Libraries/LibCore/Span.cpp
@@ -18,6 +18,7 @@
 constexpr std::size_t traceparentLength = 55;
 constexpr std::size_t traceIdOffset = 3;
 constexpr std::size_t spanIdOffset = 36;
+constexpr std::size_t flagsOffset = 53;
 
 template <std::size_t Count>
 std::string randomHexadecimal()
@@ -30,11 +31,16 @@
     return text;
 }
 
-bool isIdentifier(std::string_view text)
+bool isHexadecimal(std::string_view text)
 {
     const auto isDigit = [](unsigned char c) { return std::isdigit(c) || (c >= 'a' && c <= 'f'); };
+    return std::all_of(text.begin(), text.end(), isDigit);
+}
+
+bool isIdentifier(std::string_view text)
+{
     const auto isZero = [](char c) { return c == '0'; };
-    return std::all_of(text.begin(), text.end(), isDigit) && !std::all_of(text.begin(), text.end(), isZero);
+    return isHexadecimal(text) && !std::all_of(text.begin(), text.end(), isZero);
 }
 
 std::string nanosecondsSinceEpoch(std::chrono::system_clock::time_point time)
@@ -50,7 +56,8 @@
         return std::nullopt;
     const auto traceId = header.substr(traceIdOffset, traceIdBytes * 2);
     const auto spanId = header.substr(spanIdOffset, spanIdBytes * 2);
-    if (!isIdentifier(traceId) || !isIdentifier(spanId))
+    const bool isSeparated = header[spanIdOffset - 1] == '-' && header[flagsOffset - 1] == '-';
+    if (!isSeparated || !isIdentifier(traceId) || !isIdentifier(spanId) || !isHexadecimal(header.substr(flagsOffset)))
         return std::nullopt;
     return TraceContext { std::string(traceId), std::string(spanId) };
 }
@@ -98,7 +105,8 @@
         { "endTimeUnixNano", nanosecondsSinceEpoch(end_.value_or(start_)) },
         { "attributes", std::move(attributes) },
     };
-    return span.dump();
+    // A record's name may hold any bytes.
+    return span.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 } // namespace Ibisturn
--- a/Libraries/LibHTTP/ErrorBody.cpp
+++ b/Libraries/LibHTTP/ErrorBody.cpp
@@ -38,7 +38,7 @@
 
 std::string formatEntries(const std::vector<Member>& entries)
 {
-    return nlohmann::json { { "entries", entriesToJson(entries) } }.dump();
+    return nlohmann::json { { "entries", entriesToJson(entries) } }.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 } // namespace Ibisturn
--- a/Libraries/LibHTTP/Tracer.cpp
+++ b/Libraries/LibHTTP/Tracer.cpp
@@ -21,7 +21,7 @@
     span.end();
     const auto resource = nlohmann::json { { "attributes", { { { "key", "service.name" }, { "value", { { "stringValue", service_ } } } } } } };
     destination_(fmt::format(R"({{"resourceSpans":[{{"resource":{},"scopeSpans":[{{"scope":{{"name":"ibisturn"}},"spans":[{}]}}]}}]}})",
-        resource.dump(), span.toJson()));
+        resource.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace), span.toJson()));
 }
 
 void writeSpansToStandardError(std::string document)
--- /dev/null
+++ b/Tests/Support/Cases.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <cstdint>
+#include <cstdlib>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+namespace Ibisturn::Testing {
+
+constexpr std::uint64_t defaultSeed = 20261204;
+constexpr std::uint64_t caseCount = 10'000;
+
+/// A case's own source of randomness, so that one case replays alone.
+using Random = std::mt19937_64;
+
+/// The seed of this run: IBISTURN_SEED, or the default.
+inline std::uint64_t seedOfRun()
+{
+    const char* text = std::getenv("IBISTURN_SEED");
+    return text ? std::strtoull(text, nullptr, 10) : defaultSeed;
+}
+
+/// Runs `check` for each case until one fails; prints the seed, and on a failure the case's number.
+template <typename Check>
+void forEachCase(Check check, std::uint64_t count = caseCount)
+{
+    const auto seed = seedOfRun();
+    fmt::print("seed={} cases={}\n", seed, count);
+    for (std::uint64_t index = 0; index < count && !::testing::Test::HasFailure(); ++index) {
+        SCOPED_TRACE(fmt::format("IBISTURN_SEED={} case={}", seed, index));
+        Random random(seed * caseCount + index);
+        check(random);
+    }
+}
+
+/// A number from zero up to `limit`, without it. Precondition: `limit` is positive.
+inline std::size_t below(Random& random, std::size_t limit)
+{
+    return static_cast<std::size_t>(random() % limit);
+}
+
+/// Up to `most` bytes of any value.
+inline std::string randomBytes(Random& random, std::size_t most)
+{
+    std::string bytes(below(random, most + 1), '\0');
+    for (auto& byte : bytes)
+        byte = static_cast<char>(random());
+    return bytes;
+}
+
+/// One element of `list`. Precondition: it is not empty.
+template <typename List>
+const auto& oneOf(Random& random, const List& list)
+{
+    return list[below(random, list.size())];
+}
+
+/// Changes `text` at one to four places: bytes flipped, cut out, repeated or put in, and `tokens` put in.
+inline std::string mutate(Random& random, std::string text, const std::vector<std::string>& tokens)
+{
+    const auto changes = 1 + below(random, 4);
+    for (std::size_t change = 0; change < changes; ++change) {
+        const auto at = below(random, text.size() + 1);
+        const auto length = below(random, 8);
+        switch (below(random, 6)) {
+        case 0:
+            if (at < text.size())
+                text[at] = static_cast<char>(random());
+            break;
+        case 1:
+            text.erase(at, length);
+            break;
+        case 2:
+            text.insert(at, text.substr(at, length));
+            break;
+        case 3:
+            text.insert(at, randomBytes(random, 4));
+            break;
+        case 4:
+            text.resize(at);
+            break;
+        default:
+            text.insert(at, oneOf(random, tokens));
+        }
+    }
+    return text;
+}
+
+} // namespace Ibisturn::Testing
