--- a/Libraries/LibConfiguration/Records.cpp
+++ b/Libraries/LibConfiguration/Records.cpp
@@ -1,5 +1,6 @@
 #include <LibConfiguration/Records.h>
 
+#include <LibCore/Digest.h>
 #include <LibCore/Error.h>
 
 #include <algorithm>
@@ -13,7 +14,8 @@
 
 namespace {
 
-constexpr std::size_t digestLength = 64;
+// Larger numbers would not survive the arithmetic of allowances.
+constexpr double mostTokens = 1e15;
 
 /// Reads the fields of one record and names the record in every error.
 class RecordReader {
@@ -47,17 +49,17 @@
     double number(const char* field) const
     {
         const auto found = json_.find(field);
-        if (found == json_.end() || !found->is_number() || found->get<double>() < 0)
-            fail(field, "must be a number that is not negative");
+        if (found == json_.end() || !found->is_number() || found->get<double>() < 0 || found->get<double>() > mostTokens)
+            fail(field, fmt::format("must be a number from 0 to {}", mostTokens));
         return found->get<double>();
     }
 
-    std::uint32_t schema() const
+    std::uint64_t schema() const
     {
         const auto found = json_.find("schema");
         if (found == json_.end() || !found->is_number_unsigned())
             fail("schema", "must be a whole number");
-        return found->get<std::uint32_t>();
+        return found->get<std::uint64_t>();
     }
 
     template <typename Id>
@@ -70,8 +72,8 @@
         if (!found->is_array())
             fail(field, "must be a list of texts");
         for (const auto& item : *found) {
-            if (!item.is_string())
-                fail(field, "must be a list of texts");
+            if (!item.is_string() || item.get_ref<const std::string&>().empty())
+                fail(field, "must be a list of texts that are not empty");
             items.emplace_back(item.get<std::string>());
         }
         return items;
@@ -106,7 +108,7 @@
 
 RecordBody readKey(const RecordReader& reader, const std::string& name)
 {
-    if (name.size() != digestLength)
+    if (!isDigest(name))
         reader.fail("name", "must be a SHA-256 digest of 64 hexadecimal digits");
     return Key { KeyDigest(name), WorkspaceId(reader.text("workspace")) };
 }
--- a/Libraries/LibConfiguration/Records.h
+++ b/Libraries/LibConfiguration/Records.h
@@ -85,7 +85,7 @@
 
 /// A record of a schema version that this program does not understand. What it touches fails closed.
 struct UnknownRecord {
-    std::uint32_t schema { 0 };
+    std::uint64_t schema { 0 };
 };
 
 using RecordBody = std::variant<Workspace, Key, ResidencyRule, Route, BackendServer, UnknownRecord>;
--- a/Libraries/LibConfiguration/Settings.cpp
+++ b/Libraries/LibConfiguration/Settings.cpp
@@ -2,6 +2,7 @@
 
 #include <LibConfiguration/SettingsError.h>
 #include <LibConfiguration/SettingsSection.h>
+#include <LibCore/Digest.h>
 
 #include <arpa/inet.h>
 #include <charconv>
@@ -15,10 +16,14 @@
 namespace {
 
 constexpr std::uint32_t mostWorkers = 64;
-constexpr std::size_t digestLength = 64;
+constexpr ByteCount mostHead { 1024UL * 1024 };
+constexpr ByteCount mostBody { 1024UL * 1024 * 1024 };
 
 bool isIpAddress(const std::string& text)
 {
+    // The system's functions would stop reading at a zero byte.
+    if (text.find('\0') != std::string::npos)
+        return false;
     in6_addr buffer {};
     return inet_pton(AF_INET, text.c_str(), &buffer) == 1 || inet_pton(AF_INET6, text.c_str(), &buffer) == 1;
 }
@@ -58,7 +63,7 @@
     settings.operatorsListen = operators.endpoint("listen");
     for (auto& credential : operators.sections("credentials")) {
         const auto digest = credential.text("digest");
-        if (digest.size() != digestLength)
+        if (!isDigest(digest))
             credential.fail("digest", "must be a SHA-256 digest of 64 hexadecimal digits");
         settings.operatorCredentials.push_back({ credential.text("name"), KeyDigest(digest) });
         credential.finish();
@@ -95,8 +100,8 @@
 void readLimits(SettingsSection& root, Settings& settings)
 {
     auto limits = root.section("limits");
-    settings.headLimit = limits.size("head", settings.headLimit);
-    settings.bodyLimit = limits.size("body", settings.bodyLimit);
+    settings.headLimit = limits.size("head", settings.headLimit, mostHead);
+    settings.bodyLimit = limits.size("body", settings.bodyLimit, mostBody);
     limits.finish();
     auto timeouts = root.section("timeouts");
     settings.requestTimeout = timeouts.duration("request", settings.requestTimeout);
@@ -165,11 +170,12 @@
     try {
         document = YAML::Load(text);
     } catch (const YAML::Exception& exception) {
-        throw SettingsError(fmt::format("{}:{}: {}", fileName, exception.mark.line + 1, exception.msg));
+        const auto line = exception.mark.is_null() ? 1 : exception.mark.line + 1;
+        throw SettingsError(fmt::format("{}:{}: {}", fileName, line, exception.msg));
     }
     if (!document.IsMap())
         throw SettingsError(fmt::format("{}:1: the file must be a mapping", fileName));
-    SettingsSection root(fileName, "", document);
+    SettingsSection root(fileName, "", document, document.Mark());
     Settings settings;
     readIdentity(root, settings);
     readListeners(root, settings);
--- a/Libraries/LibConfiguration/SettingsSection.cpp
+++ b/Libraries/LibConfiguration/SettingsSection.cpp
@@ -22,6 +22,9 @@
 constexpr std::array<Unit, 4> durationUnits { { { "ms", 1'000'000 }, { "us", 1'000 }, { "min", 60'000'000'000 }, { "s", 1'000'000'000 } } };
 constexpr std::array<Unit, 4> sizeUnits { { { "KiB", 1024 }, { "MiB", 1024 * 1024 }, { "GiB", 1024 * 1024 * 1024 }, { "B", 1 } } };
 
+// Sums of a few of these and the present time must not overflow.
+constexpr std::uint64_t longestDuration = 1440 * 60'000'000'000;
+
 template <std::size_t Count>
 std::optional<std::uint64_t> parseWithUnit(std::string_view text, const std::array<Unit, Count>& units)
 {
@@ -42,10 +45,11 @@
 
 } // namespace
 
-SettingsSection::SettingsSection(std::string fileName, std::string path, const YAML::Node& node)
+SettingsSection::SettingsSection(std::string fileName, std::string path, const YAML::Node& node, const YAML::Mark& enclosing)
     : fileName_(std::move(fileName))
     , path_(std::move(path))
     , node_(node)
+    , place_(node.IsDefined() ? node.Mark() : enclosing)
 {
     if (node_.IsDefined() && !node_.IsMap())
         failAt(node_.Mark(), path_, "must be a mapping");
@@ -58,7 +62,7 @@
 
 SettingsSection SettingsSection::section(const std::string& key)
 {
-    return { fileName_, path_.empty() ? key : path_ + "." + key, find(key) };
+    return { fileName_, path_.empty() ? key : path_ + "." + key, find(key), place_ };
 }
 
 std::string SettingsSection::text(const std::string& key)
@@ -104,7 +108,7 @@
     if (!list.IsSequence())
         fail(key, "must be a list");
     for (const auto& item : list)
-        sections.emplace_back(fileName_, path_ + "." + key, item);
+        sections.emplace_back(fileName_, path_ + "." + key, item, place_);
     return sections;
 }
 
@@ -116,10 +120,12 @@
     const auto nanoseconds = parseWithUnit(scalar(key, node), durationUnits);
     if (!nanoseconds || *nanoseconds == 0)
         fail(key, "must be a positive duration with a unit (us, ms, s, min), such as 250ms");
+    if (*nanoseconds > longestDuration)
+        fail(key, "must be at most 1440min");
     return Duration(static_cast<Duration::rep>(*nanoseconds));
 }
 
-ByteCount SettingsSection::size(const std::string& key, ByteCount fallback)
+ByteCount SettingsSection::size(const std::string& key, ByteCount fallback, ByteCount most)
 {
     const auto node = find(key);
     if (!node.IsDefined())
@@ -127,6 +133,8 @@
     const auto bytes = parseWithUnit(scalar(key, node), sizeUnits);
     if (!bytes || *bytes == 0)
         fail(key, "must be a positive size with a unit (B, KiB, MiB, GiB), such as 64KiB");
+    if (*bytes > most.count())
+        fail(key, fmt::format("must be at most {}B", most.count()));
     return ByteCount(*bytes);
 }
 
@@ -148,8 +156,11 @@
 {
     if (!node_.IsDefined())
         return;
+    std::set<std::string> seen;
     for (const auto& entry : node_) {
         const auto key = entry.first.Scalar();
+        if (!seen.insert(key).second)
+            failAt(entry.first.Mark(), path_.empty() ? key : path_ + "." + key, "is set twice");
         if (!known_.contains(key))
             failAt(entry.first.Mark(), path_.empty() ? key : path_ + "." + key, "is not a known setting");
     }
@@ -161,7 +172,7 @@
     const auto fullKey = path_.empty() ? key : path_ + "." + key;
     if (node.IsDefined())
         failAt(node.Mark(), fullKey, problem);
-    failAt(node_.IsDefined() ? node_.Mark() : YAML::Mark {}, fullKey, problem);
+    failAt(place_, fullKey, problem);
 }
 
 YAML::Node SettingsSection::find(const std::string& key)
--- a/Libraries/LibConfiguration/SettingsSection.h
+++ b/Libraries/LibConfiguration/SettingsSection.h
@@ -13,8 +13,9 @@
 /// Every reader throws SettingsError with file, line and key. Thread safety: one thread.
 class SettingsSection {
 public:
-    /// Precondition: `node` is the value of `path`, or undefined if the file leaves it out.
-    SettingsSection(std::string fileName, std::string path, const YAML::Node& node);
+    /// Precondition: `node` is the value of `path`, or undefined if the file leaves it out; `enclosing` is
+    /// the place of the mapping around it.
+    SettingsSection(std::string fileName, std::string path, const YAML::Node& node, const YAML::Mark& enclosing);
 
     /// Whether the file has this section.
     bool isPresent() const;
@@ -31,10 +32,10 @@
     /// The value of `key`, or `fallback` if the file leaves it out.
     std::string text(const std::string& key, const std::string& fallback);
     Duration duration(const std::string& key, Duration fallback);
-    ByteCount size(const std::string& key, ByteCount fallback);
+    ByteCount size(const std::string& key, ByteCount fallback, ByteCount most);
     std::uint32_t number(const std::string& key, std::uint32_t fallback, std::uint32_t least, std::uint32_t most);
 
-    /// Refuses keys that no reader asked for. Call it after the last reader.
+    /// Refuses keys that no reader asked for, and keys that stand there twice. Call it after the last reader.
     void finish() const;
 
     /// Throws SettingsError about `key`.
@@ -49,6 +50,8 @@
     std::string fileName_;
     std::string path_;
     YAML::Node node_;
+    /// Where the section begins, or the mapping in which it is missing.
+    YAML::Mark place_;
     std::set<std::string> known_;
 };
 
