LibPeer: Refuse frames whose message has too few fields

msgpack fills in missing fields, so a forwarded request without a workspace was read as one of no workspace. Longer messages are still let pass, for newer senders of the same frame version.

--- a/Libraries/LibPeer/Frame.cpp
+++ b/Libraries/LibPeer/Frame.cpp
@@ -24,9 +24,21 @@
     return { mostElements, mostElements, length, length, 0, mostDepth };
 }
 
+template <typename Message>
+std::uint32_t fieldCount()
+{
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, Message {});
+    return msgpack::unpack(buffer.data(), buffer.size())->via.array.size;
+}
+
+// msgpack itself would fill in fields that are missing. More fields than this program knows are let pass.
 template <typename Message>
 PeerMessage convertMessage(const msgpack::object& object)
 {
+    static const auto expected = fieldCount<Message>();
+    if (object.type != msgpack::type::ARRAY || object.via.array.size < expected)
+        throw Error(ResultCode::MalformedFrame, Ran::No, "A frame's message has too few fields");
     return object.as<Message>();
 }
 
--- /dev/null
+++ b/Tests/LibPeer/FrameTest.cpp
@@ -0,0 +1,161 @@
+#include <LibPeer/Frame.h>
+
+#include <Tests/Support/Cases.h>
+
+#include <optional>
+
+namespace Ibisturn {
+
+namespace {
+
+using Testing::below;
+using Testing::forEachCase;
+using Testing::Random;
+using Testing::randomBytes;
+
+constexpr std::size_t frameLimit = 64UL * 1024;
+constexpr std::size_t messageKinds = std::variant_size_v<PeerMessage>;
+
+PeerMessage makeMessage(Random& random, std::size_t kind)
+{
+    const auto text = [&random] { return randomBytes(random, 40); };
+    switch (kind) {
+    case 0:
+        return HelloMessage { text(), text(), text(), static_cast<std::int64_t>(random()) };
+    case 1:
+        return ForwardMessage { text(), text(), static_cast<std::int64_t>(random()), text(), text(), text(), text(), text(), random(), randomBytes(random, 400) };
+    case 2:
+        return AnswerHeadMessage { static_cast<std::uint32_t>(random()), text() };
+    case 3:
+        return AnswerPartMessage { randomBytes(random, 400) };
+    case 4:
+        return AnswerEndMessage {};
+    default:
+        return FailureMessage { static_cast<std::uint16_t>(random()), static_cast<std::uint8_t>(random()), text() };
+    }
+}
+
+std::string makeFrame(Random& random, std::size_t kind)
+{
+    const Frame frame { Incarnation(random()), RequestId(random()), makeMessage(random, kind) };
+    return encodeFrame(frame).substr(frameLengthBytes);
+}
+
+std::string makeFrame(Random& random)
+{
+    return makeFrame(random, below(random, messageKinds));
+}
+
+/// The code with which a frame is refused, or nothing if it is read. Any other exception fails the test.
+std::optional<ResultCode> refusalOf(const std::string& bytes)
+{
+    try {
+        decodeFrame(bytes);
+    } catch (const Error& error) {
+        EXPECT_EQ(error.ran(), Ran::No);
+        EXPECT_TRUE(error.code() == ResultCode::MalformedFrame || error.code() == ResultCode::FrameVersionUnknown);
+        return error.code();
+    }
+    return std::nullopt;
+}
+
+std::string packHeader(std::uint64_t version, std::uint64_t type)
+{
+    msgpack::sbuffer buffer;
+    msgpack::packer packer(buffer);
+    packer.pack_array(4).pack(version).pack(type).pack(std::uint64_t { 1 }).pack(std::uint64_t { 2 });
+    return { buffer.data(), buffer.size() };
+}
+
+/// The message of a frame with one field left out or replaced by a value of another type.
+std::string spoilField(Random& random, const msgpack::object& message)
+{
+    msgpack::sbuffer buffer;
+    msgpack::packer packer(buffer);
+    const auto count = message.via.array.size;
+    const auto spoilt = below(random, count);
+    const bool leavesOut = below(random, 4) == 0;
+    packer.pack_array(leavesOut ? count - 1 : count);
+    for (std::uint32_t index = 0; index < count; ++index) {
+        if (index != spoilt)
+            packer.pack(message.via.array.ptr[index]);
+        else if (!leavesOut && below(random, 2) == 0)
+            packer.pack_map(0);
+        else if (!leavesOut)
+            packer.pack_nil();
+    }
+    return { buffer.data(), buffer.size() };
+}
+
+} // namespace
+
+TEST(Frame, ComesBackAsItWasWritten)
+{
+    forEachCase([](Random& random) {
+        const Frame frame { Incarnation(random()), RequestId(random()), makeMessage(random, below(random, messageKinds)) };
+        const auto bytes = encodeFrame(frame);
+        ASSERT_EQ(decodeFrameLength(bytes, frameLimit), bytes.size() - frameLengthBytes);
+        ASSERT_EQ(encodeFrame(decodeFrame(bytes.substr(frameLengthBytes))), bytes);
+    });
+}
+
+TEST(Frame, RandomBytesAreRefused)
+{
+    forEachCase([](Random& random) { ASSERT_TRUE(refusalOf(randomBytes(random, 64))); });
+}
+
+TEST(Frame, TruncatedFramesAreRefused)
+{
+    forEachCase([](Random& random) {
+        auto bytes = makeFrame(random);
+        bytes.resize(below(random, bytes.size()));
+        ASSERT_EQ(refusalOf(bytes), ResultCode::MalformedFrame);
+    });
+}
+
+TEST(Frame, MutatedFramesAreReadOrRefused)
+{
+    const std::vector<std::string> tokens { "\xdd\xff\xff\xff\xff", "\xdb\xff\xff\xff\xff", "\xdf\xff\xff\xff\xff", "\xc1", "\xc9\xff\xff\xff\xff\x01", std::string(40, '\x91') };
+    forEachCase([&tokens](Random& random) { refusalOf(Testing::mutate(random, makeFrame(random), tokens)); });
+}
+
+TEST(Frame, FramesOverTheLimitAreRefused)
+{
+    forEachCase([](Random& random) {
+        const auto limit = below(random, 1U << 31U);
+        const auto length = limit + 1 + below(random, 1U << 31U);
+        std::string bytes;
+        for (int shift = 24; shift >= 0; shift -= 8)
+            bytes += static_cast<char>((length >> shift) & 0xff);
+        try {
+            decodeFrameLength(bytes, limit);
+            FAIL() << "a frame of " << length << " bytes passed a limit of " << limit;
+        } catch (const Error& error) {
+            ASSERT_EQ(error.code(), ResultCode::FrameTooLarge);
+        }
+    });
+}
+
+TEST(Frame, OtherVersionsAndTypesAreRefused)
+{
+    forEachCase([](Random& random) {
+        const auto version = frameVersion + 1 + below(random, 255 - frameVersion);
+        ASSERT_EQ(refusalOf(packHeader(version, 4) + "\x91\x00"), ResultCode::FrameVersionUnknown);
+        const auto type = messageKinds + below(random, 1000);
+        ASSERT_EQ(refusalOf(packHeader(frameVersion, type) + "\x91\x00"), ResultCode::MalformedFrame);
+    });
+}
+
+TEST(Frame, FieldsThatAreMissingOrOfAnotherTypeAreRefused)
+{
+    forEachCase([](Random& random) {
+        const auto kind = below(random, messageKinds);
+        const auto bytes = makeFrame(random, kind);
+        std::size_t offset = 0;
+        msgpack::unpack(bytes.data(), bytes.size(), offset);
+        const auto message = msgpack::unpack(bytes.data(), bytes.size(), offset);
+        ASSERT_EQ(refusalOf(packHeader(frameVersion, kind) + spoilField(random, *message)), ResultCode::MalformedFrame);
+    });
+}
+
+} // namespace Ibisturn
