LibPlatform: Refuse live lists of another type

null, an object or an entry without a name was taken as a list that is empty or names nobody, which would have emptied the membership. Tests failed first.

--- a/Libraries/LibPlatform/LiveListClient.cpp
+++ b/Libraries/LibPlatform/LiveListClient.cpp
@@ -11,6 +11,28 @@
 
 namespace {
 
+[[noreturn]] void refuse()
+{
+    throw Error(ResultCode::MalformedBody, Ran::No, "The live list is not valid");
+}
+
+std::string readName(const nlohmann::json& entry, const char* field)
+{
+    auto name = entry.at(field).get<std::string>();
+    if (name.empty())
+        refuse();
+    return name;
+}
+
+// Another type must not be taken as a list without entries.
+const nlohmann::json& readList(const nlohmann::json& document, const char* field)
+{
+    const auto& list = document.at(field);
+    if (!list.is_array())
+        refuse();
+    return list;
+}
+
 Endpoint readEndpoint(const nlohmann::json& entry, const char* field)
 {
     const auto endpoint = parseEndpoint(entry.at(field).get<std::string>());
@@ -22,9 +44,9 @@
 Member readMember(const nlohmann::json& entry)
 {
     Member member;
-    member.id = InstanceId(entry.at("id").get<std::string>());
-    member.region = RegionId(entry.at("region").get<std::string>());
-    member.dataCentre = DataCentreId(entry.at("data_centre").get<std::string>());
+    member.id = InstanceId(readName(entry, "id"));
+    member.region = RegionId(readName(entry, "region"));
+    member.dataCentre = DataCentreId(readName(entry, "data_centre"));
     member.callers = readEndpoint(entry, "callers");
     member.peers = readEndpoint(entry, "peers");
     member.state = entry.value("state", "live") == "leaving" ? MemberState::Leaving : MemberState::Live;
@@ -37,15 +59,15 @@
 {
     MembershipView view;
     try {
-        const auto list = nlohmann::json::parse(json);
-        for (const auto& entry : list.at("instances"))
+        const auto document = nlohmann::json::parse(json);
+        for (const auto& entry : readList(document, "instances"))
             view.instances.push_back(readMember(entry));
-        for (const auto& entry : list.at("backend_servers")) {
+        for (const auto& entry : readList(document, "backend_servers")) {
             if (entry.value("state", "live") == "leaving")
-                view.leavingBackendServers.emplace(entry.at("id").get<std::string>());
+                view.leavingBackendServers.emplace(readName(entry, "id"));
         }
     } catch (const nlohmann::json::exception&) {
-        throw Error(ResultCode::MalformedBody, Ran::No, "The live list is not valid");
+        refuse();
     }
     const auto isBefore = [](const Member& left, const Member& right) { return left.id < right.id; };
     std::sort(view.instances.begin(), view.instances.end(), isBefore);
