LibHTTP: Refuse bodies that name no single model

A body with two models was routed by the last, where an engine may run the first, and one whose model is not a text was routed as if it had none. An empty key parameter hid the key before it.

--- a/Libraries/LibHTTP/CallerCredentials.cpp
+++ b/Libraries/LibHTTP/CallerCredentials.cpp
@@ -60,7 +60,9 @@
         rest.remove_prefix(std::min(rest.size(), parameter.size() + 1));
         const auto equals = parameter.find('=');
         if (isKeyParameter(parameter.substr(0, equals))) {
-            keyInQuery = equals == std::string_view::npos ? "" : decodePercent(parameter.substr(equals + 1));
+            // An empty parameter does not hide a key.
+            if (equals != std::string_view::npos && equals + 1 < parameter.size())
+                keyInQuery = decodePercent(parameter.substr(equals + 1));
             continue;
         }
         credentials.target += separator;
--- a/Libraries/LibHTTP/CompletionScanner.cpp
+++ b/Libraries/LibHTTP/CompletionScanner.cpp
@@ -31,16 +31,23 @@
 
     bool string(string_t& value) override
     {
-        if (depth_ == 1 && key_ == "model")
-            summary.model = ModelName(value);
-        return acceptValue();
+        if (!isModel())
+            return acceptValue();
+        summary.model = ModelName(value);
+        return true;
     }
 
+    // A backend server might read the first of two models where this reads the last.
     bool key(string_t& value) override
     {
-        if (depth_ == 1)
-            key_ = value;
-        return true;
+        if (depth_ != 1)
+            return true;
+        isModelNext_ = value == "model";
+        if (!isModelNext_)
+            return true;
+        const bool isFirst = !hasModel_;
+        hasModel_ = true;
+        return isFirst;
     }
 
     bool parse_error(std::size_t /*position*/, const std::string& /*token*/, const nlohmann::detail::exception& /*error*/) override
@@ -49,10 +56,14 @@
     }
 
 private:
-    bool acceptValue() const { return depth_ > 0; }
+    bool isModel() const { return depth_ == 1 && isModelNext_; }
+    // Only a text names a model.
+    bool acceptValue() const { return depth_ > 0 && !isModel(); }
 
     bool descend()
     {
+        if (isModel())
+            return false;
         ++depth_;
         isTooDeep = depth_ > mostDepth;
         return !isTooDeep;
@@ -65,7 +76,8 @@
     }
 
     std::size_t depth_ { 0 };
-    std::string key_;
+    bool isModelNext_ { false };
+    bool hasModel_ { false };
 };
 
 } // namespace
--- /dev/null
+++ b/Tests/LibHTTP/CallerCredentialsTest.cpp
@@ -0,0 +1,66 @@
+#include <LibHTTP/CallerCredentials.h>
+
+#include <LibCore/Digest.h>
+#include <Tests/Support/Cases.h>
+
+namespace Ibisturn {
+
+namespace {
+
+using Testing::below;
+using Testing::forEachCase;
+using Testing::oneOf;
+using Testing::Random;
+
+const std::string secret = "Sk-4f1-secret";
+
+/// `text` with some of its characters percent-encoded and some letters in upper case.
+std::string disguise(Random& random, const std::string& text)
+{
+    std::string disguised;
+    for (const char character : text) {
+        if (below(random, 3) == 0)
+            disguised += fmt::format("%{:02x}", static_cast<unsigned char>(character));
+        else if (below(random, 3) == 0)
+            disguised += static_cast<char>(std::toupper(static_cast<unsigned char>(character)));
+        else
+            disguised += character;
+    }
+    return disguised;
+}
+
+} // namespace
+
+TEST(CallerCredentials, KeyNeverStaysInTheTarget)
+{
+    const std::vector<std::string> names { "key", "api_key" };
+    const std::vector<std::string> others { "a=b", "", "=", "a", "%", "%4", "x=%zz", "key", "api_key=", "?", "keys=1", "a==b", "#" };
+    forEachCase([&](Random& random) {
+        std::string target = "/v1/chat";
+        char separator = '?';
+        const auto count = 1 + below(random, 5);
+        const auto secretAt = below(random, count);
+        for (std::size_t index = 0; index < count; ++index) {
+            target += separator;
+            target += index == secretAt ? disguise(random, oneOf(random, names)) + "=" + secret : oneOf(random, others);
+            separator = '&';
+        }
+        const auto credentials = extractCredentials("", "", target);
+        ASSERT_EQ(credentials.target.find(secret), std::string::npos) << target;
+        ASSERT_EQ(credentials.key, digestOfKey(secret)) << target;
+    });
+}
+
+TEST(CallerCredentials, AnyInputIsReadAndTheRestOfTheTargetStays)
+{
+    forEachCase([](Random& random) {
+        const std::string target = Testing::mutate(random, "/v1/models?limit=5&key=abc&after=%20x", { "?", "&", "%", "=", "key=", "%00" });
+        extractCredentials(Testing::randomBytes(random, 20), Testing::randomBytes(random, 20), target);
+    });
+    EXPECT_EQ(extractCredentials("", "", "/v1/models?limit=5&key=abc&after=%20x").target, "/v1/models?limit=5&after=%20x");
+    EXPECT_EQ(extractCredentials("bearer abc", "", "/").key, digestOfKey("abc"));
+    EXPECT_EQ(extractCredentials("Basic abc", "", "/").key, std::nullopt);
+    EXPECT_EQ(extractCredentials("", "abc", "/?key=other").target, "/");
+}
+
+} // namespace Ibisturn
