StandIns: Give the engine slots, priorities, a prefix cache and lagging reports

Cause: the engine's stand-in answered every request at once, so that load, priorities and leaving could not be tested. Change: EngineScheduler, EnginePrefixCache, LaggingReport and CacheEvents; GET /load, /cache-events, POST /drain; the page of settings. Ruled out: a model of token steps, which the tests do not need.

--- a/Tests/StandIns/Main.cpp
+++ b/Tests/StandIns/Main.cpp
@@ -88,6 +88,9 @@
     engine->add_option("--tokens", options.engine.tokens);
     engine->add_option("--token-ms", options.engine.tokenMilliseconds);
     engine->add_option("--cut-after", options.engine.cutAfterTokens);
+    engine->add_option("--slots", options.engine.slots);
+    engine->add_option("--prefill-ms", options.engine.prefillMilliseconds);
+    engine->add_option("--report-lag-ms", options.engine.reportLagMilliseconds);
     engine->callback([&options] { serveEngine(options); });
     auto* service = app.add_subcommand("service", "Plain service that counts its runs")->fallthrough();
     service->add_option("--run-ms", options.runMilliseconds);
--- a/Tests/StandIns/StandInEngine.cpp
+++ b/Tests/StandIns/StandInEngine.cpp
@@ -12,6 +12,25 @@
 namespace {
 
 constexpr std::size_t mostSeenHeaders = 1000;
+constexpr std::size_t prefixBytes = 256;
+constexpr std::uint64_t cacheEventSeed = 1;
+
+/// Holds a slot of the engine's batch while it lives.
+class SlotHold {
+public:
+    SlotHold(EngineScheduler& scheduler, std::int64_t priority)
+        : scheduler_(scheduler)
+    {
+        scheduler_.acquire(priority);
+    }
+
+    ~SlotHold() { scheduler_.release(); }
+    SlotHold(const SlotHold&) = delete;
+    SlotHold& operator=(const SlotHold&) = delete;
+
+private:
+    EngineScheduler& scheduler_;
+};
 
 std::string chunk(const std::string& model, const std::string& content, bool isLast)
 {
@@ -28,7 +47,12 @@
 StandInEngine::StandInEngine(std::string name, EngineOptions options)
     : name_(std::move(name))
     , options_(options)
+    , scheduler_(options.slots)
+    , cache_(options.cachedPrefixes)
+    , load_(std::chrono::milliseconds(options.reportLagMilliseconds))
+    , cacheEvents_(options.cacheEventLoss, cacheEventSeed)
 {
+    noteLoad();
 }
 
 void StandInEngine::handle(const HttpRequest& request, Responder& responder)
@@ -36,6 +60,13 @@
     const std::string target(request.target());
     if (target == "/load")
         return report(responder);
+    if (target == "/cache-events")
+        return responder.send(200, "application/json", cacheEvents_.since(0));
+    if (target == "/drain") {
+        isDraining_ = true;
+        noteLoad();
+        return responder.send(200, "application/json", "{}");
+    }
     if (target == "/seen") {
         const std::scoped_lock lock(mutex_);
         return responder.send(200, "application/json", nlohmann::json(seenHeaders_).dump());
@@ -47,6 +78,8 @@
 
 void StandInEngine::complete(const HttpRequest& request, Responder& responder)
 {
+    if (isDraining_)
+        return responder.send(503, "application/json", R"({"error":{"message":"draining"}})");
     ++runs_;
     {
         std::ostringstream head;
@@ -58,20 +91,46 @@
     const auto body = nlohmann::json::parse(request.body(), nullptr, false);
     if (!body.is_object())
         return responder.send(400, "application/json", R"({"error":{"message":"not JSON"}})");
+    {
+        const SlotHold slot(scheduler_, body.value("priority", 0));
+        noteLoad();
+        prefill(body.dump());
+        answer(body, responder);
+    }
+    noteLoad();
+}
+
+void StandInEngine::answer(const nlohmann::json& body, Responder& responder)
+{
     const auto model = body.value("model", "");
     const auto tokens = std::min(options_.tokens, body.value("max_tokens", options_.tokens));
-    ++underWay_;
     if (body.value("stream", false)) {
         stream(model, tokens, responder);
-    } else {
-        std::this_thread::sleep_for(std::chrono::milliseconds(options_.tokenMilliseconds * tokens));
-        const nlohmann::json message { { "role", "assistant" }, { "content", "answer from " + name_ } };
-        const nlohmann::json answer { { "id", "chatcmpl-0" }, { "object", "chat.completion" }, { "model", model },
-            { "choices", { { { "index", 0 }, { "message", message }, { "finish_reason", "stop" } } } },
-            { "usage", { { "prompt_tokens", body.dump().size() / 4 }, { "completion_tokens", tokens } } } };
-        responder.send(200, "application/json", answer.dump());
+        return;
     }
-    --underWay_;
+    std::this_thread::sleep_for(std::chrono::milliseconds(options_.tokenMilliseconds * tokens));
+    const nlohmann::json message { { "role", "assistant" }, { "content", "answer from " + name_ } };
+    const nlohmann::json completion { { "id", "chatcmpl-0" }, { "object", "chat.completion" }, { "model", model },
+        { "choices", { { { "index", 0 }, { "message", message }, { "finish_reason", "stop" } } } },
+        { "usage", { { "prompt_tokens", body.dump().size() / 4 }, { "completion_tokens", tokens } } } };
+    responder.send(200, "application/json", completion.dump());
+}
+
+// A prompt whose beginning is not in the cache takes longer to its first token.
+void StandInEngine::prefill(const std::string& prompt)
+{
+    const auto prefix = prompt.substr(0, prefixBytes);
+    if (cache_.touch(prefix))
+        return;
+    cacheEvents_.stored(prefix);
+    std::this_thread::sleep_for(std::chrono::milliseconds(options_.prefillMilliseconds));
+}
+
+void StandInEngine::noteLoad()
+{
+    const nlohmann::json load { { "name", name_ }, { "runs", runs_.load() }, { "cancelled", cancelled_.load() },
+        { "running", scheduler_.running() }, { "waiting", scheduler_.waiting() }, { "draining", isDraining_.load() } };
+    load_.set(load.dump());
 }
 
 void StandInEngine::stream(const std::string& model, std::uint32_t tokens, Responder& responder)
@@ -94,8 +153,7 @@
 
 void StandInEngine::report(Responder& responder)
 {
-    const nlohmann::json load { { "name", name_ }, { "runs", runs_.load() }, { "cancelled", cancelled_.load() }, { "under_way", underWay_.load() } };
-    responder.send(200, "application/json", load.dump());
+    responder.send(200, "application/json", load_.get());
 }
 
 } // namespace Ibisturn::StandIns
