Tests: Script scenarios against real processes

Cause: proof by scripted scenarios was asked for and only shell scripts started deployments. Ruled out: driving the decision objects on virtual time in this step; they are still being joined.

--- /dev/null
+++ b/Tests/Scenarios/ScenarioRunner.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "Deployment.h"
+
+#include <map>
+#include <memory>
+
+namespace Ibisturn::Scenarios {
+
+/// Runs the steps of one scenario against processes. It reads only what callers, operators and the stand-ins see.
+/// Thread safety: one thread.
+class ScenarioRunner {
+public:
+    explicit ScenarioRunner(const Scenario& scenario);
+
+    /// Runs all steps. Throws std::runtime_error that names file, line and what was seen instead.
+    void run();
+
+private:
+    void perform(const SendRequest& request);
+    void perform(const AwaitPart& await);
+    void perform(const AwaitRequest& await);
+    void perform(const WriteRecord& write);
+    void perform(const WithdrawRecord& withdraw);
+    void perform(const AwaitAnswer& await);
+    void perform(const ChangeProcess& change);
+    void perform(const ChangeStore& change);
+    void perform(const ChangeLink& change);
+    void perform(const ExpectRuns& expect);
+    void perform(const ExpectKeysUnseen& expect);
+
+    CallerRequest makeRequest(const SendRequest& request) const;
+    std::string recordName(const std::string& kind, const std::string& name) const;
+
+    const Scenario& scenario_;
+    Deployment deployment_;
+    std::map<std::string, std::unique_ptr<HttpCaller>> running_;
+};
+
+} // namespace Ibisturn::Scenarios
