Tests: Close a scenario's links in the processes it starts

Child processes inherited the sockets of links opened before them and kept a watch open that the store had closed. Ruled out, each by a look: the stand-in store (ends the watch with curl), the instance (retries when met without a link), Asio's edge-triggered reads (a system call trace shows the end of file read and the socket closed). Change: children start with standard descriptors only. Conclusion: the fault was the harness's, not the product's.

--- a/Tests/Scenarios/ChildProcess.cpp
+++ b/Tests/Scenarios/ChildProcess.cpp
@@ -33,6 +33,8 @@
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, logFile_.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_APPEND, logMode);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // A child that held a link's socket would keep it open after the scenario cut it.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const auto error = posix_spawn(&process_, raw.front(), &actions, nullptr, raw.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (error != 0)
