--- a/Libraries/LibConfiguration/Records.cpp
+++ b/Libraries/LibConfiguration/Records.cpp
@@ -97,6 +97,7 @@
 constexpr std::array<std::pair<std::string_view, RouteAccess>, 2> routeAccesses { { { "workspaces", RouteAccess::Workspaces }, { "open", RouteAccess::OpenToAll } } };
 constexpr std::array<std::pair<std::string_view, Repeatability>, 2> repeatabilities { { { "idempotent", Repeatability::Idempotent }, { "non-idempotent", Repeatability::NonIdempotent } } };
 constexpr std::array<std::pair<std::string_view, FencingSupport>, 2> fencingSupports { { { "ignored", FencingSupport::Ignored }, { "checked", FencingSupport::Checked } } };
+constexpr std::array<std::pair<std::string_view, ResumeSupport>, 2> resumeSupports { { { "unsupported", ResumeSupport::Unsupported }, { "supported", ResumeSupport::Supported } } };
 
 RecordBody readWorkspace(const RecordReader& reader, const std::string& name)
 {
@@ -147,6 +148,7 @@
     server.dataCentre = DataCentreId(reader.text("data_centre"));
     server.routes = reader.list<RouteId>("routes");
     server.fencing = reader.choice("fencing", "ignored", fencingSupports);
+    server.resume = reader.choice("resume", "unsupported", resumeSupports);
     return server;
 }
 
--- a/Libraries/LibConfiguration/Records.h
+++ b/Libraries/LibConfiguration/Records.h
@@ -71,6 +71,13 @@
     Checked,
 };
 
+enum class ResumeSupport : std::uint8_t {
+    Unsupported,
+    /// The events of its streams carry an `id:` that counts from 0, and a request with `Last-Event-ID: N` is
+    /// answered from event N + 1 on.
+    Supported,
+};
+
 /// A model engine or a plain service that runs requests.
 struct BackendServer {
     BackendServerId id;
@@ -81,6 +88,7 @@
     /// Routes that it serves.
     std::vector<RouteId> routes;
     FencingSupport fencing { FencingSupport::Ignored };
+    ResumeSupport resume { ResumeSupport::Unsupported };
 };
 
 /// A record of a schema version that this program does not understand. What it touches fails closed.
