Tests: Prove the life of requests under random schedules

A checker reads only what the fake backend servers and callers saw. Six mutations of the fakes are each noticed.

--- /dev/null
+++ b/Tests/LibDecision/RequestHealthTest.cpp
@@ -0,0 +1,113 @@
+#include <LibDecision/Requests/HealthTable.h>
+#include <LibDecision/Requests/RequestAccess.h>
+#include <LibDecision/Requests/RequestTimeout.h>
+#include <LibDecision/Requests/RetryBudget.h>
+
+#include <gtest/gtest.h>
+
+namespace Ibisturn {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr TimePoint start {};
+const BackendServerId engine("engine");
+
+} // namespace
+
+TEST(RetryBudget, PermitsAShareOfRecentRequestsBesidesItsReserve)
+{
+    RetryBudget budget({ 0.1, 2 });
+    for (int request = 0; request < 100; ++request)
+        budget.noteRequest(start);
+    int permitted = 0;
+    for (int retry = 0; retry < 100; ++retry)
+        permitted += budget.takeRetry(start + 1s) ? 1 : 0;
+    EXPECT_EQ(permitted, 12);
+    // Both the requests and the retries fall out of the window.
+    EXPECT_TRUE(budget.takeRetry(start + 30s));
+    EXPECT_TRUE(budget.takeRetry(start + 30s));
+    EXPECT_FALSE(budget.takeRetry(start + 30s));
+}
+
+TEST(BackendHealth, KeepsRequestsAwayFromTheFirstFailureOn)
+{
+    BackendHealth health;
+    EXPECT_TRUE(health.mayUse(engine, start));
+    health.noteFailure(engine, start);
+    EXPECT_FALSE(health.mayUse(engine, start));
+    EXPECT_FALSE(health.mayUse(engine, start + 999ms));
+    EXPECT_TRUE(health.mayUse(engine, start + 1s));
+}
+
+TEST(BackendHealth, ReturnsStepByStep)
+{
+    BackendHealth health;
+    health.noteFailure(engine, start);
+    auto now = start + 1s;
+    for (const int atOnce : { 1, 2, 4, 8, 16 }) {
+        for (int request = 0; request < atOnce; ++request) {
+            EXPECT_TRUE(health.mayUse(engine, now));
+            health.noteDispatch(engine);
+        }
+        EXPECT_FALSE(health.mayUse(engine, now)) << atOnce;
+        health.noteSuccess(engine, now);
+        for (int request = 1; request < atOnce; ++request)
+            health.noteNothing(engine);
+    }
+    EXPECT_TRUE(health.isEmpty());
+}
+
+TEST(BackendHealth, WaitsLongerAfterEachFailureAndOnceForThoseAtOnce)
+{
+    BackendHealth health;
+    for (int request = 0; request < 10; ++request)
+        health.noteFailure(engine, start);
+    EXPECT_TRUE(health.mayUse(engine, start + 1s));
+    health.noteFailure(engine, start + 1s);
+    EXPECT_FALSE(health.mayUse(engine, start + 2900ms));
+    EXPECT_TRUE(health.mayUse(engine, start + 3s));
+}
+
+TEST(BackendHealth, LeavesATargetAloneThatLeaves)
+{
+    BackendHealth health;
+    health.noteDispatch(engine);
+    health.noteLeaving(engine, start);
+    health.noteSuccess(engine, start + 1s);
+    EXPECT_FALSE(health.mayUse(engine, start + 59s));
+}
+
+TEST(RequestTimeout, ReadsUnits)
+{
+    EXPECT_EQ(parseRequestTimeout("30s"), Duration(30s));
+    EXPECT_EQ(parseRequestTimeout("250ms"), Duration(250ms));
+    EXPECT_EQ(parseRequestTimeout("5m"), Duration(5min));
+    for (const auto* text : { "", "0s", "30", "s", "-1s", "1.5s", "30s ", "25h", "1500m", "99999999999s" })
+        EXPECT_FALSE(parseRequestTimeout(text)) << text;
+}
+
+TEST(RequestAccess, FollowsKeyAndResidency)
+{
+    const KeyDigest digest(std::string(64, 'a'));
+    const Key key { digest, WorkspaceId("guides") };
+    const Workspace workspace { WorkspaceId("guides"), ResidencyRuleId("at-home"), {}, {} };
+    const ResidencyRule rule { ResidencyRuleId("at-home"), { RegionId("khomas") } };
+    const Record workspaceRecord { "workspaces", "guides", Revision(1), workspace };
+    const Record ruleRecord { "residency", "at-home", Revision(1), rule };
+    const Record keyRecord { "keys", digest.value(), Revision(1), key };
+    const Record unknownKeyRecord { "keys", digest.value(), Revision(2), UnknownRecord { 9 } };
+    const RequestAccess access { WorkspaceId("guides"), digest };
+    const RequestAccess others { WorkspaceId("schools"), digest };
+    const Snapshot whole(Revision(1), { workspaceRecord, ruleRecord, keyRecord });
+    const RegionId khomas("khomas");
+    EXPECT_EQ(decideAccess(whole, khomas, access), ResultCode::Ok);
+    EXPECT_EQ(decideAccess(whole, RegionId("erongo"), access), ResultCode::ResidencyRefused);
+    EXPECT_EQ(decideAccess(whole, khomas, others), ResultCode::KeyUnknown);
+    EXPECT_EQ(decideAccess(Snapshot(Revision(2), { workspaceRecord, ruleRecord }), khomas, access), ResultCode::KeyUnknown);
+    EXPECT_EQ(decideAccess(Snapshot(Revision(2), { workspaceRecord, ruleRecord, unknownKeyRecord }), khomas, access), ResultCode::RecordSchemaUnknown);
+    EXPECT_EQ(decideAccess(Snapshot(Revision(2), { workspaceRecord, keyRecord }), khomas, access), ResultCode::ResidencyRefused);
+}
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Tests/LibDecision/RequestWorld.cpp
@@ -0,0 +1,301 @@
+#include "RequestWorld.h"
+
+#include <algorithm>
+#include <array>
+
+#include <fmt/format.h>
+
+namespace Ibisturn::Tests {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int requestCount = 3;
+constexpr int origin = 0;
+constexpr int nodeCount = 4;
+constexpr milliseconds longestStep(20);
+constexpr milliseconds longestAdoption(40);
+constexpr milliseconds firstWrite(200);
+constexpr milliseconds deadline(400);
+
+std::string tokenOf(int request, int token)
+{
+    return fmt::format("{}:{}", request, token);
+}
+
+// The origin is at home; the receivers are in each of the regions.
+const RegionId& regionOf(int node)
+{
+    static const std::array<RegionId, nodeCount> regions { RequestWorld::home, RequestWorld::home, RequestWorld::permittedAtFirst,
+        RequestWorld::neverPermitted };
+    return regions.at(static_cast<std::size_t>(node));
+}
+
+} // namespace
+
+const RegionId RequestWorld::home("khomas");
+const RegionId RequestWorld::permittedAtFirst("omaheke");
+const RegionId RequestWorld::neverPermitted("erongo");
+
+/// A request at one instance, with the life under test.
+struct RequestWorld::Actor {
+    int request;
+    int node;
+    ActorPointer origin;
+    AttemptId originAttempt;
+    RequestLife life;
+    int target { 0 };
+    int nextToken { 0 };
+};
+
+RequestWorld::RequestWorld(std::uint64_t seed, Mutation mutation)
+    : random_(seed)
+    , mutation_(mutation)
+    , changedAt_(TimePoint {} + milliseconds(random_() % firstWrite.count()))
+    , forbiddenFrom_(changedAt_ + longestAdoption + longestStep)
+{
+    for (int node = 0; node < nodeCount; ++node)
+        adoptedAt_.push_back(changedAt_ + milliseconds(random_() % longestAdoption.count()));
+}
+
+void RequestWorld::run()
+{
+    for (int request = 0; request < requestCount; ++request) {
+        answers_[request].repeatability = chance(50) ? Repeatability::Idempotent : Repeatability::NonIdempotent;
+        const auto actor = makeActor(request, origin, nullptr, {});
+        budget_.noteRequest(now_);
+        deliverLater(actor, HeadRead { ResultCode::Ok });
+        if (chance(15)) {
+            after([this, actor, request] {
+                answers_[request].hasLeft = true;
+                deliver(actor, CallerLeft {}, {});
+            });
+        }
+    }
+    while (!steps_.empty()) {
+        const auto step = steps_.extract(steps_.begin());
+        now_ = step.key();
+        step.mapped()();
+    }
+}
+
+RequestWorld::ActorPointer RequestWorld::makeActor(int request, int node, ActorPointer originActor, AttemptId originAttempt)
+{
+    RequestTerms terms { originActor ? HopsLeft::None : HopsLeft::One, now_ + deadline, [this](TimePoint now) { return budget_.takeRetry(now); } };
+    if (mutation_ == Mutation::ReceiverForwards)
+        terms.hops = HopsLeft::One;
+    auto actor = std::make_shared<Actor>(Actor { request, node, std::move(originActor), originAttempt, RequestLife(terms) });
+    // The access watch of the instance reports when it adopts the change.
+    if (adoptedAt_.at(static_cast<std::size_t>(node)) >= now_) {
+        steps_.emplace(adoptedAt_.at(static_cast<std::size_t>(node)), [this, actor] {
+            const auto access = accessAt(actor->node);
+            if (access != ResultCode::Ok)
+                deliver(actor, AccessReviewed { access }, {});
+        });
+    }
+    return actor;
+}
+
+void RequestWorld::after(std::function<void()> step)
+{
+    steps_.emplace(now_ + milliseconds(1 + random_() % (longestStep.count() - 1)), std::move(step));
+}
+
+ResultCode RequestWorld::accessAt(int node) const
+{
+    if (mutation_ == Mutation::AccessIgnored)
+        return ResultCode::Ok;
+    const auto& region = regionOf(node);
+    const bool isForbidden = region == neverPermitted || (region == permittedAtFirst && now_ >= adoptedAt_.at(static_cast<std::size_t>(node)));
+    return isForbidden ? ResultCode::ResidencyRefused : ResultCode::Ok;
+}
+
+void RequestWorld::deliverLater(const ActorPointer& actor, const RequestEvent& event, const Payload& payload)
+{
+    // Doubled events and ones that come late, after the attempt is over.
+    const bool isDoubled = chance(10) && !std::holds_alternative<PartArrived>(event);
+    after([=, this] { deliver(actor, event, payload); });
+    if (isDoubled)
+        after([=, this] { after([=, this] { deliver(actor, event, payload); }); });
+}
+
+void RequestWorld::deliver(const ActorPointer& actor, const RequestEvent& event, const Payload& payload)
+{
+    for (const auto& action : actor->life.handle(event, now_))
+        act(actor, action, event, payload);
+}
+
+void RequestWorld::act(const ActorPointer& actor, const RequestAction& action, const RequestEvent& cause, const Payload& payload)
+{
+    if (std::holds_alternative<TakeBody>(action))
+        deliverLater(actor, BodyTaken { answers_[actor->request].repeatability });
+    if (std::holds_alternative<ChoosePlace>(action))
+        choose(actor);
+    if (const auto* here = std::get_if<DispatchHere>(&action))
+        connect(actor, here->attempt, actor->node);
+    if (const auto* forward = std::get_if<ForwardToPeer>(&action))
+        connect(actor, forward->attempt, std::stoi(forward->instance.value()));
+    if (const auto* handing = std::get_if<HandOver>(&action))
+        handOver(actor, handing->attempt);
+    if (std::holds_alternative<PassOn>(action) || std::holds_alternative<EndAnswer>(action))
+        passDown(actor, cause, payload);
+    if (const auto* refusal = std::get_if<AnswerWithError>(&action))
+        failDown(actor, refusal->code, refusal->ran);
+    if (const auto* cut = std::get_if<CutWithError>(&action))
+        failDown(actor, cut->code, cut->ran);
+}
+
+// Any place, good or bad: what must hold does not depend on a wise choice.
+void RequestWorld::choose(const ActorPointer& actor)
+{
+    const auto node = static_cast<int>(random_() % nodeCount);
+    Place place = RunHere { BackendServerId(std::to_string(actor->node)) };
+    if (node != actor->node && chance(70))
+        place = ForwardTo { InstanceId(std::to_string(node)) };
+    if (chance(5))
+        place = RefuseRequest { ResultCode::NoBackendServer };
+    deliverLater(actor, PlaceChosen { place });
+}
+
+void RequestWorld::connect(const ActorPointer& actor, AttemptId attempt, int target)
+{
+    actor->target = target;
+    if (chance(20))
+        return deliverLater(actor, AttemptFailed { attempt, ResultCode::BackendUnreachable, Ran::No });
+    // Access is decided at the moment of the hand-over.
+    after([=, this] { deliver(actor, HandOverAsked { attempt, accessAt(actor->node) }, {}); });
+}
+
+void RequestWorld::handOver(const ActorPointer& actor, AttemptId attempt)
+{
+    // The sender can't tell whether what it sent was lost.
+    if (chance(10))
+        return deliverLater(actor, AttemptFailed { attempt, ResultCode::BackendTimeout, Ran::Unknown });
+    if (chance(10))
+        deliverLater(actor, AttemptFailed { attempt, ResultCode::OutcomeUnknown, Ran::Unknown });
+    const int copies = mutation_ == Mutation::HandOverTwice && chance(10) ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy) {
+        if (actor->target == actor->node) {
+            after([=, this] { runBackend(actor, attempt, actor->nextToken); });
+            continue;
+        }
+        const auto receiver = makeActor(actor->request, actor->target, actor, attempt);
+        receiver->nextToken = actor->nextToken;
+        deliverLater(receiver, HeadRead { accessAt(actor->target) });
+        // The link breaks: each side learns it at another time.
+        if (chance(10)) {
+            deliverLater(actor, AttemptFailed { attempt, ResultCode::OutcomeUnknown, Ran::Unknown });
+            deliverLater(receiver, CallerLeft {});
+        }
+    }
+}
+
+void RequestWorld::runBackend(const ActorPointer& actor, AttemptId attempt, int firstToken)
+{
+    int hops = 0;
+    for (auto sender = actor->origin; sender; sender = sender->origin)
+        ++hops;
+    runs_.push_back({ actor->request, now_, regionOf(actor->node), hops, firstToken });
+    if (chance(15))
+        return breakAnswer(actor, attempt, false);
+    const auto resume = actor->request % 2 == 0 ? ResumeSupport::Supported : ResumeSupport::Unsupported;
+    after([=, this] {
+        deliver(actor, AnswerBegan { attempt, resume }, {});
+        answerStep(actor, attempt, firstToken);
+    });
+}
+
+void RequestWorld::answerStep(const ActorPointer& actor, AttemptId attempt, int token)
+{
+    if (chance(8))
+        return breakAnswer(actor, attempt, true);
+    if (token >= tokenCount)
+        return after([=, this] { deliver(actor, AnswerEnded { attempt }, {}); });
+    const int request = mutation_ == Mutation::AnswersCrossed ? (actor->request + 1) % requestCount : actor->request;
+    after([=, this] {
+        deliver(actor, PartArrived { attempt }, { tokenOf(request, token), regionOf(actor->node) });
+        answerStep(actor, attempt, token + 1);
+    });
+}
+
+// A crash cuts the answer; a frozen backend server goes on with it after the timeout.
+void RequestWorld::breakAnswer(const ActorPointer& actor, AttemptId attempt, bool hasBegun)
+{
+    if (hasBegun && mutation_ == Mutation::CleanEndOnCut)
+        return deliver(actor, AnswerEnded { attempt }, {});
+    const auto code = hasBegun ? ResultCode::AnswerCut : ResultCode::OutcomeUnknown;
+    deliver(actor, AttemptFailed { attempt, code, hasBegun ? Ran::Yes : Ran::Unknown }, {});
+    if (chance(50) && !hasBegun)
+        after([=, this] { deliver(actor, AnswerBegan { attempt, ResumeSupport::Unsupported }, {}); });
+    after([=, this] { deliver(actor, PartArrived { attempt }, { tokenOf(actor->request, 0), regionOf(actor->node) }); });
+    after([=, this] { deliver(actor, AnswerEnded { attempt }, {}); });
+}
+
+void RequestWorld::passDown(const ActorPointer& actor, const RequestEvent& cause, const Payload& payload)
+{
+    const bool isPart = std::holds_alternative<PartArrived>(cause);
+    if (isPart)
+        ++actor->nextToken;
+    if (actor->origin) {
+        RequestEvent event = AnswerEnded { actor->originAttempt };
+        if (isPart)
+            event = PartArrived { actor->originAttempt };
+        if (const auto* began = std::get_if<AnswerBegan>(&cause))
+            event = AnswerBegan { actor->originAttempt, began->resume };
+        return deliver(actor->origin, event, payload);
+    }
+    auto& answer = answers_[actor->request];
+    if (isPart) {
+        answer.tokens.push_back(payload.token);
+        if (payload.madeIn != home)
+            answer.lastForeignTokenAt = now_;
+    }
+    if (std::holds_alternative<AnswerEnded>(cause))
+        ++answer.ends;
+}
+
+void RequestWorld::failDown(const ActorPointer& actor, ResultCode code, Ran ran)
+{
+    if (!actor->origin) {
+        auto& answer = answers_[actor->request];
+        ++answer.errors;
+        answer.ran = ran;
+        return;
+    }
+    if (mutation_ == Mutation::PeerDeniesRun)
+        ran = Ran::No;
+    deliverLater(actor->origin, AttemptFailed { actor->originAttempt, code, ran });
+}
+
+std::string findViolation(const RequestWorld& world)
+{
+    std::map<int, int> runs;
+    for (const auto& run : world.runs()) {
+        ++runs[run.request];
+        const bool isLate = run.region == RequestWorld::permittedAtFirst && run.at > world.forbiddenFrom();
+        if (run.region == RequestWorld::neverPermitted || isLate)
+            return fmt::format("request {} ran in {}", run.request, run.region);
+        if (run.hops > 1)
+            return fmt::format("request {} took {} hops", run.request, run.hops);
+    }
+    for (const auto& [request, answer] : world.answers()) {
+        if (answer.repeatability == Repeatability::NonIdempotent && runs[request] > 1)
+            return fmt::format("non-idempotent request {} ran {} times", request, runs[request]);
+        if (answer.errors > 0 && answer.ran == Ran::No && runs[request] > 0)
+            return fmt::format("request {} ran after 'not run'", request);
+        if (answer.ends + answer.errors != 1)
+            return fmt::format("request {} has {} ends and {} errors", request, answer.ends, answer.errors);
+        if (answer.lastForeignTokenAt > world.forbiddenFrom())
+            return fmt::format("request {} got a token from a forbidden region", request);
+        for (std::size_t index = 0; index < answer.tokens.size(); ++index) {
+            if (answer.tokens.at(index) != tokenOf(request, static_cast<int>(index)))
+                return fmt::format("request {} got {} as token {}", request, answer.tokens.at(index), index);
+        }
+        if (answer.ends == 1 && answer.tokens.size() != RequestWorld::tokenCount)
+            return fmt::format("request {} ended after {} tokens", request, answer.tokens.size());
+    }
+    return {};
+}
+
+} // namespace Ibisturn::Tests
