Benchmarks: Measure retries with and without their budget

One backend server that falls from 100 to 40 calls a second under 90 requests a second and pays a quarter of a call's work for each refusal. The process test of a dead engine shows one retry for ten requests. The fake backend server that can't resume now begins anew, so that asking it to is noticed.

--- /dev/null
+++ b/Benchmarks/RetriesBenchmark.cpp
@@ -0,0 +1,124 @@
+#include "Benchmark.h"
+
+#include <LibDecision/Requests/RetryBudget.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+
+namespace Ibisturn::Benchmarks {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration step = 10ms;
+constexpr Duration span = 60s;
+constexpr Duration failureBegins = 20s;
+constexpr Duration failureEnds = 40s;
+constexpr Duration retryPause = 50ms;
+constexpr double requestsPerSecond = 90;
+constexpr double capacity = 100;
+constexpr double failingCapacity = 40;
+/// The work of refusing a call, as a share of the work of running it.
+constexpr double refusalWork = 0.25;
+/// The work that a backend server lets wait.
+constexpr double mostWaitingWork = 10;
+constexpr int mostAttempts = 3;
+
+enum class RetryPolicy : std::uint8_t {
+    /// Each failed attempt is tried again.
+    Always,
+    /// As the instance's budget permits.
+    Budget,
+};
+
+struct Outcome {
+    std::uint64_t requests { 0 };
+    std::uint64_t calls { 0 };
+    std::uint64_t answered { 0 };
+    std::uint64_t requestsInFailure { 0 };
+    std::uint64_t answeredInFailure { 0 };
+};
+
+struct Attempt {
+    int number { 1 };
+    bool isInFailure { false };
+};
+
+/// One backend server that loses a part of its capacity for a while, and refuses calls beyond it, which costs
+/// work too.
+class FailingBackend {
+public:
+    FailingBackend(RetryPolicy policy, std::uint64_t seed)
+        : policy_(policy)
+        , random_(seed)
+    {
+    }
+
+    Outcome run()
+    {
+        for (; now_ < TimePoint {} + span; now_ += step) {
+            const double done = (isFailing() ? failingCapacity : capacity) * std::chrono::duration<double>(step).count();
+            waitingWork_ = std::max(0.0, waitingWork_ - done);
+            arrive();
+            while (!retries_.empty() && retries_.begin()->first <= now_)
+                call(retries_.extract(retries_.begin()).mapped());
+        }
+        return outcome_;
+    }
+
+private:
+    bool isFailing() const { return now_ >= TimePoint {} + failureBegins && now_ < TimePoint {} + failureEnds; }
+
+    void arrive()
+    {
+        const double expected = requestsPerSecond * std::chrono::duration<double>(step).count();
+        const auto count = std::poisson_distribution<int>(expected)(random_);
+        for (int request = 0; request < count; ++request) {
+            budget_.noteRequest(now_);
+            ++outcome_.requests;
+            outcome_.requestsInFailure += isFailing() ? 1 : 0;
+            call({ 1, isFailing() });
+        }
+    }
+
+    void call(const Attempt& attempt)
+    {
+        ++outcome_.calls;
+        if (waitingWork_ < mostWaitingWork) {
+            waitingWork_ += 1;
+            ++outcome_.answered;
+            outcome_.answeredInFailure += attempt.isInFailure ? 1 : 0;
+            return;
+        }
+        waitingWork_ += refusalWork;
+        const bool mayTry = attempt.number < mostAttempts && (policy_ == RetryPolicy::Always || budget_.takeRetry(now_));
+        if (mayTry)
+            retries_.emplace(now_ + retryPause, Attempt { attempt.number + 1, attempt.isInFailure });
+    }
+
+    RetryPolicy policy_;
+    std::mt19937_64 random_;
+    TimePoint now_ {};
+    RetryBudget budget_;
+    std::multimap<TimePoint, Attempt> retries_;
+    double waitingWork_ { 0 };
+    Outcome outcome_;
+};
+
+void run(std::uint64_t seed)
+{
+    const auto budget = FailingBackend(RetryPolicy::Budget, seed).run();
+    const auto always = FailingBackend(RetryPolicy::Always, seed).run();
+    const auto share = [](std::uint64_t part, std::uint64_t whole) { return static_cast<double>(part) / static_cast<double>(whole); };
+    print({ "retries", "goodput", share(budget.answered, budget.requests), share(always.answered, always.requests), seed });
+    print({ "retries", "goodput_in_failure", share(budget.answeredInFailure, budget.requestsInFailure), share(always.answeredInFailure, always.requestsInFailure), seed });
+    print({ "retries", "calls_per_request", share(budget.calls, budget.requests), share(always.calls, always.requests), seed });
+}
+
+const BenchmarkRegistration registration("retries", run);
+
+} // namespace
+
+} // namespace Ibisturn::Benchmarks
--- a/Tests/LibDecision/RequestWorld.cpp
+++ b/Tests/LibDecision/RequestWorld.cpp
@@ -196,10 +196,13 @@
     int hops = 0;
     for (auto sender = actor->origin; sender; sender = sender->origin)
         ++hops;
+    const auto resume = actor->request % 2 == 0 ? ResumeSupport::Supported : ResumeSupport::Unsupported;
+    // One that can't resume begins anew, whatever it is asked.
+    if (resume == ResumeSupport::Unsupported)
+        firstToken = 0;
     runs_.push_back({ actor->request, now_, regionOf(actor->node), hops, firstToken });
     if (chance(15))
         return breakAnswer(actor, attempt, false);
-    const auto resume = actor->request % 2 == 0 ? ResumeSupport::Supported : ResumeSupport::Unsupported;
     after([=, this] {
         deliver(actor, AnswerBegan { attempt, resume }, {});
         answerStep(actor, attempt, firstToken);
--- a/Tests/Process/RequestLife.sh
+++ b/Tests/Process/RequestLife.sh
@@ -185,6 +185,22 @@
     engine_reports "$ENGINE_slow_omaheke" '"runs":1' || fail "the request ran more than once"
 }
 
+# An engine that died is met by one request, which is tried again; the next ones go to its replica at once.
+case_dead_engine() {
+    local request
+    add_engine first-khomas khomas pair --tokens 2
+    add_engine second-khomas khomas pair --tokens 2
+    await_records "$khomas_1_operators" 12
+    kill -KILL "$PID_first_khomas"
+    for request in 1 2 3 4 5 6 7 8 9 10; do
+        ask "$khomas_1_callers" pair answer || fail "request $request has no clean end"
+        holds answer '^data: \[DONE\]' || fail "request $request is not whole"
+    done
+    engine_reports "$ENGINE_second_khomas" '"runs":10' || fail "the replica did not run all"
+    IBISTURN_OPERATOR_KEY=$OPERATOR_KEY curl -sS "http://$khomas_1_operators/metrics" -H "Authorization: Bearer $OPERATOR_KEY" >"$WORK/metrics"
+    holds metrics '^ibisturn_retries_total 1$' || fail "more than the first request met the dead engine"
+}
+
 # An answer with a Content-Length, not chunked, here and one hop away.
 case_plain_answer() {
     local listener
