LibHTTP: Check where a request's data goes again at the hand-over

Between the choice of a place and the connection to it, a residency rule could change without notice, and a running stream followed only the origin's region. A drain that takes too long cuts with an error event, and a draining instance no longer names itself an entry.

--- a/Libraries/LibHTTP/AccessWatch.h
+++ b/Libraries/LibHTTP/AccessWatch.h
@@ -12,17 +12,17 @@
 /// Thread safety: one worker.
 class AccessWatch {
 public:
-    /// Precondition: `here` is the region of this instance.
-    explicit AccessWatch(RegionId here);
-
     /// Cancels each request that `snapshot` no longer permits; does nothing for a snapshot it has seen.
     void review(const SnapshotPointer& snapshot);
 
+    /// Cancels all of them with `code`, so that their callers see an error rather than a broken connection.
+    void cancelAll(ResultCode code);
+
     /// A request that is watched while this lives.
     class Subscription {
     public:
-        /// Precondition: `watch` outlives the subscription.
-        Subscription(AccessWatch& watch, RequestAccess access, CancellationPointer cancellation);
+        /// `region` is where the request's data is. Precondition: `watch` outlives the subscription.
+        Subscription(AccessWatch& watch, RequestAccess access, RegionId region, CancellationPointer cancellation);
         ~Subscription();
         Subscription(const Subscription&) = delete;
         Subscription& operator=(const Subscription&) = delete;
@@ -35,10 +35,10 @@
 private:
     struct Watched {
         RequestAccess access;
+        RegionId region;
         CancellationPointer cancellation;
     };
 
-    RegionId here_;
     SnapshotPointer reviewed_;
     SubscriptionId lastId_;
     std::map<SubscriptionId, Watched> watched_;
--- a/Libraries/LibHTTP/CallerSession.cpp
+++ b/Libraries/LibHTTP/CallerSession.cpp
@@ -9,6 +9,7 @@
 #include <LibHTTP/RequestUnderWay.h>
 #include <LibHTTP/SocketWatch.h>
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/beast/http.hpp>
@@ -336,7 +337,12 @@
         const auto membership = tables_.membership.get();
         if (!membership)
             return {};
-        return entriesFor(snapshot, *membership, workspace, tables_.settings.identity.region);
+        auto entries = entriesFor(snapshot, *membership, workspace, tables_.settings.identity.region);
+        // The live list lags behind a shutdown that this instance knows of.
+        const auto isSelf = [this](const Member& entry) { return entry.id == tables_.settings.identity.instance; };
+        if (tables_.isDraining)
+            entries.erase(std::remove_if(entries.begin(), entries.end(), isSelf), entries.end());
+        return entries;
     }
 
     void countFailure(const Error& error) const
--- a/Libraries/LibHTTP/RequestRunner.cpp
+++ b/Libraries/LibHTTP/RequestRunner.cpp
@@ -178,7 +178,6 @@
     , backends_(tables.settings.connectTimeout, tables.settings.requestTimeout)
     , peers_(helloOf(tables.settings.identity),
           { tables.settings.connectTimeout, tables.settings.requestTimeout, tables.settings.bodyLimit + ByteCount(frameOverhead) })
-    , access_(tables.settings.identity.region)
 {
 }
 
@@ -225,13 +224,15 @@
     const auto executor = co_await Asio::this_coro::executor;
     if (!request.cancellation)
         request.cancellation = std::make_shared<Cancellation>();
-    const AccessWatch::Subscription watched(access_, { request.workspace, request.key }, request.cancellation);
+    const auto& here = tables_.settings.identity.region;
+    const RequestAccess access { request.workspace, request.key };
+    const AccessWatch::Subscription watched(access_, access, here, request.cancellation);
     const DeadlineTimer deadline(executor, request);
     const SteadyClock clock;
     RequestLife life({ hops, request.deadline, [this](TimePoint now) { return tables_.health.takeRetry(now); } });
     AttemptSink answer(sink, life, request.resumeAfter);
     const auto* route = requireConfiguration()->findRoute(routeId);
-    throwIfFailed(life.handle(HeadRead { accessOf(request) }, clock.now()));
+    throwIfFailed(life.handle(HeadRead { accessOf(request, here) }, clock.now()));
     tables_.health.noteRequest(clock.now());
     auto actions = life.handle(BodyTaken { route ? route->repeatability : Repeatability::NonIdempotent }, clock.now());
     throwIfFailed(actions);
@@ -242,12 +243,14 @@
         const Place place = choosePlace(request, routeId, hops, life, resume);
         actions = life.handle(PlaceChosen { place }, clock.now());
         throwIfFailed(actions);
-        const auto* here = std::get_if<DispatchHere>(&actions.front());
-        const auto attemptId = here ? here->attempt : std::get<ForwardToPeer>(actions.front()).attempt;
+        const auto* dispatch = std::get_if<DispatchHere>(&actions.front());
+        const auto attemptId = dispatch ? dispatch->attempt : std::get<ForwardToPeer>(actions.front()).attempt;
         if (resume == ResumeNeed::AfterLastEvent && answer.lastEvent())
             request.resumeAfter = answer.lastEvent();
         answer.beginAttempt(attemptId, hops == HopsLeft::One ? resume : ResumeNeed::None);
-        request.handOver = [this, &request, &life, attemptId] { askToHandOver(request, attemptId, life); };
+        const auto target = regionOf(place);
+        const AccessWatch::Subscription watchedThere(access_, access, target, request.cancellation);
+        request.handOver = [this, &request, &life, &target, attemptId] { askToHandOver(request, target, attemptId, life); };
         std::optional<AttemptFailure> failure;
         try {
             co_await attempt(place, routeId, request, life, answer);
@@ -316,17 +319,33 @@
 }
 
 // Runs between the connection and the first byte written, so that nothing is handed over that may not be any more.
-void RequestRunner::askToHandOver(const GatewayRequest& request, AttemptId attempt, RequestLife& life) const
+void RequestRunner::askToHandOver(const GatewayRequest& request, const RegionId& target, AttemptId attempt, RequestLife& life) const
 {
     const auto now = SteadyClock().now();
     if (request.cancellation->reason())
         throwIfFailed(life.handle(*request.cancellation->reason(), now));
-    throwIfFailed(life.handle(HandOverAsked { attempt, accessOf(request) }, now));
+    const auto access = accessOf(request, tables_.settings.identity.region);
+    const auto decided = access == ResultCode::Ok ? accessOf(request, target) : access;
+    throwIfFailed(life.handle(HandOverAsked { attempt, decided }, now));
 }
 
-ResultCode RequestRunner::accessOf(const GatewayRequest& request) const
+ResultCode RequestRunner::accessOf(const GatewayRequest& request, const RegionId& region) const
 {
-    return decideAccess(*requireConfiguration(), tables_.settings.identity.region, { request.workspace, request.key });
+    return decideAccess(*requireConfiguration(), region, { request.workspace, request.key });
+}
+
+// Where the request's data goes.
+RegionId RequestRunner::regionOf(const Place& place) const
+{
+    const auto snapshot = requireConfiguration();
+    const auto membership = tables_.membership.get();
+    const auto* here = std::get_if<RunHere>(&place);
+    const auto* server = here ? snapshot->findBackendServer(here->backendServer) : nullptr;
+    if (server)
+        return server->region;
+    const auto* forward = std::get_if<ForwardTo>(&place);
+    const auto* peer = forward && membership ? membership->find(forward->instance) : nullptr;
+    return peer ? peer->region : tables_.settings.identity.region;
 }
 
 void RequestRunner::reviewAccess()
--- a/Libraries/LibHTTP/RequestRunner.h
+++ b/Libraries/LibHTTP/RequestRunner.h
@@ -31,6 +31,9 @@
     /// Asks the configuration in force about all requests that wait or run; to be called often.
     void reviewAccess();
 
+    /// Cuts what still runs, visibly to its callers.
+    void cutAll() { access_.cancelAll(ResultCode::Draining); }
+
     /// The callers' connections of this worker that are idle.
     IdleConnections& idleConnections() { return idleConnections_; }
 
@@ -40,8 +43,9 @@
     Task<void> runHere(SnapshotPointer snapshot, BackendServerId server, Repeatability repeatability, GatewayRequest& request, AnswerSink& sink);
     Task<void> forward(SnapshotPointer snapshot, Member peer, RouteId route, GatewayRequest& request, AnswerSink& sink);
     Place choosePlace(const GatewayRequest& request, const RouteId& routeId, HopsLeft hops, const RequestLife& life, ResumeNeed resume);
-    void askToHandOver(const GatewayRequest& request, AttemptId attempt, RequestLife& life) const;
-    ResultCode accessOf(const GatewayRequest& request) const;
+    void askToHandOver(const GatewayRequest& request, const RegionId& target, AttemptId attempt, RequestLife& life) const;
+    ResultCode accessOf(const GatewayRequest& request, const RegionId& region) const;
+    RegionId regionOf(const Place& place) const;
     SnapshotPointer requireConfiguration() const;
 
     InstanceTables& tables_;
--- a/Programs/ibisturn/Instance.cpp
+++ b/Programs/ibisturn/Instance.cpp
@@ -131,6 +131,8 @@
     const auto deadline = SteadyClock().now() + tables_.settings.drainTimeout;
     while (tables_.requestsUnderWay > 0 && SteadyClock().now() < deadline)
         co_await pause(drainPoll);
+    for (std::size_t worker = 0; worker < workers_.size(); ++worker)
+        Asio::post(workers_.context(worker), [this, worker] { runners_.at(worker)->cutAll(); });
     // Requests that came meanwhile are refused as not run rather than cut.
     closeIdleConnections();
     boost::system::error_code ignored;
--- /dev/null
+++ b/Tests/LibHTTP/HealthBoardTest.cpp
@@ -0,0 +1,62 @@
+#include <LibHTTP/HealthBoard.h>
+
+#include <gtest/gtest.h>
+
+namespace Ibisturn {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr TimePoint start {};
+const BackendServerId engine("engine");
+const BackendServerId replica("replica");
+const RouteId route("narrative");
+
+Record backendRecord(const BackendServerId& id)
+{
+    BackendServer server;
+    server.id = id;
+    server.routes = { route };
+    return { "backend_servers", id.value(), Revision(1), server };
+}
+
+class HealthBoardTest : public testing::Test {
+protected:
+    MembershipPointer usableAt(TimePoint now) const { return board_.withoutTroubled(view_, snapshot_, route, life_, now); }
+
+    HealthBoard board_;
+    Snapshot snapshot_ { Revision(1), { backendRecord(engine), backendRecord(replica) } };
+    MembershipPointer view_ { std::make_shared<const MembershipView>(MembershipView { { Member { InstanceId("omaheke-1") } }, {} }) };
+    RequestLife life_ { RequestTerms { HopsLeft::One, start + 100s, [](TimePoint) { return true; } } };
+};
+
+} // namespace
+
+TEST_F(HealthBoardTest, CopiesNothingWhileAllIsWell)
+{
+    EXPECT_EQ(usableAt(start), view_);
+}
+
+TEST_F(HealthBoardTest, HidesWhatAnySourceShowsAsLeavingOrDead)
+{
+    board_.noteDispatch(RunHere { engine });
+    board_.noteEvidence(RunHere { engine }, AttemptEvidence::Failure, start);
+    board_.noteEvidence(ForwardTo { InstanceId("omaheke-1") }, AttemptEvidence::Leaving, start);
+    const auto usable = usableAt(start);
+    EXPECT_TRUE(usable->leavingBackendServers.contains(engine));
+    EXPECT_FALSE(usable->leavingBackendServers.contains(replica));
+    EXPECT_EQ(usable->find(InstanceId("omaheke-1"))->state, MemberState::Leaving);
+    EXPECT_FALSE(usableAt(start + 2s)->leavingBackendServers.contains(engine)) << "returns with one request";
+}
+
+TEST_F(HealthBoardTest, HidesWhatFailedThisRequest)
+{
+    life_.handle(HeadRead {}, start);
+    life_.handle(BodyTaken {}, start);
+    life_.handle(PlaceChosen { RunHere { replica } }, start);
+    life_.handle(AttemptFailed { AttemptId(1), ResultCode::BackendUnreachable, Ran::No }, start);
+    EXPECT_TRUE(usableAt(start)->leavingBackendServers.contains(replica));
+}
+
+} // namespace Ibisturn
--- a/Tests/Process/RequestLife.sh
+++ b/Tests/Process/RequestLife.sh
@@ -102,6 +102,41 @@
     wait "$pid" || fail "the instance did not exit with 0"
 }
 
+# SIGTERM of the instance that received a forwarded stream: it finishes this one and refuses the next as not run.
+case_drain_receiver() {
+    local pid
+    add_engine slow-omaheke omaheke slow --tokens 30 --token-ms 100
+    await_records "$khomas_1_operators" 11
+    await_records "$omaheke_1_operators" 11
+    begin_stream "$khomas_1_callers" slow
+    pid=$(pid_of_instance omaheke-1)
+    kill -TERM "$pid"
+    await holds omaheke-1.log 'instance: Draining'
+    ask "$khomas_1_callers" slow refused || true
+    holds refused '"number":3004' || fail "not refused as draining"
+    holds refused '"ran":"no"' || fail "not refused as not run"
+    curl -sS "http://$omaheke_1_callers/v1/entries" -H "Authorization: Bearer $CALLER_KEY" >"$WORK/entries"
+    if holds entries '"omaheke-1"'; then fail "the instance still names itself an entry"; fi
+    holds entries '"khomas-1"' || fail "no other entry"
+    expect_whole
+    wait "$pid" || fail "the instance did not exit with 0"
+}
+
+# A drain that takes too long cuts visibly.
+case_drain_timeout() {
+    add_engine slow-erongo erongo slow --tokens 400 --token-ms 50
+    put_record residency at-home '{"schema":1,"regions":["khomas","omaheke","erongo"]}'
+    await_records "$khomas_1_operators" 11
+    write_settings khomas-2 khomas khomas-1
+    echo 'timeouts: {drain: 200ms}' >>"$WORK/khomas-2.yaml"
+    start_instance khomas-2
+    await_records "$khomas_2_operators" 11
+    await eval "curl -sS 'http://$khomas_2_callers/v1/entries' -H 'Authorization: Bearer $CALLER_KEY' | grep -q erongo-1"
+    begin_stream "$khomas_2_callers" slow
+    kill -TERM "$(pid_of_instance khomas-2)"
+    expect_visible_cut 4003
+}
+
 # SIGKILL of the instance that received a forwarded stream.
 case_kill_receiver() {
     add_engine slow-omaheke omaheke slow --tokens 100 --token-ms 50
