--- /dev/null
+++ b/Tests/LibHTTP/BackendClientTest.cpp
@@ -0,0 +1,183 @@
+#include <LibKernel/Asio.h>
+
+#include <LibCore/Error.h>
+#include <LibHTTP/BackendClient.h>
+
+#include <gtest/gtest.h>
+
+namespace Ibisturn {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Answers the n-th request with the n-th text, and closes the connection where that is empty.
+class ScriptedServer {
+public:
+    ScriptedServer(Asio::io_context& context, std::vector<std::string> answers)
+        : acceptor_(context, Asio::ip::tcp::endpoint(Asio::ip::address_v4::loopback(), 0))
+        , answers_(std::move(answers))
+    {
+        Asio::co_spawn(context, acceptAll(), Asio::detached);
+    }
+
+    Endpoint endpoint() const { return { "127.0.0.1", acceptor_.local_endpoint().port() }; }
+    std::size_t requests() const { return requests_; }
+    std::size_t closedByClient() const { return closedByClient_; }
+    void onRequest(std::function<void()> callback) { onRequest_ = std::move(callback); }
+
+private:
+    Task<void> acceptAll()
+    {
+        boost::system::error_code error;
+        for (;;) {
+            Asio::ip::tcp::socket socket(acceptor_.get_executor());
+            co_await acceptor_.async_accept(socket, Asio::redirect_error(Asio::use_awaitable, error));
+            if (error)
+                co_return;
+            Asio::co_spawn(acceptor_.get_executor(), serve(std::move(socket)), Asio::detached);
+        }
+    }
+
+    Task<void> serve(Asio::ip::tcp::socket socket)
+    {
+        boost::system::error_code error;
+        std::string received;
+        for (;;) {
+            const auto size = co_await Asio::async_read_until(socket, Asio::dynamic_buffer(received), "\r\n\r\n", Asio::redirect_error(Asio::use_awaitable, error));
+            if (error) {
+                ++closedByClient_;
+                co_return;
+            }
+            received.erase(0, size);
+            const std::string answer = answers_.at(requests_++);
+            if (onRequest_)
+                onRequest_();
+            if (answer.empty())
+                co_return;
+            // A text without an end leaves the client waiting.
+            if (answer != "-")
+                co_await Asio::async_write(socket, Asio::buffer(answer), Asio::redirect_error(Asio::use_awaitable, error));
+        }
+    }
+
+    Asio::ip::tcp::acceptor acceptor_;
+    std::vector<std::string> answers_;
+    std::function<void()> onRequest_;
+    std::size_t requests_ { 0 };
+    std::size_t closedByClient_ { 0 };
+};
+
+class RecordingSink final : public AnswerSink {
+public:
+    AnswerHead head;
+    std::string body;
+    bool hasEnded { false };
+
+    Task<void> writeHead(const AnswerHead& newHead) override
+    {
+        head = newHead;
+        co_return;
+    }
+
+    Task<void> writePart(std::string_view part) override
+    {
+        body += part;
+        co_return;
+    }
+
+    Task<void> writeEnd() override
+    {
+        hasEnded = true;
+        co_return;
+    }
+};
+
+const std::string wholeAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+class BackendClientTest : public testing::Test {
+protected:
+    /// Sends one request and returns how it failed, or nothing.
+    std::optional<Error> send(ScriptedServer& server, RecordingSink& sink)
+    {
+        record_.endpoint = server.endpoint();
+        std::optional<Error> failure;
+        bool isOver = false;
+        Asio::co_spawn(context_, run(sink, failure, isOver), Asio::detached);
+        while (!isOver)
+            context_.run_one();
+        return failure;
+    }
+
+    Task<void> run(RecordingSink& sink, std::optional<Error>& failure, bool& isOver)
+    {
+        try {
+            co_await client_.run(record_, request_, Repeatability::Idempotent, sink);
+        } catch (const Error& error) {
+            failure = error;
+        }
+        isOver = true;
+    }
+
+    BackendClientTest()
+    {
+        request_.method = "POST";
+        request_.target = "/v1/completions";
+        request_.cancellation = std::make_shared<Cancellation>();
+    }
+
+    Asio::io_context context_ { 1 };
+    BackendClient client_ { 1s, 10s };
+    BackendServer record_;
+    GatewayRequest request_;
+};
+
+} // namespace
+
+TEST_F(BackendClientTest, NeverRepeatsARequestOnItsOwn)
+{
+    ScriptedServer server(context_, { wholeAnswer, "", wholeAnswer });
+    RecordingSink sink;
+    EXPECT_FALSE(send(server, sink));
+    EXPECT_EQ(sink.body, "ok");
+    EXPECT_TRUE(sink.hasEnded);
+    RecordingSink cut;
+    const auto failure = send(server, cut);
+    ASSERT_TRUE(failure);
+    EXPECT_EQ(failure->ran(), Ran::Unknown);
+    EXPECT_EQ(server.requests(), 2U);
+}
+
+TEST_F(BackendClientTest, ReportsAServerThatLeaves)
+{
+    ScriptedServer server(context_, { "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n" });
+    RecordingSink sink;
+    EXPECT_FALSE(send(server, sink));
+    EXPECT_TRUE(sink.head.isServerLeaving);
+}
+
+TEST_F(BackendClientTest, ClosesTheConnectionOfACancelledRequest)
+{
+    ScriptedServer server(context_, { "-" });
+    server.onRequest([this] { request_.cancellation->cancel(CallerLeft {}); });
+    RecordingSink sink;
+    EXPECT_TRUE(send(server, sink));
+    while (server.closedByClient() == 0)
+        context_.run_one();
+    EXPECT_EQ(server.requests(), 1U);
+}
+
+TEST_F(BackendClientTest, WritesNothingWithoutPermission)
+{
+    ScriptedServer server(context_, { wholeAnswer });
+    request_.handOver = [] { throw Error(ResultCode::KeyUnknown, Ran::No, "withdrawn"); };
+    RecordingSink sink;
+    const auto failure = send(server, sink);
+    ASSERT_TRUE(failure);
+    EXPECT_EQ(failure->ran(), Ran::No);
+    while (server.closedByClient() == 0)
+        context_.run_one();
+    EXPECT_EQ(server.requests(), 0U);
+}
+
+} // namespace Ibisturn
