--- a/Tests/StandIns/Main.cpp
+++ b/Tests/StandIns/Main.cpp
@@ -91,6 +91,7 @@
     engine->add_option("--slots", options.engine.slots);
     engine->add_option("--prefill-ms", options.engine.prefillMilliseconds);
     engine->add_option("--report-lag-ms", options.engine.reportLagMilliseconds);
+    engine->add_flag("--resume", options.engine.resumes);
     engine->callback([&options] { serveEngine(options); });
     auto* service = app.add_subcommand("service", "Plain service that counts its runs")->fallthrough();
     service->add_option("--run-ms", options.runMilliseconds);
--- a/Tests/StandIns/StandInEngine.cpp
+++ b/Tests/StandIns/StandInEngine.cpp
@@ -32,6 +32,12 @@
     EngineScheduler& scheduler_;
 };
 
+std::uint32_t firstTokenOf(const HttpRequest& request)
+{
+    const std::string last(request["Last-Event-ID"]);
+    return last.empty() ? 0 : static_cast<std::uint32_t>(std::stoul(last)) + 1;
+}
+
 std::string chunk(const std::string& model, const std::string& content, bool isLast)
 {
     const nlohmann::json delta = content.empty() ? nlohmann::json::object() : nlohmann::json { { "content", content } };
@@ -95,17 +101,17 @@
         const SlotHold slot(scheduler_, body.value("priority", 0));
         noteLoad();
         prefill(body.dump());
-        answer(body, responder);
+        answer(request, body, responder);
     }
     noteLoad();
 }
 
-void StandInEngine::answer(const nlohmann::json& body, Responder& responder)
+void StandInEngine::answer(const HttpRequest& request, const nlohmann::json& body, Responder& responder)
 {
     const auto model = body.value("model", "");
     const auto tokens = std::min(options_.tokens, body.value("max_tokens", options_.tokens));
     if (body.value("stream", false)) {
-        stream(model, tokens, responder);
+        stream(model, options_.resumes ? firstTokenOf(request) : 0, tokens, responder);
         return;
     }
     std::this_thread::sleep_for(std::chrono::milliseconds(options_.tokenMilliseconds * tokens));
@@ -128,19 +134,22 @@
 
 void StandInEngine::noteLoad()
 {
+    const auto running = scheduler_.running();
+    const auto waiting = scheduler_.waiting();
     const nlohmann::json load { { "name", name_ }, { "runs", runs_.load() }, { "cancelled", cancelled_.load() },
-        { "running", scheduler_.running() }, { "waiting", scheduler_.waiting() }, { "draining", isDraining_.load() } };
+        { "running", running }, { "waiting", waiting }, { "under_way", running + waiting }, { "draining", isDraining_.load() } };
     load_.set(load.dump());
 }
 
-void StandInEngine::stream(const std::string& model, std::uint32_t tokens, Responder& responder)
+void StandInEngine::stream(const std::string& model, std::uint32_t firstToken, std::uint32_t tokens, Responder& responder)
 {
     responder.begin("text/event-stream");
-    for (std::uint32_t token = 0; token < tokens; ++token) {
+    for (std::uint32_t token = firstToken; token < tokens; ++token) {
         std::this_thread::sleep_for(std::chrono::milliseconds(options_.tokenMilliseconds));
         if (options_.cutAfterTokens > 0 && token >= options_.cutAfterTokens)
             return responder.cut();
-        const bool isThere = responder.part(chunk(model, fmt::format("{}-{} ", name_, token), false));
+        const auto id = options_.resumes ? fmt::format("id: {}\n", token) : std::string();
+        const bool isThere = responder.part(id + chunk(model, fmt::format("{}-{} ", name_, token), false));
         if (!isThere || responder.isGone()) {
             ++cancelled_;
             return responder.cut();
--- a/Tests/StandIns/StandInEngine.h
+++ b/Tests/StandIns/StandInEngine.h
@@ -28,6 +28,8 @@
     /// How late its load reports are, and the share of its cache events that get lost.
     std::uint32_t reportLagMilliseconds { 0 };
     double cacheEventLoss { 0.1 };
+    /// Numbers its events and goes on after `Last-Event-ID`.
+    bool resumes { false };
 };
 
 /// A model engine that speaks the OpenAI API and counts what it sees.
@@ -42,8 +44,8 @@
 
 private:
     void complete(const HttpRequest& request, Responder& responder);
-    void answer(const nlohmann::json& body, Responder& responder);
-    void stream(const std::string& model, std::uint32_t tokens, Responder& responder);
+    void answer(const HttpRequest& request, const nlohmann::json& body, Responder& responder);
+    void stream(const std::string& model, std::uint32_t firstToken, std::uint32_t tokens, Responder& responder);
     void report(Responder& responder);
     void prefill(const std::string& prompt);
     void noteLoad();
