LibHTTP: Admit requests to engines through the fair queue

Change: AdmissionBoard holds one control for each route and wakes the requests that it dispatches; instances ask engines of their data centre for their load every 500 ms; an engine that reports draining counts as leaving; refusals carry Retry-After. Retries bypass the queue, since their budget bounds them. The engine's own priority is not passed on yet: callers could set it too. Ruled out: queueing plain services, which have no batch whose slots could be learned. Conclusion: fairness and early refusal hold in the data path for engines.

--- a/Libraries/LibCore/Error.h
+++ b/Libraries/LibCore/Error.h
@@ -2,6 +2,8 @@
 
 #include <LibCore/ResultCode.h>
 
+#include <chrono>
+#include <optional>
 #include <stdexcept>
 #include <string>
 
@@ -30,9 +32,16 @@
     /// Whether the request may have run.
     Ran ran() const { return ran_; }
 
+    /// Says when it is worth coming back. Precondition: the request has not run.
+    void setRetryAfter(std::chrono::seconds retryAfter) { retryAfter_ = retryAfter; }
+
+    /// When it is worth coming back, if that is known.
+    std::optional<std::chrono::seconds> retryAfter() const { return retryAfter_; }
+
 private:
     ResultCode code_;
     Ran ran_;
+    std::optional<std::chrono::seconds> retryAfter_;
 };
 
 } // namespace Ibisturn
--- a/Libraries/LibDecision/Admission/ConcurrencyLimit.cpp
+++ b/Libraries/LibDecision/Admission/ConcurrencyLimit.cpp
@@ -33,6 +33,8 @@
 
 void ConcurrencyLimit::finish(TimePoint now, Duration firstToken, std::uint32_t outstanding, ServiceSignal signal)
 {
+    if (signal == ServiceSignal::Unknown)
+        return;
     if (signal == ServiceSignal::Overloaded) {
         decrease(now);
         return;
--- a/Libraries/LibDecision/Admission/ConcurrencyLimit.h
+++ b/Libraries/LibDecision/Admission/ConcurrencyLimit.h
@@ -10,8 +10,10 @@
 /// How a request on a backend server ended, as far as its limit is concerned.
 enum class ServiceSignal : std::uint8_t {
     Answered,
-    /// It timed out, was refused as overloaded, or failed.
+    /// It timed out or was refused as overloaded.
     Overloaded,
+    /// It ended for another reason, which says nothing of the load.
+    Unknown,
 };
 
 /// The number of requests that one instance keeps on one backend server at a time: additive increase while the
--- a/Libraries/LibHTTP/AttemptSink.cpp
+++ b/Libraries/LibHTTP/AttemptSink.cpp
@@ -28,6 +28,7 @@
     attempt_ = attempt;
     resume_ = resume;
     isServerLeaving_ = false;
+    firstPartAt_.reset();
     gate_.restart();
 }
 
@@ -46,7 +47,10 @@
 
 Task<void> AttemptSink::writePart(std::string_view part)
 {
-    const auto actions = life_.handle(PartArrived { attempt_ }, SteadyClock().now());
+    const auto now = SteadyClock().now();
+    if (!firstPartAt_)
+        firstPartAt_ = now;
+    const auto actions = life_.handle(PartArrived { attempt_ }, now);
     if (!says<PassOn>(actions))
         co_return;
     if (!isGated_) {
--- a/Libraries/LibHTTP/AttemptSink.h
+++ b/Libraries/LibHTTP/AttemptSink.h
@@ -20,6 +20,9 @@
     /// Whether the backend server of this attempt said that it leaves.
     bool isServerLeaving() const { return isServerLeaving_; }
 
+    /// When the first part of this attempt's answer came, if one did.
+    std::optional<TimePoint> firstPartAt() const { return firstPartAt_; }
+
     /// The id of the last event that the caller got.
     std::optional<std::uint64_t> lastEvent() const { return gate_.lastEvent(); }
 
@@ -35,6 +38,7 @@
     EventStreamGate gate_;
     bool isGated_ { false };
     bool isServerLeaving_ { false };
+    std::optional<TimePoint> firstPartAt_;
 };
 
 } // namespace Ibisturn
--- a/Libraries/LibHTTP/HealthBoard.cpp
+++ b/Libraries/LibHTTP/HealthBoard.cpp
@@ -53,6 +53,12 @@
         note(instances_, forward->instance, evidence, now);
 }
 
+void HealthBoard::noteLeaving(const BackendServerId& server, TimePoint now)
+{
+    const std::scoped_lock lock(lock_);
+    backendServers_.noteLeaving(server, now);
+}
+
 MembershipPointer HealthBoard::withoutTroubled(const MembershipPointer& view, const Snapshot& snapshot, const RouteId& route, const RequestLife& life,
     TimePoint now) const
 {
--- a/Libraries/LibHTTP/HealthBoard.h
+++ b/Libraries/LibHTTP/HealthBoard.h
@@ -34,6 +34,9 @@
     /// Notes what the attempt showed. Precondition: noteDispatch() was called for it.
     void noteEvidence(const Place& place, AttemptEvidence evidence, TimePoint now);
 
+    /// Notes that a backend server said of itself that it leaves.
+    void noteLeaving(const BackendServerId& server, TimePoint now);
+
     /// `view` without the backend servers and instances that may not be used now or failed `life` before.
     /// Returns `view` itself if all may be used.
     MembershipPointer withoutTroubled(const MembershipPointer& view, const Snapshot& snapshot, const RouteId& route, const RequestLife& life,
--- a/Libraries/LibHTTP/InstanceTables.h
+++ b/Libraries/LibHTTP/InstanceTables.h
@@ -5,6 +5,7 @@
 #include <LibCore/Metrics.h>
 #include <LibCore/SharedValue.h>
 #include <LibDecision/Membership/MembershipView.h>
+#include <LibHTTP/AdmissionBoard.h>
 #include <LibHTTP/HealthBoard.h>
 #include <LibHTTP/LoadTable.h>
 #include <LibHTTP/Tracer.h>
@@ -18,6 +19,7 @@
 struct InstanceTables {
     explicit InstanceTables(Settings instanceSettings, Tracer::Destination spans = nullptr)
         : settings(std::move(instanceSettings))
+        , admission(settings.identity)
         , tracer(settings.identity.instance.value(), std::move(spans))
     {
     }
@@ -25,6 +27,7 @@
     const Settings settings;
     SharedValue<Snapshot> configuration { TableLevel::Configuration };
     SharedValue<MembershipView> membership { TableLevel::Membership };
+    AdmissionBoard admission;
     LoadTable load;
     HealthBoard health;
     Metrics metrics;
--- a/Libraries/LibHTTP/RequestRunner.cpp
+++ b/Libraries/LibHTTP/RequestRunner.cpp
@@ -1,6 +1,7 @@
 #include <LibHTTP/RequestRunner.h>
 
 #include <LibCore/SteadyClock.h>
+#include <LibDecision/Membership/EntryDirectory.h>
 #include <LibHTTP/CompletionScanner.h>
 #include <LibHTTP/RoutingStrategyRegistry.h>
 
@@ -11,6 +12,12 @@
 
 namespace {
 
+/// The beginning of a body that requests with the same system prompt share.
+constexpr std::size_t prefixBytes = 512;
+constexpr std::size_t bytesPerToken = 4;
+// FIXME: Use the request's max_tokens.
+constexpr std::int64_t assumedAnswerTokens = 256;
+
 /// Counts a request as under way on a backend server while it lives.
 class OutstandingRequest {
 public:
@@ -55,6 +62,18 @@
     return std::hash<std::string> {}(request.parent ? request.parent->spanId : request.body);
 }
 
+// Prefix caches of two workspaces never meet, so the workspace is part of the prefix.
+std::uint64_t prefixHashOf(const GatewayRequest& request)
+{
+    const auto prefix = std::string_view(request.body).substr(0, prefixBytes);
+    return rendezvousScore(request.workspace.value(), prefix);
+}
+
+TokenCount costOf(const GatewayRequest& request)
+{
+    return TokenCount(static_cast<std::int64_t>(request.body.size() / bytesPerToken) + assumedAnswerTokens);
+}
+
 HelloMessage helloOf(const InstanceIdentity& identity)
 {
     return { identity.instance.value(), identity.region.value(), identity.dataCentre.value(), 0 };
@@ -135,6 +154,15 @@
     return AttemptFailed { attempt, code, failure.error.ran(), isOfBackend ? FailedPart::BackendOfPeer : FailedPart::Target };
 }
 
+// The time to the first token tells how busy the backend server is; other ends tell nothing.
+void noteEnd(AdmissionSlot& slot, TimePoint started, const AttemptSink& answer, const std::optional<AttemptFailure>& failure)
+{
+    if (failure && failure->error.code() == ResultCode::BackendTimeout)
+        slot.noteEnd({}, ServiceSignal::Overloaded);
+    else if (!failure && answer.firstPartAt())
+        slot.noteEnd(*answer.firstPartAt() - started, ServiceSignal::Answered);
+}
+
 /// Tells the health board of an attempt, also after an exception.
 class AttemptRecord {
 public:
@@ -238,9 +266,18 @@
     throwIfFailed(actions);
     // A receiving instance is told that it is asked to resume; an origin learns it from the life.
     const auto asked = request.resumeAfter ? ResumeNeed::AfterLastEvent : ResumeNeed::None;
+    bool isFirstAttempt = true;
     while (!life.hasEnded()) {
         const auto resume = std::max(asked, std::get<ChoosePlace>(actions.front()).resume);
-        const Place place = choosePlace(request, routeId, hops, life, resume);
+        Place place = choosePlace(request, routeId, hops, life, resume);
+        // A retry has waited before, and the budget bounds retries.
+        AdmissionSlotPointer slot;
+        if (isFirstAttempt && std::holds_alternative<RunHere>(place))
+            slot = co_await admit(request, routeId, life);
+        isFirstAttempt = false;
+        if (slot)
+            place = RunHere { slot->server() };
+        const auto started = clock.now();
         actions = life.handle(PlaceChosen { place }, clock.now());
         throwIfFailed(actions);
         const auto* dispatch = std::get_if<DispatchHere>(&actions.front());
@@ -259,6 +296,8 @@
         } catch (const Error& error) {
             failure = AttemptFailure { error, false };
         }
+        if (slot)
+            noteEnd(*slot, started, answer, failure);
         if (!failure)
             co_return;
         if (life.hasEnded())
@@ -308,9 +347,7 @@
         return RefuseRequest { ResultCode::RouteNotFound };
     if (!mayUseRoute(*route, request.workspace))
         return RefuseRequest { ResultCode::WorkspaceNotAllowed };
-    static const auto noMembers = std::make_shared<const MembershipView>();
-    auto membership = tables_.membership.get();
-    membership = tables_.health.withoutTroubled(membership ? membership : noMembers, *snapshot, routeId, life, SteadyClock().now());
+    auto membership = usableMembership(*snapshot, routeId, life);
     if (resume == ResumeNeed::AfterLastEvent)
         membership = withResumingServersOnly(*membership, *snapshot, routeId);
     const auto outstanding = [this](const BackendServerId& server) { return tables_.load.outstanding(server); };
@@ -318,6 +355,25 @@
     return decidePlace(query, *strategy_);
 }
 
+MembershipPointer RequestRunner::usableMembership(const Snapshot& snapshot, const RouteId& routeId, const RequestLife& life) const
+{
+    static const auto noMembers = std::make_shared<const MembershipView>();
+    const auto membership = tables_.membership.get();
+    return tables_.health.withoutTroubled(membership ? membership : noMembers, snapshot, routeId, life, SteadyClock().now());
+}
+
+// Waits until the request may run on an engine of this data centre. Plain services have no batch to share.
+Task<AdmissionSlotPointer> RequestRunner::admit(const GatewayRequest& request, RouteId routeId, const RequestLife& life)
+{
+    const auto snapshot = requireConfiguration();
+    const auto* route = snapshot->findRoute(routeId);
+    if (!route || route->kind != BackendKind::Engine)
+        co_return nullptr;
+    AdmissionAsk ask { std::move(routeId), request.workspace, costOf(request), request.deadline, { hashOf(request), prefixHashOf(request) } };
+    auto membership = usableMembership(*snapshot, ask.route, life);
+    co_return co_await tables_.admission.admit(std::move(ask), snapshot, std::move(membership), request.cancellation);
+}
+
 // Runs between the connection and the first byte written, so that nothing is handed over that may not be any more.
 void RequestRunner::askToHandOver(const GatewayRequest& request, const RegionId& target, AttemptId attempt, RequestLife& life) const
 {
--- a/Libraries/LibHTTP/RequestRunner.h
+++ b/Libraries/LibHTTP/RequestRunner.h
@@ -39,6 +39,8 @@
 
 private:
     Task<void> run(GatewayRequest request, RouteId routeId, HopsLeft hops, AnswerSink& sink);
+    Task<AdmissionSlotPointer> admit(const GatewayRequest& request, RouteId routeId, const RequestLife& life);
+    MembershipPointer usableMembership(const Snapshot& snapshot, const RouteId& routeId, const RequestLife& life) const;
     Task<void> attempt(Place place, RouteId route, GatewayRequest& request, RequestLife& life, AttemptSink& sink);
     Task<void> runHere(SnapshotPointer snapshot, BackendServerId server, Repeatability repeatability, GatewayRequest& request, AnswerSink& sink);
     Task<void> forward(SnapshotPointer snapshot, Member peer, RouteId route, GatewayRequest& request, AnswerSink& sink);
--- a/Programs/ibisturn/Instance.cpp
+++ b/Programs/ibisturn/Instance.cpp
@@ -1,6 +1,7 @@
 #include "Instance.h"
 
 #include <LibHTTP/PeerServer.h>
+#include <LibPlatform/EngineLoadClient.h>
 #include <LibPlatform/LiveListClient.h>
 
 #include <csignal>
@@ -15,6 +16,8 @@
 constexpr Duration certificatePoll = std::chrono::seconds(1);
 constexpr Duration accessReviewPeriod = std::chrono::milliseconds(100);
 constexpr Duration closingGrace = std::chrono::milliseconds(500);
+constexpr Duration loadReportPeriod = std::chrono::milliseconds(500);
+constexpr Duration admissionPeriod = std::chrono::milliseconds(50);
 constexpr Duration drainPoll = std::chrono::milliseconds(20);
 
 Task<void> pause(Duration duration)
@@ -63,6 +66,8 @@
 
 void Instance::run()
 {
+    timers_.subscribe(SteadyClock().now(), loadReportPeriod, [this](TimePoint) { askEnginesForLoad(); });
+    timers_.subscribe(SteadyClock().now(), admissionPeriod, [this](TimePoint now) { tables_.admission.advance(now); });
     timers_.subscribe(SteadyClock().now(), accessReviewPeriod, [this](TimePoint) { reviewAccess(); });
     auto& context = workers_.context(0);
     Asio::co_spawn(context, feed_.run(), Asio::detached);
@@ -162,6 +167,35 @@
     workers_.stop();
 }
 
+void Instance::askEnginesForLoad()
+{
+    const auto snapshot = tables_.configuration.get();
+    if (!snapshot)
+        return;
+    for (const auto& route : snapshot->routes()) {
+        for (const auto& id : snapshot->backendServersOf(route.id)) {
+            const auto* server = snapshot->findBackendServer(id);
+            const bool isEngineHere = server && server->kind == BackendKind::Engine && server->dataCentre == tables_.settings.identity.dataCentre;
+            // An engine of several routes is asked once a round.
+            if (isEngineHere && server->routes.front() == route.id)
+                Asio::co_spawn(workers_.context(0), askForLoad(id, server->endpoint), Asio::detached);
+        }
+    }
+}
+
+Task<void> Instance::askForLoad(BackendServerId server, Endpoint endpoint)
+{
+    try {
+        const EngineLoad load = co_await fetchEngineLoad(std::move(endpoint));
+        const auto now = SteadyClock().now();
+        tables_.admission.report(now, server, load.report);
+        if (load.isDraining)
+            tables_.health.noteLeaving(server, now);
+    } catch (const std::exception& error) {
+        instanceLog.debug("Load report not read.", { { "backend_server", server }, { "reason", error.what() } });
+    }
+}
+
 void Instance::reviewAccess()
 {
     for (std::size_t worker = 0; worker < workers_.size(); ++worker)
--- a/Programs/ibisturn/Instance.h
+++ b/Programs/ibisturn/Instance.h
@@ -36,6 +36,8 @@
     Task<void> followLiveList();
     Task<void> driveTimers();
     Task<void> awaitShutdown();
+    void askEnginesForLoad();
+    Task<void> askForLoad(BackendServerId server, Endpoint endpoint);
     void reviewAccess();
     void closeIdleConnections();
     void serveCallerOn(Asio::ip::tcp::socket socket, std::size_t worker);
--- /dev/null
+++ b/Tests/LibHTTP/AdmissionBoardTest.cpp
@@ -0,0 +1,143 @@
+#include <LibHTTP/AdmissionBoard.h>
+
+#include <LibCore/Error.h>
+#include <LibCore/SteadyClock.h>
+
+#include <gtest/gtest.h>
+
+namespace Ibisturn {
+
+namespace {
+
+const InstanceIdentity here { InstanceId("khomas-a"), RegionId("khomas"), DataCentreId("khomas-1") };
+const RouteId route("short");
+
+SnapshotPointer snapshotWith(const std::vector<std::string>& servers, std::int64_t revision)
+{
+    std::vector<Record> records;
+    Route record;
+    record.id = route;
+    record.pathPrefix = "/v1/";
+    records.push_back({ "routes", route.value(), Revision(revision), record });
+    for (const auto& name : servers) {
+        BackendServer server;
+        server.id = BackendServerId(name);
+        server.dataCentre = here.dataCentre;
+        server.routes = { route };
+        records.push_back({ "backend_servers", name, Revision(revision), server });
+    }
+    return std::make_shared<const Snapshot>(Revision(revision), records);
+}
+
+/// A board, and requests that run on one event loop until nothing more can happen.
+class AdmissionBoardTest : public testing::Test {
+protected:
+    struct Asked {
+        AdmissionSlotPointer slot;
+        std::optional<ResultCode> refusal;
+        CancellationPointer cancellation { std::make_shared<Cancellation>() };
+    };
+
+    std::shared_ptr<Asked> ask(const std::string& workspace, Duration patience = std::chrono::minutes(1))
+    {
+        auto asked = std::make_shared<Asked>();
+        const AdmissionAsk request { route, WorkspaceId(workspace), TokenCount(100), SteadyClock().now() + patience, {} };
+        Asio::co_spawn(context_, run(asked, request), Asio::detached);
+        context_.restart();
+        context_.poll();
+        return asked;
+    }
+
+    void poll()
+    {
+        context_.restart();
+        context_.poll();
+    }
+
+    // An engine that lets requests wait shows how many it runs.
+    void reportSlots(const std::string& server, std::uint32_t running)
+    {
+        now_ += std::chrono::milliseconds(1);
+        board_.report(now_, BackendServerId(server), { now_, running + 1, 1 });
+        now_ += std::chrono::milliseconds(1);
+        board_.report(now_, BackendServerId(server), { now_, running, 0 });
+    }
+
+    Task<void> run(std::shared_ptr<Asked> asked, AdmissionAsk request)
+    {
+        try {
+            asked->slot = co_await board_.admit(std::move(request), snapshot_, membership_, asked->cancellation);
+        } catch (const Error& error) {
+            asked->refusal = error.code();
+        }
+    }
+
+    Asio::io_context context_ { 1 };
+    AdmissionBoard board_ { here };
+    SnapshotPointer snapshot_ { snapshotWith({ "engine-1" }, 1) };
+    MembershipPointer membership_ { std::make_shared<const MembershipView>() };
+    TimePoint now_ { SteadyClock().now() };
+};
+
+} // namespace
+
+TEST_F(AdmissionBoardTest, WaitingRequestRunsWhenASlotComesBack)
+{
+    const auto first = ask("guides");
+    reportSlots("engine-1", 1);
+    const auto second = ask("guides");
+    ASSERT_TRUE(first->slot);
+    EXPECT_FALSE(second->slot);
+    EXPECT_EQ(board_.waiting(), 1U);
+    first->slot.reset();
+    poll();
+    EXPECT_TRUE(second->slot);
+}
+
+TEST_F(AdmissionBoardTest, CancelledRequestLeavesTheQueue)
+{
+    const auto first = ask("guides");
+    reportSlots("engine-1", 1);
+    const auto second = ask("guides");
+    second->cancellation->cancel(CallerLeft {});
+    poll();
+    EXPECT_EQ(second->refusal, ResultCode::CallerGone);
+    EXPECT_EQ(board_.waiting(), 0U);
+}
+
+TEST_F(AdmissionBoardTest, RequestWhoseTimeIsOverIsRefusedAsNotRun)
+{
+    const auto first = ask("guides");
+    reportSlots("engine-1", 1);
+    const auto second = ask("guides", std::chrono::seconds(1));
+    board_.advance(SteadyClock().now() + std::chrono::seconds(2));
+    poll();
+    EXPECT_EQ(second->refusal, ResultCode::DeadlineUnreachable);
+}
+
+TEST_F(AdmissionBoardTest, WaitingRequestMovesToTheBackendServersOfANewConfiguration)
+{
+    const auto first = ask("guides");
+    reportSlots("engine-1", 1);
+    const auto second = ask("guides");
+    snapshot_ = snapshotWith({ "engine-2" }, 2);
+    const auto third = ask("schools");
+    poll();
+    ASSERT_TRUE(third->slot);
+    ASSERT_TRUE(second->slot);
+    // Though the second came with the old snapshot, it does not bring the withdrawn engine back.
+    EXPECT_EQ(second->slot->server(), BackendServerId("engine-2"));
+    EXPECT_EQ(third->slot->server(), BackendServerId("engine-2"));
+}
+
+TEST_F(AdmissionBoardTest, LeavingBackendServerGetsNothingNew)
+{
+    snapshot_ = snapshotWith({ "engine-1", "engine-2" }, 1);
+    MembershipView view;
+    view.leavingBackendServers.insert(BackendServerId("engine-1"));
+    membership_ = std::make_shared<const MembershipView>(view);
+    for (int count = 0; count < 5; ++count)
+        EXPECT_EQ(ask("guides")->slot->server(), BackendServerId("engine-2"));
+}
+
+} // namespace Ibisturn
--- a/Tests/Scenarios/Deployment.cpp
+++ b/Tests/Scenarios/Deployment.cpp
@@ -100,7 +100,12 @@
     case ProcessChange::Thaw:
         return process->signal(SIGCONT);
     case ProcessChange::Drain:
-        return process->signal(SIGTERM);
+        // Engines are told to leave over HTTP.
+        if (standIn != standIns_.end())
+            call({ standIn->second.endpoint, "POST", "/drain", {}, {} });
+        else
+            process->signal(SIGTERM);
+        return;
     case ProcessChange::Start:
         startInstance(change.name);
         return publishLiveList();
--- a/Tests/StandIns/StandInEngine.cpp
+++ b/Tests/StandIns/StandInEngine.cpp
@@ -137,7 +137,7 @@
     const auto running = scheduler_.running();
     const auto waiting = scheduler_.waiting();
     const nlohmann::json load { { "name", name_ }, { "runs", runs_.load() }, { "cancelled", cancelled_.load() },
-        { "running", running }, { "waiting", waiting }, { "under_way", running + waiting }, { "draining", isDraining_.load() } };
+        { "running", running }, { "waiting", waiting }, { "under_way", running + waiting }, { "draining", isDraining_.load() }, { "age_ms", options_.reportLagMilliseconds } };
     load_.set(load.dump());
 }
 
