LibHTTP: Write a short answer to its caller in one piece

The head, the part and the last chunk of an answer were three writes. The head now goes out with the first part, and an answer whose length the backend server told is framed by that length, so that it needs no last chunk. A failure before the first part can still be answered as a numbered error.

--- /dev/null
+++ b/Libraries/LibHTTP/AnswerFormat.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <LibKernel/AnswerSink.h>
+
+#include <string>
+
+namespace Ibisturn {
+
+/// How the end of an answer to a caller is marked.
+enum class AnswerFraming : std::uint8_t {
+    /// The status allows no body.
+    NoBody,
+    /// The head tells the length.
+    Length,
+    /// The last chunk ends it.
+    Chunks,
+};
+
+/// How an answer with this head is framed. Thread safety: any thread.
+AnswerFraming framingOf(const AnswerHead& head);
+
+/// The head as HTTP/1.1. Precondition: the content type holds no control characters. Thread safety: any thread.
+std::string formatHead(const AnswerHead& head);
+
+} // namespace Ibisturn
--- a/Libraries/LibHTTP/BackendClient.cpp
+++ b/Libraries/LibHTTP/BackendClient.cpp
@@ -137,7 +137,9 @@
         co_return false;
     if (error)
         throw Error(ResultCode::OutcomeUnknown, Ran::Unknown, "The backend server's answer is not valid HTTP");
-    AnswerHead head { parser.get().result_int(), std::string(parser.get()[Http::field::content_type]) };
+    AnswerHead head { parser.get().result_int(), std::string(parser.get()[Http::field::content_type]), std::nullopt };
+    if (const auto length = parser.content_length())
+        head.contentLength = *length;
     AnswerCompleteness completeness(head.contentType);
     co_await sink.writeHead(head);
     co_await passBody(connection.stream, connection.buffer, parser, silenceTimeout_, sink, completeness);
--- a/Libraries/LibHTTP/CallerSession.cpp
+++ b/Libraries/LibHTTP/CallerSession.cpp
@@ -4,6 +4,7 @@
 #include <LibDecision/Membership/EntryDirectory.h>
 #include <LibDecision/Routing/HeadDecision.h>
 #include <LibHTTP/CallerCredentials.h>
+#include <LibHTTP/CallerSink.h>
 #include <LibHTTP/ErrorBody.h>
 #include <LibHTTP/ForwardedRequest.h>
 #include <LibHTTP/RequestUnderWay.h>
@@ -26,7 +27,6 @@
 constexpr Log callerLog("caller");
 constexpr int httpVersion11 = 11;
 constexpr const char* jsonType = "application/json";
-constexpr std::string_view eventStreamType = "text/event-stream";
 
 using PlainStream = Beast::tcp_stream;
 using TlsStream = Beast::ssl_stream<Beast::tcp_stream>;
@@ -37,64 +37,6 @@
     Close,
 };
 
-/// Writes an answer to a caller as chunked HTTP.
-template <typename Stream>
-class CallerSink final : public AnswerSink {
-public:
-    CallerSink(Stream& stream, Duration timeout)
-        : stream_(stream)
-        , timeout_(timeout)
-    {
-    }
-
-    bool hasStarted() const { return hasStarted_; }
-    bool isEventStream() const { return isEventStream_; }
-
-    Task<void> writeHead(const AnswerHead& head) override
-    {
-        hasStarted_ = true;
-        isEventStream_ = head.contentType.starts_with(eventStreamType);
-        Http::response<Http::empty_body> response(static_cast<Http::status>(head.status), httpVersion11);
-        response.set(Http::field::content_type, head.contentType);
-        response.chunked(true);
-        Http::response_serializer<Http::empty_body> serializer(response);
-        Beast::get_lowest_layer(stream_).expires_after(timeout_);
-        boost::system::error_code error;
-        co_await Http::async_write_header(stream_, serializer, Asio::redirect_error(Asio::use_awaitable, error));
-        check(error);
-    }
-
-    Task<void> writePart(std::string_view part) override
-    {
-        Beast::get_lowest_layer(stream_).expires_after(timeout_);
-        boost::system::error_code error;
-        const auto chunk = Http::make_chunk(Asio::buffer(part.data(), part.size()));
-        co_await Asio::async_write(stream_, chunk, Asio::redirect_error(Asio::use_awaitable, error));
-        check(error);
-    }
-
-    Task<void> writeEnd() override
-    {
-        Beast::get_lowest_layer(stream_).expires_after(timeout_);
-        boost::system::error_code error;
-        const auto last = Http::make_chunk_last();
-        co_await Asio::async_write(stream_, last, Asio::redirect_error(Asio::use_awaitable, error));
-        check(error);
-    }
-
-private:
-    static void check(const boost::system::error_code& error)
-    {
-        if (error)
-            throw Error(ResultCode::CallerGone, Ran::Unknown, "The caller is gone");
-    }
-
-    Stream& stream_;
-    Duration timeout_;
-    bool hasStarted_ { false };
-    bool isEventStream_ { false };
-};
-
 /// One caller's connection.
 template <typename Stream>
 class CallerSession {
--- /dev/null
+++ b/Libraries/LibHTTP/CallerSink.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+#include <LibCore/Error.h>
+#include <LibHTTP/AnswerFormat.h>
+
+#include <array>
+#include <string>
+
+#include <boost/beast/core/stream_traits.hpp>
+
+namespace Ibisturn {
+
+/// Writes an answer to a caller. The head goes out with the first part, so that a short answer is one write.
+/// Thread safety: one coroutine at a time, on the worker of the stream.
+template <typename Stream>
+class CallerSink final : public AnswerSink {
+public:
+    /// Each write ends within `timeout`. Precondition: `stream` outlives the sink.
+    CallerSink(Stream& stream, Duration timeout)
+        : stream_(stream)
+        , timeout_(timeout)
+    {
+    }
+
+    /// Whether the caller may have seen a part of the answer.
+    bool hasStarted() const { return hasStarted_; }
+
+    /// Whether the answer is an event stream.
+    bool isEventStream() const { return isEventStream_; }
+
+    Task<void> writeHead(const AnswerHead& head) override
+    {
+        isEventStream_ = head.contentType.starts_with("text/event-stream");
+        framing_ = framingOf(head);
+        pending_ = formatHead(head);
+        co_return;
+    }
+
+    Task<void> writePart(std::string_view part) override
+    {
+        if (framing_ == AnswerFraming::NoBody)
+            co_return;
+        std::string_view ending;
+        if (framing_ == AnswerFraming::Chunks) {
+            fmt::format_to(std::back_inserter(pending_), "{:x}\r\n", part.size());
+            ending = lineEnd;
+        }
+        co_await write(part, ending);
+    }
+
+    Task<void> writeEnd() override
+    {
+        const std::string_view last = framing_ == AnswerFraming::Chunks ? lastChunk : std::string_view();
+        if (!pending_.empty() || !last.empty())
+            co_await write(last, {});
+    }
+
+private:
+    static constexpr std::string_view lineEnd = "\r\n";
+    static constexpr std::string_view lastChunk = "0\r\n\r\n";
+
+    Task<void> write(std::string_view part, std::string_view ending)
+    {
+        hasStarted_ = true;
+        const std::array<Asio::const_buffer, 3> buffers { Asio::buffer(pending_), Asio::buffer(part), Asio::buffer(ending) };
+        boost::beast::get_lowest_layer(stream_).expires_after(timeout_);
+        boost::system::error_code error;
+        co_await Asio::async_write(stream_, buffers, Asio::redirect_error(Asio::use_awaitable, error));
+        if (error)
+            throw Error(ResultCode::CallerGone, Ran::Unknown, "The caller is gone");
+        pending_.clear();
+    }
+
+    Stream& stream_;
+    Duration timeout_;
+    /// What goes out before the next part.
+    std::string pending_;
+    AnswerFraming framing_ { AnswerFraming::Chunks };
+    bool hasStarted_ { false };
+    bool isEventStream_ { false };
+};
+
+} // namespace Ibisturn
--- a/Libraries/LibHTTP/PeerClient.cpp
+++ b/Libraries/LibHTTP/PeerClient.cpp
@@ -23,7 +23,7 @@
     constexpr std::uint32_t mostStatus = 599;
     if (message.status < leastStatus || message.status > mostStatus || !isHeaderText(message.contentType))
         throw Error(ResultCode::MalformedFrame, Ran::Unknown, "The peer sent an answer's head that HTTP does not allow");
-    return { message.status, message.contentType };
+    return { message.status, message.contentType, std::nullopt };
 }
 
 } // namespace
--- a/Libraries/LibKernel/AnswerSink.h
+++ b/Libraries/LibKernel/AnswerSink.h
@@ -2,6 +2,7 @@
 
 #include <LibKernel/Asio.h>
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -11,10 +12,12 @@
 struct AnswerHead {
     unsigned status { 0 };
     std::string contentType;
+    /// The bytes of all parts, if they are known beforehand.
+    std::optional<std::uint64_t> contentLength;
 };
 
-/// Takes one answer in order: a head, parts, an end. Each call returns once the part is handed to the
-/// network, so a slow reader slows the one who writes.
+/// Takes one answer in order: a head, parts, an end. Each part's call returns once the part is handed to the
+/// network, so a slow reader slows the one who writes. The head may wait for the first part.
 /// Thread safety: one coroutine at a time.
 class AnswerSink {
 public:
