--- a/Libraries/LibHTTP/PeerServer.cpp
+++ b/Libraries/LibHTTP/PeerServer.cpp
@@ -3,6 +3,7 @@
 #include <LibCore/SteadyClock.h>
 #include <LibHTTP/RequestUnderWay.h>
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -13,7 +14,8 @@
 constexpr Log peerLog("peer");
 constexpr std::size_t frameOverhead = 64UL * 1024;
 
-/// Writes an answer as frames.
+/// Writes an answer as frames. The head goes out with the first part, and the last part of an answer whose
+/// length is known with its end.
 class FrameSink final : public AnswerSink {
 public:
     FrameSink(PeerConnection& connection, RequestId request, Duration timeout)
@@ -25,26 +27,40 @@
 
     Task<void> writeHead(const AnswerHead& head) override
     {
-        PeerMessage message(AnswerHeadMessage { head.status, head.contentType });
-        co_await connection_.write(request_, std::move(message), timeout_);
+        left_ = head.contentLength;
+        pending_ = connection_.encode(request_, AnswerHeadMessage { head.status, head.contentType });
+        co_return;
     }
 
     Task<void> writePart(std::string_view part) override
     {
-        PeerMessage message(AnswerPartMessage { std::string(part) });
-        co_await connection_.write(request_, std::move(message), timeout_);
+        pending_ += connection_.encode(request_, AnswerPartMessage { std::string(part) });
+        if (left_)
+            *left_ -= std::min<std::uint64_t>(*left_, part.size());
+        if (!left_ || *left_ > 0)
+            co_await flush();
     }
 
     Task<void> writeEnd() override
     {
-        PeerMessage message(AnswerEndMessage {});
-        co_await connection_.write(request_, std::move(message), timeout_);
+        pending_ += connection_.encode(request_, AnswerEndMessage {});
+        co_await flush();
     }
 
 private:
+    Task<void> flush()
+    {
+        co_await connection_.writeBytes(pending_, timeout_);
+        pending_.clear();
+    }
+
     PeerConnection& connection_;
     RequestId request_;
     Duration timeout_;
+    /// Frames that wait for the next write.
+    std::string pending_;
+    /// Bytes of the answer that are still to come, if its length is known.
+    std::optional<std::uint64_t> left_;
 };
 
 Task<void> serveRequest(PeerConnection& connection, Frame frame, InstanceTables& tables, RequestRunner& runner)
--- a/Libraries/LibPeer/PeerConnection.cpp
+++ b/Libraries/LibPeer/PeerConnection.cpp
@@ -2,7 +2,7 @@
 
 #include <LibKernel/GentleClose.h>
 
-#include <array>
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -10,6 +10,9 @@
 
 namespace {
 
+constexpr std::size_t readBytes = 4UL * 1024;
+constexpr std::size_t mostKept = 64UL * 1024;
+
 Incarnation makeIncarnation()
 {
     std::random_device device;
@@ -54,7 +57,17 @@
 
 Task<void> PeerConnection::write(RequestId request, PeerMessage message, Duration timeout)
 {
-    const std::string bytes = encodeFrame({ ownIncarnation_, request, std::move(message) });
+    const std::string bytes = encode(request, std::move(message));
+    co_await writeBytes(bytes, timeout);
+}
+
+std::string PeerConnection::encode(RequestId request, PeerMessage message) const
+{
+    return encodeFrame({ ownIncarnation_, request, std::move(message) });
+}
+
+Task<void> PeerConnection::writeBytes(const std::string& bytes, Duration timeout)
+{
     stream_.expires_after(timeout);
     co_await Asio::async_write(stream_, Asio::buffer(bytes), Asio::use_awaitable);
 }
@@ -82,12 +95,27 @@
 Task<Frame> PeerConnection::readAny(Duration timeout)
 {
     stream_.expires_after(timeout);
-    std::array<char, frameLengthBytes> lengthBytes {};
-    co_await Asio::async_read(stream_, Asio::buffer(lengthBytes), Asio::use_awaitable);
-    const auto length = decodeFrameLength({ lengthBytes.data(), lengthBytes.size() }, frameLimit_);
-    std::string bytes(length, '\0');
-    co_await Asio::async_read(stream_, Asio::buffer(bytes), Asio::use_awaitable);
-    co_return decodeFrame(bytes);
+    const auto lengthBytes = co_await fill(frameLengthBytes);
+    const auto length = decodeFrameLength(lengthBytes, frameLimit_);
+    received_.consume(frameLengthBytes);
+    const auto bytes = co_await fill(length);
+    Frame frame = decodeFrame(bytes);
+    received_.consume(length);
+    // One large frame must not hold its memory for the life of the connection.
+    if (received_.size() == 0 && received_.capacity() > mostKept)
+        received_.shrink_to_fit();
+    co_return frame;
+}
+
+// Reads until `length` bytes are there, and takes in what came with them. The bytes stay in the buffer.
+Task<std::string_view> PeerConnection::fill(std::size_t length)
+{
+    while (received_.size() < length) {
+        const auto space = received_.prepare(std::max(readBytes, length - received_.size()));
+        const auto count = co_await stream_.async_read_some(space, Asio::use_awaitable);
+        received_.commit(count);
+    }
+    co_return std::string_view(static_cast<const char*>(received_.data().data()), length);
 }
 
 } // namespace Ibisturn
--- a/Libraries/LibPeer/PeerConnection.h
+++ b/Libraries/LibPeer/PeerConnection.h
@@ -4,6 +4,7 @@
 #include <LibKernel/Asio.h>
 #include <LibPeer/Frame.h>
 
+#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
 namespace Ibisturn {
@@ -25,6 +26,12 @@
     /// Writes a message for `request`. Throws boost::system::system_error if the link is down.
     Task<void> write(RequestId request, PeerMessage message, Duration timeout);
 
+    /// The bytes of a message for `request`, for writeBytes().
+    std::string encode(RequestId request, PeerMessage message) const;
+
+    /// Writes frames that encode() made. Throws boost::system::system_error if the link is down.
+    Task<void> writeBytes(const std::string& bytes, Duration timeout);
+
     /// Reads the next frame. Throws boost::system::system_error if the link is down, and Error if the
     /// frame is malformed or of another life of the connection.
     Task<Frame> read(Duration timeout);
@@ -37,8 +44,11 @@
 
 private:
     Task<Frame> readAny(Duration timeout);
+    Task<std::string_view> fill(std::size_t length);
 
     boost::beast::tcp_stream stream_;
+    /// Bytes that came in with an earlier frame.
+    boost::beast::flat_buffer received_;
     std::size_t frameLimit_;
     Incarnation ownIncarnation_;
     Incarnation otherIncarnation_;
--- a/Tests/LibHTTP/MalformedInputTest.cpp
+++ b/Tests/LibHTTP/MalformedInputTest.cpp
@@ -266,7 +266,9 @@
             expectGood(good);
     });
     expectGood(good);
-    EXPECT_EQ(instance_.tables().requestsUnderWay, 0);
+    // The worker notes a request's end after its answer; were one left under way, this would not end.
+    while (instance_.tables().requestsUnderWay != 0)
+        std::this_thread::yield();
 }
 
 TEST_F(MalformedInput, BadFramesAreNumberedAndDisturbNoOther)
