LibCore: Make span ids and digests without formatting each byte

A span's ids took a call of the cryptographic generator and a formatted write for each byte; a request has two spans, and its key's digest has 32 bytes.

--- a/Libraries/LibCore/Digest.cpp
+++ b/Libraries/LibCore/Digest.cpp
@@ -1,5 +1,7 @@
 #include <LibCore/Digest.h>
 
+#include <LibCore/Hexadecimal.h>
+
 #include <algorithm>
 #include <array>
 
@@ -19,11 +21,7 @@
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
     unsigned int length = 0;
     EVP_Digest(content.data(), content.size(), digest.data(), &length, EVP_sha256(), nullptr);
-    std::string hexadecimal;
-    hexadecimal.reserve(length * 2);
-    for (unsigned int index = 0; index < length; ++index)
-        fmt::format_to(std::back_inserter(hexadecimal), "{:02x}", digest.at(index));
-    return hexadecimal;
+    return toHexadecimal({ digest.data(), length });
 }
 
 KeyDigest digestOfKey(std::string_view key)
--- a/Libraries/LibCore/Span.cpp
+++ b/Libraries/LibCore/Span.cpp
@@ -1,8 +1,12 @@
 #include <LibCore/Span.h>
 
+#include <LibCore/Hexadecimal.h>
+
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <cstring>
+#include <random>
 #include <utility>
 
 #include <fmt/format.h>
@@ -20,15 +24,25 @@
 constexpr std::size_t spanIdOffset = 36;
 constexpr std::size_t flagsOffset = 53;
 
+std::mt19937_64 makeGenerator()
+{
+    std::array<std::uint64_t, 4> entropy {};
+    RAND_bytes(reinterpret_cast<unsigned char*>(entropy.data()), sizeof(entropy));
+    std::seed_seq seed(entropy.begin(), entropy.end());
+    return std::mt19937_64(seed);
+}
+
+// Ids must differ, not be secret, so they need no cryptographic generator for each span.
 template <std::size_t Count>
 std::string randomHexadecimal()
 {
+    thread_local auto generator = makeGenerator();
     std::array<unsigned char, Count> bytes {};
-    RAND_bytes(bytes.data(), static_cast<int>(bytes.size()));
-    std::string text;
-    for (const auto byte : bytes)
-        fmt::format_to(std::back_inserter(text), "{:02x}", byte);
-    return text;
+    for (std::size_t index = 0; index < Count; index += sizeof(std::uint64_t)) {
+        const std::uint64_t word = generator();
+        std::memcpy(bytes.data() + index, &word, sizeof(word));
+    }
+    return toHexadecimal(bytes);
 }
 
 bool isHexadecimal(std::string_view text)
