Tests: Send whole messages where a zero byte cut the literal

The message of frames with another type or version was cut at its zero byte, so an unknown type could have been refused for its body instead. The linter found it; the stricter test passes. An endpoint's copy is a move again.

--- a/Tests/LibPeer/FrameTest.cpp
+++ b/Tests/LibPeer/FrameTest.cpp
@@ -14,6 +14,8 @@
 using Testing::randomBytes;
 
 constexpr std::size_t frameLimit = 64UL * 1024;
+/// An AnswerEndMessage.
+const std::string emptyEnd { '\x91', '\x00' };
 constexpr std::size_t messageKinds = std::variant_size_v<PeerMessage>;
 
 PeerMessage makeMessage(Random& random, std::size_t kind)
@@ -140,9 +142,9 @@
 {
     forEachCase([](Random& random) {
         const auto version = frameVersion + 1 + below(random, 255 - frameVersion);
-        ASSERT_EQ(refusalOf(packHeader(version, 4) + "\x91\x00"), ResultCode::FrameVersionUnknown);
+        ASSERT_EQ(refusalOf(packHeader(version, 4) + emptyEnd), ResultCode::FrameVersionUnknown);
         const auto type = messageKinds + below(random, 1000);
-        ASSERT_EQ(refusalOf(packHeader(frameVersion, type) + "\x91\x00"), ResultCode::MalformedFrame);
+        ASSERT_EQ(refusalOf(packHeader(frameVersion, type) + emptyEnd), ResultCode::MalformedFrame);
     });
 }
 
--- a/Tests/Support/LoopbackThread.h
+++ b/Tests/Support/LoopbackThread.h
@@ -29,7 +29,7 @@
     Endpoint listen(Serve serve)
     {
         Asio::ip::tcp::acceptor acceptor(context_, Asio::ip::tcp::endpoint(Asio::ip::address_v4::loopback(), 0));
-        const Endpoint endpoint { "127.0.0.1", acceptor.local_endpoint().port() };
+        Endpoint endpoint { "127.0.0.1", acceptor.local_endpoint().port() };
         Asio::co_spawn(context_, accept(std::move(acceptor), std::move(serve)), Asio::detached);
         return endpoint;
     }
