--- a/Tests/Process/RequestLife.sh
+++ b/Tests/Process/RequestLife.sh
@@ -147,6 +147,24 @@
     expect_visible_cut 4003
 }
 
+# SIGSTOP of the receiving instance past the caller's deadline: what it finds after SIGCONT runs no more.
+case_freeze_receiver() {
+    local pid
+    add_engine slow-omaheke omaheke slow --tokens 2
+    await_records "$khomas_1_operators" 11
+    await_records "$omaheke_1_operators" 11
+    # Leaves a connection between the instances, on which the next request is written at once.
+    ask "$khomas_1_callers" slow answer || fail "no answer"
+    pid=$(pid_of_instance omaheke-1)
+    kill -STOP "$pid"
+    ask "$khomas_1_callers" slow refused -H 'X-Request-Timeout: 300ms' || true
+    kill -CONT "$pid"
+    holds refused '"number":4007' || fail "the deadline did not end the request"
+    holds refused '"ran":"unknown"' || fail "nobody can know whether it ran"
+    ask "$omaheke_1_callers" slow answer || fail "no answer after SIGCONT"
+    engine_reports "$ENGINE_slow_omaheke" '"runs":2' || fail "a request ran after its origin had given it up"
+}
+
 # SIGKILL of an engine that can't resume.
 case_kill_engine() {
     add_engine slow-khomas khomas slow --tokens 100 --token-ms 50
@@ -276,4 +294,6 @@
 
 start_deployment
 "case_$2"
+# A sanitized build reports its findings there.
+if grep -lE 'Sanitizer|runtime error' "$WORK"/*.log; then fail "a sanitizer found a fault"; fi
 echo "$2: ok"
