--- a/Tests/LibHTTP/BackendClientTest.cpp
+++ b/Tests/LibHTTP/BackendClientTest.cpp
@@ -102,21 +102,19 @@
     {
         record_.endpoint = server.endpoint();
         std::optional<Error> failure;
-        bool isOver = false;
-        Asio::co_spawn(context_, run(sink, failure, isOver), Asio::detached);
-        while (!isOver)
+        auto done = Asio::co_spawn(context_, run(sink, failure), Asio::use_future);
+        while (done.wait_for(0s) != std::future_status::ready)
             context_.run_one();
         return failure;
     }
 
-    Task<void> run(RecordingSink& sink, std::optional<Error>& failure, bool& isOver)
+    Task<void> run(RecordingSink& sink, std::optional<Error>& failure)
     {
         try {
             co_await client_.run(record_, request_, Repeatability::Idempotent, sink);
         } catch (const Error& error) {
             failure = error;
         }
-        isOver = true;
     }
 
     BackendClientTest()
