--- a/Libraries/LibDecision/Requests/HealthTable.h
+++ b/Libraries/LibDecision/Requests/HealthTable.h
@@ -16,6 +16,8 @@
     Duration longestPause { std::chrono::seconds(30) };
     /// How long a target that said that it leaves is left alone.
     Duration leavingPause { std::chrono::seconds(60) };
+    /// How long a target is remembered after its pause if nothing more is heard of it.
+    Duration memory { std::chrono::minutes(5) };
     /// Successes after which a target that returns is used without a bound.
     std::uint32_t successesToReturn { 5 };
 };
@@ -45,6 +47,14 @@
         return now >= entry.pausedUntil && entry.underWay < permittedAtOnce(entry);
     }
 
+    /// Forgets targets of which nothing was heard for long, such as ones that were replaced.
+    void forgetOld(TimePoint now)
+    {
+        std::erase_if(entries_, [this, now](const auto& item) {
+            return item.second.underWay == 0 && now >= item.second.pausedUntil + limits_.memory;
+        });
+    }
+
     /// Notes a request that is about to go to `id`. One of noteSuccess(), noteFailure() and noteNothing() must follow.
     void noteDispatch(const Id& id)
     {
--- a/Libraries/LibHTTP/HealthBoard.cpp
+++ b/Libraries/LibHTTP/HealthBoard.cpp
@@ -27,6 +27,8 @@
 {
     const std::scoped_lock lock(lock_);
     budget_.noteRequest(now);
+    backendServers_.forgetOld(now);
+    instances_.forgetOld(now);
 }
 
 bool HealthBoard::takeRetry(TimePoint now)
--- a/Tests/LibDecision/RequestHealthTest.cpp
+++ b/Tests/LibDecision/RequestHealthTest.cpp
@@ -70,6 +70,16 @@
     EXPECT_TRUE(health.mayUse(engine, start + 3s));
 }
 
+TEST(BackendHealth, ForgetsATargetThatNeverReturns)
+{
+    BackendHealth health;
+    health.noteFailure(engine, start);
+    health.forgetOld(start + 5min);
+    EXPECT_FALSE(health.isEmpty());
+    health.forgetOld(start + 6min);
+    EXPECT_TRUE(health.isEmpty());
+}
+
 TEST(BackendHealth, LeavesATargetAloneThatLeaves)
 {
     BackendHealth health;
