LibDecision: Claim non-idempotent requests by compare-and-swap

A non-idempotent request ran as often as its caller sent it: nothing tied two attempts with one Idempotency-Key together. ClaimTable lets an instance dispatch a key only after it created the key's record in the store, or at once if this life of the instance issued the key itself.

--- /dev/null
+++ b/Libraries/LibDecision/Claims/ClaimId.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <LibCore/Identifier.h>
+#include <LibCore/Quantity.h>
+
+#include <compare>
+#include <string>
+
+namespace Ibisturn {
+
+/// Names what may run once: a caller's idempotency key within its workspace.
+struct ClaimId {
+    WorkspaceId workspace;
+    IdempotencyKey key;
+
+    auto operator<=>(const ClaimId&) const = default;
+};
+
+/// One life of an instance. A restarted instance is another owner.
+struct ClaimOwner {
+    InstanceId instance;
+    Incarnation incarnation;
+
+    auto operator<=>(const ClaimOwner&) const = default;
+};
+
+/// One caller's request for a claim, numbered by the instance that took it in.
+using AttemptId = Quantity<struct AttemptTag, std::uint64_t>;
+
+/// One batch of writes to the store, numbered by its instance.
+using ClaimBatchId = Quantity<struct ClaimBatchTag, std::uint64_t>;
+
+/// Distinguishes the claims that one life of an instance made; never used again.
+using ClaimNumber = Quantity<struct ClaimNumberTag, std::uint64_t>;
+
+/// The store's key of a claim, without the store's prefix: one segment for the workspace and one for the
+/// idempotency key, both as digests, so that no text of a caller stands in a key. Thread safety: any thread.
+std::string claimStoreKey(const ClaimId& id);
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibDecision/Claims/IssuedKeyTable.cpp
@@ -0,0 +1,28 @@
+#include <LibDecision/Claims/IssuedKeyTable.h>
+
+#include <utility>
+
+namespace Ibisturn {
+
+IssuedKeyTable::IssuedKeyTable(ClaimOwner self, std::size_t mostPerWorkspace)
+    : self_(std::move(self))
+    , mostPerWorkspace_(mostPerWorkspace)
+{
+}
+
+IdempotencyKey IssuedKeyTable::issue(const WorkspaceId& workspace)
+{
+    auto& serials = unused_[workspace];
+    serials.insert(++lastSerial_);
+    if (serials.size() > mostPerWorkspace_)
+        serials.erase(serials.begin());
+    return formatIssuedKey({ self_, lastSerial_ });
+}
+
+bool IssuedKeyTable::redeem(const WorkspaceId& workspace, const IssuedKey& key)
+{
+    const auto serials = unused_.find(workspace);
+    return serials != unused_.end() && serials->second.erase(key.serial) > 0;
+}
+
+} // namespace Ibisturn
