--- /dev/null
+++ b/Benchmarks/ClaimsBenchmark.cpp
@@ -0,0 +1,227 @@
+#include "Benchmark.h"
+
+#include <LibDecision/Claims/ClaimTable.h>
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <map>
+#include <random>
+#include <vector>
+
+namespace Ibisturn::Benchmarks {
+
+namespace {
+
+constexpr Duration retryAfter = std::chrono::seconds(8);
+constexpr Duration runTime = std::chrono::milliseconds(20);
+constexpr Duration tickPeriod = std::chrono::milliseconds(5);
+constexpr Duration length = std::chrono::seconds(60);
+
+/// How a key comes to run once.
+enum class Authority : std::uint8_t {
+    /// A record in the store, created before dispatch, in batches.
+    StoreClaim,
+    /// As StoreClaim, with one transaction a key.
+    UnbatchedStoreClaim,
+    /// A fixed owner that keeps its claims in memory only.
+    OwnerInMemory,
+    /// A key that the instance issued.
+    IssuedKey,
+};
+
+/// One load and its faults.
+struct Conditions {
+    double requestsPerSecond { 0 };
+    Duration storeRoundTrip {};
+    /// Shares of store replies lost, and of requests whose entry is killed during the run.
+    double lostReplies { 0 };
+    double kills { 0 };
+};
+
+/// Sums of one run.
+struct Result {
+    double requests { 0 };
+    double storeCalls { 0 };
+    double unknown { 0 };
+    double refused { 0 };
+    std::vector<double> addedMilliseconds;
+};
+
+/// One instance under a stream of requests on virtual time. Whoever gets no answer retries once at another
+/// instance, as its caller would.
+class ClaimLoad {
+public:
+    ClaimLoad(std::uint64_t seed, Authority authority, Conditions conditions)
+        : random_(seed)
+        , authority_(authority)
+        , conditions_(conditions)
+        , table_(self_, limitsOf(authority))
+    {
+    }
+
+    Result run()
+    {
+        arrive();
+        if (authority_ != Authority::OwnerInMemory)
+            tick();
+        while (!events_.empty()) {
+            const auto next = events_.extract(events_.begin());
+            now_ = next.key();
+            next.mapped()();
+        }
+        return std::move(result_);
+    }
+
+private:
+    static ClaimLimits limitsOf(Authority authority)
+    {
+        ClaimLimits limits;
+        if (authority == Authority::UnbatchedStoreClaim)
+            limits.mostKeysPerBatch = 1;
+        return limits;
+    }
+
+    double draw() { return std::uniform_real_distribution<double>(0, 1)(random_); }
+    void at(Duration delay, std::function<void()> event) { events_.emplace(now_ + delay, std::move(event)); }
+
+    void arrive()
+    {
+        if (now_ >= TimePoint(length))
+            return;
+        const std::chrono::duration<double> gap(-std::log(1 - draw()) / conditions_.requestsPerSecond);
+        at(std::chrono::duration_cast<Duration>(gap), [this] { arrive(); });
+        begin();
+    }
+
+    void tick()
+    {
+        if (now_ >= TimePoint(length + retryAfter))
+            return;
+        perform(table_.tick(now_));
+        at(tickPeriod, [this] { tick(); });
+    }
+
+    void begin()
+    {
+        result_.requests += 1;
+        const AttemptId attempt(++attempts_);
+        started_[attempt] = now_;
+        if (authority_ == Authority::OwnerInMemory)
+            return dispatch(attempt, {});
+        ClaimId id { WorkspaceId("guides"), IdempotencyKey(std::to_string(attempt.count())) };
+        if (authority_ == Authority::IssuedKey)
+            id.key = table_.issueKey(id.workspace);
+        perform(table_.begin(now_, { attempt, id, "body", ClaimScope::MayClaim }));
+    }
+
+    void dispatch(AttemptId attempt, const ClaimId& id)
+    {
+        const std::chrono::duration<double, std::milli> added = now_ - started_.at(attempt);
+        result_.addedMilliseconds.push_back(added.count());
+        // Of a run whose entry was killed, no retry can tell whether it ended.
+        if (draw() < conditions_.kills)
+            result_.unknown += 1;
+        if (authority_ == Authority::OwnerInMemory || !table_.confirmDispatch(now_, id))
+            return;
+        at(runTime, [this, id] { perform(table_.finish(now_, id, StoredAnswer { 200, "application/json", "{}" })); });
+    }
+
+    void perform(const ClaimActions& actions)
+    {
+        for (const auto& action : actions)
+            std::visit([this](const auto& one) { apply(one); }, action);
+    }
+
+    void apply(const DispatchAttempt& action) { dispatch(action.attempt, action.id); }
+    void apply(const RefuseAttempt& /*action*/) { result_.refused += 1; }
+    void apply(const AnswerAttempt& /*action*/) { }
+    void apply(const AskOwner& /*action*/) { }
+
+    void apply(const WriteClaims& action)
+    {
+        result_.storeCalls += 1;
+        if (draw() < conditions_.lostReplies) {
+            write(action.writes);
+            return at(conditions_.storeRoundTrip * 2, [this, batch = action.batch] { perform(table_.replied(now_, batch, BatchLost {})); });
+        }
+        const BatchResult result = write(action.writes);
+        at(conditions_.storeRoundTrip, [this, batch = action.batch, result] { perform(table_.replied(now_, batch, result)); });
+    }
+
+    BatchResult write(const std::vector<ClaimWrite>& writes)
+    {
+        const auto isAsExpected = [this](const ClaimWrite& write) { return store_[write.id].revision == write.expected; };
+        if (!std::all_of(writes.begin(), writes.end(), isAsExpected)) {
+            BatchConflicted conflicted;
+            for (const auto& write : writes) {
+                if (store_[write.id].record)
+                    conflicted.present.push_back(store_[write.id]);
+            }
+            return conflicted;
+        }
+        revision_ += Revision(1);
+        for (const auto& write : writes)
+            store_[write.id] = { write.id, revision_, write.record };
+        return BatchWritten { revision_ };
+    }
+
+    std::mt19937_64 random_;
+    Authority authority_;
+    Conditions conditions_;
+    ClaimOwner self_ { InstanceId("khomas-1"), Incarnation(1) };
+    ClaimTable table_;
+    TimePoint now_ {};
+    std::multimap<TimePoint, std::function<void()>> events_;
+    std::map<ClaimId, PresentClaim> store_;
+    Revision revision_;
+    std::uint64_t attempts_ { 0 };
+    std::map<AttemptId, TimePoint> started_;
+    Result result_;
+};
+
+double quantile(std::vector<double> values, double share)
+{
+    if (values.empty())
+        return 0;
+    std::sort(values.begin(), values.end());
+    return values.at(static_cast<std::size_t>(share * static_cast<double>(values.size() - 1)));
+}
+
+double perRequest(double count, const Result& result)
+{
+    return result.requests == 0 ? 0 : count / result.requests;
+}
+
+/// Prints one way beside the unbatched claim, under the same load and faults.
+void compare(const std::string& name, Authority authority, Conditions conditions, std::uint64_t seed)
+{
+    const Result measured = ClaimLoad(seed, authority, conditions).run();
+    const Result baseline = ClaimLoad(seed, Authority::UnbatchedStoreClaim, conditions).run();
+    print({ name, "store_calls_per_request", perRequest(measured.storeCalls, measured), perRequest(baseline.storeCalls, baseline), seed });
+    print({ name, "added_ms_p50", quantile(measured.addedMilliseconds, 0.5), quantile(baseline.addedMilliseconds, 0.5), seed });
+    print({ name, "added_ms_p99", quantile(measured.addedMilliseconds, 0.99), quantile(baseline.addedMilliseconds, 0.99), seed });
+    print({ name, "unknown_share", perRequest(measured.unknown, measured), perRequest(baseline.unknown, baseline), seed });
+    print({ name, "refused_not_run_share", perRequest(measured.refused, measured), perRequest(baseline.refused, baseline), seed });
+}
+
+void runClaims(std::uint64_t seed)
+{
+    using std::chrono::milliseconds;
+    const Conditions quiet { 5, milliseconds(6), 0.01, 0.001 };
+    const Conditions busy { 100, milliseconds(6), 0.01, 0.001 };
+    const Conditions remote { 100, milliseconds(110), 0.01, 0.001 };
+    const Conditions flood { 3000, milliseconds(110), 0.01, 0.001 };
+    compare("claims_batched_5_per_s_store_6ms", Authority::StoreClaim, quiet, seed);
+    compare("claims_batched_100_per_s_store_6ms", Authority::StoreClaim, busy, seed);
+    compare("claims_batched_100_per_s_store_110ms", Authority::StoreClaim, remote, seed);
+    compare("claims_batched_3000_per_s_store_110ms", Authority::StoreClaim, flood, seed);
+    compare("claims_owner_in_memory_100_per_s", Authority::OwnerInMemory, remote, seed);
+    compare("claims_issued_keys_100_per_s", Authority::IssuedKey, remote, seed);
+}
+
+const BenchmarkRegistration registration("claims", runClaims);
+
+} // namespace
+
+} // namespace Ibisturn::Benchmarks
