LibConfiguration: Tell changes of records from other writes to the store

Claims move the store's revision without changing a record. An instance that started after a claim took every other one for being behind, and each request that it handed on was refused as 3007 until the next change of a record: seen in a trial with one booking and one restarted entry. Instances now send the revision of the latest change of a record that they know, deletions included, and the receiver compares what it has reached with that. The process test restarts an entry after claims and books through it.

--- a/Libraries/LibConfiguration/RecordSet.cpp
+++ b/Libraries/LibConfiguration/RecordSet.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/Error.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace Ibisturn {
@@ -59,6 +60,7 @@
         entries_.insert_or_assign(key, Entry { *json, revision });
     else
         entries_.erase(key);
+    lastChange_ = std::max(lastChange_, revision);
     advance(revision);
 }
 
@@ -76,7 +78,7 @@
         if (const auto name = parseRecordKey(prefix_, key))
             records.push_back(readOrFailClosed(*name, entry));
     }
-    return std::make_shared<const Snapshot>(revision_, records);
+    return std::make_shared<const Snapshot>(revision_, records, lastChange_);
 }
 
 } // namespace Ibisturn
--- a/Libraries/LibConfiguration/RecordSet.h
+++ b/Libraries/LibConfiguration/RecordSet.h
@@ -54,6 +54,8 @@
 private:
     std::string prefix_;
     Revision revision_;
+    /// Of the latest change of a record, deletions included.
+    Revision lastChange_;
     std::map<std::string, Entry, std::less<>> entries_;
 };
 
--- a/Libraries/LibConfiguration/Snapshot.cpp
+++ b/Libraries/LibConfiguration/Snapshot.cpp
@@ -20,11 +20,13 @@
 
 } // namespace
 
-Snapshot::Snapshot(Revision revision, const std::vector<Record>& records)
+Snapshot::Snapshot(Revision revision, const std::vector<Record>& records, Revision lastChange)
     : revision_(revision)
+    , lastChange_(lastChange)
     , recordCount_(records.size())
 {
     for (const auto& record : records) {
+        lastChange_ = std::max(lastChange_, record.revision);
         const auto addBody = [this, &record](const auto& body) {
             if constexpr (std::is_same_v<std::decay_t<decltype(body)>, UnknownRecord>)
                 unknown_.insert(labelOf(record.kind, record.name));
--- a/Libraries/LibConfiguration/Snapshot.h
+++ b/Libraries/LibConfiguration/Snapshot.h
@@ -14,12 +14,17 @@
 class Snapshot {
 public:
     /// Compiles `records`, which is every record at `revision`. Unknown schema versions are kept as such.
+    /// `lastChange` is the latest change that is known; a record's own revision counts in any case.
     /// Precondition: the records' kinds and names are distinct.
-    Snapshot(Revision revision, const std::vector<Record>& records);
+    Snapshot(Revision revision, const std::vector<Record>& records, Revision lastChange = Revision(0));
 
     /// The revision of the store that this is.
     Revision revision() const { return revision_; }
 
+    /// The latest revision at which a record changed, as far as is known. Other writes to the store move
+    /// revision() alone, so this is what another instance has to have reached.
+    Revision lastChange() const { return lastChange_; }
+
     /// Look-ups by id; null if there is no such record that this program understands.
     const Workspace* findWorkspace(const WorkspaceId& id) const;
     const Key* findKey(const KeyDigest& digest) const;
@@ -50,6 +55,7 @@
     void add(const BackendServer& server);
 
     Revision revision_;
+    Revision lastChange_;
     std::size_t recordCount_;
     std::unordered_map<WorkspaceId, Workspace> workspaces_;
     std::unordered_map<KeyDigest, Key> keys_;
--- a/Libraries/LibDecision/Claims/ClaimTable.cpp
+++ b/Libraries/LibDecision/Claims/ClaimTable.cpp
@@ -39,7 +39,7 @@
 {
 }
 
-ClaimActions ClaimTable::begin(TimePoint now, ClaimAttempt attempt)
+ClaimActions ClaimTable::begin(TimePoint now, const ClaimAttempt& attempt)
 {
     const auto found = entries_.find(attempt.id);
     if (found != entries_.end())
--- a/Libraries/LibDecision/Claims/ClaimTable.h
+++ b/Libraries/LibDecision/Claims/ClaimTable.h
@@ -41,7 +41,7 @@
     ClaimTable(ClaimOwner self, ClaimLimits limits);
 
     /// A request came. Precondition: its attempt id is new.
-    ClaimActions begin(TimePoint now, ClaimAttempt attempt);
+    ClaimActions begin(TimePoint now, const ClaimAttempt& attempt);
 
     /// Called at the moment of dispatch; false means that it came too late: the attempt must not run, and fail()
     /// has to follow with Ran::No. Precondition: DispatchAttempt was returned for `id` and not confirmed yet.
--- a/Libraries/LibHTTP/ClaimService.cpp
+++ b/Libraries/LibHTTP/ClaimService.cpp
@@ -131,14 +131,15 @@
 void ClaimService::apply(DispatchAttempt action)
 {
     const ClaimId id = action.id;
-    if (resolve(action.attempt, std::move(action)))
+    if (resolve(std::move(action)))
         return;
     // Nobody waits any more, so nothing will be dispatched.
     perform(table_.fail(SteadyClock().now(), id, { ResultCode::DeadlineExceeded, Ran::No }));
 }
 
-bool ClaimService::resolve(AttemptId attempt, ClaimVerdict verdict)
+bool ClaimService::resolve(ClaimVerdict verdict)
 {
+    const auto attempt = std::visit([](const auto& one) { return one.attempt; }, verdict);
     const auto found = waiters_.find(attempt);
     if (found == waiters_.end())
         return false;
--- a/Libraries/LibHTTP/ClaimService.h
+++ b/Libraries/LibHTTP/ClaimService.h
@@ -53,10 +53,10 @@
     void perform(ClaimActions actions);
     void apply(WriteClaims action);
     void apply(DispatchAttempt action);
-    void apply(AnswerAttempt action) { resolve(action.attempt, std::move(action)); }
-    void apply(RefuseAttempt action) { resolve(action.attempt, action); }
-    void apply(AskOwner action) { resolve(action.attempt, std::move(action)); }
-    bool resolve(AttemptId attempt, ClaimVerdict verdict);
+    void apply(AnswerAttempt action) { resolve(std::move(action)); }
+    void apply(RefuseAttempt action) { resolve(action); }
+    void apply(AskOwner action) { resolve(std::move(action)); }
+    bool resolve(ClaimVerdict verdict);
     Task<void> sendBatch(WriteClaims action);
     Task<BatchResult> transact(WriteClaims action);
     Task<void> renewLease();
--- a/Libraries/LibHTTP/RequestRunner.cpp
+++ b/Libraries/LibHTTP/RequestRunner.cpp
@@ -196,7 +196,7 @@
     ForwardMessage message;
     message.workspace = request.workspace.value();
     message.route = route.value();
-    message.revision = snapshot->revision().count();
+    message.revision = snapshot->lastChange().count();
     message.method = std::move(request.method);
     message.target = std::move(request.target);
     message.contentType = std::move(request.contentType);
--- a/Libraries/LibPeer/Frame.h
+++ b/Libraries/LibPeer/Frame.h
@@ -31,7 +31,7 @@
 struct ForwardMessage {
     std::string workspace;
     std::string route;
-    /// Revision of the sender's configuration.
+    /// Of the latest change in the sender's configuration.
     std::int64_t revision { 0 };
     std::string method;
     std::string target;
--- a/Tests/Process/ClaimsTest.sh
+++ b/Tests/Process/ClaimsTest.sh
@@ -62,4 +62,10 @@
 wait "$caller" || true
 expect_error "$(book "$khomas_1_callers" killed)" 4002 unknown "retry after the kill"
 expect 1 "$(runs_of killed)" "runs of the killed entry's booking"
+
+# Claims move the store's revision; an instance that starts now must not take the others for being behind.
+start_instance omaheke-1
+write_live_list
+await_status "$omaheke_1_operators"
+expect '{"runs":1}' "$(book "$omaheke_1_callers" restarted)" "booking through the restarted entry"
 echo "claims: ok"
