LibHTTP: Bound the length of idempotency keys

A key could be as long as the head allows, so 8,000 claims could have held far more than an instance's memory for control. Keys above 255 bytes are now refused as 1001, not run.

--- a/Libraries/LibHTTP/ClaimRunner.cpp
+++ b/Libraries/LibHTTP/ClaimRunner.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr std::size_t longestIdempotencyKey = 255;
+
 /// A granted claim. Unless it is ended, its outcome counts as unknown.
 class GrantedClaim {
 public:
@@ -104,6 +106,8 @@
 
 Task<void> runUnderClaim(ClaimService& service, const GatewayRequest& request, ClaimScope scope, ClaimedPaths paths, AnswerSink& sink)
 {
+    if (request.idempotencyKey.value().size() > longestIdempotencyKey)
+        throw Error(ResultCode::MalformedRequest, Ran::No, "The idempotency key is too long");
     ClaimId id { request.workspace, request.idempotencyKey };
     std::string digest = digestOfRequest(request);
     ClaimVerdict verdict = co_await service.obtain(id, std::move(digest), scope, request.deadline);
--- a/Tests/Process/ClaimsTest.sh
+++ b/Tests/Process/ClaimsTest.sh
@@ -39,6 +39,7 @@
 expect '{"runs":1}' "$(book "$omaheke_1_callers" whole)" "first attempt"
 expect '{"runs":1}' "$(book "$khomas_1_callers" whole)" "retry through another instance"
 expect_error "$(book "$khomas_1_callers" whole bus)" 4005 no "other body"
+expect_error "$(book "$khomas_1_callers" "$(printf '%256s' x | tr ' ' x)")" 1001 no "key too long"
 expect 1 "$(runs_of whole)" "runs of a whole booking"
 
 # The reply to the transaction is lost after it took effect.
