Merge claims for non-idempotent requests

Cause: a retry with the same idempotency key could run a booking twice. A process ends without taking its event loops apart, since coroutines name parts that hold those loops' timers.

--- a/Libraries/LibHTTP/BackendClient.cpp
+++ b/Libraries/LibHTTP/BackendClient.cpp
@@ -6,6 +6,7 @@
 #include <LibKernel/HttpLimits.h>
 
 #include <array>
+#include <limits>
 #include <utility>
 
 #include <boost/beast/http.hpp>
--- a/Libraries/LibHTTP/RequestRunner.cpp
+++ b/Libraries/LibHTTP/RequestRunner.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/SteadyClock.h>
 #include <LibDecision/Membership/EntryDirectory.h>
+#include <LibDecision/Routing/HeadDecision.h>
 #include <LibHTTP/CompletionScanner.h>
 #include <LibHTTP/ForwardedRequest.h>
 #include <LibHTTP/RoutingStrategyRegistry.h>
@@ -201,8 +202,9 @@
 
 } // namespace
 
-RequestRunner::RequestRunner(InstanceTables& tables)
+RequestRunner::RequestRunner(InstanceTables& tables, ClaimService& claims)
     : tables_(tables)
+    , claims_(claims)
     , strategy_(makeStrategy(tables.settings.routingStrategy))
     , backends_(tables.settings.connectTimeout, tables.settings.requestTimeout)
     , peers_(helloOf(tables.settings.identity),
@@ -221,7 +223,7 @@
     if (!route)
         throw Error(ResultCode::RouteNotFound, Ran::No, "No route serves this path and model");
     RouteId routeId = route->id;
-    co_await run(std::move(request), std::move(routeId), HopsLeft::One, sink);
+    co_await run(std::move(request), std::move(routeId), HopsLeft::One, ClaimDuty::Claim, sink);
 }
 
 Task<void> RequestRunner::runFromPeer(ForwardMessage message, CancellationPointer cancellation, AnswerSink& sink)
@@ -231,16 +233,55 @@
     if (snapshot->revision() < Revision(message.revision))
         throw Error(ResultCode::ConfigurationBehind, Ran::No, "This instance's configuration is behind the sender's");
     RouteId routeId(std::move(message.route));
+    const auto duty = message.asksOwner ? ClaimDuty::AnswerAsOwner : ClaimDuty::HeldBySender;
     GatewayRequest request = readForwarded(std::move(message), SteadyClock().now(), tables_.settings.requestTimeout);
     request.cancellation = std::move(cancellation);
-    co_await run(std::move(request), std::move(routeId), HopsLeft::None, sink);
+    co_await run(std::move(request), std::move(routeId), HopsLeft::None, duty, sink);
 }
 
-Task<void> RequestRunner::run(GatewayRequest request, RouteId routeId, HopsLeft hops, AnswerSink& sink)
+Task<void> RequestRunner::run(GatewayRequest request, RouteId routeId, HopsLeft hops, ClaimDuty duty, AnswerSink& sink)
 {
-    const auto executor = co_await Asio::this_coro::executor;
     if (!request.cancellation)
         request.cancellation = std::make_shared<Cancellation>();
+    const auto snapshot = requireConfiguration();
+    const auto* route = snapshot->findRoute(routeId);
+    const bool isOnceOnly = route && route->repeatability == Repeatability::NonIdempotent;
+    // Without an idempotency key no other attempt can be the same request.
+    const bool needsClaim = isOnceOnly && !request.idempotencyKey.isEmpty() && duty != ClaimDuty::HeldBySender;
+    if (!needsClaim) {
+        co_await runPlaced(std::move(request), std::move(routeId), hops, sink);
+        co_return;
+    }
+    if (!mayUseRoute(*route, request.workspace))
+        throw Error(ResultCode::WorkspaceNotAllowed, Ran::No, "The route is not open to this workspace");
+    if (!isPermittedRegion(*snapshot, request.workspace, tables_.settings.identity.region))
+        throw Error(ResultCode::ResidencyRefused, Ran::No, "This instance lies outside the permitted regions");
+    const auto scope = duty == ClaimDuty::Claim ? ClaimScope::MayClaim : ClaimScope::OwnClaimsOnly;
+    co_await runClaimed(std::move(request), std::move(routeId), hops, scope, sink);
+}
+
+Task<void> RequestRunner::runClaimed(GatewayRequest request, RouteId routeId, HopsLeft hops, ClaimScope scope, AnswerSink& sink)
+{
+    ClaimedPaths paths;
+    paths.run = [this, &request, &routeId, hops](AnswerSink& answer) { return runPlaced(request, routeId, hops, answer); };
+    paths.askOwner = [this, &request, &routeId](InstanceId owner, AnswerSink& answer) { return askOwner(std::move(owner), request, routeId, answer); };
+    co_await runUnderClaim(claims_, request, scope, std::move(paths), sink);
+}
+
+Task<void> RequestRunner::askOwner(InstanceId owner, GatewayRequest request, RouteId routeId, AnswerSink& sink)
+{
+    const auto snapshot = requireConfiguration();
+    const auto membership = tables_.membership.get();
+    const auto* member = membership ? membership->find(owner) : nullptr;
+    if (!member || !isPermittedRegion(*snapshot, request.workspace, member->region))
+        throw Error(ResultCode::PeerUnreachable, Ran::No, "The instance that claimed the key is not there");
+    Member peer = *member;
+    co_await forward(snapshot, std::move(peer), std::move(routeId), request, ClaimDuty::AnswerAsOwner, sink);
+}
+
+Task<void> RequestRunner::runPlaced(GatewayRequest request, RouteId routeId, HopsLeft hops, AnswerSink& sink)
+{
+    const auto executor = co_await Asio::this_coro::executor;
     const auto& here = tables_.settings.identity.region;
     const RequestAccess access { request.workspace, request.key };
     const AccessWatch::Subscription watched(access_, access, here, request.cancellation);
@@ -312,7 +353,7 @@
             if (!found)
                 throw Error(ResultCode::PeerUnreachable, Ran::No, "The instance has left");
             Member peer = *found;
-            co_await forward(snapshot, std::move(peer), std::move(route), request, sink);
+            co_await forward(snapshot, std::move(peer), std::move(route), request, ClaimDuty::HeldBySender, sink);
         }
         record.noteSuccess(sink);
     } catch (const PeerLinkError&) {
@@ -410,7 +451,7 @@
     co_await backends_.run(*record, request, repeatability, sink);
 }
 
-Task<void> RequestRunner::forward(SnapshotPointer snapshot, Member peer, RouteId route, GatewayRequest& request, AnswerSink& sink)
+Task<void> RequestRunner::forward(SnapshotPointer snapshot, Member peer, RouteId route, GatewayRequest& request, ClaimDuty duty, AnswerSink& sink)
 {
     HopSpan hop(tables_.tracer, "forward", request.parent);
     hop.span().setAttribute("peer", peer.id.value());
@@ -418,7 +459,7 @@
     ForwardMessage message;
     message.workspace = request.workspace.value();
     message.route = route.value();
-    message.revision = snapshot->revision().count();
+    message.revision = snapshot->lastChange().count();
     message.method = request.method;
     message.target = request.target;
     message.contentType = request.contentType;
@@ -429,6 +470,7 @@
     // The request may be tried again.
     message.body = request.body;
     message.keyDigest = request.key ? request.key->value() : std::string();
+    message.asksOwner = duty == ClaimDuty::AnswerAsOwner;
     message.eventsReceived = request.resumeAfter ? *request.resumeAfter + 1 : 0;
     co_await peers_.run(peer, std::move(message), request, sink);
 }
--- a/Libraries/LibHTTP/RequestRunner.h
+++ b/Libraries/LibHTTP/RequestRunner.h
@@ -5,6 +5,7 @@
 #include <LibHTTP/AccessWatch.h>
 #include <LibHTTP/AttemptSink.h>
 #include <LibHTTP/BackendClient.h>
+#include <LibHTTP/ClaimRunner.h>
 #include <LibHTTP/GatewayRequest.h>
 #include <LibHTTP/IdleConnections.h>
 #include <LibHTTP/InstanceTables.h>
@@ -19,8 +20,8 @@
 /// Thread safety: the worker that owns it.
 class RequestRunner {
 public:
-    /// Precondition: `tables` outlives the runner.
-    explicit RequestRunner(InstanceTables& tables);
+    /// Precondition: `tables` and `claims` outlive the runner.
+    RequestRunner(InstanceTables& tables, ClaimService& claims);
 
     /// Runs a caller's request here or one hop away. Throws Error.
     Task<void> runFromCaller(GatewayRequest request, AnswerSink& sink);
@@ -37,13 +38,26 @@
     /// The callers' connections of this worker that are idle.
     IdleConnections& idleConnections() { return idleConnections_; }
 
+    /// Issues a key that this instance runs once, also while the store is away.
+    IdempotencyKey issueKey(const WorkspaceId& workspace) { return claims_.issueKey(workspace); }
+
 private:
-    Task<void> run(GatewayRequest request, RouteId routeId, HopsLeft hops, AnswerSink& sink);
+    /// Who claims a request that may run once only.
+    enum class ClaimDuty : std::uint8_t {
+        Claim,
+        AnswerAsOwner,
+        HeldBySender,
+    };
+
+    Task<void> run(GatewayRequest request, RouteId routeId, HopsLeft hops, ClaimDuty duty, AnswerSink& sink);
+    Task<void> runClaimed(GatewayRequest request, RouteId routeId, HopsLeft hops, ClaimScope scope, AnswerSink& sink);
+    Task<void> runPlaced(GatewayRequest request, RouteId routeId, HopsLeft hops, AnswerSink& sink);
+    Task<void> askOwner(InstanceId owner, GatewayRequest request, RouteId routeId, AnswerSink& sink);
     Task<AdmissionSlotPointer> admit(const GatewayRequest& request, RouteId routeId, const RequestLife& life);
     MembershipPointer usableMembership(const Snapshot& snapshot, const RouteId& routeId, const RequestLife& life) const;
     Task<void> attempt(Place place, RouteId route, GatewayRequest& request, RequestLife& life, AttemptSink& sink);
     Task<void> runHere(SnapshotPointer snapshot, BackendServerId server, Repeatability repeatability, GatewayRequest& request, AnswerSink& sink);
-    Task<void> forward(SnapshotPointer snapshot, Member peer, RouteId route, GatewayRequest& request, AnswerSink& sink);
+    Task<void> forward(SnapshotPointer snapshot, Member peer, RouteId route, GatewayRequest& request, ClaimDuty duty, AnswerSink& sink);
     Place choosePlace(const GatewayRequest& request, const RouteId& routeId, HopsLeft hops, const RequestLife& life, ResumeNeed resume);
     void askToHandOver(const GatewayRequest& request, const RegionId& target, AttemptId attempt, RequestLife& life) const;
     ResultCode accessOf(const GatewayRequest& request, const RegionId& region) const;
@@ -51,6 +65,7 @@
     SnapshotPointer requireConfiguration() const;
 
     InstanceTables& tables_;
+    ClaimService& claims_;
     std::unique_ptr<RoutingStrategy> strategy_;
     BackendClient backends_;
     PeerClient peers_;
--- a/Libraries/LibKernel/HttpClient.cpp
+++ b/Libraries/LibKernel/HttpClient.cpp
@@ -3,6 +3,7 @@
 #include <LibKernel/HttpLimits.h>
 
 #include <array>
+#include <limits>
 #include <utility>
 
 #include <boost/beast/core.hpp>
--- a/Libraries/LibPeer/Frame.h
+++ b/Libraries/LibPeer/Frame.h
@@ -31,7 +31,7 @@
 struct ForwardMessage {
     std::string workspace;
     std::string route;
-    /// Revision of the sender's configuration.
+    /// Of the latest change in the sender's configuration.
     std::int64_t revision { 0 };
     std::string method;
     std::string target;
@@ -44,8 +44,10 @@
     std::string keyDigest;
     /// Events of a cut stream that the caller has; zero for a request that begins anew.
     std::uint64_t eventsReceived { 0 };
+    /// Asks the receiver, which owns the claim of the key; otherwise the sender holds the claim.
+    bool asksOwner { false };
     MSGPACK_DEFINE(workspace, route, revision, method, target, contentType, idempotencyKey, traceparent, timeoutMilliseconds, body, keyDigest,
-        eventsReceived)
+        eventsReceived, asksOwner)
 };
 
 /// The head of the answer to a forwarded request.
--- a/Programs/ibisturn/Instance.cpp
+++ b/Programs/ibisturn/Instance.cpp
@@ -19,6 +19,7 @@
 constexpr Duration loadReportPeriod = std::chrono::milliseconds(500);
 constexpr Duration admissionPeriod = std::chrono::milliseconds(50);
 constexpr Duration drainPoll = std::chrono::milliseconds(20);
+constexpr Duration claimDrain = std::chrono::seconds(3);
 
 Task<void> pause(Duration duration)
 {
@@ -52,6 +53,7 @@
     : tables_(settings)
     , workers_(tables_.settings.workers)
     , store_(makeStore(tables_.settings))
+    , claims_(tables_.settings, *store_, workers_.context(0).get_executor())
     , feed_(*store_, tables_.settings.storePrefix, [this](SnapshotPointer snapshot) { tables_.configuration.set(std::move(snapshot)); })
     , operators_(tables_, *store_)
     , callersAcceptor_(listenOn(workers_.context(0), tables_.settings.callersListen))
@@ -59,7 +61,7 @@
     , operatorsAcceptor_(listenOn(workers_.context(0), tables_.settings.operatorsListen))
 {
     for (std::size_t index = 0; index < workers_.size(); ++index)
-        runners_.push_back(std::make_unique<RequestRunner>(tables_));
+        runners_.push_back(std::make_unique<RequestRunner>(tables_, claims_));
     sendSpans();
     watchCertificate();
 }
@@ -77,6 +79,7 @@
     timers_.subscribe(SteadyClock().now(), accessReviewPeriod, [this](TimePoint) { reviewAccess(); });
     auto& context = workers_.context(0);
     Asio::co_spawn(context, feed_.run(), Asio::detached);
+    Asio::co_spawn(context, claims_.drive(), Asio::detached);
     Asio::co_spawn(context, followLiveList(), Asio::detached);
     Asio::co_spawn(context, driveTimers(), Asio::detached);
     Asio::co_spawn(context, awaitShutdown(), Asio::detached);
@@ -169,6 +172,7 @@
     do
         co_await pause(drainPoll);
     while (tables_.requestsUnderWay > 0 && SteadyClock().now() < lastAnswers);
+    co_await claims_.drain(SteadyClock().now() + claimDrain);
     instanceLog.info("Stopped.", { { "requests", tables_.requestsUnderWay.load() } });
     workers_.stop();
 }
--- a/Programs/ibisturn/Instance.h
+++ b/Programs/ibisturn/Instance.h
@@ -52,8 +52,9 @@
     TimerService timers_;
     std::unique_ptr<SpanExporter> spanExporter_;
     std::unique_ptr<TlsIdentity> callersTls_;
-    std::vector<std::unique_ptr<RequestRunner>> runners_;
     std::unique_ptr<StoreClient> store_;
+    ClaimService claims_;
+    std::vector<std::unique_ptr<RequestRunner>> runners_;
     ConfigurationFeed feed_;
     OperatorInterface operators_;
     Acceptor callersAcceptor_;
--- a/Programs/ibisturn/Main.cpp
+++ b/Programs/ibisturn/Main.cpp
@@ -5,6 +5,7 @@
 #include <LibCore/Digest.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 
 #include <CLI/CLI.hpp>
@@ -29,7 +30,9 @@
     std::signal(SIGPIPE, SIG_IGN);
     Instance instance(settings);
     instance.run();
-    return 0;
+    // Coroutines that still wait name parts of the instance, and those parts hold timers of the event loops: no order
+    // of destruction suits both. Nothing is left to be written.
+    std::_Exit(0);
 }
 
 // Reads the key from standard input, so that it appears in no process list.
--- /dev/null
+++ b/Tests/Support/AbsentStore.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <LibCore/Error.h>
+#include <LibPlatform/StoreClient.h>
+
+namespace Ibisturn::Testing {
+
+/// A store that is never reached. Thread safety: any thread.
+class AbsentStore final : public StoreClient {
+public:
+    Task<StoreRange> range(std::string /*prefix*/) override { return fail<StoreRange>(); }
+    Task<StoreWriteResult> transact(std::vector<StoreWrite> /*writes*/) override { return fail<StoreWriteResult>(); }
+    Task<LeaseId> grantLease(Duration /*timeToLive*/) override { return fail<LeaseId>(); }
+    Task<void> watch(std::string /*prefix*/, Revision /*from*/, std::function<void(StoreChanges)> /*onChanges*/) override { return fail<void>(); }
+
+private:
+    template <typename Result>
+    static Task<Result> fail()
+    {
+        throw Error(ResultCode::StoreUnavailable, Ran::No, "There is no store");
+        co_return Result();
+    }
+};
+
+} // namespace Ibisturn::Testing
--- a/Tests/Support/LoopbackInstance.h
+++ b/Tests/Support/LoopbackInstance.h
@@ -2,6 +2,7 @@
 
 #include <LibHTTP/CallerSession.h>
 #include <LibHTTP/PeerServer.h>
+#include <Tests/Support/AbsentStore.h>
 #include <Tests/Support/LoopbackThread.h>
 
 #include <memory>
@@ -23,7 +24,8 @@
 public:
     explicit LoopbackInstance(const Settings& settings)
         : tables_(settings, nullptr)
-        , runner_(tables_)
+        , claims_(settings, store_, worker_.context().get_executor())
+        , runner_(tables_, claims_)
     {
         const auto& identity = settings.identity;
         member_ = { identity.instance, identity.region, identity.dataCentre, {}, {}, MemberState::Live };
@@ -52,6 +54,8 @@
 private:
     InstanceTables tables_;
     LoopbackThread worker_;
+    AbsentStore store_;
+    ClaimService claims_;
     RequestRunner runner_;
     Member member_;
 };
