LibDecision: Share a workspace's allowance between instances

Rate and burst hold for the whole fleet, but an instance could not tell what the others admitted. Each instance's address now holds a standing share that nobody else can spend. Tokens move between shares into room that the receiver kept empty, or are lent for a short term to a request that no share can hold. Tokens leave before the message goes, so a lost, late or second message loses tokens and never doubles them.

An address is proven by a probe that another instance reflects to it; a proof lasts from before the probe was sent. A new holder starts empty and after everything that an earlier one can have spent or lent has ended. No call goes to the store.

What a request did not use counts as if it had never been taken, less what would have overflowed since, so that putting it back keeps the bound.

Ruled out in trials: lending parts of the rate, which starved instances whose demand was even.

--- /dev/null
+++ b/Benchmarks/AllowanceBenchmark.cpp
@@ -0,0 +1,469 @@
+#include "Benchmark.h"
+
+#include <Tests/LibDecision/AllowanceFleet.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <numbers>
+#include <unordered_map>
+
+#include <malloc.h>
+
+namespace Ibisturn::Benchmarks {
+
+namespace {
+
+constexpr std::size_t siteCount = 9;
+constexpr std::size_t dataCentreCount = 3;
+constexpr std::size_t sitesPerDataCentre = siteCount / dataCentreCount;
+constexpr std::size_t seedCount = 5;
+constexpr Duration warmUp = 200s;
+constexpr Duration runLength = 600s;
+constexpr Duration cutAt = warmUp + 200s;
+constexpr Duration wideAreaDelay = 55ms;
+constexpr Duration nearDelay = 2ms;
+
+/// One workspace: what it may use, and the mean size of its requests in tokens.
+struct WorkspaceShape {
+    BucketLimits limits;
+    double meanRequest;
+};
+
+/// Two large workspaces and three small ones, as the users have them.
+constexpr std::array<WorkspaceShape, 5> shapes { { { { TokensPerSecond(4000), TokenAmount(80000) }, 800 }, { { TokensPerSecond(1500), TokenAmount(30000) }, 800 },
+    { { TokensPerSecond(300), TokenAmount(12000) }, 1000 }, { { TokensPerSecond(100), TokenAmount(8000) }, 1200 }, { { TokensPerSecond(60), TokenAmount(6000) }, 1000 } } };
+
+struct Arrival {
+    Duration at;
+    std::size_t site;
+    double amount;
+    double used;
+    Duration latency;
+};
+
+using Place = std::size_t (*)(std::mt19937_64& random, Duration at);
+
+/// How a workspace's callers behave. `load` is the demand in parts of its rate at a moment.
+struct Workload {
+    const char* name;
+    Place place;
+    double (*load)(Duration at);
+    bool isCut { false };
+};
+
+double uniform(std::mt19937_64& random)
+{
+    return std::uniform_real_distribution<>(0, 1)(random);
+}
+
+double secondsOf(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+std::size_t atOneInstance(std::mt19937_64& /*random*/, Duration /*at*/) { return 4; }
+std::size_t overAll(std::mt19937_64& random, Duration /*at*/) { return random() % siteCount; }
+
+/// A school group calls at one gate and goes on to the next one, in another data centre, after two minutes.
+std::size_t atMovingGate(std::mt19937_64& random, Duration at)
+{
+    const auto gate = static_cast<std::size_t>(at / 120s) % dataCentreCount;
+    return gate * sitesPerDataCentre + random() % sitesPerDataCentre;
+}
+
+/// The data centres' peaks follow one another.
+std::size_t byDailyPeaks(std::mt19937_64& random, Duration at)
+{
+    std::array<double, dataCentreCount> weights {};
+    double sum = 0;
+    for (std::size_t dataCentre = 0; dataCentre < dataCentreCount; ++dataCentre) {
+        const double phase = 2 * std::numbers::pi * (secondsOf(at) / secondsOf(runLength) + static_cast<double>(dataCentre) / dataCentreCount);
+        weights.at(dataCentre) = 1.1 + std::sin(phase);
+        sum += weights.at(dataCentre);
+    }
+    double chosen = uniform(random) * sum;
+    std::size_t dataCentre = 0;
+    while (dataCentre + 1 < dataCentreCount && chosen > weights.at(dataCentre))
+        chosen -= weights.at(dataCentre++);
+    return dataCentre * sitesPerDataCentre + random() % sitesPerDataCentre;
+}
+
+double withinRate(Duration /*at*/) { return 0.8; }
+double fiveTimes(Duration /*at*/) { return 5; }
+
+/// Half a minute of more than the rate in each two minutes, which the burst covers.
+double inWaves(Duration at) { return at % 120s < 30s ? 1.2 : 0.6; }
+
+/// The same with more than the burst covers.
+double inHighWaves(Duration at) { return at % 120s < 30s ? 1.6 : 0.5; }
+
+constexpr std::array<Workload, 7> workloads { { { "one", atOneInstance, withinRate }, { "nine", overAll, withinRate }, { "group", atMovingGate, inWaves }, { "high-group", atMovingGate, inHighWaves },
+    { "overload", overAll, fiveTimes }, { "peaks", byDailyPeaks, withinRate }, { "cut", overAll, withinRate, true } } };
+
+std::vector<Arrival> makeArrivals(const Workload& workload, const WorkspaceShape& shape, std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    std::vector<Arrival> arrivals;
+    Duration at = warmUp;
+    while (at < warmUp + runLength) {
+        // A reservation is larger than the usage, which settles at two thirds of it on average.
+        const double load = workload.load(at - warmUp);
+        const double mean = shape.meanRequest * 2 / 3 / (shape.limits.rate.count() * load);
+        at += Duration(static_cast<Duration::rep>(-std::log(1 - uniform(random)) * mean * 1e9));
+        const double amount = shape.meanRequest * (0.25 + 1.5 * uniform(random));
+        const double used = amount * (1.0 / 3 + 2.0 / 3 * uniform(random));
+        arrivals.push_back({ at, workload.place(random, at - warmUp), amount, used, Duration(static_cast<Duration::rep>(used / 50 * 1e9)) });
+    }
+    return arrivals;
+}
+
+/// The exact bucket over the whole fleet, charged with what the policy under test admitted, by the same rule: what
+/// a request did not use counts as if it had never been taken.
+class ExactBucket {
+public:
+    explicit ExactBucket(BucketLimits limits)
+        : bucket_({ TokensPerSecond(limits.rate.count() * (1 + clockDriftBound)), limits.capacity }, TimePoint())
+    {
+        bucket_.deposit(limits.capacity);
+    }
+
+    std::optional<WithdrawalNumber> take(double amount, Duration at)
+    {
+        bucket_.advance(TimePoint(at));
+        if (bucket_.level().count() < amount)
+            return std::nullopt;
+        return bucket_.withdraw(TokenAmount(amount));
+    }
+
+    WithdrawalNumber charge(double amount, Duration at)
+    {
+        bucket_.advance(TimePoint(at));
+        return bucket_.withdraw(TokenAmount(amount));
+    }
+
+    void putBack(WithdrawalNumber number, double amount, Duration at)
+    {
+        bucket_.advance(TimePoint(at));
+        bucket_.putBack(number, TokenAmount(amount));
+    }
+
+private:
+    TokenBucket bucket_;
+};
+
+struct Result {
+    std::uint64_t requests { 0 };
+    std::uint64_t wrongful { 0 };
+    std::uint64_t bytes { 0 };
+    std::uint64_t probeBytes { 0 };
+    std::vector<double> waits;
+    /// Requests and wrongful refusals at the data centre that is cut off, while it is.
+    std::uint64_t cutRequests { 0 };
+    std::uint64_t cutWrongful { 0 };
+    /// The last wrongful refusal after callers moved, in seconds since their move.
+    double followTime { 0 };
+};
+
+bool isWithinCut(const Workload& workload, const Arrival& arrival)
+{
+    return workload.isCut && arrival.at >= cutAt && arrival.site < sitesPerDataCentre;
+}
+
+/// Counts one request that ended. `shadowAdmits` says what the exact bucket did.
+void count(Result& result, const Workload& workload, const Arrival& arrival, bool shadowAdmits, bool isAdmitted, double wait)
+{
+    const bool isWrongful = shadowAdmits && !isAdmitted;
+    ++result.requests;
+    result.wrongful += isWrongful ? 1 : 0;
+    if (isAdmitted)
+        result.waits.push_back(wait);
+    if (isWithinCut(workload, arrival)) {
+        ++result.cutRequests;
+        result.cutWrongful += isWrongful ? 1 : 0;
+    }
+    if (isWrongful)
+        result.followTime = std::max(result.followTime, secondsOf((arrival.at - warmUp) % 120s));
+}
+
+/// Runs the product's decisions over `arrivals`, or a static split if there is no lending.
+struct FleetPolicy {
+    std::array<double, siteCount> weights;
+    bool hasLending;
+    /// Whether callers of a data centre are directed to the instance that holds its share.
+    bool isDirected;
+};
+
+Result runFleet(const FleetPolicy& policy, const Workload& workload, const WorkspaceShape& shape, const std::vector<Arrival>& arrivals, std::uint64_t seed)
+{
+    AllowanceFleet::Options options;
+    for (std::size_t site = 0; site < siteCount; ++site)
+        options.sites.push_back({ site / sitesPerDataCentre, policy.weights.at(site) });
+    options.fleet = shape.limits;
+    options.hasLending = policy.hasLending;
+    AllowanceFleet fleet(std::move(options), seed);
+    ExactBucket exact(shape.limits);
+    Result result;
+    std::vector<std::optional<WithdrawalNumber>> shadow(arrivals.size());
+    std::vector<std::size_t> sites(arrivals.size());
+    fleet.observer.admitted = [&](ReservationId id) {
+        const auto& arrival = arrivals[id.count()];
+        const bool shadowAdmits = shadow[id.count()].has_value();
+        const auto number = shadowAdmits ? *shadow[id.count()] : exact.charge(arrival.amount, fleet.now());
+        count(result, workload, arrival, shadowAdmits, true, secondsOf(fleet.now() - arrival.at) * 1e3);
+        fleet.at(fleet.now() + arrival.latency, [&, id, number] {
+            exact.putBack(number, arrivals[id.count()].amount - arrivals[id.count()].used, fleet.now());
+            fleet.settle(sites[id.count()], id, arrivals[id.count()].used);
+        });
+    };
+    fleet.observer.refused = [&](ReservationId id) {
+        const auto& arrival = arrivals[id.count()];
+        if (shadow[id.count()])
+            exact.putBack(*shadow[id.count()], arrival.amount, fleet.now());
+        count(result, workload, arrival, shadow[id.count()].has_value(), false, 0);
+    };
+    // Shares earn from the start on; the fleet is not young when callers come.
+    fleet.runUntil(warmUp);
+    const auto bytesBefore = fleet.bytes();
+    const auto probeBytesBefore = fleet.probeBytes();
+    for (std::size_t index = 0; index < arrivals.size(); ++index) {
+        fleet.at(arrivals[index].at, [&, index] {
+            const auto& arrival = arrivals[index];
+            sites[index] = policy.isDirected ? arrival.site / sitesPerDataCentre * sitesPerDataCentre : arrival.site;
+            shadow[index] = exact.take(arrival.amount, arrival.at);
+            fleet.request(sites[index], ReservationId(index), arrival.amount);
+        });
+    }
+    if (workload.isCut) {
+        fleet.at(cutAt, [&] {
+            fleet.cut(0, 1);
+            fleet.cut(0, 2);
+        });
+    }
+    fleet.runUntil(warmUp + runLength);
+    result.bytes = fleet.bytes() - bytesBefore;
+    result.probeBytes = fleet.probeBytes() - probeBytesBefore;
+    return result;
+}
+
+/// One bucket at an instance of the second data centre that every other one asks, or to which callers are sent.
+Result runSingle(const Workload& workload, const WorkspaceShape& shape, const std::vector<Arrival>& arrivals, std::uint64_t bytesPerRequest)
+{
+    constexpr std::size_t home = 4;
+    struct Settlement {
+        Duration at;
+        WithdrawalNumber number;
+        double unused;
+        bool operator<(const Settlement& other) const { return at > other.at; }
+    };
+    Result result;
+    ExactBucket bucket(shape.limits);
+    std::priority_queue<Settlement> settlements;
+    for (const auto& arrival : arrivals) {
+        const bool isNear = arrival.site / sitesPerDataCentre == home / sitesPerDataCentre;
+        const Duration wait = arrival.site == home ? Duration() : 2 * (isNear ? nearDelay : wideAreaDelay);
+        while (!settlements.empty() && settlements.top().at <= arrival.at) {
+            bucket.putBack(settlements.top().number, settlements.top().unused, settlements.top().at);
+            settlements.pop();
+        }
+        const auto number = bucket.take(arrival.amount, arrival.at);
+        const bool shadowAdmits = number.has_value();
+        const bool fits = shadowAdmits && !isWithinCut(workload, arrival);
+        if (fits)
+            settlements.push({ arrival.at + arrival.latency, *number, arrival.amount - arrival.used });
+        else if (shadowAdmits)
+            bucket.putBack(*number, arrival.amount, arrival.at);
+        count(result, workload, arrival, shadowAdmits, fits, secondsOf(wait) * 1e3);
+        result.bytes += arrival.site == home ? 0 : bytesPerRequest;
+    }
+    return result;
+}
+
+constexpr std::array<double, siteCount> ninthEach { 1.0 / 9, 1.0 / 9, 1.0 / 9, 1.0 / 9, 1.0 / 9, 1.0 / 9, 1.0 / 9, 1.0 / 9, 1.0 / 9 };
+constexpr std::array<double, siteCount> thirdEach { 1.0 / 3, 0, 0, 1.0 / 3, 0, 0, 1.0 / 3, 0, 0 };
+
+using RunPolicy = Result (*)(const Workload&, const WorkspaceShape&, const std::vector<Arrival>&, std::uint64_t);
+
+Result runLendingNinths(const Workload& workload, const WorkspaceShape& shape, const std::vector<Arrival>& arrivals, std::uint64_t seed)
+{
+    return runFleet({ ninthEach, true, false }, workload, shape, arrivals, seed);
+}
+
+Result runLendingThirds(const Workload& workload, const WorkspaceShape& shape, const std::vector<Arrival>& arrivals, std::uint64_t seed)
+{
+    return runFleet({ thirdEach, true, false }, workload, shape, arrivals, seed);
+}
+
+Result runDirectedLending(const Workload& workload, const WorkspaceShape& shape, const std::vector<Arrival>& arrivals, std::uint64_t seed)
+{
+    return runFleet({ thirdEach, true, true }, workload, shape, arrivals, seed);
+}
+
+Result runStatic(const Workload& workload, const WorkspaceShape& shape, const std::vector<Arrival>& arrivals, std::uint64_t seed)
+{
+    return runFleet({ ninthEach, false, false }, workload, shape, arrivals, seed);
+}
+
+Result runGlobal(const Workload& workload, const WorkspaceShape& shape, const std::vector<Arrival>& arrivals, std::uint64_t /*seed*/)
+{
+    return runSingle(workload, shape, arrivals, 4 * 112);
+}
+
+Result runDirectedToOne(const Workload& workload, const WorkspaceShape& shape, const std::vector<Arrival>& arrivals, std::uint64_t /*seed*/)
+{
+    return runSingle(workload, shape, arrivals, 0);
+}
+
+struct Policy {
+    const char* name;
+    RunPolicy run;
+};
+
+constexpr std::array<Policy, 6> policies { { { "directed-lending", runDirectedLending }, { "lending-thirds", runLendingThirds }, { "lending-ninths", runLendingNinths },
+    { "static-ninths", runStatic }, { "global-bucket", runGlobal }, { "directed-to-one", runDirectedToOne } } };
+
+struct Summary {
+    double wrongful;
+    double worst;
+    double cutWrongful;
+    double follow;
+    double bytesPerNode;
+    double waitMedian;
+    double waitTail;
+};
+
+double percentile(std::vector<double>& values, double part)
+{
+    if (values.empty())
+        return 0;
+    const auto index = static_cast<std::ptrdiff_t>(part * static_cast<double>(values.size() - 1));
+    std::nth_element(values.begin(), values.begin() + index, values.end());
+    return values[static_cast<std::size_t>(index)];
+}
+
+Summary summarise(const Policy& policy, const Workload& workload, std::uint64_t seed)
+{
+    Result sum;
+    double worst = 0;
+    for (std::size_t index = 0; index < shapes.size(); ++index) {
+        const auto arrivals = makeArrivals(workload, shapes.at(index), seed * 31 + index);
+        auto result = policy.run(workload, shapes.at(index), arrivals, seed * 31 + index);
+        worst = std::max(worst, static_cast<double>(result.wrongful) / static_cast<double>(std::max<std::uint64_t>(1, result.requests)));
+        sum.requests += result.requests;
+        sum.wrongful += result.wrongful;
+        sum.cutRequests += result.cutRequests;
+        sum.cutWrongful += result.cutWrongful;
+        sum.bytes += result.bytes;
+        // Probes are of an instance and not of a workspace.
+        sum.probeBytes = result.probeBytes;
+        sum.followTime = std::max(sum.followTime, result.followTime);
+        sum.waits.insert(sum.waits.end(), result.waits.begin(), result.waits.end());
+    }
+    const auto share = [](std::uint64_t part, std::uint64_t whole) { return whole == 0 ? 0 : static_cast<double>(part) / static_cast<double>(whole); };
+    return { share(sum.wrongful, sum.requests), worst, share(sum.cutWrongful, sum.cutRequests), sum.followTime,
+        static_cast<double>(sum.bytes + sum.probeBytes) / siteCount / secondsOf(runLength), percentile(sum.waits, 0.5), percentile(sum.waits, 0.99) };
+}
+
+struct SummaryMetric {
+    const char* name;
+    double Summary::*value;
+};
+
+constexpr std::array<SummaryMetric, 7> summaryMetrics { { { "wrongful", &Summary::wrongful }, { "worst_workspace", &Summary::worst },
+    { "cut_off_wrongful", &Summary::cutWrongful }, { "follow_seconds", &Summary::follow }, { "node_bytes_per_second", &Summary::bytesPerNode },
+    { "wait_p50_ms", &Summary::waitMedian }, { "wait_p99_ms", &Summary::waitTail } } };
+
+/// Prints each seed's figures beside those of the static split.
+void measurePolicies(std::uint64_t seed)
+{
+    for (const auto& workload : workloads) {
+        for (std::uint64_t number = 0; number < seedCount; ++number) {
+            const auto baseline = summarise({ "static-ninths", runStatic }, workload, seed + number);
+            for (const auto& policy : policies) {
+                const auto summary = summarise(policy, workload, seed + number);
+                for (const auto& metric : summaryMetrics)
+                    print({ fmt::format("allowance.{}.{}", workload.name, policy.name), metric.name, summary.*metric.value, baseline.*metric.value, seed + number });
+            }
+        }
+    }
+}
+
+constexpr std::size_t workspaceCount = 1400;
+constexpr std::size_t decisionCount = 1'000'000;
+
+AllowanceSettings settingsForCost(std::size_t number)
+{
+    AllowanceSettings settings;
+    settings.workspace = WorkspaceId(fmt::format("workspace-{}", number));
+    settings.self = { InstanceId("khomas-1"), Incarnation(1) };
+    settings.lenders = { InstanceId("omaheke-1"), InstanceId("erongo-1") };
+    settings.fleet = { TokensPerSecond(3e9), TokenAmount(3e9) };
+    settings.share = { TokensPerSecond(1e9), TokenAmount(1e9) };
+    settings.lending = { 10s };
+    settings.longestWait = 400ms;
+    return settings;
+}
+
+using Table = std::unordered_map<WorkspaceId, WorkspaceAllowance>;
+
+/// The time of one reservation and its settlement, with many requests under way.
+double decisionNanoseconds(std::size_t workspaces, std::uint64_t seed)
+{
+    constexpr std::uint64_t underWay = 4096;
+    AddressTenure tenure({ 5s, 10s });
+    TimePoint now(1h);
+    tenure.completeProbe(tenure.beginProbe(now), now);
+    Table table;
+    std::vector<WorkspaceId> names;
+    for (std::size_t number = 0; number < workspaces; ++number) {
+        auto settings = settingsForCost(number);
+        names.push_back(settings.workspace);
+        table.emplace(settings.workspace, WorkspaceAllowance(settings, tenure));
+    }
+    for (int proof = 0; proof < 20; ++proof) {
+        now += 1s;
+        tenure.completeProbe(tenure.beginProbe(now), now);
+    }
+    std::mt19937_64 random(seed);
+    std::vector<std::size_t> order(decisionCount);
+    std::generate(order.begin(), order.end(), [&] { return random() % workspaces; });
+    std::uint64_t admitted = 0;
+    const auto start = std::chrono::steady_clock::now();
+    for (std::uint64_t number = 0; number < decisionCount; ++number) {
+        now += 1us;
+        admitted += table.at(names[order[number]]).reserve(ReservationId(number), TokenAmount(800), now).size();
+        if (number >= underWay)
+            table.at(names[order[number - underWay]]).settle(ReservationId(number - underWay), TokenAmount(500), now);
+    }
+    const std::chrono::duration<double, std::nano> elapsed = std::chrono::steady_clock::now() - start;
+    return admitted == 0 ? 0 : elapsed.count() / static_cast<double>(decisionCount);
+}
+
+double bytesPerWorkspace()
+{
+    const AddressTenure tenure({ 5s, 10s });
+    const auto before = mallinfo2().uordblks;
+    std::vector<std::unique_ptr<WorkspaceAllowance>> allowances;
+    for (std::size_t number = 0; number < workspaceCount; ++number)
+        allowances.push_back(std::make_unique<WorkspaceAllowance>(settingsForCost(number), tenure));
+    return static_cast<double>(mallinfo2().uordblks - before) / workspaceCount;
+}
+
+void measureCost(std::uint64_t seed)
+{
+    const double small = decisionNanoseconds(workspaceCount / 10, seed);
+    print({ "allowance.cost", "reserve_and_settle_ns", decisionNanoseconds(workspaceCount, seed), small, seed });
+    print({ "allowance.cost", "bytes_per_workspace", bytesPerWorkspace(), 0, seed });
+}
+
+void measureAllowance(std::uint64_t seed)
+{
+    measureCost(seed);
+    measurePolicies(seed);
+}
+
+const BenchmarkRegistration registration("allowance", measureAllowance);
+
+} // namespace
+
+} // namespace Ibisturn::Benchmarks
--- /dev/null
+++ b/Libraries/LibDecision/Allowance/TokenBucket.cpp
@@ -0,0 +1,96 @@
+#include <LibDecision/Allowance/TokenBucket.h>
+
+#include <algorithm>
+
+namespace Ibisturn {
+
+namespace {
+
+constexpr std::size_t markLimit = 64;
+
+double secondsOf(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+TokenBucket::TokenBucket(BucketLimits limits, TimePoint start)
+    : limits_(limits)
+    , advancedTo_(start)
+{
+}
+
+void TokenBucket::advance(TimePoint now)
+{
+    if (now <= advancedTo_)
+        return;
+    // A clock that runs fast by the drift bound still earns no more than the rate in true time.
+    const double earned = limits_.rate.count() / (1 + clockDriftBound) * secondsOf(now - advancedTo_);
+    level_ = std::min(limits_.capacity.count(), level_ + earned);
+    advancedTo_ = now;
+    noteHeadroom();
+}
+
+void TokenBucket::setLimits(BucketLimits limits)
+{
+    limits_ = limits;
+    level_ = std::min(level_, limits_.capacity.count());
+    noteHeadroom();
+}
+
+void TokenBucket::deposit(TokenAmount amount)
+{
+    level_ = std::min(limits_.capacity.count(), level_ + amount.count());
+    noteHeadroom();
+}
+
+WithdrawalNumber TokenBucket::withdraw(TokenAmount amount)
+{
+    level_ -= amount.count();
+    return WithdrawalNumber(nextWithdrawal_++);
+}
+
+void TokenBucket::putBack(WithdrawalNumber number, TokenAmount amount)
+{
+    noteHeadroom();
+    const double kept = std::clamp(headroomSince(number), 0.0, amount.count());
+    level_ += kept;
+    putBackTotal_ += amount.count();
+    noteHeadroom();
+}
+
+void TokenBucket::noteHeadroom()
+{
+    // All of what is put back counts against the headroom of the time before, when it had not yet overflowed.
+    const double headroom = limits_.capacity.count() - level_ + putBackTotal_;
+    while (!marks_.empty() && marks_.back().headroom >= headroom)
+        marks_.pop_back();
+    if (!marks_.empty() && marks_.back().nextWithdrawal == nextWithdrawal_)
+        return;
+    marks_.push_back({ nextWithdrawal_, headroom });
+    if (marks_.size() > markLimit)
+        thinMarks();
+}
+
+void TokenBucket::thinMarks()
+{
+    // A pair becomes its later withdrawal with its lower headroom, which errs towards dropping tokens.
+    std::deque<HeadroomMark> thinned;
+    for (std::size_t index = 0; index + 1 < marks_.size(); index += 2)
+        thinned.push_back({ marks_[index + 1].nextWithdrawal, marks_[index].headroom });
+    if (marks_.size() % 2 == 1)
+        thinned.push_back(marks_.back());
+    marks_ = std::move(thinned);
+}
+
+double TokenBucket::headroomSince(WithdrawalNumber number) const
+{
+    const auto isAfter = [](std::uint64_t withdrawal, const HeadroomMark& mark) { return withdrawal < mark.nextWithdrawal; };
+    const auto found = std::upper_bound(marks_.begin(), marks_.end(), number.count(), isAfter);
+    if (found == marks_.end())
+        return 0;
+    return found->headroom - putBackTotal_;
+}
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibDecision/Allowance/WorkspaceAllowance.cpp
@@ -0,0 +1,310 @@
+#include <LibDecision/Allowance/WorkspaceAllowance.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Ibisturn {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A request for a loan that was not answered for this long is taken as lost.
+constexpr Duration requestTimeout = 1s;
+/// Pause between requests to one lender while a reservation waits.
+constexpr Duration shortfallInterval = 100ms;
+/// Pause between requests to one lender while none waits.
+constexpr Duration demandInterval = 1s;
+/// The pause doubles with each request that brought nothing, up to this many times.
+constexpr std::uint32_t longestBackOff = 4;
+/// Pause between recalls.
+constexpr Duration recallInterval = 200ms;
+/// A loan is kept for this long even if it is not needed.
+constexpr Duration shortestLoan = 1s;
+/// For how long an instance without a share borrows ahead.
+constexpr Duration reserveTime = 3s;
+constexpr Duration longestRetryAfter = 1h;
+/// Part of the share's capacity below which others are asked for tokens.
+constexpr double levelThreshold = 0.15;
+/// Part of a loan's term before its end at which what is left of it is given back.
+constexpr double returnPortion = 0.1;
+Duration portionOf(Duration span, double portion)
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(span.count()) * portion));
+}
+
+} // namespace
+
+WorkspaceAllowance::WorkspaceAllowance(AllowanceSettings settings, const AddressTenure& tenure)
+    : settings_(std::move(settings))
+    , share_(settings_.share, settings_.lending, tenure)
+    , loans_(settings_.lending.term)
+{
+}
+
+AllowanceActions WorkspaceAllowance::reserve(ReservationId id, TokenAmount amount, TimePoint now)
+{
+    advance(now);
+    AllowanceActions actions;
+    if (amount > settings_.fleet.capacity) {
+        actions.emplace_back(RefuseReservation { id, longestRetryAfter });
+        return actions;
+    }
+    demand_.add(amount, now);
+    waiting_.push_back({ id, amount, now + settings_.longestWait });
+    admitWaiting(actions, now);
+    askLenders(actions, now);
+    return actions;
+}
+
+AllowanceActions WorkspaceAllowance::settle(ReservationId id, TokenAmount used, TimePoint now)
+{
+    advance(now);
+    AllowanceActions actions;
+    const auto found = reservations_.find(id);
+    if (found == reservations_.end())
+        return actions;
+    const Reservation reservation = std::move(found->second);
+    reservations_.erase(found);
+    if (used > reservation.amount)
+        share_.bucket().charge(used - reservation.amount);
+    TokenAmount unused = std::max(TokenAmount(), reservation.amount - used);
+    for (const auto& part : reservation.parts) {
+        const auto returned = std::min(unused, part.amount);
+        if (returned > TokenAmount())
+            putBack(actions, part, returned);
+        unused -= returned;
+    }
+    demand_.add(used - reservation.amount, now);
+    admitWaiting(actions, now);
+    return actions;
+}
+
+void WorkspaceAllowance::abandon(ReservationId id)
+{
+    reservations_.erase(id);
+    std::erase_if(waiting_, [id](const Waiting& waiting) { return waiting.id == id; });
+}
+
+void WorkspaceAllowance::setLimits(BucketLimits fleet, BucketLimits share, TimePoint now)
+{
+    advance(now);
+    settings_.fleet = fleet;
+    settings_.share = share;
+    share_.setWhole(share);
+}
+
+AllowanceActions WorkspaceAllowance::receive(const LoanRequest& request, TimePoint now)
+{
+    advance(now);
+    AllowanceActions actions;
+    auto grant = share_.lend(request, settings_.self, demand_.at(now), now);
+    if (grant.moved + grant.lent < request.shortfall)
+        recallLoans(actions, request.borrower, now);
+    actions.emplace_back(SendLoanGrant { std::move(grant) });
+    return actions;
+}
+
+AllowanceActions WorkspaceAllowance::receive(const LoanGrant& grant, TimePoint now)
+{
+    advance(now);
+    AllowanceActions actions;
+    if (grant.borrower != settings_.self || !loans_.isAwaited(grant))
+        return actions;
+    const auto room = loans_.endRequest(grant.lender.instance);
+    share_.fillRoom(room, grant.moved);
+    loans_.accept(grant, now);
+    admitWaiting(actions, now);
+    askLenders(actions, now);
+    return actions;
+}
+
+AllowanceActions WorkspaceAllowance::receive(const LoanReturn& loan, TimePoint now)
+{
+    advance(now);
+    AllowanceActions actions;
+    if (loan.lender != settings_.self)
+        return actions;
+    share_.takeBack(loan);
+    admitWaiting(actions, now);
+    return actions;
+}
+
+AllowanceActions WorkspaceAllowance::receive(const LoanRecall& recall, TimePoint now)
+{
+    advance(now);
+    AllowanceActions actions;
+    const auto* loan = loans_.loanOf(recall.lender);
+    // A request that waits elsewhere goes before one that may come here.
+    if (recall.borrower == settings_.self && loan && waiting_.empty())
+        giveBack(actions, { recall.lender });
+    return actions;
+}
+
+AllowanceActions WorkspaceAllowance::receive(const LoanRefund& refund, TimePoint now)
+{
+    advance(now);
+    AllowanceActions actions;
+    if (refund.lender != settings_.self)
+        return actions;
+    share_.takeRefund(refund);
+    admitWaiting(actions, now);
+    return actions;
+}
+
+AllowanceActions WorkspaceAllowance::tick(TimePoint now)
+{
+    advance(now);
+    AllowanceActions actions;
+    admitWaiting(actions, now);
+    askLenders(actions, now);
+    if (!waiting_.empty())
+        recallLoans(actions, settings_.self, now);
+    const TimePoint before = now + portionOf(settings_.lending.term, returnPortion);
+    giveBack(actions, loans_.lendersIf([&](const LoanBook::Loan& loan) { return loan.end < before || isIdle(loan, now); }));
+    return actions;
+}
+
+void WorkspaceAllowance::advance(TimePoint now)
+{
+    share_.advance(now);
+    loans_.advance(now);
+    share_.fillRoom(loans_.endRequestsBefore(now - requestTimeout), {});
+}
+
+void WorkspaceAllowance::admitWaiting(AllowanceActions& actions, TimePoint now)
+{
+    // One that does not fit keeps no smaller one back: the exact bucket would admit that one, too.
+    for (auto waiting = waiting_.begin(); waiting != waiting_.end();) {
+        const bool fits = waiting->amount <= spendable();
+        if (!fits && now < waiting->refuseAt) {
+            ++waiting;
+            continue;
+        }
+        if (fits) {
+            charge(waiting->id, waiting->amount);
+            actions.emplace_back(AdmitReservation { waiting->id });
+        } else {
+            actions.emplace_back(RefuseReservation { waiting->id, retryAfter(waiting->amount) });
+        }
+        waiting = waiting_.erase(waiting);
+    }
+}
+
+void WorkspaceAllowance::askLenders(AllowanceActions& actions, TimePoint now)
+{
+    for (const auto& lender : settings_.lenders) {
+        if (!shouldAsk(lender, now))
+            continue;
+        const TokenAmount room(share_.spareRoom().count() / static_cast<double>(settings_.lenders.size()));
+        share_.keepRoom(room);
+        const auto number = loans_.beginRequest(lender, room, now);
+        LoanRequest request { settings_.workspace, settings_.self, number, demand_.at(now), spendable(), room, shortfall(now) };
+        actions.emplace_back(SendLoanRequest { lender, std::move(request) });
+    }
+}
+
+void WorkspaceAllowance::recallLoans(AllowanceActions& actions, const InstanceProcess& except, TimePoint now)
+{
+    if (recalledAt_ != TimePoint::min() && now - recalledAt_ < recallInterval)
+        return;
+    for (auto& borrower : share_.borrowers(except))
+        actions.emplace_back(SendLoanRecall { { settings_.workspace, settings_.self, std::move(borrower) } });
+    recalledAt_ = now;
+}
+
+void WorkspaceAllowance::giveBack(AllowanceActions& actions, const std::vector<InstanceProcess>& lenders)
+{
+    for (const auto& lender : lenders) {
+        if (auto loan = loans_.giveBack(settings_.workspace, settings_.self, lender))
+            actions.emplace_back(SendLoanReturn { std::move(*loan) });
+    }
+}
+
+bool WorkspaceAllowance::isIdle(const LoanBook::Loan& loan, TimePoint now) const
+{
+    if (!waiting_.empty() || now - loan.begin < shortestLoan)
+        return false;
+    return spendable() - loan.bucket.level() >= reserveWithoutShare(now);
+}
+
+bool WorkspaceAllowance::shouldAsk(const InstanceId& lender, TimePoint now) const
+{
+    const TimePoint last = loans_.lastRequestAt(lender);
+    const bool isFirst = last == TimePoint::min();
+    const Duration since = isFirst ? longestRetryAfter : now - last;
+    if (loans_.isRequestPending(lender))
+        return false;
+    const auto backOff = 1U << std::min(loans_.vainRequests(lender), longestBackOff);
+    if (!waiting_.empty())
+        return since >= shortfallInterval * backOff;
+    return since >= demandInterval * backOff && needsMore(now);
+}
+
+bool WorkspaceAllowance::needsMore(TimePoint now) const
+{
+    if (demand_.at(now) <= TokensPerSecond())
+        return false;
+    return spendable().count() < levelThreshold * settings_.share.capacity.count() || spendable() < reserveWithoutShare(now);
+}
+
+TokenAmount WorkspaceAllowance::reserveWithoutShare(TimePoint now) const
+{
+    if (settings_.share.capacity > TokenAmount())
+        return {};
+    return TokenAmount(demand_.at(now).count() * std::chrono::duration<double>(reserveTime).count());
+}
+
+void WorkspaceAllowance::charge(ReservationId id, TokenAmount amount)
+{
+    Reservation reservation { amount, {} };
+    TokenAmount missing = amount;
+    // The standing share first: what is put back later finds it, while loans end.
+    const auto own = std::min(missing, share_.spendable());
+    if (own > TokenAmount()) {
+        reservation.parts.push_back({ { {}, share_.bucket().withdraw(own) }, share_.tenure(), own });
+        missing -= own;
+    }
+    for (auto& [lender, loan] : loans_.loans()) {
+        const auto taken = std::min(missing, std::max(TokenAmount(), loan.bucket.level()));
+        if (taken <= TokenAmount())
+            continue;
+        reservation.parts.push_back({ { loan.number, loan.bucket.withdraw(taken) }, {}, taken });
+        missing -= taken;
+    }
+    reservations_.emplace(id, std::move(reservation));
+}
+
+void WorkspaceAllowance::putBack(AllowanceActions& actions, const Part& part, TokenAmount amount)
+{
+    if (part.loan.loan == LoanNumber()) {
+        if (part.tenure == share_.tenure())
+            share_.bucket().putBack(part.loan.number, amount);
+        return;
+    }
+    auto refund = loans_.putBack(part.loan, amount);
+    if (!refund)
+        return;
+    refund->workspace = settings_.workspace;
+    refund->borrower = settings_.self;
+    actions.emplace_back(SendLoanRefund { std::move(*refund) });
+}
+
+TokenAmount WorkspaceAllowance::shortfall(TimePoint now) const
+{
+    TokenAmount wanted = reserveWithoutShare(now);
+    for (const auto& waiting : waiting_)
+        wanted += waiting.amount;
+    return std::max(TokenAmount(), wanted - spendable());
+}
+
+Duration WorkspaceAllowance::retryAfter(TokenAmount amount) const
+{
+    const double rate = settings_.fleet.rate.count();
+    const double missing = (amount - spendable()).count();
+    if (rate <= 0 || missing / rate >= std::chrono::duration<double>(longestRetryAfter).count())
+        return longestRetryAfter;
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::max(1.0, missing / rate)));
+}
+
+} // namespace Ibisturn
