LibDecision: Give away tokens before they overflow

A share that was full lost what it earned while another one was low. An instance below 60% of its share now asks for what would overflow elsewhere, and below 15% for what the demand of both gives it. Moving tokens no longer lengthens a loan, which kept spent tokens out of the lender's capacity. The marks that bound what is put back are kept apart by a step of headroom in place of being thinned by halves, which carried the lowest headroom forward.

--- a/Libraries/LibDecision/Allowance/AllowanceMessages.h
+++ b/Libraries/LibDecision/Allowance/AllowanceMessages.h
@@ -19,6 +19,13 @@
 /// Numbers the loan requests of one process; a later one supersedes an earlier one to the same lender.
 using LoanRequestNumber = Quantity<struct LoanRequestTag, std::uint64_t>;
 
+enum class Urgency : std::uint8_t {
+    /// Give what would soon overflow.
+    Surplus,
+    /// Give as the demand of both has it.
+    Balance,
+};
+
 /// Asks the holder of a share for tokens.
 struct LoanRequest {
     WorkspaceId workspace;
@@ -28,6 +35,8 @@
     TokensPerSecond demand;
     /// What the borrower can spend now.
     TokenAmount level;
+    /// Whether the borrower has so little that it is given more than what the lender's share can't hold.
+    Urgency urgency { Urgency::Surplus };
     /// Room in the borrower's own share that it keeps empty until the answer: that many tokens can move for good.
     TokenAmount room;
     /// What waiting requests lack, or what an instance without a share needs for the next seconds.
@@ -44,7 +53,8 @@
     TokenAmount moved;
     /// Tokens that are lent from the sending of the request for the term of loans.
     TokenAmount lent;
-    /// All that is lent to the borrower, the lent tokens of earlier grants included, whether spent or not.
+    /// All that is lent to the borrower, the lent tokens of earlier grants included, whether spent or not. Zero if
+    /// no tokens are lent by this grant; an earlier loan then stays as it is.
     TokenAmount capacity;
 };
 
--- a/Libraries/LibDecision/Allowance/StandingShare.cpp
+++ b/Libraries/LibDecision/Allowance/StandingShare.cpp
@@ -12,6 +12,8 @@
 
 /// The part of the empty room that is kept for tokens of others; the rest is for what reservations do not use.
 constexpr double spareRoomPortion = 0.12;
+/// The part of the capacity above which a share gives away tokens before they overflow.
+constexpr double fullPortion = 0.85;
 /// How long after its end a loan that was given back is remembered.
 constexpr Duration refundTime = 60s;
 
@@ -71,13 +73,17 @@
     const double both = request.demand.count() + demand.count();
     const double portion = both > 0 ? request.demand.count() / both : 0;
     const double balance = (level + request.level.count()) * portion - request.level.count();
-    const double wanted = std::clamp(std::max(balance, request.shortfall.count()), 0.0, level);
+    const double surplus = level - fullPortion * bucket_.limits().capacity.count();
+    const double offered = request.urgency == Urgency::Balance ? std::max(balance, surplus) : std::min(balance, surplus);
+    const double wanted = std::clamp(std::max(offered, request.shortfall.count()), 0.0, level);
     grant.moved = std::min(TokenAmount(wanted), request.room);
     grant.lent = std::clamp(request.shortfall - grant.moved, TokenAmount(), TokenAmount(wanted) - grant.moved);
-    grant.capacity = lending.capacity + grant.lent;
     bucket_.withdraw(grant.moved + grant.lent);
-    if (grant.capacity > TokenAmount())
-        lendings_[request.borrower] = { grant.capacity, request.number, now + lengthenedByDrift(lending_.term) };
+    // Tokens that move do not lengthen a loan, which would keep what was spent of it from being earned again.
+    if (grant.lent <= TokenAmount())
+        return grant;
+    grant.capacity = lending.capacity + grant.lent;
+    lendings_[request.borrower] = { grant.capacity, request.number, now + lengthenedByDrift(lending_.term) };
     applyLimits();
     return grant;
 }
--- a/Libraries/LibDecision/Allowance/TokenBucket.cpp
+++ b/Libraries/LibDecision/Allowance/TokenBucket.cpp
@@ -6,7 +6,9 @@
 
 namespace {
 
-constexpr std::size_t markLimit = 64;
+constexpr std::size_t markLimit = 1024;
+/// Headrooms that differ by less than this part of the capacity are kept as one.
+constexpr double markStep = 1.0 / 256;
 
 double secondsOf(Duration duration)
 {
@@ -66,29 +68,23 @@
     const double headroom = limits_.capacity.count() - level_ + putBackTotal_;
     while (!marks_.empty() && marks_.back().headroom >= headroom)
         marks_.pop_back();
-    if (!marks_.empty() && marks_.back().nextWithdrawal == nextWithdrawal_)
+    // Nearly the same headroom as before: the lower one stands for both, which errs towards dropping tokens.
+    if (!marks_.empty() && headroom - marks_.back().headroom < markStep * limits_.capacity.count()) {
+        marks_.back().nextWithdrawal = nextWithdrawal_;
         return;
+    }
     marks_.push_back({ nextWithdrawal_, headroom });
-    if (marks_.size() > markLimit)
-        thinMarks();
-}
-
-void TokenBucket::thinMarks()
-{
-    // A pair becomes its later withdrawal with its lower headroom, which errs towards dropping tokens.
-    std::deque<HeadroomMark> thinned;
-    for (std::size_t index = 0; index + 1 < marks_.size(); index += 2)
-        thinned.push_back({ marks_[index + 1].nextWithdrawal, marks_[index].headroom });
-    if (marks_.size() % 2 == 1)
-        thinned.push_back(marks_.back());
-    marks_ = std::move(thinned);
+    if (marks_.size() <= markLimit)
+        return;
+    forgottenBefore_ = marks_.front().nextWithdrawal;
+    marks_.pop_front();
 }
 
 double TokenBucket::headroomSince(WithdrawalNumber number) const
 {
     const auto isAfter = [](std::uint64_t withdrawal, const HeadroomMark& mark) { return withdrawal < mark.nextWithdrawal; };
     const auto found = std::upper_bound(marks_.begin(), marks_.end(), number.count(), isAfter);
-    if (found == marks_.end())
+    if (found == marks_.end() || number.count() < forgottenBefore_)
         return 0;
     return found->headroom - putBackTotal_;
 }
--- a/Libraries/LibDecision/Allowance/TokenBucket.h
+++ b/Libraries/LibDecision/Allowance/TokenBucket.h
@@ -61,7 +61,6 @@
     };
 
     void noteHeadroom();
-    void thinMarks();
     double headroomSince(WithdrawalNumber number) const;
 
     BucketLimits limits_;
@@ -69,6 +68,8 @@
     TimePoint advancedTo_;
     std::uint64_t nextWithdrawal_ { 0 };
     double putBackTotal_ { 0 };
+    /// Withdrawals before this one can no longer be put back.
+    std::uint64_t forgottenBefore_ { 0 };
     /// Ascending in both members.
     std::deque<HeadroomMark> marks_;
 };
--- a/Libraries/LibDecision/Allowance/WorkspaceAllowance.cpp
+++ b/Libraries/LibDecision/Allowance/WorkspaceAllowance.cpp
@@ -24,8 +24,10 @@
 /// For how long an instance without a share borrows ahead.
 constexpr Duration reserveTime = 3s;
 constexpr Duration longestRetryAfter = 1h;
-/// Part of the share's capacity below which others are asked for tokens.
-constexpr double levelThreshold = 0.15;
+/// Part of the share's capacity below which others are asked for what would overflow there.
+constexpr double surplusThreshold = 0.6;
+/// Part of the share's capacity below which others are asked for more.
+constexpr double balanceThreshold = 0.15;
 /// Part of a loan's term before its end at which what is left of it is given back.
 constexpr double returnPortion = 0.1;
 Duration portionOf(Duration span, double portion)
@@ -199,7 +201,7 @@
         const TokenAmount room(share_.spareRoom().count() / static_cast<double>(settings_.lenders.size()));
         share_.keepRoom(room);
         const auto number = loans_.beginRequest(lender, room, now);
-        LoanRequest request { settings_.workspace, settings_.self, number, demand_.at(now), spendable(), room, shortfall(now) };
+        LoanRequest request { settings_.workspace, settings_.self, number, demand_.at(now), spendable(), urgency(), room, shortfall(now) };
         actions.emplace_back(SendLoanRequest { lender, std::move(request) });
     }
 }
@@ -245,7 +247,13 @@
 {
     if (demand_.at(now) <= TokensPerSecond())
         return false;
-    return spendable().count() < levelThreshold * settings_.share.capacity.count() || spendable() < reserveWithoutShare(now);
+    return spendable().count() < surplusThreshold * settings_.share.capacity.count() || spendable() < reserveWithoutShare(now);
+}
+
+Urgency WorkspaceAllowance::urgency() const
+{
+    const bool isLow = spendable().count() < balanceThreshold * settings_.share.capacity.count();
+    return isLow ? Urgency::Balance : Urgency::Surplus;
 }
 
 TokenAmount WorkspaceAllowance::reserveWithoutShare(TimePoint now) const
--- a/Libraries/LibDecision/Allowance/WorkspaceAllowance.h
+++ b/Libraries/LibDecision/Allowance/WorkspaceAllowance.h
@@ -136,6 +136,7 @@
     bool isIdle(const LoanBook::Loan& loan, TimePoint now) const;
     bool shouldAsk(const InstanceId& lender, TimePoint now) const;
     bool needsMore(TimePoint now) const;
+    Urgency urgency() const;
     void charge(ReservationId id, TokenAmount amount);
     void putBack(AllowanceActions& actions, const Part& part, TokenAmount amount);
     TokenAmount reserveWithoutShare(TimePoint now) const;
--- a/Tests/LibDecision/AllowanceFleet.h
+++ b/Tests/LibDecision/AllowanceFleet.h
@@ -299,7 +299,7 @@
         });
     }
 
-    void send(std::size_t from, std::size_t to, std::uint64_t size, std::function<void(const ProcessPointer&)> receive)
+    void send(std::size_t from, std::size_t to, std::uint64_t size, const std::function<void(const ProcessPointer&)>& receive)
     {
         ++messages_;
         (size == probeSize ? probeBytes_ : bytes_) += size;
--- /dev/null
+++ b/Tests/LibDecision/WorkspaceAllowanceTest.cpp
@@ -0,0 +1,87 @@
+#include <Tests/LibDecision/AllowanceFleet.h>
+
+#include <gtest/gtest.h>
+
+namespace Ibisturn {
+
+namespace {
+
+constexpr BucketLimits fleetLimits { TokensPerSecond(300), TokenAmount(9000) };
+
+AllowanceFleet makeFleet()
+{
+    AllowanceFleet::Options options;
+    options.sites = { { 0, 1.0 / 3 }, { 0, 0 }, { 1, 1.0 / 3 }, { 1, 0 }, { 2, 1.0 / 3 }, { 2, 0 } };
+    options.fleet = fleetLimits;
+    return AllowanceFleet(options, 20261204);
+}
+
+} // namespace
+
+TEST(TokenBucket, WhatWouldHaveOverflowedIsNotPutBack)
+{
+    TokenBucket bucket({ TokensPerSecond(10), TokenAmount(100) }, TimePoint());
+    bucket.deposit(TokenAmount(100));
+    const auto first = bucket.withdraw(TokenAmount(50));
+    const auto second = bucket.withdraw(TokenAmount(50));
+    bucket.advance(TimePoint(5s));
+    bucket.putBack(first, TokenAmount(50));
+    EXPECT_NEAR(bucket.level().count(), 100, 0.1);
+    bucket.withdraw(bucket.level());
+    // Had neither been taken, the bucket had been full, and would be empty now.
+    bucket.putBack(second, TokenAmount(50));
+    EXPECT_NEAR(bucket.level().count(), 0, 0.1);
+}
+
+TEST(AddressTenure, LastsFromTheSendingOfTheProbe)
+{
+    AddressTenure tenure({ 5s, 10s });
+    const auto first = tenure.beginProbe(TimePoint(100s));
+    tenure.completeProbe(first, TimePoint(104s));
+    EXPECT_FALSE(tenure.isHeld(TimePoint(104s)));
+    for (int second = 104; second < 120; ++second)
+        tenure.completeProbe(tenure.beginProbe(TimePoint(std::chrono::seconds(second))), TimePoint(std::chrono::seconds(second)));
+    EXPECT_TRUE(tenure.isHeld(TimePoint(123s)));
+    EXPECT_FALSE(tenure.isHeld(TimePoint(124s)));
+    EXPECT_EQ(tenure.number(), TenureNumber(1));
+    tenure.completeProbe(tenure.beginProbe(TimePoint(125s)), TimePoint(125s));
+    EXPECT_EQ(tenure.number(), TenureNumber(2));
+    EXPECT_FALSE(tenure.isHeld(TimePoint(126s)));
+}
+
+TEST(WorkspaceAllowance, RequestLargerThanItsShareGathers)
+{
+    for (const std::size_t site : { 0, 1 }) {
+        auto fleet = makeFleet();
+        fleet.runUntil(120s);
+        fleet.request(site, ReservationId(1), fleetLimits.capacity.count() * 0.9);
+        fleet.runUntil(121s);
+        EXPECT_EQ(fleet.admissions().size(), 1U) << "site " << site;
+    }
+}
+
+TEST(WorkspaceAllowance, RequestLargerThanTheBurstIsRefusedAtOnce)
+{
+    auto fleet = makeFleet();
+    std::size_t refused = 0;
+    fleet.observer.refused = [&refused](ReservationId) { ++refused; };
+    fleet.runUntil(120s);
+    fleet.request(0, ReservationId(1), fleetLimits.capacity.count() + 1);
+    EXPECT_EQ(refused, 1U);
+}
+
+TEST(WorkspaceAllowance, IsolatedDataCentreKeepsItsStandingShareForHours)
+{
+    auto fleet = makeFleet();
+    fleet.runUntil(120s);
+    fleet.cut(0, 1);
+    fleet.cut(0, 2);
+    constexpr std::uint64_t requests = 3600;
+    // 95% of the rate of the standing share, one request every two seconds.
+    for (std::uint64_t number = 0; number < requests; ++number)
+        fleet.at(120s + std::chrono::seconds(2 * number), [&fleet, number] { fleet.request(0, ReservationId(number), 190); });
+    fleet.runUntil(120s + 2h);
+    EXPECT_EQ(fleet.admissions().size(), requests);
+}
+
+} // namespace Ibisturn
