--- /dev/null
+++ b/Libraries/LibDecision/Configuration/SnapshotAdopter.cpp
@@ -0,0 +1,363 @@
+#include <LibDecision/Configuration/SnapshotAdopter.h>
+
+#include <LibConfiguration/RecordHead.h>
+#include <LibDecision/Configuration/WatcherElection.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace Ibisturn {
+
+namespace {
+
+constexpr std::size_t watchersPerDataCentre = 2;
+/// Instances that try the store in the watchers' place when none of them reaches it.
+constexpr std::size_t standInWatchers = 2;
+constexpr std::size_t remoteSources = 2;
+constexpr std::size_t changesKept = 1000;
+constexpr Duration heartbeatPeriod = std::chrono::milliseconds(500);
+constexpr Duration sweepPeriod = std::chrono::seconds(1);
+/// The store counts as reached while its last answer is no older.
+constexpr Duration storeFreshness = std::chrono::milliseconds(1600);
+/// A watcher that has not reached the store for this long is not relied on.
+constexpr Duration watcherFitness = std::chrono::milliseconds(2500);
+constexpr Duration pauseLimit = std::chrono::seconds(2);
+/// How long silent peers are waited for; what was in force has reached everyone who can be reached by then.
+constexpr Duration settleWait = std::chrono::seconds(3);
+constexpr Duration recheckWait = std::chrono::seconds(2);
+constexpr Duration resendPause = std::chrono::milliseconds(400);
+
+void addOnce(std::vector<InstanceId>& list, const InstanceId& instance)
+{
+    if (std::find(list.begin(), list.end(), instance) == list.end())
+        list.push_back(instance);
+}
+
+// Whether each transaction names the one before it, so that none was left out.
+bool isUnbroken(Revision revision, const std::string& headKey, const std::vector<RecordChange>& changes)
+{
+    for (const auto& change : changes) {
+        if (change.key != headKey || change.revision <= revision || !change.value)
+            continue;
+        const auto head = parseRecordHead(*change.value);
+        if (!head || head->previous > revision)
+            return false;
+        revision = change.revision;
+    }
+    return true;
+}
+
+Revision latest(const std::vector<RecordChange>& changes)
+{
+    Revision revision(0);
+    for (const auto& change : changes)
+        revision = std::max(revision, change.revision);
+    return revision;
+}
+
+} // namespace
+
+SnapshotAdopter::SnapshotAdopter(InstanceIdentity self, std::string prefix, Incarnation incarnation, TimePoint startedAt)
+    : self_(std::move(self))
+    , headKey_(recordHeadKey(prefix))
+    , log_(std::move(prefix), changesKept)
+    , feed_(incarnation)
+    , uncertainSince_(startedAt)
+    , nextHeartbeats_(startedAt)
+{
+}
+
+void SnapshotAdopter::setInstances(std::vector<Member> instances)
+{
+    instances_ = std::move(instances);
+}
+
+AdopterActions SnapshotAdopter::tick(TimePoint now)
+{
+    notePause(now);
+    lastTick_ = now;
+    const auto elected = watchers(now);
+    isWatcher_ = std::find(elected.begin(), elected.end(), self_.instance) != elected.end();
+    const auto idle = readiness_ == Readiness::Ready ? StoreInterest::None : StoreInterest::Read;
+    follower_.setInterest(isWatcher_ ? StoreInterest::Watch : idle);
+    AdopterActions actions;
+    actions.store = follower_.tick(now);
+    if (now >= nextHeartbeats_) {
+        nextHeartbeats_ = now + heartbeatPeriod;
+        for (const auto& peer : heartbeatTargets(now))
+            actions.peers.emplace_back(makeHeartbeat(now, peer, HeartbeatKind::Request));
+        feed_.forgetSilent(now);
+    }
+    updateReadiness(now);
+    return actions;
+}
+
+// Whatever waited in buffers while the process was frozen tells of the past, so it is noticed before any event counts.
+void SnapshotAdopter::notePause(TimePoint now)
+{
+    if (!lastTick_ || now - *lastTick_ <= pauseLimit)
+        return;
+    if (readiness_ != Readiness::Starting)
+        readiness_ = Readiness::Rechecking;
+    lastTick_ = now;
+    uncertainSince_ = now;
+    nextHeartbeats_ = now;
+    follower_.requireRead();
+}
+
+AdopterActions SnapshotAdopter::onRead(TimePoint now, StoreCallId call, StoreRecords records)
+{
+    notePause(now);
+    // A store that was restored from an older state must not count as up to date.
+    if (latest(records.records) < log_.revision()) {
+        follower_.onFailed(now, call);
+        return {};
+    }
+    if (!follower_.onRead(call, records.position))
+        return {};
+    ConfigurationUpdate update { UpdateKind::Full, noRevision, latest(records.records), {} };
+    std::erase_if(records.records, [this](const auto& change) { return change.key == headKey_; });
+    update.changes = std::move(records.records);
+    auto actions = adopt(now, update);
+    updateReadiness(now);
+    return actions;
+}
+
+AdopterActions SnapshotAdopter::onHead(TimePoint now, StoreCallId call, Revision head)
+{
+    notePause(now);
+    follower_.onHead(now, call, head, log_.revision());
+    return {};
+}
+
+AdopterActions SnapshotAdopter::onWatched(TimePoint now, StoreCallId call, Revision position, const std::vector<RecordChange>& changes)
+{
+    if (!follower_.onWatched(call, position) || changes.empty())
+        return {};
+    if (!isUnbroken(log_.revision(), headKey_, changes)) {
+        follower_.requireRead();
+        return {};
+    }
+    ConfigurationUpdate update { UpdateKind::Delta, log_.revision(), latest(changes), {} };
+    std::copy_if(changes.begin(), changes.end(), std::back_inserter(update.changes), [this](const auto& change) { return change.key != headKey_; });
+    return adopt(now, update);
+}
+
+void SnapshotAdopter::onStoreFailed(TimePoint now, StoreCallId call)
+{
+    follower_.onFailed(now, call);
+}
+
+AdopterActions SnapshotAdopter::onHeartbeat(TimePoint now, const InstanceId& from, const ControlHeartbeat& heartbeat)
+{
+    notePause(now);
+    AdopterActions actions;
+    if (!feed_.receive(now, from, heartbeat))
+        return actions;
+    if (heartbeat.kind == HeartbeatKind::Request)
+        actions.peers.emplace_back(makeHeartbeat(now, from, HeartbeatKind::Reply));
+    if (heartbeat.revision < log_.revision())
+        offerUpdate(now, from, heartbeat.wish, actions);
+    updateReadiness(now);
+    return actions;
+}
+
+AdopterActions SnapshotAdopter::onUpdate(TimePoint now, const ConfigurationUpdate& update)
+{
+    notePause(now);
+    auto actions = adopt(now, update);
+    updateReadiness(now);
+    return actions;
+}
+
+std::optional<Duration> SnapshotAdopter::storeAge(TimePoint now) const
+{
+    const auto current = currentAsOf();
+    if (!current)
+        return std::nullopt;
+    return now - *current;
+}
+
+std::optional<TimePoint> SnapshotAdopter::currentAsOf() const
+{
+    const auto own = follower_.currentAsOf();
+    const auto peers = feed_.currentAsOf(log_.revision());
+    if (!own || !peers)
+        return own ? own : peers;
+    return std::max(*own, *peers);
+}
+
+bool SnapshotAdopter::isStoreFresh(TimePoint now) const
+{
+    const auto current = follower_.currentAsOf();
+    return current && now - *current <= storeFreshness;
+}
+
+std::vector<InstanceId> SnapshotAdopter::others() const
+{
+    std::set<InstanceId> found;
+    for (const auto& member : instances_) {
+        if (member.dataCentre == self_.dataCentre && member.state == MemberState::Live && member.id != self_.instance)
+            found.insert(member.id);
+    }
+    return { found.begin(), found.end() };
+}
+
+bool SnapshotAdopter::isFit(TimePoint now, const InstanceId& instance) const
+{
+    const auto since = now - watcherFitness;
+    if (instance == self_.instance)
+        return follower_.currentAsOf().value_or(uncertainSince_) >= since;
+    const auto* state = feed_.find(instance);
+    if (!state || !state->askedSince || *state->askedSince >= since)
+        return true;
+    return state->currentAsOf && *state->currentAsOf >= since;
+}
+
+// The first in rank that answer; if none of them reaches the store, the next in rank try as well.
+std::vector<InstanceId> SnapshotAdopter::watchers(TimePoint now) const
+{
+    auto candidates = others();
+    std::erase_if(candidates, [this, now](const auto& id) { return feed_.isSuspected(now, id); });
+    candidates.push_back(self_.instance);
+    auto ranked = rankWatchers(self_.dataCentre, std::move(candidates));
+    const auto first = std::min(ranked.size(), watchersPerDataCentre);
+    const auto isAnyFit = std::any_of(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(first), [this, now](const auto& id) { return isFit(now, id); });
+    const auto wanted = isAnyFit ? first : first + standInWatchers;
+    ranked.resize(std::min(ranked.size(), wanted));
+    return ranked;
+}
+
+std::vector<InstanceId> SnapshotAdopter::heartbeatTargets(TimePoint now)
+{
+    std::vector<InstanceId> targets;
+    if (readiness_ != Readiness::Ready) {
+        targets = others();
+    } else {
+        targets = watchers(now);
+        std::erase(targets, self_.instance);
+        addSuspectedWatchers(now, targets);
+    }
+    if (isWatcher_ && !isStoreFresh(now))
+        addRemoteSources(now, targets);
+    return targets;
+}
+
+// A watcher that was suspected is asked on, so that it is trusted again once it answers.
+void SnapshotAdopter::addSuspectedWatchers(TimePoint now, std::vector<InstanceId>& targets)
+{
+    auto everyone = others();
+    everyone.push_back(self_.instance);
+    const auto ranked = rankWatchers(self_.dataCentre, std::move(everyone));
+    const auto first = std::min(ranked.size(), watchersPerDataCentre);
+    for (std::size_t index = 0; index < first; ++index) {
+        if (ranked[index] != self_.instance && feed_.isSuspected(now, ranked[index]))
+            addOnce(targets, ranked[index]);
+    }
+}
+
+// While the store is out of reach, other data centres may still hear of withdrawals. One instance of each is asked;
+// those that reach the store are then asked alone.
+void SnapshotAdopter::addRemoteSources(TimePoint now, std::vector<InstanceId>& targets)
+{
+    std::map<DataCentreId, std::vector<InstanceId>> remote;
+    std::size_t sources = 0;
+    for (const auto& member : instances_) {
+        if (member.dataCentre == self_.dataCentre || member.state != MemberState::Live)
+            continue;
+        remote[member.dataCentre].push_back(member.id);
+        const auto* state = feed_.find(member.id);
+        const bool isSource = state && state->currentAsOf && *state->currentAsOf >= now - watcherFitness && feed_.isConfirmed(now, member.id);
+        if (isSource && sources < remoteSources) {
+            addOnce(targets, member.id);
+            ++sources;
+        }
+    }
+    if (sources > 0 || now < nextSweep_)
+        return;
+    nextSweep_ = now + sweepPeriod;
+    for (const auto& [dataCentre, members] : remote)
+        addOnce(targets, members[sweeps_ % members.size()]);
+    ++sweeps_;
+}
+
+void SnapshotAdopter::updateReadiness(TimePoint now)
+{
+    if (readiness_ == Readiness::Ready || log_.revision() == noRevision)
+        return;
+    const bool isWaitOver = readiness_ == Readiness::Rechecking && now - uncertainSince_ >= recheckWait;
+    if (isWaitOver || mayServe(now, uncertainSince_))
+        readiness_ = Readiness::Ready;
+}
+
+// Serves once the records can't be behind what was in force: the store answered, a peer that reaches the store
+// answered, or all peers of the data centre did. Silent peers are waited for no longer than what is in force needs
+// to reach everyone who can be reached.
+bool SnapshotAdopter::mayServe(TimePoint now, TimePoint since) const
+{
+    const auto current = currentAsOf();
+    if (current && *current >= since)
+        return true;
+    bool hasReadyPeer = false;
+    bool isSilent = false;
+    for (const auto& peer : others()) {
+        const auto* state = feed_.find(peer);
+        if (!feed_.isConfirmedSince(since, peer)) {
+            isSilent = true;
+            continue;
+        }
+        if (state->readiness != Readiness::Ready)
+            continue;
+        if (state->revision > log_.revision())
+            return false;
+        hasReadyPeer = true;
+    }
+    return hasReadyPeer && (!isSilent || now - since >= settleWait);
+}
+
+SendHeartbeat SnapshotAdopter::makeHeartbeat(TimePoint now, const InstanceId& peer, HeartbeatKind kind)
+{
+    auto heartbeat = feed_.makeHeartbeat(now, peer, kind);
+    heartbeat.revision = log_.revision();
+    heartbeat.storeAge = storeAge(now).value_or(Duration(-1));
+    heartbeat.readiness = readiness_;
+    const auto* state = feed_.find(peer);
+    const bool isBest = state->revision > log_.revision()
+        && std::none_of(feed_.peers().begin(), feed_.peers().end(), [&](const auto& other) { return other.second.revision > state->revision && feed_.isConfirmed(now, other.first); });
+    heartbeat.wish = isBest ? UpdateWish::Full : UpdateWish::Delta;
+    return { peer, heartbeat };
+}
+
+void SnapshotAdopter::offerUpdate(TimePoint now, const InstanceId& peer, UpdateWish wish, AdopterActions& actions)
+{
+    auto& state = feed_.peers().at(peer);
+    if (state.sentRevision == log_.revision() && now - state.sentAt < resendPause)
+        return;
+    if (wish == UpdateWish::Delta && !log_.knowsChangesAfter(state.revision))
+        return;
+    state.sentRevision = log_.revision();
+    state.sentAt = now;
+    actions.peers.emplace_back(SendUpdate { peer, log_.updateFrom(state.revision) });
+}
+
+// Tells everyone who asked lately at once.
+void SnapshotAdopter::announce(TimePoint now, AdopterActions& actions)
+{
+    for (const auto& [peer, state] : feed_.peers()) {
+        if (now - state.lastHeard <= watcherFitness && state.revision < log_.revision())
+            offerUpdate(now, peer, UpdateWish::Delta, actions);
+    }
+}
+
+AdopterActions SnapshotAdopter::adopt(TimePoint now, const ConfigurationUpdate& update)
+{
+    AdopterActions actions;
+    const auto adoption = log_.adopt(update);
+    if (adoption == Adoption::Adopted)
+        announce(now, actions);
+    return actions;
+}
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibDecision/Configuration/StoreFollower.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <LibDecision/Configuration/ConfigurationMessages.h>
+
+#include <deque>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace Ibisturn {
+
+using StoreCallId = Quantity<struct StoreCallTag, std::uint64_t>;
+
+/// Read every record and the head.
+struct ReadStore {
+    StoreCallId call;
+};
+
+/// Read the head alone.
+struct ReadHead {
+    StoreCallId call;
+};
+
+/// Watch the records' changes after the revision `after` of the store, in place of any other watch.
+struct WatchStore {
+    StoreCallId call;
+    Revision after;
+};
+
+/// End the watch.
+struct StopWatch {
+};
+
+using StoreAction = std::variant<ReadStore, ReadHead, WatchStore, StopWatch>;
+
+enum class StoreInterest : std::uint8_t {
+    /// Peers tell what changes.
+    None,
+    /// Read once, to start.
+    Read,
+    /// Read, watch and compare with the head.
+    Watch,
+};
+
+/// Decides on the calls to the store: it reads, watches, and compares the head with the records in force, so that a
+/// watch that was lost, compacted or skipped a change is noticed.
+/// Thread safety: one thread at a time.
+class StoreFollower {
+public:
+    /// Sets what the instance needs of the store.
+    void setInterest(StoreInterest interest);
+
+    /// The calls that are due.
+    std::vector<StoreAction> tick(TimePoint now);
+
+    /// A call answered. Each returns whether its answer counts. Precondition of onRead(): the caller adopts the records.
+    bool onRead(StoreCallId call, Revision position);
+    bool onHead(TimePoint now, StoreCallId call, Revision head, Revision inForce);
+    bool onWatched(StoreCallId call, Revision position);
+
+    /// A call failed, or the watch ended.
+    void onFailed(TimePoint now, StoreCallId call);
+
+    /// Read again: changes are missing.
+    void requireRead() { needsRead_ = true; }
+
+    /// When the last call began that showed the records in force to be the store's.
+    std::optional<TimePoint> currentAsOf() const { return currentAsOf_; }
+
+private:
+    struct Call {
+        StoreCallId id;
+        TimePoint begun;
+    };
+
+    Call begin(TimePoint now);
+    /// Calls of one kind, the oldest first. A late answer still counts, yet the next call does not wait for it.
+    class Calls {
+    public:
+        void add(const Call& call);
+        std::optional<Call> take(StoreCallId call);
+        bool isAnyInTime(TimePoint now) const;
+
+    private:
+        std::deque<Call> calls_;
+    };
+
+    void noteCurrent(TimePoint at);
+    void fail(TimePoint now);
+
+    StoreInterest interest_ { StoreInterest::None };
+    std::uint64_t lastCall_ { 0 };
+    Calls reads_;
+    Calls headReads_;
+    std::optional<Call> watch_;
+    bool needsRead_ { true };
+    Revision position_ { noRevision };
+    std::optional<TimePoint> currentAsOf_;
+    TimePoint nextRead_ {};
+    TimePoint nextHead_ {};
+    std::uint32_t failures_ { 0 };
+    /// A head that the watch had not shown when it was read.
+    std::optional<Revision> aheadHead_;
+};
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Tests/LibDecision/ConfigurationAdoptionTest.cpp
@@ -0,0 +1,239 @@
+#include "ConfigurationWorld.h"
+
+#include <cstdlib>
+
+#include <gtest/gtest.h>
+
+namespace Ibisturn::Testing {
+
+namespace {
+
+constexpr Duration bound = 3s;
+constexpr std::size_t schedules = 10000;
+
+std::uint64_t seed()
+{
+    const auto* text = std::getenv("IBISTURN_SEED"); // NOLINT: one thread
+    return text ? std::strtoull(text, nullptr, 10) : 20261204;
+}
+
+struct Fault {
+    std::string name;
+    std::function<void(ConfigurationWorld&, std::size_t)> begin;
+    std::function<void(ConfigurationWorld&, std::size_t)> end;
+};
+
+void cutBothWays(ConfigurationWorld& world, const std::function<bool(std::size_t, std::size_t)>& isCut)
+{
+    for (std::size_t from = 0; from < world.nodes().size(); ++from) {
+        for (std::size_t to = 0; to < world.nodes().size(); ++to) {
+            if (from != to && isCut(from, to))
+                world.cuts.insert({ from, to });
+        }
+    }
+}
+
+// What fails, each with its end. The number says whom or what it strikes.
+const std::vector<Fault>& faults()
+{
+    static const auto heal = [](ConfigurationWorld& world, std::size_t) { world.cuts.clear(); };
+    static const std::vector<Fault> all {
+        { "store down", [](auto& world, auto) { world.setStoreDown(true); }, [](auto& world, auto) { world.setStoreDown(false); } },
+        { "store slow", [](auto& world, auto) { world.storeSlowness = 1200ms; }, [](auto& world, auto) { world.storeSlowness = {}; } },
+        { "replies lost", [](auto& world, auto) { world.losesReplies = true; }, [](auto& world, auto) { world.losesReplies = false; } },
+        { "watch lost or compacted", [](auto& world, auto which) { world.endWatches([which](auto node) { return node % 2 == which % 2; }); }, [](auto&, auto) {} },
+        { "watch gappy", [](auto& world, auto) { world.skipsWatchEvents = true; }, [](auto& world, auto) { world.skipsWatchEvents = false; } },
+        { "killed", [](auto& world, auto which) { world.restart(which); }, [](auto&, auto) {} },
+        { "frozen", [](auto& world, auto which) { world.freeze(which); }, [](auto& world, auto which) { world.thaw(which); } },
+        { "store cut", [](auto& world, auto which) { world.nodes()[which].canReachStore = false; }, [](auto& world, auto which) { world.nodes()[which].canReachStore = true; } },
+        { "data centre cut from store", [](auto& world, auto which) { for (auto& node : world.nodes()) node.canReachStore = node.canReachStore && node.dataCentre != world.nodes()[which].dataCentre; },
+            [](auto& world, auto) { for (auto& node : world.nodes()) node.canReachStore = true; } },
+        { "data centre cut off", [](auto& world, auto which) {
+             const auto lost = world.nodes()[which].dataCentre;
+             cutBothWays(world, [&](auto from, auto to) { return (world.nodes()[from].dataCentre == lost) != (world.nodes()[to].dataCentre == lost); });
+             for (auto& node : world.nodes())
+                 node.canReachStore = node.canReachStore && node.dataCentre != lost; },
+            [](auto& world, auto which) { heal(world, which); for (auto& node : world.nodes()) node.canReachStore = true; } },
+        { "one way", [](auto& world, auto which) { cutBothWays(world, [which](auto from, auto) { return from == which; }); }, heal },
+        { "links cut", [](auto& world, auto which) { cutBothWays(world, [which](auto from, auto to) { return from == which || to == which; }); }, heal },
+    };
+    return all;
+}
+
+void healAll(ConfigurationWorld& world)
+{
+    world.setStoreDown(false);
+    world.storeSlowness = {};
+    world.losesReplies = false;
+    world.skipsWatchEvents = false;
+    world.cuts.clear();
+    for (std::size_t node = 0; node < world.nodes().size(); ++node) {
+        world.nodes()[node].canReachStore = true;
+        if (world.nodes()[node].isFrozen)
+            world.thaw(node);
+    }
+}
+
+void writeSomething(ConfigurationWorld& world)
+{
+    const auto name = fmt::format("k{}", world.pick(4));
+    if (world.pick(3) == 0)
+        world.write(name, std::nullopt);
+    else
+        world.write(name, fmt::format("v{}", world.latest()));
+}
+
+std::string describe(ConfigurationWorld& world)
+{
+    std::string text = fmt::format("store at {};", world.latest());
+    for (const auto& node : world.nodes())
+        text += fmt::format(" {}={}{}", node.id, node.adopter->log().revision(), node.adopter->readiness() == Readiness::Ready ? "" : "(not ready)");
+    for (std::size_t index = 0; index < std::min<std::size_t>(3, world.violations().size()); ++index)
+        text += "\n" + world.violations()[index];
+    return text;
+}
+
+// All hold the last write within the bound of healing, and a new one within the bound of its being accepted.
+testing::AssertionResult convergesAfterHealing(ConfigurationWorld& world)
+{
+    healAll(world);
+    world.run(bound);
+    if (!world.areAllAt(world.latest()))
+        return testing::AssertionFailure() << "not healed within the bound: " << describe(world);
+    world.write("last", "value");
+    world.run(bound);
+    if (!world.areAllAt(world.latest()))
+        return testing::AssertionFailure() << "not in force within the bound: " << describe(world);
+    if (!world.violations().empty())
+        return testing::AssertionFailure() << describe(world);
+    return testing::AssertionSuccess();
+}
+
+void runSchedule(ConfigurationWorld& world)
+{
+    world.run(std::chrono::milliseconds(world.pick(3000)));
+    std::vector<std::pair<const Fault*, std::size_t>> begun;
+    for (std::size_t step = 0, steps = 4 + world.pick(8); step < steps; ++step) {
+        const auto choice = world.pick(3);
+        if (choice == 0) {
+            writeSomething(world);
+        } else if (choice == 1 || begun.empty()) {
+            begun.emplace_back(&faults()[world.pick(faults().size())], world.pick(world.nodes().size()));
+            begun.back().first->begin(world, begun.back().second);
+        } else {
+            begun.back().first->end(world, begun.back().second);
+            begun.pop_back();
+        }
+        world.run(std::chrono::milliseconds(world.pick(1500)));
+    }
+}
+
+} // namespace
+
+TEST(ConfigurationAdoption, RandomSchedulesConvergeAndNeverRevert)
+{
+    const auto first = seed();
+    fmt::print("seed {}\n", first);
+    for (std::size_t index = 0; index < schedules; ++index) {
+        WorldShape shape;
+        shape.dataCentres = 2 + index % 2;
+        shape.instancesEach = 1 + index % 3;
+        shape.tickPeriod = 200ms;
+        shape.seed = first + index;
+        ConfigurationWorld world(shape);
+        runSchedule(world);
+        ASSERT_TRUE(convergesAfterHealing(world)) << "seed " << shape.seed;
+    }
+}
+
+// Each fault, alone and with each other one, begins and ends at every step of a write's way into force.
+TEST(ConfigurationAdoption, EachFaultAtEachStepAloneAndInPairs)
+{
+    const std::vector<Duration> steps { 0ms, 30ms, 80ms, 300ms, 1100ms, 2600ms };
+    for (const auto& one : faults()) {
+        for (const auto& other : faults()) {
+            for (const auto step : steps) {
+                WorldShape shape;
+                shape.seed = seed();
+                ConfigurationWorld world(shape);
+                world.run(bound);
+                const auto which = world.pick(world.nodes().size());
+                one.begin(world, which);
+                world.write("k", "before");
+                world.run(step);
+                other.begin(world, which / 2);
+                world.write("k", std::nullopt);
+                world.run(step);
+                one.end(world, which);
+                world.run(step);
+                other.end(world, which / 2);
+                ASSERT_TRUE(convergesAfterHealing(world)) << one.name << " and " << other.name << " at " << step / 1ms << " ms";
+            }
+        }
+    }
+}
+
+TEST(ConfigurationAdoption, ObserverNoticesALostDeletion)
+{
+    ConfigurationWorld world({});
+    world.run(bound);
+    world.write("k", "value");
+    world.run(bound);
+    world.corrupt = [](ConfigurationUpdate& update) { std::erase_if(update.changes, [](const auto& change) { return !change.value; }); };
+    world.write("k", std::nullopt);
+    world.run(bound);
+    EXPECT_FALSE(world.violations().empty());
+}
+
+TEST(ConfigurationAdoption, DataCentreCutFromStoreLearnsOfWithdrawalThroughPeers)
+{
+    ConfigurationWorld world({});
+    world.run(bound);
+    for (auto& node : world.nodes())
+        node.canReachStore = node.dataCentre != 2;
+    world.write("k", "value");
+    world.run(bound);
+    EXPECT_TRUE(world.areAllAt(world.latest())) << describe(world);
+}
+
+TEST(ConfigurationAdoption, InstanceStartsFromItsDataCentreWhileStoreIsDown)
+{
+    ConfigurationWorld world({});
+    world.run(bound);
+    world.setStoreDown(true);
+    world.run(1h);
+    world.restart(4);
+    world.run(4s);
+    EXPECT_TRUE(world.areAllAt(world.latest())) << describe(world);
+}
+
+TEST(ConfigurationAdoption, LoneInstanceIsNotReadyWhileStoreIsDown)
+{
+    WorldShape shape;
+    shape.dataCentres = 1;
+    shape.instancesEach = 1;
+    ConfigurationWorld world(shape);
+    world.setStoreDown(true);
+    world.run(60s);
+    EXPECT_EQ(world.nodes()[0].adopter->readiness(), Readiness::Starting);
+}
+
+TEST(ConfigurationAdoption, InstancesThatStartTogetherWithoutStoreDoNotMakeEachOtherReady)
+{
+    ConfigurationWorld world({});
+    world.setStoreDown(true);
+    world.run(60s);
+    for (const auto& node : world.nodes())
+        EXPECT_EQ(node.adopter->readiness(), Readiness::Starting);
+}
+
+TEST(ConfigurationAdoption, OnlyTwoInstancesOfADataCentreWatch)
+{
+    WorldShape shape;
+    shape.instancesEach = 7;
+    ConfigurationWorld world(shape);
+    world.run(10s);
+    EXPECT_EQ(world.watchCount(), 6U);
+}
+
+} // namespace Ibisturn::Testing
--- /dev/null
+++ b/Tests/LibDecision/ConfigurationWorld.h
@@ -0,0 +1,435 @@
+#pragma once
+
+#include <LibConfiguration/RecordHead.h>
+#include <LibDecision/Configuration/SnapshotAdopter.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Ibisturn::Testing {
+
+using namespace std::chrono_literals;
+
+/// What a fake world looks like, and how long its links take one way.
+struct WorldShape {
+    std::size_t dataCentres { 3 };
+    std::size_t instancesEach { 3 };
+    std::size_t instancesInFirst { 0 };
+    Duration within { 1ms };
+    Duration between { 55ms };
+    Duration store { 55ms };
+    Duration tickPeriod { 100ms };
+    std::uint64_t seed { 1 };
+};
+
+/// Instances with a store, links and clocks, all in virtual time, and an observer that knows every state the store had.
+class ConfigurationWorld {
+public:
+    struct Node {
+        InstanceId id;
+        std::size_t dataCentre { 0 };
+        std::unique_ptr<SnapshotAdopter> adopter;
+        Duration clockOffset {};
+        bool isFrozen { false };
+        bool hasLiveList { false };
+        bool canReachStore { true };
+        std::uint64_t life { 0 };
+        std::vector<std::function<void()>> whileFrozen;
+        Revision seen { noRevision };
+        Readiness readiness { Readiness::Starting };
+        std::vector<std::pair<TimePoint, Revision>> history;
+        std::uint64_t bytesSent { 0 };
+        std::uint64_t bytesReceived { 0 };
+    };
+    struct Commit {
+        TimePoint at;
+        std::map<std::string, std::string> records;
+    };
+
+    explicit ConfigurationWorld(const WorldShape& shape)
+        : shape_(shape)
+        , random_(shape.seed)
+    {
+        commits_[Revision(1)] = { now_, {} };
+        for (std::size_t dataCentre = 0; dataCentre < shape.dataCentres; ++dataCentre) {
+            const auto count = dataCentre == 0 && shape.instancesInFirst > 0 ? shape.instancesInFirst : shape.instancesEach;
+            for (std::size_t index = 0; index < count; ++index)
+                addNode(dataCentre, index);
+        }
+    }
+
+    TimePoint now() const { return now_; }
+    std::vector<Node>& nodes() { return nodes_; }
+    const std::map<Revision, Commit>& commits() const { return commits_; }
+    const std::vector<std::string>& violations() const { return violations_; }
+    std::uint64_t storeCalls() const { return storeCalls_; }
+    std::size_t watchCount() const { return watches_.size(); }
+
+    bool isStoreDown { false };
+    bool losesReplies { false };
+    bool skipsWatchEvents { false };
+    Duration storeSlowness {};
+    /// One-way cuts from one node to another.
+    std::set<std::pair<std::size_t, std::size_t>> cuts;
+    /// Bytes of a message, for benchmarks.
+    std::function<std::uint64_t(const PeerAction&)> measure;
+    /// Called when a node's revision changed.
+    std::function<void(std::size_t, Revision)> onAdopted;
+    /// Changes what an instance is told, so that a test can show that the observer notices.
+    std::function<void(ConfigurationUpdate&)> corrupt;
+
+    std::size_t pick(std::size_t count) { return std::uniform_int_distribution<std::size_t>(0, count - 1)(random_); }
+
+    /// Writes or deletes a record, as an operator's accepted write does.
+    Revision write(const std::string& name, const std::optional<std::string>& value)
+    {
+        const auto previous = commits_.rbegin()->first;
+        position_ = position_ + Revision(static_cast<std::int64_t>(1 + pick(3)));
+        auto records = commits_.rbegin()->second.records;
+        const auto key = "/i/records/keys/" + name;
+        if (value)
+            records[key] = *value;
+        else
+            records.erase(key);
+        commits_[position_] = { now_, std::move(records) };
+        const std::vector<RecordChange> changes { { key, value, position_ }, { headKey(), formatRecordHead({ previous }), position_ } };
+        if (!skipsWatchEvents)
+            tellWatches(changes);
+        return position_;
+    }
+
+    void setStoreDown(bool isDown)
+    {
+        isStoreDown = isDown;
+        if (isDown)
+            endWatches([](std::size_t) { return true; });
+    }
+
+    void endWatches(const std::function<bool(std::size_t)>& isChosen)
+    {
+        for (auto watch = watches_.begin(); watch != watches_.end();) {
+            const auto [node, call] = *watch;
+            if (!isChosen(node)) {
+                ++watch;
+                continue;
+            }
+            watch = watches_.erase(watch);
+            reply(node, nodes_[node].life, [this, node, call = call] { nodes_[node].adopter->onStoreFailed(local(node), call); });
+        }
+    }
+
+    void freeze(std::size_t node) { nodes_[node].isFrozen = true; }
+
+    void thaw(std::size_t node)
+    {
+        nodes_[node].isFrozen = false;
+        auto waiting = std::move(nodes_[node].whileFrozen);
+        nodes_[node].whileFrozen.clear();
+        for (const auto& event : waiting)
+            event();
+    }
+
+    void restart(std::size_t index)
+    {
+        auto& node = nodes_[index];
+        ++node.life;
+        std::erase_if(watches_, [index](const auto& watch) { return watch.first == index; });
+        node.isFrozen = false;
+        node.hasLiveList = false;
+        node.whileFrozen.clear();
+        node.seen = noRevision;
+        node.readiness = Readiness::Starting;
+        node.history.clear();
+        start(index);
+    }
+
+    void run(Duration duration)
+    {
+        const auto end = now_ + duration;
+        while (!events_.empty() && events_.top().at <= end) {
+            now_ = events_.top().at;
+            const auto action = events_.top().action;
+            events_.pop();
+            action();
+        }
+        now_ = end;
+    }
+
+    Revision latest() const { return commits_.rbegin()->first; }
+
+    bool areAllAt(Revision revision) const
+    {
+        return std::all_of(nodes_.begin(), nodes_.end(), [revision](const Node& node) { return node.adopter->readiness() == Readiness::Ready && node.adopter->log().revision() >= revision; });
+    }
+
+private:
+    struct Event {
+        TimePoint at;
+        std::uint64_t order;
+        std::function<void()> action;
+        bool operator<(const Event& other) const { return at != other.at ? at > other.at : order > other.order; }
+    };
+
+    static std::string headKey() { return recordHeadKey("/i/"); }
+
+    void addNode(std::size_t dataCentre, std::size_t index)
+    {
+        Node node;
+        node.id = InstanceId(fmt::format("dc{}-{}", dataCentre, index));
+        node.dataCentre = dataCentre;
+        node.clockOffset = std::chrono::seconds(1 + pick(1000));
+        nodes_.push_back(std::move(node));
+        byId_[nodes_.back().id] = nodes_.size() - 1;
+        start(nodes_.size() - 1);
+    }
+
+    void start(std::size_t index)
+    {
+        auto& node = nodes_[index];
+        const DataCentreId dataCentre(fmt::format("dc{}", node.dataCentre));
+        node.adopter = std::make_unique<SnapshotAdopter>(InstanceIdentity { node.id, RegionId("r"), dataCentre }, "/i/", Incarnation((index + 1) * 1000 + node.life), local(index));
+        at(now_ + std::chrono::milliseconds(pick(100)), [this, index, life = node.life] { tick(index, life); });
+    }
+
+    std::vector<Member> members() const
+    {
+        std::vector<Member> all;
+        for (const auto& node : nodes_)
+            all.push_back({ node.id, RegionId("r"), DataCentreId(fmt::format("dc{}", node.dataCentre)), {}, {}, MemberState::Live });
+        return all;
+    }
+
+    void at(TimePoint time, std::function<void()> action) { events_.push({ time, ++lastEvent_, std::move(action) }); }
+
+    TimePoint local(std::size_t node) const { return now_ + nodes_[node].clockOffset; }
+
+    void tick(std::size_t index, std::uint64_t life)
+    {
+        if (nodes_[index].life != life)
+            return;
+        if (!nodes_[index].isFrozen) {
+            if (!std::exchange(nodes_[index].hasLiveList, true))
+                nodes_[index].adopter->setInstances(members());
+            perform(index, nodes_[index].adopter->tick(local(index)));
+        }
+        at(now_ + shape_.tickPeriod, [this, index, life] { tick(index, life); });
+    }
+
+    // Runs `event` on the node, or once it thaws, unless the node was replaced.
+    void reply(std::size_t node, std::uint64_t life, std::function<void()> event)
+    {
+        if (nodes_[node].life != life)
+            return;
+        if (nodes_[node].isFrozen)
+            nodes_[node].whileFrozen.emplace_back([this, node, life, event = std::move(event)] { reply(node, life, event); });
+        else
+            event();
+    }
+
+    void perform(std::size_t node, AdopterActions actions)
+    {
+        for (const auto& action : actions.store)
+            std::visit([this, node](const auto& call) { callStore(node, call); }, action);
+        for (auto& action : actions.peers)
+            send(node, std::move(action));
+        observe(node);
+    }
+
+    Duration delay(Duration oneWay) { return oneWay + std::chrono::microseconds(pick(1 + static_cast<std::size_t>(oneWay.count()) / 4000)); }
+
+    Duration storeDelay(std::size_t node) { return delay(nodes_[node].dataCentre == 0 ? shape_.within : shape_.store); }
+
+    template <typename Answer>
+    void callStoreWith(std::size_t node, StoreCallId call, Answer answer)
+    {
+        ++storeCalls_;
+        const auto life = nodes_[node].life;
+        at(now_ + storeDelay(node) + storeSlowness, [this, node, life, call, answer] {
+            if (!nodes_[node].canReachStore || losesReplies)
+                return;
+            const auto event = isStoreDown ? std::function<void()>([this, node, call] { nodes_[node].adopter->onStoreFailed(local(node), call); }) : answer();
+            at(now_ + storeDelay(node), [this, node, life, event] {
+                if (nodes_[node].canReachStore)
+                    reply(node, life, event);
+            });
+        });
+    }
+
+    void callStore(std::size_t node, const ReadStore& read)
+    {
+        callStoreWith(node, read.call, [this, node, call = read.call] {
+            StoreRecords records { position_, { { headKey(), formatRecordHead({ noRevision }), latest() } } };
+            for (const auto& [key, value] : commits_.rbegin()->second.records)
+                records.records.push_back({ key, value, latest() });
+            return std::function<void()>([this, node, call, records] { perform(node, nodes_[node].adopter->onRead(local(node), call, records)); });
+        });
+    }
+
+    void callStore(std::size_t node, const ReadHead& read)
+    {
+        callStoreWith(node, read.call, [this, node, call = read.call] {
+            return std::function<void()>([this, node, call, head = latest()] { perform(node, nodes_[node].adopter->onHead(local(node), call, head)); });
+        });
+    }
+
+    void callStore(std::size_t node, const WatchStore& watch)
+    {
+        std::erase_if(watches_, [node](const auto& other) { return other.first == node; });
+        callStoreWith(node, watch.call, [this, node, watch] {
+            watches_.emplace_back(node, watch.call);
+            const auto after = watch.after;
+            return std::function<void()>([this, node, watch, after] {
+                auto previous = commits_.begin();
+                for (auto commit = std::next(previous); commit != commits_.end(); previous = commit++) {
+                    if (commit->first > after)
+                        perform(node, nodes_[node].adopter->onWatched(local(node), watch.call, commit->first, difference(*previous, *commit)));
+                }
+            });
+        });
+    }
+
+    void callStore(std::size_t node, const StopWatch& /*stop*/)
+    {
+        std::erase_if(watches_, [node](const auto& watch) { return watch.first == node; });
+    }
+
+    static std::vector<RecordChange> difference(const std::pair<const Revision, Commit>& before, const std::pair<const Revision, Commit>& after)
+    {
+        std::vector<RecordChange> changes { { headKey(), formatRecordHead({ before.first }), after.first } };
+        for (const auto& [key, value] : before.second.records) {
+            if (!after.second.records.contains(key))
+                changes.push_back({ key, std::nullopt, after.first });
+        }
+        for (const auto& [key, value] : after.second.records) {
+            const auto found = before.second.records.find(key);
+            if (found == before.second.records.end() || found->second != value)
+                changes.push_back({ key, value, after.first });
+        }
+        return changes;
+    }
+
+    void tellWatches(const std::vector<RecordChange>& changes)
+    {
+        for (const auto& [node, call] : watches_) {
+            if (!nodes_[node].canReachStore)
+                continue;
+            at(now_ + storeDelay(node), [this, node = node, call = call, life = nodes_[node].life, changes] {
+                reply(node, life, [this, node, call, changes] { perform(node, nodes_[node].adopter->onWatched(local(node), call, changes.back().revision, changes)); });
+            });
+        }
+    }
+
+    void send(std::size_t from, PeerAction action)
+    {
+        const auto& peer = std::visit([](const auto& message) -> const InstanceId& { return message.peer; }, action);
+        const auto to = byId_.at(peer);
+        const auto bytes = measure ? measure(action) : 0;
+        nodes_[from].bytesSent += bytes;
+        nodes_[to].bytesReceived += bytes;
+        if (cuts.contains({ from, to }))
+            return;
+        const auto oneWay = nodes_[from].dataCentre == nodes_[to].dataCentre ? shape_.within : shape_.between;
+        at(now_ + delay(oneWay), [this, from, to, life = nodes_[to].life, action = std::move(action)] {
+            reply(to, life, [this, from, to, action] { deliver(from, to, action); });
+        });
+    }
+
+    void deliver(std::size_t from, std::size_t to, const PeerAction& action)
+    {
+        auto& adopter = *nodes_[to].adopter;
+        if (const auto* heartbeat = std::get_if<SendHeartbeat>(&action))
+            return perform(to, adopter.onHeartbeat(local(to), nodes_[from].id, heartbeat->heartbeat));
+        auto update = std::get<SendUpdate>(action).update;
+        if (corrupt)
+            corrupt(update);
+        perform(to, adopter.onUpdate(local(to), update));
+    }
+
+    void fail(const Node& node, const std::string& what) { violations_.push_back(fmt::format("{} at {} ms: {}", node.id, now_.time_since_epoch() / 1ms, what)); }
+
+    void observe(std::size_t index)
+    {
+        auto& node = nodes_[index];
+        const auto revision = node.adopter->log().revision();
+        if (revision < node.seen)
+            fail(node, fmt::format("revision fell from {} to {}", node.seen, revision));
+        if (revision != node.seen) {
+            node.seen = revision;
+            node.history.emplace_back(now_, revision);
+            checkContent(node);
+            if (onAdopted)
+                onAdopted(index, revision);
+        }
+        checkAge(index);
+        const auto readiness = node.adopter->readiness();
+        if (node.readiness == Readiness::Starting && readiness == Readiness::Ready)
+            checkStart(index);
+        node.readiness = readiness;
+    }
+
+    void checkContent(const Node& node)
+    {
+        const auto commit = commits_.find(node.seen);
+        if (commit == commits_.end())
+            return fail(node, fmt::format("revision {} was never accepted", node.seen));
+        std::map<std::string, std::string> texts;
+        for (const auto& [key, entry] : node.adopter->log().records().entries())
+            texts[key] = entry.json;
+        if (texts != commit->second.records)
+            fail(node, fmt::format("records differ from those accepted at {}", node.seen));
+    }
+
+    // An instance that says how old its records can be must be right.
+    void checkAge(std::size_t index)
+    {
+        const auto age = nodes_[index].adopter->storeAge(local(index));
+        if (!age)
+            return;
+        Revision expected(1);
+        for (const auto& [revision, commit] : commits_) {
+            if (commit.at < now_ - *age)
+                expected = revision;
+        }
+        if (nodes_[index].seen < expected)
+            fail(nodes_[index], fmt::format("says its records are {} ms old but lacks {}", *age / 1ms, expected));
+    }
+
+    // What an instance of the data centre that answers has had in force for the bound must be known to a fresh one.
+    void checkStart(std::size_t index)
+    {
+        for (std::size_t other = 0; other < nodes_.size(); ++other) {
+            const auto& peer = nodes_[other];
+            if (other == index || peer.dataCentre != nodes_[index].dataCentre || peer.isFrozen || peer.adopter->readiness() != Readiness::Ready)
+                continue;
+            if (cuts.contains({ index, other }) || cuts.contains({ other, index }))
+                continue;
+            for (const auto& [time, revision] : peer.history) {
+                if (time <= now_ - 3s && revision > nodes_[index].seen)
+                    return fail(nodes_[index], fmt::format("serves at {} while {} has had {} in force", nodes_[index].seen, peer.id, revision));
+            }
+        }
+    }
+
+    WorldShape shape_;
+    std::mt19937_64 random_;
+    TimePoint now_ { 1000s };
+    std::uint64_t lastEvent_ { 0 };
+    std::priority_queue<Event> events_;
+    std::vector<Node> nodes_;
+    std::map<InstanceId, std::size_t> byId_;
+    std::map<Revision, Commit> commits_;
+    Revision position_ { 1 };
+    std::vector<std::pair<std::size_t, StoreCallId>> watches_;
+    std::uint64_t storeCalls_ { 0 };
+    std::vector<std::string> violations_;
+};
+
+} // namespace Ibisturn::Testing
