Instance: Follow the configuration through watchers and peers

Control connections carry heartbeats and changes between instances; the feed carries out what SnapshotAdopter decides. Records are checked as the set that a write would make, and each transaction writes a head and the history of its records (who, when, what, change id) beside them.

--- a/Libraries/LibConfiguration/RecordSet.cpp
+++ b/Libraries/LibConfiguration/RecordSet.cpp
@@ -15,7 +15,7 @@
     try {
         return parseRecord(name.kind, name.name, entry.json, entry.revision);
     } catch (const Error&) {
-        return { name.kind, name.name, entry.revision, UnknownRecord {} };
+        return { name.kind, name.name, entry.revision, parseUnknownRecord(0, entry.json) };
     }
 }
 
--- a/Libraries/LibConfiguration/Records.cpp
+++ b/Libraries/LibConfiguration/Records.cpp
@@ -176,6 +176,21 @@
     return findKind(kind) != nullptr;
 }
 
+UnknownRecord parseUnknownRecord(std::uint32_t schema, std::string_view json)
+{
+    UnknownRecord record { schema, "/", {} };
+    const auto parsed = nlohmann::json::parse(json, nullptr, false);
+    if (!parsed.is_object())
+        return record;
+    const auto path = parsed.find("path");
+    if (path != parsed.end() && path->is_string() && path->get_ref<const std::string&>().starts_with('/'))
+        record.pathPrefix = path->get<std::string>();
+    const auto model = parsed.find("model");
+    if (model != parsed.end() && model->is_string())
+        record.model = ModelName(model->get<std::string>());
+    return record;
+}
+
 Record parseRecord(std::string_view kind, std::string_view name, std::string_view json, Revision revision)
 {
     const auto parsed = nlohmann::json::parse(json, nullptr, false);
@@ -186,7 +201,7 @@
     Record record { std::string(kind), std::string(name), revision, {} };
     const auto schema = reader.schema();
     if (schema == 0 || schema > newestRecordSchema)
-        record.body = UnknownRecord { schema };
+        record.body = parseUnknownRecord(schema, json);
     else
         record.body = recordKind->read(reader, record.name);
     return record;
--- a/Libraries/LibConfiguration/Records.h
+++ b/Libraries/LibConfiguration/Records.h
@@ -45,6 +45,8 @@
     Workspaces,
     /// For every caller, without a key.
     OpenToAll,
+    /// For nobody: the record's schema version is not understood.
+    Closed,
 };
 
 enum class Repeatability : std::uint8_t {
@@ -84,8 +86,12 @@
 };
 
 /// A record of a schema version that this program does not understand. What it touches fails closed.
+/// Routes of every version keep `path` and `model`, so that a closed route stands where the unknown one does.
 struct UnknownRecord {
     std::uint32_t schema { 0 };
+    /// Of a route alone; every path if it can't be read.
+    std::string pathPrefix { "/" };
+    ModelName model;
 };
 
 using RecordBody = std::variant<Workspace, Key, ResidencyRule, Route, BackendServer, UnknownRecord>;
@@ -103,6 +109,9 @@
 /// Thread safety: any thread.
 Record parseRecord(std::string_view kind, std::string_view name, std::string_view json, Revision revision);
 
+/// What is known of a record that parseRecord() can't read. Thread safety: any thread.
+UnknownRecord parseUnknownRecord(std::uint32_t schema, std::string_view json);
+
 /// Whether `kind` names a kind of record. Thread safety: any thread.
 bool isRecordKind(std::string_view kind);
 
--- a/Libraries/LibConfiguration/Snapshot.cpp
+++ b/Libraries/LibConfiguration/Snapshot.cpp
@@ -27,7 +27,7 @@
     for (const auto& record : records) {
         const auto addBody = [this, &record](const auto& body) {
             if constexpr (std::is_same_v<std::decay_t<decltype(body)>, UnknownRecord>)
-                unknown_.insert(labelOf(record.kind, record.name));
+                addUnknown(record, body);
             else
                 add(body);
         };
@@ -36,6 +36,10 @@
     const auto isLonger = [](const Route& left, const Route& right) {
         if (left.pathPrefix.size() != right.pathPrefix.size())
             return left.pathPrefix.size() > right.pathPrefix.size();
+        const bool isLeftClosed = left.access == RouteAccess::Closed;
+        const bool isRightClosed = right.access == RouteAccess::Closed;
+        if (isLeftClosed != isRightClosed)
+            return isLeftClosed;
         return left.id < right.id;
     };
     std::sort(routes_.begin(), routes_.end(), isLonger);
@@ -90,6 +94,20 @@
     return rule ? &rule->regions : nullptr;
 }
 
+// Without a closed route, an older and wider one would take the requests of one that is not understood.
+void Snapshot::addUnknown(const Record& record, const UnknownRecord& body)
+{
+    unknown_.insert(labelOf(record.kind, record.name));
+    if (record.kind != "routes")
+        return;
+    Route route;
+    route.id = RouteId(record.name);
+    route.pathPrefix = body.pathPrefix;
+    route.model = body.model;
+    route.access = RouteAccess::Closed;
+    routes_.push_back(std::move(route));
+}
+
 void Snapshot::add(const Workspace& workspace)
 {
     workspaces_.emplace(workspace.id, workspace);
--- a/Libraries/LibConfiguration/Snapshot.h
+++ b/Libraries/LibConfiguration/Snapshot.h
@@ -48,6 +48,7 @@
     void add(const ResidencyRule& rule);
     void add(const Route& route);
     void add(const BackendServer& server);
+    void addUnknown(const Record& record, const UnknownRecord& body);
 
     Revision revision_;
     std::size_t recordCount_;
--- a/Libraries/LibDecision/Routing/HeadDecision.cpp
+++ b/Libraries/LibDecision/Routing/HeadDecision.cpp
@@ -8,10 +8,12 @@
 
 bool isOpenPath(const Snapshot& snapshot, const std::string& path)
 {
-    const auto matches = [&path](const Route& route) {
-        return route.access == RouteAccess::OpenToAll && path.starts_with(route.pathPrefix);
+    // The closest comes first; one that is not understood closes the wider ones behind it.
+    const auto decides = [&path](const Route& route) {
+        return route.access != RouteAccess::Workspaces && path.starts_with(route.pathPrefix);
     };
-    return std::any_of(snapshot.routes().begin(), snapshot.routes().end(), matches);
+    const auto found = std::find_if(snapshot.routes().begin(), snapshot.routes().end(), decides);
+    return found != snapshot.routes().end() && found->access == RouteAccess::OpenToAll;
 }
 
 bool hasUnknownRecord(const Snapshot& snapshot, const WorkspaceId& workspace)
--- a/Libraries/LibDecision/Routing/PlaceDecision.cpp
+++ b/Libraries/LibDecision/Routing/PlaceDecision.cpp
@@ -65,6 +65,8 @@
 
 bool mayUseRoute(const Route& route, const WorkspaceId& workspace)
 {
+    if (route.access == RouteAccess::Closed)
+        return false;
     if (route.access == RouteAccess::OpenToAll)
         return true;
     if (workspace.isEmpty())
--- a/Libraries/LibHTTP/OperatorInterface.cpp
+++ b/Libraries/LibHTTP/OperatorInterface.cpp
@@ -5,11 +5,14 @@
 #include <LibHTTP/ErrorBody.h>
 
 #include <charconv>
+#include <ctime>
 #include <optional>
+#include <random>
 #include <utility>
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <fmt/chrono.h>
 #include <nlohmann/json.hpp>
 
 namespace Ibisturn {
@@ -22,9 +25,12 @@
 constexpr int httpVersion11 = 11;
 constexpr std::string_view bearer = "Bearer ";
 constexpr std::string_view recordsPath = "/v1/records/";
+constexpr std::string_view historyPath = "/v1/history/";
+constexpr std::string_view changesPath = "/v1/changes";
 constexpr std::uint32_t headLimit = 16U * 1024;
 constexpr std::uint64_t bodyLimit = 1024UL * 1024;
 constexpr Duration idleTimeout = std::chrono::seconds(60);
+constexpr std::size_t mostChangeIdLength = 64;
 
 Revision parseRevision(const std::string& text)
 {
@@ -49,6 +55,30 @@
     return { resultCodeEntry(error.code()).httpStatus, "application/json", formatErrorBody(error) };
 }
 
+RecordEdit parseEdit(const nlohmann::json& json)
+{
+    const bool isWhole = json.is_object() && json.contains("kind") && json["kind"].is_string() && json.contains("name") && json["name"].is_string()
+        && json.contains("record") && json.contains("revision") && json["revision"].is_number_integer();
+    if (!isWhole)
+        throw Error(ResultCode::MalformedBody, Ran::No, "Each change must have kind, name, record and revision");
+    RecordEdit edit { parseTarget(fmt::format("{}{}/{}", recordsPath, json["kind"].get<std::string>(), json["name"].get<std::string>())), {}, Revision(json["revision"].get<std::int64_t>()) };
+    if (!json["record"].is_null())
+        edit.json = json["record"].dump();
+    return edit;
+}
+
+std::string makeChangeId()
+{
+    std::random_device device;
+    return fmt::format("{:08x}{:08x}{:08x}", device(), device(), device());
+}
+
+std::string_view readinessName(Readiness readiness)
+{
+    static constexpr std::string_view names[] { "starting", "ready", "rechecking" };
+    return names[static_cast<std::size_t>(readiness)];
+}
+
 nlohmann::json entryToJson(const std::string& prefix, const StoreEntry& entry)
 {
     const auto name = parseRecordKey(prefix, entry.key);
@@ -60,9 +90,11 @@
 
 } // namespace
 
-OperatorInterface::OperatorInterface(InstanceTables& tables, StoreClient& store)
+OperatorInterface::OperatorInterface(InstanceTables& tables, StoreClient& store, const ConfigurationFeed& feed)
     : tables_(tables)
     , store_(store)
+    , feed_(feed)
+    , writer_(store, tables.settings.storePrefix)
 {
 }
 
@@ -90,6 +122,8 @@
         { "GET", recordsPath, &OperatorInterface::listRecords },
         { "PUT", recordsPath, &OperatorInterface::putRecord },
         { "DELETE", recordsPath, &OperatorInterface::withdrawRecord },
+        { "POST", changesPath, &OperatorInterface::writeChanges },
+        { "GET", historyPath, &OperatorInterface::showHistory },
         { "PUT", "/v1/log-level", &OperatorInterface::changeLogLevel },
     };
     return table;
@@ -128,12 +162,16 @@
     const auto snapshot = tables_.configuration.get();
     const auto membership = tables_.membership.get();
     const auto& identity = tables_.settings.identity;
+    const auto state = feed_.state();
     const nlohmann::json status {
         { "instance", identity.instance.value() },
         { "region", identity.region.value() },
         { "data_centre", identity.dataCentre.value() },
         { "revision", snapshot ? snapshot->revision().count() : 0 },
         { "records", snapshot ? snapshot->recordCount() : 0 },
+        { "readiness", readinessName(state.readiness) },
+        { "store_age_ms", state.storeAge ? std::chrono::duration_cast<std::chrono::milliseconds>(*state.storeAge).count() : -1 },
+        { "watcher", state.isWatcher },
         { "instances", membership ? membership->instances.size() : 0 },
         { "requests_under_way", tables_.requestsUnderWay.load() },
         { "draining", tables_.isDraining.load() },
@@ -151,7 +189,8 @@
     const StoreRange range = co_await store_.range(wanted);
     auto list = nlohmann::json::array();
     for (const auto& entry : range.entries) {
-        if (!isOne || entry.key == wanted)
+        const bool isRecord = parseRecordKey(prefix, entry.key).has_value();
+        if (isRecord && (!isOne || entry.key == wanted))
             list.push_back(entryToJson(prefix, entry));
     }
     if (isOne && list.empty())
@@ -162,23 +201,47 @@
 
 Task<OperatorReply> OperatorInterface::putRecord(OperatorRequest request)
 {
-    requireOperator(request);
-    const RecordName name = parseTarget(request.target);
-    const Record record = parseRecord(name.kind, name.name, request.body, Revision(0));
-    if (std::holds_alternative<UnknownRecord>(record.body))
-        throw Error(ResultCode::RecordInvalid, Ran::No, "The record's schema version is unknown");
-    StoreWrite change { recordKey(tables_.settings.storePrefix, name), request.body, parseRevision(request.ifMatch) };
+    ChangeRequest change = makeChange(request);
+    change.edits.push_back({ parseTarget(request.target), request.body, parseRevision(request.ifMatch) });
     co_return co_await write(std::move(change));
 }
 
 Task<OperatorReply> OperatorInterface::withdrawRecord(OperatorRequest request)
 {
-    requireOperator(request);
-    const RecordName name = parseTarget(request.target);
-    StoreWrite change { recordKey(tables_.settings.storePrefix, name), std::nullopt, parseRevision(request.ifMatch) };
+    ChangeRequest change = makeChange(request);
+    change.edits.push_back({ parseTarget(request.target), std::nullopt, parseRevision(request.ifMatch) });
     co_return co_await write(std::move(change));
 }
 
+Task<OperatorReply> OperatorInterface::writeChanges(OperatorRequest request)
+{
+    ChangeRequest change = makeChange(request);
+    const auto body = nlohmann::json::parse(request.body, nullptr, false);
+    if (!body.is_object() || !body.contains("changes") || !body["changes"].is_array() || body["changes"].empty())
+        throw Error(ResultCode::MalformedBody, Ran::No, "The body must be a JSON object with a list of changes");
+    for (const auto& edit : body["changes"])
+        change.edits.push_back(parseEdit(edit));
+    if (!body.value("dry_run", false))
+        co_return co_await write(std::move(change));
+    const std::string id = change.id;
+    const ChangeResult result = co_await writer_.check(std::move(change));
+    co_return showResult(id, result);
+}
+
+Task<OperatorReply> OperatorInterface::showHistory(OperatorRequest request)
+{
+    requireOperator(request);
+    RecordName name = parseTarget("/v1/records/" + request.target.substr(historyPath.size()));
+    const std::vector<HistoryEntry> history = co_await writer_.history(std::move(name));
+    auto list = nlohmann::json::array();
+    for (const auto& entry : history) {
+        const auto record = entry.json ? nlohmann::json::parse(*entry.json, nullptr, false) : nlohmann::json(nullptr);
+        list.push_back({ { "id", entry.id }, { "who", entry.who }, { "when", entry.when }, { "record", record } });
+    }
+    const nlohmann::json body { { "changes", std::move(list) } };
+    co_return OperatorReply { 200, "application/json", body.dump() };
+}
+
 Task<OperatorReply> OperatorInterface::changeLogLevel(OperatorRequest request)
 {
     requireOperator(request);
@@ -189,31 +252,46 @@
     co_return OperatorReply { 200, "application/json", R"({"status":"ok"})" };
 }
 
-Task<OperatorReply> OperatorInterface::write(StoreWrite change)
+ChangeRequest OperatorInterface::makeChange(const OperatorRequest& request) const
 {
-    std::vector<StoreWrite> changes;
-    changes.push_back(std::move(change));
-    const StoreWriteResult result = co_await store_.transact(std::move(changes));
-    if (result.outcome == WriteOutcome::Written)
-        co_return OperatorReply { 200, "application/json", nlohmann::json { { "revision", result.revision.count() } }.dump() };
-    OperatorReply reply = errorReply(Error(ResultCode::RevisionConflict, Ran::No, "Another write changed the record first"));
+    ChangeRequest change;
+    change.who = requireOperator(request);
+    change.id = request.changeId.empty() ? makeChangeId() : request.changeId;
+    if (change.id.size() > mostChangeIdLength)
+        throw Error(ResultCode::MalformedRequest, Ran::No, "The Idempotency-Key is too long");
+    change.when = fmt::format("{:%Y-%m-%dT%H:%M:%SZ}", fmt::gmtime(std::time(nullptr)));
+    return change;
+}
+
+Task<OperatorReply> OperatorInterface::write(ChangeRequest change)
+{
+    const std::string id = change.id;
+    const ChangeResult result = co_await writer_.write(std::move(change));
+    co_return showResult(id, result);
+}
+
+OperatorReply OperatorInterface::showResult(const std::string& changeId, const ChangeResult& result) const
+{
+    if (result.code == ResultCode::Ok)
+        return { 200, "application/json", nlohmann::json { { "revision", result.revision.count() }, { "change", changeId } }.dump() };
+    OperatorReply reply = errorReply(Error(result.code, Ran::No, result.reason));
     auto body = nlohmann::json::parse(reply.body);
     auto current = nlohmann::json::array();
-    for (const auto& entry : result.current)
-        current.push_back(entryToJson(tables_.settings.storePrefix, entry));
+    for (const auto& text : result.current)
+        current.push_back(entryToJson(tables_.settings.storePrefix, { text.key, text.value, text.revision }));
     body["error"]["current"] = std::move(current);
     reply.body = body.dump();
-    co_return reply;
+    return reply;
 }
 
-void OperatorInterface::requireOperator(const OperatorRequest& request) const
+std::string OperatorInterface::requireOperator(const OperatorRequest& request) const
 {
     const auto& text = request.authorization;
     if (text.starts_with(bearer)) {
         const auto digest = digestOfKey(std::string_view(text).substr(bearer.size()));
         for (const auto& credential : tables_.settings.operatorCredentials) {
             if (equalInConstantTime(credential.digest.value(), digest.value()))
-                return;
+                return credential.name;
         }
     }
     throw Error(ResultCode::OperatorRefused, Ran::No, "The operator's credential is missing or unknown");
@@ -235,7 +313,7 @@
             co_return;
         const auto& message = parser.get();
         OperatorRequest request { std::string(message.method_string()), std::string(message.target()),
-            std::string(message[Http::field::authorization]), std::string(message[Http::field::if_match]), message.body() };
+            std::string(message[Http::field::authorization]), std::string(message[Http::field::if_match]), std::string(message["Idempotency-Key"]), message.body() };
         OperatorReply reply = co_await interface.handle(std::move(request));
         Http::response<Http::string_body> response(static_cast<Http::status>(reply.status), httpVersion11);
         response.set(Http::field::content_type, reply.contentType);
--- a/Libraries/LibHTTP/OperatorInterface.h
+++ b/Libraries/LibHTTP/OperatorInterface.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <LibHTTP/InstanceTables.h>
+#include <LibPlatform/ConfigurationFeed.h>
+#include <LibPlatform/RecordWriter.h>
 #include <LibPlatform/StoreClient.h>
 
 #include <string>
@@ -14,6 +16,8 @@
     std::string authorization;
     /// The revision that the operator saw, from the If-Match header; empty if it did not come.
     std::string ifMatch;
+    /// Names the change, from the Idempotency-Key header; empty if it did not come.
+    std::string changeId;
     std::string body;
 };
 
@@ -27,8 +31,8 @@
 /// Thread safety: the first worker.
 class OperatorInterface {
 public:
-    /// Precondition: `tables` and `store` outlive the interface.
-    OperatorInterface(InstanceTables& tables, StoreClient& store);
+    /// Precondition: `tables`, `store` and `feed` outlive the interface.
+    OperatorInterface(InstanceTables& tables, StoreClient& store, const ConfigurationFeed& feed);
 
     /// Answers one request; failures become error answers.
     Task<OperatorReply> handle(OperatorRequest request);
@@ -48,12 +52,19 @@
     Task<OperatorReply> listRecords(OperatorRequest request);
     Task<OperatorReply> putRecord(OperatorRequest request);
     Task<OperatorReply> withdrawRecord(OperatorRequest request);
+    Task<OperatorReply> writeChanges(OperatorRequest request);
+    Task<OperatorReply> showHistory(OperatorRequest request);
     Task<OperatorReply> changeLogLevel(OperatorRequest request);
-    Task<OperatorReply> write(StoreWrite change);
-    void requireOperator(const OperatorRequest& request) const;
+    Task<OperatorReply> write(ChangeRequest change);
+    ChangeRequest makeChange(const OperatorRequest& request) const;
+    OperatorReply showResult(const std::string& changeId, const ChangeResult& result) const;
+    /// The name of the credential that the request came with.
+    std::string requireOperator(const OperatorRequest& request) const;
 
     InstanceTables& tables_;
     StoreClient& store_;
+    const ConfigurationFeed& feed_;
+    RecordWriter writer_;
 };
 
 /// Serves one operator's connection until it closes.
--- a/Libraries/LibHTTP/PeerServer.cpp
+++ b/Libraries/LibHTTP/PeerServer.cpp
@@ -69,9 +69,18 @@
     co_await connection.write(frame.request, std::move(message), timeout);
 }
 
+Task<void> serveControl(PeerConnection& connection, InstanceId from, ControlEvent event, InstanceTables& tables, ControlReceiver& control)
+{
+    const std::vector<PeerAction> answers = co_await control.receive(std::move(from), std::move(event));
+    for (const auto& answer : answers) {
+        PeerMessage message = toPeerMessage(answer);
+        co_await connection.write(RequestId(0), std::move(message), tables.settings.connectTimeout);
+    }
+}
+
 } // namespace
 
-Task<void> servePeer(Asio::ip::tcp::socket socket, InstanceTables& tables, RequestRunner& runner)
+Task<void> servePeer(Asio::ip::tcp::socket socket, InstanceTables& tables, RequestRunner& runner, ControlReceiver& control)
 {
     const auto& identity = tables.settings.identity;
     boost::beast::tcp_stream stream(std::move(socket));
@@ -81,7 +90,13 @@
         const HelloMessage other = co_await connection.handshake(std::move(hello), tables.settings.connectTimeout);
         for (;;) {
             Frame frame = co_await connection.read(tables.settings.idleTimeout);
-            co_await serveRequest(connection, std::move(frame), tables, runner);
+            std::optional<ControlEvent> event = toControlEvent(frame.message);
+            if (!event) {
+                co_await serveRequest(connection, std::move(frame), tables, runner);
+                continue;
+            }
+            InstanceId from(other.instance);
+            co_await serveControl(connection, std::move(from), std::move(*event), tables, control);
         }
     } catch (const Error& error) {
         tables.metrics.increment("ibisturn_peer_frames_refused_total");
--- a/Libraries/LibHTTP/PeerServer.h
+++ b/Libraries/LibHTTP/PeerServer.h
@@ -2,12 +2,14 @@
 
 #include <LibHTTP/InstanceTables.h>
 #include <LibHTTP/RequestRunner.h>
+#include <LibPeer/ControlReceiver.h>
 #include <LibPeer/PeerConnection.h>
 
 namespace Ibisturn {
 
-/// Serves one connection from a peer until it closes: one request after another, each run here or refused.
-/// Precondition: `tables` and `runner` outlive the coroutine. Thread safety: the worker of `runner`.
-Task<void> servePeer(Asio::ip::tcp::socket socket, InstanceTables& tables, RequestRunner& runner);
+/// Serves one connection from a peer until it closes: one request after another, each run here or refused, or the
+/// control messages of a control connection.
+/// Precondition: `tables`, `runner` and `control` outlive the coroutine. Thread safety: the worker of `runner`.
+Task<void> servePeer(Asio::ip::tcp::socket socket, InstanceTables& tables, RequestRunner& runner, ControlReceiver& control);
 
 } // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibPeer/ControlLinks.cpp
@@ -0,0 +1,128 @@
+#include <LibPeer/ControlLinks.h>
+
+#include <LibCore/Log.h>
+
+#include <utility>
+
+namespace Ibisturn {
+
+namespace {
+
+constexpr Log controlLog("control");
+constexpr std::size_t mostWaiting = 32;
+/// A full update carries every record.
+constexpr ByteCount frameLimit { 32UL * 1024 * 1024 };
+constexpr RequestId noRequest { 0 };
+
+} // namespace
+
+ControlLinks::Link::Link(Asio::io_context& context, Member member)
+    : peer(std::move(member))
+    , wake(context)
+{
+}
+
+ControlLinks::ControlLinks(Asio::io_context& context, HelloMessage self, Limits limits, ControlReceiver& receiver)
+    : context_(context)
+    , self_(std::move(self))
+    , limits_(limits)
+    , receiver_(receiver)
+{
+}
+
+void ControlLinks::send(const Member& peer, PeerMessage message)
+{
+    auto& link = links_[peer.id];
+    const bool hasMoved = link && link->peer.peers != peer.peers;
+    if (hasMoved)
+        drop(LinkPointer(link));
+    if (!link || hasMoved) {
+        link = std::make_shared<Link>(context_, peer);
+        links_[peer.id] = link;
+        Asio::co_spawn(context_, run(link), Asio::detached);
+    }
+    if (link->waiting.size() == mostWaiting)
+        link->waiting.pop_front();
+    link->waiting.push_back(std::move(message));
+    link->wake.cancel();
+}
+
+Task<void> ControlLinks::run(LinkPointer link)
+{
+    try {
+        co_await open(link);
+        Asio::co_spawn(context_, read(link), Asio::detached);
+        co_await write(link);
+    } catch (const std::exception& error) {
+        controlLog.debug("Link lost.", { { "peer", link->peer.id }, { "reason", error.what() } });
+    }
+    drop(link);
+}
+
+Task<void> ControlLinks::open(LinkPointer link)
+{
+    const Endpoint endpoint = link->peer.peers;
+    PeerConnection connection = co_await PeerConnection::connect(endpoint, limits_.connectTimeout, frameLimit);
+    link->connection = std::make_unique<PeerConnection>(std::move(connection));
+    HelloMessage hello = self_;
+    const HelloMessage other = co_await link->connection->handshake(std::move(hello), limits_.writeTimeout);
+    // An address may have passed to another instance since the list was read.
+    if (other.instance != link->peer.id.value())
+        throw Error(ResultCode::PeerUnreachable, Ran::No, "Another instance has this address");
+}
+
+Task<void> ControlLinks::write(LinkPointer link)
+{
+    while (!link->isBroken) {
+        if (link->waiting.empty()) {
+            link->wake.expires_after(limits_.idleTimeout);
+            boost::system::error_code woken;
+            co_await link->wake.async_wait(Asio::redirect_error(Asio::use_awaitable, woken));
+            if (!woken && link->waiting.empty())
+                co_return;
+            continue;
+        }
+        PeerMessage message = std::move(link->waiting.front());
+        link->waiting.pop_front();
+        co_await link->connection->write(noRequest, std::move(message), limits_.writeTimeout);
+    }
+}
+
+Task<void> ControlLinks::read(LinkPointer link)
+{
+    try {
+        while (!link->isBroken) {
+            const Frame frame = co_await link->connection->read(limits_.idleTimeout);
+            std::optional<ControlEvent> event = toControlEvent(frame.message);
+            if (event)
+                co_await answer(link, std::move(*event));
+        }
+    } catch (const std::exception& error) {
+        controlLog.debug("Link ended.", { { "peer", link->peer.id }, { "reason", error.what() } });
+    }
+    drop(link);
+}
+
+Task<void> ControlLinks::answer(LinkPointer link, ControlEvent event)
+{
+    InstanceId from = link->peer.id;
+    const std::vector<PeerAction> answers = co_await receiver_.receive(std::move(from), std::move(event));
+    for (const auto& action : answers)
+        link->waiting.push_back(toPeerMessage(action));
+    link->wake.cancel();
+}
+
+void ControlLinks::drop(const LinkPointer& link)
+{
+    if (link->isBroken)
+        return;
+    link->isBroken = true;
+    link->wake.cancel();
+    if (link->connection)
+        link->connection->close();
+    const auto found = links_.find(link->peer.id);
+    if (found != links_.end() && found->second == link)
+        links_.erase(found);
+}
+
+} // namespace Ibisturn
--- a/Libraries/LibPeer/Frame.cpp
+++ b/Libraries/LibPeer/Frame.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-constexpr std::size_t mostElements = 64;
+/// Records in one update, at most.
+constexpr std::size_t mostElements = 64UL * 1024;
 constexpr std::size_t mostDepth = 8;
 
 /// The part of a frame before its message.
--- a/Libraries/LibPeer/Frame.h
+++ b/Libraries/LibPeer/Frame.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include <msgpack.hpp>
 
@@ -70,7 +71,40 @@
     MSGPACK_DEFINE(code, ran, text)
 };
 
-using PeerMessage = std::variant<HelloMessage, ForwardMessage, AnswerHeadMessage, AnswerPartMessage, AnswerEndMessage, FailureMessage>;
+/// What an instance tells a peer of itself; see ControlHeartbeat. Times are nanoseconds of the sender's own clock.
+struct HeartbeatMessage {
+    std::uint8_t kind { 0 };
+    std::uint64_t incarnation { 0 };
+    std::int64_t sentAt { 0 };
+    std::uint64_t echoIncarnation { 0 };
+    std::int64_t echo { 0 };
+    std::int64_t revision { 0 };
+    std::int64_t storeAge { 0 };
+    std::uint8_t readiness { 0 };
+    std::uint8_t wish { 0 };
+    MSGPACK_DEFINE(kind, incarnation, sentAt, echoIncarnation, echo, revision, storeAge, readiness, wish)
+};
+
+/// One record's change; see RecordChange.
+struct RecordChangeMessage {
+    std::string key;
+    bool isDeleted { false };
+    std::string value;
+    std::int64_t revision { 0 };
+    MSGPACK_DEFINE(key, isDeleted, value, revision)
+};
+
+/// What takes the receiver's records to a later revision; see ConfigurationUpdate.
+struct ConfigurationUpdateMessage {
+    std::uint8_t kind { 0 };
+    std::int64_t from { 0 };
+    std::int64_t to { 0 };
+    std::vector<RecordChangeMessage> changes;
+    MSGPACK_DEFINE(kind, from, to, changes)
+};
+
+using PeerMessage = std::variant<HelloMessage, ForwardMessage, AnswerHeadMessage, AnswerPartMessage, AnswerEndMessage, FailureMessage,
+    HeartbeatMessage, ConfigurationUpdateMessage>;
 
 /// A message between two instances with what ties it to its request.
 struct Frame {
--- a/Libraries/LibPlatform/ConfigurationFeed.cpp
+++ b/Libraries/LibPlatform/ConfigurationFeed.cpp
@@ -1,8 +1,11 @@
 #include <LibPlatform/ConfigurationFeed.h>
 
+#include <LibConfiguration/RecordHead.h>
 #include <LibCore/Error.h>
 #include <LibCore/Log.h>
+#include <LibCore/SteadyClock.h>
 
+#include <random>
 #include <utility>
 
 namespace Ibisturn {
@@ -10,73 +13,177 @@
 namespace {
 
 constexpr Log feedLog("configuration");
-constexpr Duration retryPause = std::chrono::milliseconds(200);
+constexpr Duration tickPeriod = std::chrono::milliseconds(100);
 
-Task<void> pause(Duration duration)
+TimePoint now()
 {
-    const auto executor = co_await Asio::this_coro::executor;
-    Asio::steady_timer timer(executor, duration);
-    co_await timer.async_wait(Asio::use_awaitable);
+    return SteadyClock().now();
+}
+
+Incarnation makeIncarnation()
+{
+    std::random_device device;
+    return Incarnation((static_cast<std::uint64_t>(device()) << 32) | device());
+}
+
+std::string recordsFolder(const std::string& prefix)
+{
+    return prefix + "records/";
 }
 
 } // namespace
 
-ConfigurationFeed::ConfigurationFeed(StoreClient& store, std::string prefix, Callback onSnapshot)
+ConfigurationFeed::ConfigurationFeed(StoreClient& store, InstanceIdentity self, std::string prefix, SnapshotCallback onSnapshot, PeerCallback onPeerAction)
     : store_(store)
-    , prefix_(std::move(prefix))
+    , prefix_(prefix)
     , onSnapshot_(std::move(onSnapshot))
-    , records_(prefix_)
+    , onPeerAction_(std::move(onPeerAction))
+    , adopter_(std::move(self), std::move(prefix), makeIncarnation(), now())
 {
 }
 
 Task<void> ConfigurationFeed::run()
 {
+    executor_ = co_await Asio::this_coro::executor;
+    Asio::steady_timer timer(executor_);
     for (;;) {
-        try {
-            co_await readAll();
-            co_await follow();
-        } catch (const std::exception& error) {
-            feedLog.warning("Store lost.", { { "reason", error.what() }, { "revision", records_.revision() } });
-        }
-        co_await pause(retryPause);
+        perform(adopter_.tick(now()));
+        publish();
+        timer.expires_after(tickPeriod);
+        co_await timer.async_wait(Asio::use_awaitable);
     }
 }
 
-Task<void> ConfigurationFeed::readAll()
+void ConfigurationFeed::setInstances(std::vector<Member> instances)
+{
+    adopter_.setInstances(std::move(instances));
+}
+
+std::vector<PeerAction> ConfigurationFeed::onHeartbeat(const InstanceId& from, const ControlHeartbeat& heartbeat)
 {
-    std::string prefix = prefix_ + "records/";
-    const StoreRange range = co_await store_.range(std::move(prefix));
-    // A store that was restored from an older state must not take the configuration back.
-    if (range.revision < records_.revision())
-        throw Error(ResultCode::StoreUnavailable, Ran::No, "The store answers with an older revision");
-    records_.reset(range.revision);
-    for (const auto& entry : range.entries)
-        records_.apply(entry.key, entry.value, entry.revision);
+    return performBut(from, adopter_.onHeartbeat(now(), from, heartbeat));
+}
+
+std::vector<PeerAction> ConfigurationFeed::onUpdate(const InstanceId& from, const ConfigurationUpdate& update)
+{
+    return performBut(from, adopter_.onUpdate(now(), update));
+}
+
+ConfigurationState ConfigurationFeed::state() const
+{
+    return { adopter_.readiness(), adopter_.log().revision(), adopter_.storeAge(now()), adopter_.isWatcher() };
+}
+
+// Answers to the peer that spoke go back on its own connection, so they are returned.
+std::vector<PeerAction> ConfigurationFeed::performBut(const InstanceId& from, AdopterActions actions)
+{
+    std::vector<PeerAction> answers;
+    std::vector<PeerAction> others;
+    for (auto& action : actions.peers) {
+        const auto& peer = std::visit([](const auto& message) -> const InstanceId& { return message.peer; }, action);
+        auto& list = peer == from ? answers : others;
+        list.push_back(std::move(action));
+    }
+    actions.peers = std::move(others);
+    perform(actions);
     publish();
+    return answers;
+}
+
+void ConfigurationFeed::perform(const AdopterActions& actions)
+{
+    for (const auto& action : actions.store)
+        std::visit([this](const auto& storeAction) { call(storeAction); }, action);
+    for (const auto& action : actions.peers)
+        onPeerAction_(action);
 }
 
-Task<void> ConfigurationFeed::follow()
+void ConfigurationFeed::call(const ReadStore& action)
 {
-    std::string prefix = prefix_ + "records/";
-    std::function<void(StoreChanges)> onChanges = [this](const StoreChanges& changes) { adopt(changes); };
-    co_await store_.watch(std::move(prefix), records_.revision() + Revision(1), std::move(onChanges));
+    Asio::co_spawn(executor_, read(action.call), Asio::detached);
 }
 
-void ConfigurationFeed::adopt(const StoreChanges& changes)
+void ConfigurationFeed::call(const ReadHead& action)
 {
-    for (const auto& change : changes.changes)
-        records_.apply(change.key, change.value, change.revision);
-    records_.advance(changes.revision);
-    if (!changes.changes.empty())
+    Asio::co_spawn(executor_, readHead(action.call), Asio::detached);
+}
+
+void ConfigurationFeed::call(const WatchStore& action)
+{
+    watch_ = action.call;
+    Asio::co_spawn(executor_, watch(action), Asio::detached);
+}
+
+void ConfigurationFeed::call(const StopWatch& /*action*/)
+{
+    watch_.reset();
+}
+
+Task<void> ConfigurationFeed::read(StoreCallId id)
+{
+    try {
+        std::string folder = recordsFolder(prefix_);
+        const StoreRange range = co_await store_.range(std::move(folder));
+        StoreRecords records { range.revision, {} };
+        for (const auto& entry : range.entries)
+            records.records.push_back({ entry.key, entry.value, entry.revision });
+        perform(adopter_.onRead(now(), id, std::move(records)));
+        publish();
+    } catch (const std::exception& error) {
+        feedLog.warning("Store not read.", { { "reason", error.what() } });
+        adopter_.onStoreFailed(now(), id);
+    }
+}
+
+Task<void> ConfigurationFeed::readHead(StoreCallId id)
+{
+    try {
+        std::string key = recordHeadKey(prefix_);
+        const StoreRange range = co_await store_.range(std::move(key));
+        const auto head = range.entries.empty() ? Revision(0) : range.entries.front().revision;
+        perform(adopter_.onHead(now(), id, head));
         publish();
+    } catch (const std::exception& error) {
+        feedLog.debug("Head not read.", { { "reason", error.what() } });
+        adopter_.onStoreFailed(now(), id);
+    }
+}
+
+Task<void> ConfigurationFeed::watch(WatchStore action)
+{
+    std::function<void(StoreChanges)> onChanges = [this, id = action.call](const StoreChanges& changes) {
+        // A watch can't be cancelled from outside; it ends with the next thing it is told.
+        if (watch_ != id)
+            throw Error(ResultCode::StoreUnavailable, Ran::No, "The watch was replaced");
+        std::vector<RecordChange> records;
+        for (const auto& change : changes.changes)
+            records.push_back({ change.key, change.value, change.revision });
+        perform(adopter_.onWatched(now(), id, changes.revision, records));
+        publish();
+    };
+    try {
+        std::string folder = recordsFolder(prefix_);
+        co_await store_.watch(std::move(folder), action.after + Revision(1), std::move(onChanges));
+    } catch (const std::exception& error) {
+        feedLog.debug("Watch ended.", { { "reason", error.what() } });
+    }
+    adopter_.onStoreFailed(now(), action.call);
 }
 
 void ConfigurationFeed::publish()
 {
-    if (records_.revision() <= published_)
+    const bool isServing = adopter_.readiness() == Readiness::Ready;
+    const auto revision = adopter_.log().revision();
+    if (isServing == isServing_ && revision == published_)
         return;
-    published_ = records_.revision();
-    auto snapshot = records_.compile();
+    isServing_ = isServing;
+    published_ = revision;
+    if (!isServing) {
+        feedLog.warning("Not serving.", { { "revision", revision } });
+        onSnapshot_(nullptr);
+        return;
+    }
+    auto snapshot = adopter_.log().records().compile();
     feedLog.info("Configuration in force.", { { "revision", snapshot->revision() }, { "records", snapshot->recordCount() } });
     onSnapshot_(std::move(snapshot));
 }
--- a/Libraries/LibPlatform/ConfigurationFeed.h
+++ b/Libraries/LibPlatform/ConfigurationFeed.h
@@ -1,35 +1,67 @@
 #pragma once
 
-#include <LibConfiguration/RecordSet.h>
+#include <LibDecision/Configuration/SnapshotAdopter.h>
 #include <LibPlatform/StoreClient.h>
 
 #include <functional>
 
 namespace Ibisturn {
 
-/// Follows the records in the store and passes on a snapshot whenever they change.
+/// What `status` shows of the configuration.
+struct ConfigurationState {
+    Readiness readiness { Readiness::Starting };
+    Revision revision { noRevision };
+    /// The records were the store's this long ago, or later.
+    std::optional<Duration> storeAge;
+    bool isWatcher { false };
+};
+
+/// Carries out what a SnapshotAdopter decides: calls to the store, messages to peers, and the snapshot in force.
 /// Thread safety: one worker.
 class ConfigurationFeed {
 public:
-    using Callback = std::function<void(SnapshotPointer)>;
+    /// Called with the snapshot in force, or null while the instance must not serve.
+    using SnapshotCallback = std::function<void(SnapshotPointer)>;
+    /// Called with each message to a peer that is not an answer.
+    using PeerCallback = std::function<void(const PeerAction&)>;
 
     /// Precondition: `store` outlives the feed.
-    ConfigurationFeed(StoreClient& store, std::string prefix, Callback onSnapshot);
+    ConfigurationFeed(StoreClient& store, InstanceIdentity self, std::string prefix, SnapshotCallback onSnapshot, PeerCallback onPeerAction);
 
-    /// Reads and watches until the event loop stops; tries again after each failure.
+    /// Follows the configuration until the event loop stops.
     Task<void> run();
 
+    /// Sets the instances that the live list names.
+    void setInstances(std::vector<Member> instances);
+
+    /// Takes in what a peer said and returns the answers to it.
+    std::vector<PeerAction> onHeartbeat(const InstanceId& from, const ControlHeartbeat& heartbeat);
+    std::vector<PeerAction> onUpdate(const InstanceId& from, const ConfigurationUpdate& update);
+
+    /// What is in force now.
+    ConfigurationState state() const;
+
 private:
-    Task<void> readAll();
-    Task<void> follow();
-    void adopt(const StoreChanges& changes);
+    void perform(const AdopterActions& actions);
+    void call(const ReadStore& action);
+    void call(const ReadHead& action);
+    void call(const WatchStore& action);
+    void call(const StopWatch& action);
+    Task<void> read(StoreCallId id);
+    Task<void> readHead(StoreCallId id);
+    Task<void> watch(WatchStore action);
+    std::vector<PeerAction> performBut(const InstanceId& from, AdopterActions actions);
     void publish();
 
     StoreClient& store_;
     std::string prefix_;
-    Callback onSnapshot_;
-    RecordSet records_;
-    Revision published_ { -1 };
+    SnapshotCallback onSnapshot_;
+    PeerCallback onPeerAction_;
+    SnapshotAdopter adopter_;
+    Asio::any_io_executor executor_;
+    std::optional<StoreCallId> watch_;
+    Revision published_ { noRevision };
+    bool isServing_ { false };
 };
 
 } // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibPlatform/RecordWriter.cpp
@@ -0,0 +1,112 @@
+#include <LibPlatform/RecordWriter.h>
+
+#include <LibCore/Error.h>
+
+#include <utility>
+
+namespace Ibisturn {
+
+namespace {
+
+constexpr int mostAttempts = 8;
+constexpr Duration retryPause = std::chrono::milliseconds(250);
+
+Task<void> pause()
+{
+    const auto executor = co_await Asio::this_coro::executor;
+    Asio::steady_timer timer(executor, retryPause);
+    co_await timer.async_wait(Asio::use_awaitable);
+}
+
+std::optional<ChangeResult> finished(const ChangePlan& plan)
+{
+    if (const auto* applied = std::get_if<ChangeApplied>(&plan))
+        return ChangeResult { ResultCode::Ok, "", applied->revision, {} };
+    if (const auto* refused = std::get_if<ChangeRefused>(&plan))
+        return ChangeResult { refused->code, refused->reason, Revision(0), refused->current };
+    return std::nullopt;
+}
+
+} // namespace
+
+RecordWriter::RecordWriter(StoreClient& store, std::string prefix)
+    : store_(store)
+    , prefix_(std::move(prefix))
+{
+}
+
+Task<ChangeResult> RecordWriter::write(ChangeRequest request)
+{
+    bool isInDoubt = false;
+    for (int attempts = 0; attempts < mostAttempts; ++attempts) {
+        if (attempts > 0)
+            co_await pause();
+        const std::optional<ChangeResult> result = co_await attempt(request, isInDoubt);
+        if (result)
+            co_return *result;
+    }
+    if (isInDoubt)
+        throw Error(ResultCode::WriteOutcomeUnknown, Ran::No, "The store's reply was lost and it can't be read back");
+    throw Error(ResultCode::StoreUnavailable, Ran::No, "The store did not take the change");
+}
+
+// One round of reading, planning and writing. Nothing means to try again: the plan then finds the change if it took
+// effect, and a conflict on the head keeps a late first write from coming after a second one.
+Task<std::optional<ChangeResult>> RecordWriter::attempt(const ChangeRequest& request, bool& isInDoubt)
+{
+    bool isSent = false;
+    try {
+        const std::vector<StoredText> stored = co_await readStored(request);
+        const ChangePlan plan = planChange(prefix_, stored, request);
+        if (std::optional<ChangeResult> result = finished(plan))
+            co_return result;
+        std::vector<StoreWrite> writes;
+        for (const auto& write : std::get<ChangeReady>(plan).writes)
+            writes.push_back({ write.key, write.value, write.expected });
+        isSent = true;
+        const StoreWriteResult result = co_await store_.transact(std::move(writes));
+        if (result.outcome == WriteOutcome::Written)
+            co_return ChangeResult { ResultCode::Ok, "", result.revision, {} };
+    } catch (const Error& error) {
+        isInDoubt = isInDoubt || (isSent && error.code() == ResultCode::WriteOutcomeUnknown);
+    }
+    co_return std::nullopt;
+}
+
+Task<ChangeResult> RecordWriter::check(ChangeRequest request)
+{
+    const std::vector<StoredText> stored = co_await readStored(request);
+    const ChangePlan plan = planChange(prefix_, stored, request);
+    const std::optional<ChangeResult> result = finished(plan);
+    co_return result.value_or(ChangeResult {});
+}
+
+Task<std::vector<HistoryEntry>> RecordWriter::history(RecordName name)
+{
+    const std::string key = historyKey(prefix_, name);
+    const StoreRange range = co_await store_.range(key);
+    for (const auto& entry : range.entries) {
+        if (entry.key == key)
+            co_return parseHistory(entry.value);
+    }
+    co_return std::vector<HistoryEntry> {};
+}
+
+Task<std::vector<StoredText>> RecordWriter::readStored(const ChangeRequest& request)
+{
+    std::vector<StoredText> stored;
+    // The histories come last: a write of this change that takes effect between the two reads is then found in them,
+    // and is not taken for another operator's.
+    std::string records = prefix_ + "records/";
+    const StoreRange present = co_await store_.range(std::move(records));
+    const bool isSingle = request.edits.size() == 1;
+    std::string histories = isSingle ? historyKey(prefix_, request.edits.front().name) : prefix_ + "history/";
+    const StoreRange past = co_await store_.range(std::move(histories));
+    for (const auto* range : { &past, &present }) {
+        for (const auto& entry : range->entries)
+            stored.push_back({ entry.key, entry.value, entry.revision });
+    }
+    co_return stored;
+}
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Programs/ibisturn/ControlPlane.cpp
@@ -0,0 +1,62 @@
+#include "ControlPlane.h"
+
+#include <utility>
+
+namespace Ibisturn {
+
+namespace {
+
+constexpr Duration writeTimeout = std::chrono::seconds(2);
+
+HelloMessage helloOf(const InstanceIdentity& identity)
+{
+    return { identity.instance.value(), identity.region.value(), identity.dataCentre.value(), 0 };
+}
+
+} // namespace
+
+ControlPlane::ControlPlane(Asio::io_context& context, InstanceTables& tables, StoreClient& store)
+    : context_(context)
+    , tables_(tables)
+    , feed_(
+          store, tables.settings.identity, tables.settings.storePrefix,
+          [this](SnapshotPointer snapshot) { tables_.configuration.set(std::move(snapshot)); },
+          [this](const PeerAction& action) { send(action); })
+    , links_(context, helloOf(tables.settings.identity), { tables.settings.connectTimeout, writeTimeout, tables.settings.idleTimeout }, *this)
+{
+}
+
+void ControlPlane::start()
+{
+    Asio::co_spawn(context_, feed_.run(), Asio::detached);
+}
+
+void ControlPlane::setMembership(MembershipPointer membership)
+{
+    feed_.setInstances(membership->instances);
+    tables_.membership.set(std::move(membership));
+}
+
+Task<std::vector<PeerAction>> ControlPlane::receive(InstanceId from, ControlEvent event)
+{
+    auto task = receiveHere(std::move(from), std::move(event));
+    co_return co_await Asio::co_spawn(context_, std::move(task), Asio::use_awaitable);
+}
+
+Task<std::vector<PeerAction>> ControlPlane::receiveHere(InstanceId from, ControlEvent event)
+{
+    if (const auto* heartbeat = std::get_if<ControlHeartbeat>(&event))
+        co_return feed_.onHeartbeat(from, *heartbeat);
+    co_return feed_.onUpdate(from, std::get<ConfigurationUpdate>(event));
+}
+
+void ControlPlane::send(const PeerAction& action)
+{
+    const auto& peer = std::visit([](const auto& message) -> const InstanceId& { return message.peer; }, action);
+    const auto membership = tables_.membership.get();
+    const auto* member = membership ? membership->find(peer) : nullptr;
+    if (member)
+        links_.send(*member, toPeerMessage(action));
+}
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Programs/ibisturn/ControlPlane.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <LibHTTP/InstanceTables.h>
+#include <LibPeer/ControlLinks.h>
+#include <LibPlatform/ConfigurationFeed.h>
+
+namespace Ibisturn {
+
+/// Ties the decisions on configuration to the store, to the peers and to the tables that workers read.
+/// Thread safety: the worker of `context`, but for what a method says.
+class ControlPlane final : public ControlReceiver {
+public:
+    /// Precondition: `context`, `tables` and `store` outlive the control plane.
+    ControlPlane(Asio::io_context& context, InstanceTables& tables, StoreClient& store);
+
+    /// Starts to follow the configuration. Call it once.
+    void start();
+
+    /// Sets the instances that the live list names.
+    void setMembership(MembershipPointer membership);
+
+    /// What follows the configuration.
+    const ConfigurationFeed& feed() const { return feed_; }
+
+    /// Thread safety: any worker.
+    Task<std::vector<PeerAction>> receive(InstanceId from, ControlEvent event) override;
+
+private:
+    Task<std::vector<PeerAction>> receiveHere(InstanceId from, ControlEvent event);
+    void send(const PeerAction& action);
+
+    Asio::io_context& context_;
+    InstanceTables& tables_;
+    ConfigurationFeed feed_;
+    ControlLinks links_;
+};
+
+} // namespace Ibisturn
--- a/Programs/ibisturn/Instance.cpp
+++ b/Programs/ibisturn/Instance.cpp
@@ -53,8 +53,8 @@
     : tables_(settings, makeSpanDestination(settings))
     , workers_(tables_.settings.workers)
     , store_(makeStore(tables_.settings))
-    , feed_(*store_, tables_.settings.storePrefix, [this](SnapshotPointer snapshot) { tables_.configuration.set(std::move(snapshot)); })
-    , operators_(tables_, *store_)
+    , control_(workers_.context(0), tables_, *store_)
+    , operators_(tables_, *store_, control_.feed())
     , callersAcceptor_(listenOn(workers_.context(0), tables_.settings.callersListen))
     , peersAcceptor_(listenOn(workers_.context(0), tables_.settings.peersListen))
     , operatorsAcceptor_(listenOn(workers_.context(0), tables_.settings.operatorsListen))
@@ -66,7 +66,7 @@
 void Instance::run()
 {
     auto& context = workers_.context(0);
-    Asio::co_spawn(context, feed_.run(), Asio::detached);
+    control_.start();
     Asio::co_spawn(context, followLiveList(), Asio::detached);
     Asio::co_spawn(context, driveTimers(), Asio::detached);
     Asio::co_spawn(context, awaitShutdown(), Asio::detached);
@@ -101,7 +101,7 @@
     for (;;) {
         try {
             MembershipView view = co_await fetchLiveList(tables_.settings.liveListEndpoint);
-            tables_.membership.set(std::make_shared<const MembershipView>(std::move(view)));
+            control_.setMembership(std::make_shared<const MembershipView>(std::move(view)));
         } catch (const std::exception& error) {
             instanceLog.debug("Live list not read.", { { "reason", error.what() } });
         }
@@ -138,7 +138,7 @@
 
 void Instance::servePeerOn(Asio::ip::tcp::socket socket, std::size_t worker)
 {
-    Asio::co_spawn(workers_.context(worker), servePeer(std::move(socket), tables_, *runners_.at(worker)), Asio::detached);
+    Asio::co_spawn(workers_.context(worker), servePeer(std::move(socket), tables_, *runners_.at(worker), control_), Asio::detached);
 }
 
 void Instance::serveOperatorOn(Asio::ip::tcp::socket socket, std::size_t /*worker*/)
--- a/Programs/ibisturn/Instance.h
+++ b/Programs/ibisturn/Instance.h
@@ -7,7 +7,8 @@
 #include <LibHTTP/OperatorInterface.h>
 #include <LibHTTP/RequestRunner.h>
 #include <LibKernel/WorkerPool.h>
-#include <LibPlatform/ConfigurationFeed.h>
+
+#include "ControlPlane.h"
 
 #include <memory>
 #include <vector>
@@ -41,7 +42,7 @@
     TimerService timers_;
     std::vector<std::unique_ptr<RequestRunner>> runners_;
     std::unique_ptr<StoreClient> store_;
-    ConfigurationFeed feed_;
+    ControlPlane control_;
     OperatorInterface operators_;
     Acceptor callersAcceptor_;
     Acceptor peersAcceptor_;
