ctl: Apply declarations kept in version control

`ctl apply DIR` shows the difference, checks or writes it in one transaction while it fits, and says what was not written; `ctl put` takes the same files and `ctl history` shows who changed a record and when.

--- a/Programs/ibisturn/ControlCommand.cpp
+++ b/Programs/ibisturn/ControlCommand.cpp
@@ -1,12 +1,14 @@
 #include "ControlCommand.h"
 
+#include <LibConfiguration/Declarations.h>
 #include <LibCore/Error.h>
+#include <LibDecision/Configuration/ChangePlan.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <exception>
-#include <fstream>
 #include <optional>
-#include <sstream>
+#include <random>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -17,6 +19,10 @@
 
 constexpr unsigned httpOk = 200;
 constexpr unsigned httpNotFound = 404;
+constexpr unsigned httpUnavailable = 503;
+constexpr unsigned httpGatewayTimeout = 504;
+constexpr Duration changeTimeout = std::chrono::seconds(40);
+constexpr int mostAttempts = 3;
 
 HttpCall makeCall(const ControlOptions& options, std::string method, std::string target)
 {
@@ -55,15 +61,15 @@
     return reply.status == httpOk ? 0 : 1;
 }
 
-std::string recordTarget(const ControlArguments& arguments)
+std::string recordTarget(const RecordName& name)
 {
-    return fmt::format("/v1/records/{}/{}", arguments.kind, arguments.name);
+    return fmt::format("/v1/records/{}/{}", name.kind, name.name);
 }
 
 // The revision that a write must find; zero if there is no such record.
-std::optional<std::int64_t> fetchRevision(const ControlOptions& options, const ControlArguments& arguments)
+std::optional<std::int64_t> fetchRevision(const ControlOptions& options, const RecordName& name)
 {
-    const auto reply = exchange(makeCall(options, "GET", recordTarget(arguments)));
+    const auto reply = exchange(makeCall(options, "GET", recordTarget(name)));
     if (reply.status == httpNotFound)
         return 0;
     if (reply.status != httpOk) {
@@ -73,41 +79,149 @@
     return nlohmann::json::parse(reply.body).at("records").at(0).at("revision").get<std::int64_t>();
 }
 
-int writeRecord(const ControlOptions& options, const ControlArguments& arguments, const std::string& method, const std::string& body)
+enum class ChangeMode : std::uint8_t {
+    Write,
+    Check,
+};
+
+std::string makeChangeId()
 {
-    const auto revision = fetchRevision(options, arguments);
-    if (!revision)
-        return 1;
-    auto call = makeCall(options, method, recordTarget(arguments));
-    call.headers.push_back({ "If-Match", std::to_string(*revision) });
-    call.body = body;
-    return show(options, exchange(std::move(call)));
+    std::random_device device;
+    return fmt::format("{:08x}{:08x}{:08x}", device(), device(), device());
+}
+
+HttpReply exchangeOrUnknown(const HttpCall& call)
+{
+    try {
+        return exchange(call);
+    } catch (const boost::system::system_error& error) {
+        if (error.code() == Asio::error::connection_refused)
+            throw;
+        const nlohmann::json body { { "error", { { "message", std::string("The instance did not answer: ") + error.what() } } } };
+        return { httpGatewayTimeout, body.dump() };
+    }
+}
+
+// The change's id makes it safe to send the same change again when the answer was lost.
+HttpReply postChange(const ControlOptions& options, const std::vector<RecordDifference>& edits, ChangeMode mode)
+{
+    auto changes = nlohmann::json::array();
+    for (const auto& edit : edits) {
+        auto record = edit.after ? nlohmann::json::parse(*edit.after) : nlohmann::json(nullptr);
+        changes.push_back({ { "kind", edit.name.kind }, { "name", edit.name.name }, { "record", std::move(record) }, { "revision", edit.seen.count() } });
+    }
+    auto call = makeCall(options, "POST", "/v1/changes");
+    call.headers.push_back({ "Idempotency-Key", makeChangeId() });
+    call.body = nlohmann::json { { "changes", std::move(changes) }, { "dry_run", mode == ChangeMode::Check } }.dump();
+    call.timeout = changeTimeout;
+    HttpReply reply;
+    for (int attempts = 0; attempts < mostAttempts; ++attempts) {
+        reply = exchangeOrUnknown(call);
+        if (reply.status != httpGatewayTimeout && reply.status != httpUnavailable)
+            break;
+    }
+    return reply;
+}
+
+std::vector<PresentRecord> readPresent(const std::string& body)
+{
+    std::vector<PresentRecord> present;
+    const auto json = nlohmann::json::parse(body);
+    for (const auto& record : json.at("records"))
+        present.push_back({ { record.at("kind"), record.at("name") }, record.at("record").dump(), Revision(record.at("revision").get<std::int64_t>()) });
+    return present;
+}
+
+void printDifference(const RecordDifference& difference)
+{
+    const char sign = !difference.before ? '+' : !difference.after ? '-'
+                                                                   : '~';
+    fmt::print("{} {}/{}\n", sign, difference.name.kind, difference.name.name);
+    if (difference.before)
+        fmt::print("    - {}\n", *difference.before);
+    if (difference.after)
+        fmt::print("    + {}\n", *difference.after);
+}
+
+void printNames(const char* label, const std::vector<RecordDifference>& differences)
+{
+    for (const auto& difference : differences)
+        fmt::print("{}: {}/{}\n", label, difference.name.kind, difference.name.name);
+}
+
+// One transaction while it fits; otherwise one after the other, each of them whole.
+int applyDifferences(const ControlOptions& options, std::vector<RecordDifference> differences, ChangeMode mode)
+{
+    std::vector<RecordDifference> done;
+    while (!differences.empty()) {
+        const auto count = static_cast<std::ptrdiff_t>(std::min(differences.size(), mostEdits));
+        const std::vector<RecordDifference> part(differences.begin(), differences.begin() + count);
+        const auto reply = postChange(options, part, mode);
+        if (reply.status != httpOk) {
+            show(options, reply);
+            printNames("written", done);
+            printNames(reply.status == httpGatewayTimeout ? "not known" : "not written", part);
+            printNames("not written", { differences.begin() + count, differences.end() });
+            return 1;
+        }
+        if (mode == ChangeMode::Check) {
+            if (count < static_cast<std::ptrdiff_t>(differences.size()))
+                fmt::print("Checked the first {} of {} records, which make one transaction.\n", count, differences.size());
+            fmt::print("Nothing written.\n");
+            return 0;
+        }
+        show(options, reply);
+        done.insert(done.end(), part.begin(), part.end());
+        differences.erase(differences.begin(), differences.begin() + count);
+    }
+    fmt::print("{} records written.\n", done.size());
+    return 0;
 }
 
 } // namespace
 
 int runControlPut(const ControlOptions& options, const ControlArguments& arguments)
 {
-    const std::ifstream file(arguments.file);
-    if (!file) {
-        fmt::print(stderr, "{}: the file cannot be read\n", arguments.file);
-        return 2;
+    const auto declarations = loadDeclarations(arguments.file);
+    std::vector<RecordDifference> edits;
+    for (const auto& declaration : declarations) {
+        const auto revision = fetchRevision(options, declaration.name);
+        if (!revision)
+            return 1;
+        edits.push_back({ declaration.name, {}, declaration.json, Revision(*revision) });
     }
-    std::ostringstream text;
-    text << file.rdbuf();
-    auto document = nlohmann::json::parse(text.str(), nullptr, false);
-    const bool isNamed = document.is_object() && document.contains("kind") && document.contains("name") && document.contains("record");
-    if (!isNamed) {
-        fmt::print(stderr, "{}: must be a JSON object with kind, name and record\n", arguments.file);
+    if (edits.empty()) {
+        fmt::print(stderr, "{}: declares no record\n", arguments.file);
         return 2;
     }
-    const ControlArguments target { document["kind"].get<std::string>(), document["name"].get<std::string>(), arguments.file };
-    return writeRecord(options, target, "PUT", document["record"].dump());
+    return show(options, postChange(options, edits, ChangeMode::Write));
+}
+
+int runControlApply(const ControlOptions& options, const ControlArguments& arguments)
+{
+    const auto declared = loadDeclarations(arguments.file);
+    const auto reply = exchange(makeCall(options, "GET", "/v1/records/"));
+    if (reply.status != httpOk)
+        return show(options, reply);
+    const auto pruning = arguments.isPruning ? Pruning::Delete : Pruning::Keep;
+    const auto differences = compareDeclarations(declared, readPresent(reply.body), pruning);
+    for (const auto& difference : differences)
+        printDifference(difference);
+    if (differences.empty()) {
+        fmt::print("No difference.\n");
+        return 0;
+    }
+    return applyDifferences(options, differences, arguments.isDryRun ? ChangeMode::Check : ChangeMode::Write);
+}
+
+int runControlHistory(const ControlOptions& options, const ControlArguments& arguments)
+{
+    return show(options, exchange(makeCall(options, "GET", fmt::format("/v1/history/{}/{}", arguments.kind, arguments.name))));
 }
 
 int runControlGet(const ControlOptions& options, const ControlArguments& arguments)
 {
-    return show(options, exchange(makeCall(options, "GET", recordTarget(arguments))));
+    return show(options, exchange(makeCall(options, "GET", recordTarget({ arguments.kind, arguments.name }))));
 }
 
 int runControlList(const ControlOptions& options, const ControlArguments& arguments)
@@ -118,7 +232,11 @@
 
 int runControlWithdraw(const ControlOptions& options, const ControlArguments& arguments)
 {
-    return writeRecord(options, arguments, "DELETE", "");
+    const RecordName name { arguments.kind, arguments.name };
+    const auto revision = fetchRevision(options, name);
+    if (!revision)
+        return 1;
+    return show(options, postChange(options, { { name, {}, {}, Revision(*revision) } }, ChangeMode::Write));
 }
 
 int runStatus(const ControlOptions& options)
--- a/Programs/ibisturn/ControlCommand.h
+++ b/Programs/ibisturn/ControlCommand.h
@@ -25,7 +25,12 @@
 struct ControlArguments {
     std::string kind;
     std::string name;
+    /// A file, or a folder of them.
     std::string file;
+    /// Show what would change and write nothing.
+    bool isDryRun { false };
+    /// Delete records that no file declares.
+    bool isPruning { false };
 };
 
 /// Each returns the exit code: 0 done, 1 refused or failed, 2 wrong arguments.
@@ -33,6 +38,8 @@
 int runControlPut(const ControlOptions& options, const ControlArguments& arguments);
 int runControlGet(const ControlOptions& options, const ControlArguments& arguments);
 int runControlList(const ControlOptions& options, const ControlArguments& arguments);
+int runControlApply(const ControlOptions& options, const ControlArguments& arguments);
+int runControlHistory(const ControlOptions& options, const ControlArguments& arguments);
 int runControlWithdraw(const ControlOptions& options, const ControlArguments& arguments);
 int runStatus(const ControlOptions& options);
 
--- a/Programs/ibisturn/Main.cpp
+++ b/Programs/ibisturn/Main.cpp
@@ -87,8 +87,13 @@
         auto* command = app.add_subcommand("ctl", "Read and write records");
         command->require_subcommand(1);
         addControlOptions(*command, control, json);
-        auto* put = addAction(*command, "put", "Write the record in a JSON file", runControlPut);
-        put->add_option("file", arguments.file, "File with kind, name and record")->required();
+        auto* put = addAction(*command, "put", "Write the records that a file declares, together", runControlPut);
+        put->add_option("file", arguments.file, "YAML or JSON file with kind, name and record")->required();
+        auto* apply = addAction(*command, "apply", "Make records as the files of a folder declare them", runControlApply);
+        apply->add_option("folder", arguments.file, "Folder of YAML or JSON files")->required();
+        apply->add_flag("--dry-run", arguments.isDryRun, "Show the difference, check it, and write nothing");
+        apply->add_flag("--prune", arguments.isPruning, "Delete records that no file declares");
+        addNamed(*command, "history", "Show who changed a record, when and how", runControlHistory);
         addNamed(*command, "get", "Show one record", runControlGet);
         addNamed(*command, "withdraw", "Delete one record", runControlWithdraw);
         auto* list = addAction(*command, "list", "List records", runControlList);
