LibDecision: Judge instances by what they say and what round trips show

The live list lags, and was all that entries and forwards looked at. MembershipTracker adds what instances announce per start and first-hand suspicion that ends by itself; a leaving instance tells all others at once, and one that was frozen drops what it saw time out. Of nine instances, one that leaves moves at most 5/36 of 1,400 workspaces.

--- a/Libraries/LibDecision/Configuration/ConfigurationMessages.h
+++ b/Libraries/LibDecision/Configuration/ConfigurationMessages.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/Quantity.h>
+#include <LibDecision/Membership/MembershipView.h>
 
 #include <optional>
 #include <string>
@@ -68,6 +69,7 @@
     Duration storeAge { -1 };
     Readiness readiness { Readiness::Starting };
     UpdateWish wish { UpdateWish::Delta };
+    MemberState state { MemberState::Live };
 };
 
 /// The revision of an instance without records.
--- a/Libraries/LibDecision/Configuration/SnapshotAdopter.cpp
+++ b/Libraries/LibDecision/Configuration/SnapshotAdopter.cpp
@@ -172,6 +172,17 @@
     return actions;
 }
 
+AdopterActions SnapshotAdopter::leave(TimePoint now)
+{
+    state_ = MemberState::Leaving;
+    AdopterActions actions;
+    for (const auto& member : instances_) {
+        if (member.id != self_.instance)
+            actions.peers.emplace_back(makeHeartbeat(now, member.id, HeartbeatKind::Request));
+    }
+    return actions;
+}
+
 std::optional<Duration> SnapshotAdopter::storeAge(TimePoint now) const
 {
     const auto current = currentAsOf();
@@ -199,7 +210,7 @@
 {
     std::set<InstanceId> found;
     for (const auto& member : instances_) {
-        if (member.dataCentre == self_.dataCentre && member.state == MemberState::Live && member.id != self_.instance)
+        if (member.dataCentre == self_.dataCentre && member.state != MemberState::Leaving && member.id != self_.instance)
             found.insert(member.id);
     }
     return { found.begin(), found.end() };
@@ -265,7 +276,7 @@
     std::map<DataCentreId, std::vector<InstanceId>> remote;
     std::size_t sources = 0;
     for (const auto& member : instances_) {
-        if (member.dataCentre == self_.dataCentre || member.state != MemberState::Live)
+        if (member.dataCentre == self_.dataCentre || member.state == MemberState::Leaving)
             continue;
         remote[member.dataCentre].push_back(member.id);
         const auto* state = feed_.find(member.id);
@@ -323,6 +334,7 @@
     heartbeat.revision = log_.revision();
     heartbeat.storeAge = storeAge(now).value_or(Duration(-1));
     heartbeat.readiness = readiness_;
+    heartbeat.state = state_;
     const auto* state = feed_.find(peer);
     const bool isBest = state->revision > log_.revision()
         && std::none_of(feed_.peers().begin(), feed_.peers().end(), [&](const auto& other) { return other.second.revision > state->revision && feed_.isConfirmed(now, other.first); });
--- a/Libraries/LibDecision/Configuration/SnapshotAdopter.h
+++ b/Libraries/LibDecision/Configuration/SnapshotAdopter.h
@@ -56,6 +56,9 @@
     AdopterActions onHeartbeat(TimePoint now, const InstanceId& from, const ControlHeartbeat& heartbeat);
     AdopterActions onUpdate(TimePoint now, const ConfigurationUpdate& update);
 
+    /// This instance leaves: every instance is told at once.
+    AdopterActions leave(TimePoint now);
+
     /// Whether requests may be served with the records in force.
     Readiness readiness() const { return readiness_; }
 
@@ -102,6 +105,7 @@
     TimePoint nextSweep_ {};
     std::size_t sweeps_ { 0 };
     bool isWatcher_ { false };
+    MemberState state_ { MemberState::Live };
 };
 
 } // namespace Ibisturn
--- a/Libraries/LibDecision/Membership/EntryDirectory.cpp
+++ b/Libraries/LibDecision/Membership/EntryDirectory.cpp
@@ -18,10 +18,14 @@
 {
     std::vector<Member> entries;
     const auto isEntry = [&](const Member& member) {
-        return member.state == MemberState::Live && isPermittedRegion(snapshot, workspace, member.region);
+        return member.state != MemberState::Leaving && isPermittedRegion(snapshot, workspace, member.region);
     };
     std::copy_if(membership.instances.begin(), membership.instances.end(), std::back_inserter(entries), isEntry);
     const auto isBetter = [&](const Member& left, const Member& right) {
+        const bool isLeftSuspected = left.state == MemberState::Suspected;
+        const bool isRightSuspected = right.state == MemberState::Suspected;
+        if (isLeftSuspected != isRightSuspected)
+            return isRightSuspected;
         const bool leftNear = left.region == near;
         const bool rightNear = right.region == near;
         if (leftNear != rightNear)
--- a/Libraries/LibDecision/Membership/EntryDirectory.h
+++ b/Libraries/LibDecision/Membership/EntryDirectory.h
@@ -12,7 +12,7 @@
 std::uint64_t rendezvousScore(std::string_view subject, std::string_view candidate);
 
 /// The instances that callers of `workspace` should use, best first: only in permitted regions, none that
-/// leaves, those of the region `near` first, and in a steady order for a workspace.
+/// leaves, suspected ones last, those of the region `near` first, and in a steady order for a workspace.
 /// Thread safety: any thread.
 std::vector<Member> entriesFor(const Snapshot& snapshot, const MembershipView& membership, const WorkspaceId& workspace, const RegionId& near);
 
--- /dev/null
+++ b/Libraries/LibDecision/Membership/MembershipTracker.cpp
@@ -0,0 +1,91 @@
+#include <LibDecision/Membership/MembershipTracker.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Ibisturn {
+
+namespace {
+
+/// Suspicion doubles with each silence that follows without an answer between.
+constexpr Duration firstSuspicion = std::chrono::seconds(2);
+constexpr std::uint32_t mostDoublings = 4;
+constexpr Duration pauseLimit = std::chrono::seconds(3);
+
+} // namespace
+
+void MembershipTracker::onLiveList(MembershipView list)
+{
+    list_ = std::move(list);
+    std::erase_if(evidence_, [this](const auto& entry) { return !list_.find(entry.first); });
+    for (const auto& member : list_.instances) {
+        auto& evidence = evidence_[member.id];
+        if (member.state != MemberState::Leaving)
+            evidence.leftByList.reset();
+        else if (!evidence.leftByList)
+            evidence.leftByList = evidence.incarnation;
+    }
+}
+
+void MembershipTracker::onAnnouncement(const InstanceId& instance, Incarnation incarnation, MemberState state)
+{
+    if (!list_.find(instance))
+        return;
+    auto& evidence = evidence_[instance];
+    if (evidence.incarnation != incarnation) {
+        // Of an instance that was not heard before, the list may mean this very start.
+        const bool isFirst = evidence.incarnation == Incarnation();
+        const auto left = isFirst && evidence.leftByList ? std::optional(incarnation) : evidence.leftByList;
+        evidence = Evidence { incarnation, MemberState::Live, left, {}, 0 };
+    }
+    // Leaving is final for one start of an instance; a late heartbeat from before does not take it back.
+    if (evidence.announced != MemberState::Leaving)
+        evidence.announced = state;
+}
+
+void MembershipTracker::onReach(TimePoint now, const InstanceId& instance, Reach reach)
+{
+    if (!list_.find(instance))
+        return;
+    auto& evidence = evidence_[instance];
+    if (reach == Reach::Answered) {
+        evidence.suspectedUntil.reset();
+        evidence.silences = 0;
+        return;
+    }
+    // Several calls that end together are one silence.
+    if (evidence.suspectedUntil && now < *evidence.suspectedUntil)
+        return;
+    evidence.suspectedUntil = now + firstSuspicion * (1 << std::min(evidence.silences, mostDoublings));
+    ++evidence.silences;
+}
+
+void MembershipTracker::tick(TimePoint now)
+{
+    const bool wasFrozen = lastTick_ && now - *lastTick_ > pauseLimit;
+    lastTick_ = now;
+    if (!wasFrozen)
+        return;
+    for (auto& [instance, evidence] : evidence_) {
+        evidence.suspectedUntil.reset();
+        evidence.silences = 0;
+    }
+}
+
+MembershipView MembershipTracker::view(TimePoint now) const
+{
+    MembershipView view = list_;
+    for (auto& member : view.instances) {
+        const auto found = evidence_.find(member.id);
+        if (found == evidence_.end())
+            continue;
+        const auto& evidence = found->second;
+        const bool isLeaving = evidence.announced == MemberState::Leaving || evidence.leftByList == evidence.incarnation;
+        member.state = isLeaving ? MemberState::Leaving : MemberState::Live;
+        if (member.state == MemberState::Live && evidence.suspectedUntil && now < *evidence.suspectedUntil)
+            member.state = MemberState::Suspected;
+    }
+    return view;
+}
+
+} // namespace Ibisturn
--- a/Libraries/LibDecision/Membership/MembershipView.h
+++ b/Libraries/LibDecision/Membership/MembershipView.h
@@ -10,7 +10,10 @@
 
 enum class MemberState : std::uint8_t {
     Live,
+    /// It shuts down and takes nothing new.
     Leaving,
+    /// It did not answer this instance lately; others may still reach it.
+    Suspected,
 };
 
 /// An instance of the system as the others see it.
--- a/Libraries/LibPeer/ControlMessages.cpp
+++ b/Libraries/LibPeer/ControlMessages.cpp
@@ -29,7 +29,7 @@
     const auto& heartbeat = action.heartbeat;
     return HeartbeatMessage { static_cast<std::uint8_t>(heartbeat.kind), heartbeat.incarnation.count(), nanoseconds(heartbeat.sentAt),
         heartbeat.echoIncarnation.count(), nanoseconds(heartbeat.echo), heartbeat.revision.count(), heartbeat.storeAge.count(),
-        static_cast<std::uint8_t>(heartbeat.readiness), static_cast<std::uint8_t>(heartbeat.wish) };
+        static_cast<std::uint8_t>(heartbeat.readiness), static_cast<std::uint8_t>(heartbeat.wish), static_cast<std::uint8_t>(heartbeat.state) };
 }
 
 PeerMessage encode(const SendUpdate& action)
@@ -53,6 +53,7 @@
     heartbeat.storeAge = Duration(message.storeAge);
     heartbeat.readiness = choice(message.readiness, Readiness::Rechecking);
     heartbeat.wish = choice(message.wish, UpdateWish::Full);
+    heartbeat.state = choice(message.state, MemberState::Leaving);
     return heartbeat;
 }
 
--- a/Libraries/LibPeer/Frame.h
+++ b/Libraries/LibPeer/Frame.h
@@ -82,7 +82,8 @@
     std::int64_t storeAge { 0 };
     std::uint8_t readiness { 0 };
     std::uint8_t wish { 0 };
-    MSGPACK_DEFINE(kind, incarnation, sentAt, echoIncarnation, echo, revision, storeAge, readiness, wish)
+    std::uint8_t state { 0 };
+    MSGPACK_DEFINE(kind, incarnation, sentAt, echoIncarnation, echo, revision, storeAge, readiness, wish, state)
 };
 
 /// One record's change; see RecordChange.
--- a/Libraries/LibPlatform/ConfigurationFeed.cpp
+++ b/Libraries/LibPlatform/ConfigurationFeed.cpp
@@ -69,6 +69,20 @@
     return performBut(from, adopter_.onUpdate(now(), update));
 }
 
+void ConfigurationFeed::leave()
+{
+    perform(adopter_.leave(now()));
+}
+
+std::optional<Reach> ConfigurationFeed::reach(const InstanceId& instance) const
+{
+    if (adopter_.feed().isSuspected(now(), instance))
+        return Reach::Silent;
+    if (adopter_.feed().isConfirmed(now(), instance))
+        return Reach::Answered;
+    return std::nullopt;
+}
+
 ConfigurationState ConfigurationFeed::state() const
 {
     return { adopter_.readiness(), adopter_.log().revision(), adopter_.storeAge(now()), adopter_.isWatcher() };
--- a/Libraries/LibPlatform/ConfigurationFeed.h
+++ b/Libraries/LibPlatform/ConfigurationFeed.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibDecision/Configuration/SnapshotAdopter.h>
+#include <LibDecision/Membership/MembershipTracker.h>
 #include <LibPlatform/StoreClient.h>
 
 #include <functional>
@@ -38,6 +39,12 @@
     std::vector<PeerAction> onHeartbeat(const InstanceId& from, const ControlHeartbeat& heartbeat);
     std::vector<PeerAction> onUpdate(const InstanceId& from, const ConfigurationUpdate& update);
 
+    /// Tells every instance that this one leaves.
+    void leave();
+
+    /// What round trips show of an instance; nothing if it is not asked, or not for long enough.
+    std::optional<Reach> reach(const InstanceId& instance) const;
+
     /// What is in force now.
     ConfigurationState state() const;
 
--- a/Programs/ibisturn/ControlPlane.cpp
+++ b/Programs/ibisturn/ControlPlane.cpp
@@ -1,5 +1,7 @@
 #include "ControlPlane.h"
 
+#include <LibCore/SteadyClock.h>
+
 #include <utility>
 
 namespace Ibisturn {
@@ -31,10 +33,29 @@
     Asio::co_spawn(context_, feed_.run(), Asio::detached);
 }
 
-void ControlPlane::setMembership(MembershipPointer membership)
+void ControlPlane::setLiveList(MembershipView list)
+{
+    membership_.onLiveList(std::move(list));
+    refreshMembership();
+}
+
+void ControlPlane::refreshMembership()
 {
-    feed_.setInstances(membership->instances);
-    tables_.membership.set(std::move(membership));
+    const auto now = SteadyClock().now();
+    membership_.tick(now);
+    auto view = membership_.view(now);
+    for (const auto& member : view.instances) {
+        if (const auto reach = feed_.reach(member.id))
+            membership_.onReach(now, member.id, *reach);
+    }
+    view = membership_.view(now);
+    feed_.setInstances(view.instances);
+    tables_.membership.set(std::make_shared<const MembershipView>(std::move(view)));
+}
+
+void ControlPlane::leave()
+{
+    feed_.leave();
 }
 
 Task<std::vector<PeerAction>> ControlPlane::receive(InstanceId from, ControlEvent event)
@@ -46,10 +67,21 @@
 Task<std::vector<PeerAction>> ControlPlane::receiveHere(InstanceId from, ControlEvent event)
 {
     if (const auto* heartbeat = std::get_if<ControlHeartbeat>(&event))
-        co_return feed_.onHeartbeat(from, *heartbeat);
+        co_return onHeartbeat(from, *heartbeat);
     co_return feed_.onUpdate(from, std::get<ConfigurationUpdate>(event));
 }
 
+std::vector<PeerAction> ControlPlane::onHeartbeat(const InstanceId& from, const ControlHeartbeat& heartbeat)
+{
+    membership_.onAnnouncement(from, heartbeat.incarnation, heartbeat.state);
+    const auto membership = tables_.membership.get();
+    const auto* member = membership ? membership->find(from) : nullptr;
+    // A leaving instance is seen at once; all else can wait for the next refresh.
+    if (member && heartbeat.state == MemberState::Leaving && member->state != MemberState::Leaving)
+        refreshMembership();
+    return feed_.onHeartbeat(from, heartbeat);
+}
+
 void ControlPlane::send(const PeerAction& action)
 {
     const auto& peer = std::visit([](const auto& message) -> const InstanceId& { return message.peer; }, action);
--- a/Programs/ibisturn/ControlPlane.h
+++ b/Programs/ibisturn/ControlPlane.h
@@ -16,8 +16,14 @@
     /// Starts to follow the configuration. Call it once.
     void start();
 
-    /// Sets the instances that the live list names.
-    void setMembership(MembershipPointer membership);
+    /// Takes in the live list.
+    void setLiveList(MembershipView list);
+
+    /// Shows workers which instances are to be used. Call it each second, whether or not the live list could be read.
+    void refreshMembership();
+
+    /// Tells every instance that this one leaves.
+    void leave();
 
     /// What follows the configuration.
     const ConfigurationFeed& feed() const { return feed_; }
@@ -27,11 +33,13 @@
 
 private:
     Task<std::vector<PeerAction>> receiveHere(InstanceId from, ControlEvent event);
+    std::vector<PeerAction> onHeartbeat(const InstanceId& from, const ControlHeartbeat& heartbeat);
     void send(const PeerAction& action);
 
     Asio::io_context& context_;
     InstanceTables& tables_;
     ConfigurationFeed feed_;
+    MembershipTracker membership_;
     ControlLinks links_;
 };
 
--- a/Programs/ibisturn/Instance.cpp
+++ b/Programs/ibisturn/Instance.cpp
@@ -101,10 +101,11 @@
     for (;;) {
         try {
             MembershipView view = co_await fetchLiveList(tables_.settings.liveListEndpoint);
-            control_.setMembership(std::make_shared<const MembershipView>(std::move(view)));
+            control_.setLiveList(std::move(view));
         } catch (const std::exception& error) {
             instanceLog.debug("Live list not read.", { { "reason", error.what() } });
         }
+        control_.refreshMembership();
         co_await pause(tables_.settings.liveListPoll);
     }
 }
@@ -124,6 +125,7 @@
     co_await signals.async_wait(Asio::use_awaitable);
     instanceLog.info("Draining.", { { "requests", tables_.requestsUnderWay.load() } });
     tables_.isDraining = true;
+    control_.leave();
     const auto deadline = SteadyClock().now() + tables_.settings.drainTimeout;
     while (tables_.requestsUnderWay > 0 && SteadyClock().now() < deadline)
         co_await pause(drainPoll);
--- /dev/null
+++ b/Tests/LibDecision/MembershipTest.cpp
@@ -0,0 +1,144 @@
+#include <LibDecision/Membership/EntryDirectory.h>
+#include <LibDecision/Membership/MembershipTracker.h>
+
+#include <gtest/gtest.h>
+
+namespace Ibisturn::Testing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t workspaces = 1400;
+const InstanceId one("i1");
+
+MembershipView nine()
+{
+    MembershipView view;
+    for (int index = 0; index < 9; ++index)
+        view.instances.push_back({ InstanceId(fmt::format("i{}", index)), RegionId(fmt::format("r{}", index % 3)), DataCentreId(fmt::format("d{}", index % 3)), {}, {}, MemberState::Live });
+    return view;
+}
+
+TimePoint at(Duration time)
+{
+    return TimePoint(1h) + time;
+}
+
+MemberState stateOf(const MembershipTracker& tracker, Duration time)
+{
+    return tracker.view(at(time)).find(one)->state;
+}
+
+Snapshot workspacesIn(const std::string& regions)
+{
+    std::vector<Record> records { parseRecord("residency", "rule", fmt::format(R"({{"schema":1,"regions":{}}})", regions), Revision(1)) };
+    for (std::size_t index = 0; index < workspaces; ++index)
+        records.push_back(parseRecord("workspaces", fmt::format("w{}", index), R"({"schema":1,"residency":"rule","rate":1,"burst":1})", Revision(1)));
+    return { Revision(1), records };
+}
+
+std::size_t countMoved(const MembershipView& before, const MembershipView& after)
+{
+    const auto snapshot = workspacesIn(R"(["r0","r1","r2"])");
+    std::size_t moved = 0;
+    for (std::size_t index = 0; index < workspaces; ++index) {
+        const WorkspaceId workspace(fmt::format("w{}", index));
+        const auto first = entriesFor(snapshot, before, workspace, RegionId("elsewhere")).front().id;
+        moved += first != entriesFor(snapshot, after, workspace, RegionId("elsewhere")).front().id ? 1 : 0;
+    }
+    return moved;
+}
+
+} // namespace
+
+TEST(Membership, FewCallersMoveWhenOneOfNineLeaves)
+{
+    for (int leaver = 0; leaver < 9; ++leaver) {
+        MembershipTracker tracker;
+        tracker.onLiveList(nine());
+        const auto before = tracker.view(at(0s));
+        tracker.onAnnouncement(InstanceId(fmt::format("i{}", leaver)), Incarnation(1), MemberState::Leaving);
+        // A ninth, and a quarter of that for the spread of hashes.
+        EXPECT_LE(countMoved(before, tracker.view(at(0s))), workspaces / 9 * 5 / 4);
+    }
+}
+
+TEST(Membership, EntriesAreNeverOutsidePermittedRegionsNorLeaving)
+{
+    const auto snapshot = workspacesIn(R"(["r1"])");
+    MembershipTracker tracker;
+    tracker.onLiveList(nine());
+    tracker.onAnnouncement(one, Incarnation(1), MemberState::Leaving);
+    tracker.onReach(at(0s), InstanceId("i4"), Reach::Silent);
+    const auto entries = entriesFor(snapshot, tracker.view(at(0s)), WorkspaceId("w1"), RegionId("r0"));
+    ASSERT_EQ(entries.size(), 2U);
+    EXPECT_EQ(entries.front().id, InstanceId("i7"));
+    EXPECT_EQ(entries.back().id, InstanceId("i4"));
+}
+
+TEST(Membership, LeavingIsFinalForOneStartOnly)
+{
+    MembershipTracker tracker;
+    tracker.onLiveList(nine());
+    tracker.onAnnouncement(one, Incarnation(1), MemberState::Leaving);
+    tracker.onAnnouncement(one, Incarnation(1), MemberState::Live);
+    tracker.onLiveList(nine());
+    EXPECT_EQ(stateOf(tracker, 0s), MemberState::Leaving);
+    tracker.onAnnouncement(one, Incarnation(2), MemberState::Live);
+    EXPECT_EQ(stateOf(tracker, 0s), MemberState::Live);
+}
+
+TEST(Membership, StartThatTheListStillCallsLeavingIsLiveOnceItSaysSo)
+{
+    auto list = nine();
+    list.instances[1].state = MemberState::Leaving;
+    MembershipTracker tracker;
+    tracker.onLiveList(nine());
+    tracker.onAnnouncement(one, Incarnation(1), MemberState::Live);
+    tracker.onLiveList(list);
+    tracker.onAnnouncement(one, Incarnation(1), MemberState::Live);
+    EXPECT_EQ(stateOf(tracker, 0s), MemberState::Leaving);
+    tracker.onAnnouncement(one, Incarnation(2), MemberState::Live);
+    EXPECT_EQ(stateOf(tracker, 0s), MemberState::Live);
+    tracker.onLiveList(list);
+    EXPECT_EQ(stateOf(tracker, 0s), MemberState::Live);
+}
+
+TEST(Membership, InstanceHeardFirstAfterTheListCalledItLeavingIsLeaving)
+{
+    auto list = nine();
+    list.instances[1].state = MemberState::Leaving;
+    MembershipTracker tracker;
+    tracker.onLiveList(list);
+    tracker.onAnnouncement(one, Incarnation(1), MemberState::Live);
+    EXPECT_EQ(stateOf(tracker, 0s), MemberState::Leaving);
+}
+
+TEST(Membership, SuspicionEndsByItselfAndGrowsWithEachSilence)
+{
+    MembershipTracker tracker;
+    tracker.onLiveList(nine());
+    tracker.onReach(at(0s), one, Reach::Silent);
+    tracker.onReach(at(1s), one, Reach::Silent);
+    EXPECT_EQ(stateOf(tracker, 1900ms), MemberState::Suspected);
+    EXPECT_EQ(stateOf(tracker, 2s), MemberState::Live);
+    tracker.onReach(at(3s), one, Reach::Silent);
+    EXPECT_EQ(stateOf(tracker, 6900ms), MemberState::Suspected);
+    tracker.onReach(at(7s), one, Reach::Answered);
+    EXPECT_EQ(stateOf(tracker, 7s), MemberState::Live);
+}
+
+TEST(Membership, FrozenInstanceSuspectsNobodyOnceItThaws)
+{
+    MembershipTracker tracker;
+    tracker.onLiveList(nine());
+    tracker.tick(at(0s));
+    for (const auto& member : nine().instances)
+        tracker.onReach(at(60s), member.id, Reach::Silent);
+    tracker.tick(at(60s));
+    for (const auto& member : tracker.view(at(60s)).instances)
+        EXPECT_EQ(member.state, MemberState::Live);
+}
+
+} // namespace Ibisturn::Testing
--- a/Tests/LibPeer/ControlMessagesTest.cpp
+++ b/Tests/LibPeer/ControlMessagesTest.cpp
@@ -17,7 +17,7 @@
 TEST(ControlMessages, HeartbeatKeepsItsFields)
 {
     ControlHeartbeat sent { HeartbeatKind::Reply, Incarnation(7), TimePoint(Duration(11)), Incarnation(9), TimePoint(Duration(13)), Revision(-1),
-        Duration(-1), Readiness::Rechecking, UpdateWish::Full };
+        Duration(-1), Readiness::Rechecking, UpdateWish::Full, MemberState::Leaving };
     const auto event = pass(SendHeartbeat { InstanceId("a"), sent });
     const auto& got = std::get<ControlHeartbeat>(event);
     EXPECT_EQ(got.kind, sent.kind);
@@ -29,6 +29,7 @@
     EXPECT_EQ(got.storeAge, sent.storeAge);
     EXPECT_EQ(got.readiness, sent.readiness);
     EXPECT_EQ(got.wish, sent.wish);
+    EXPECT_EQ(got.state, sent.state);
 }
 
 TEST(ControlMessages, UpdateOfTenThousandRecordsKeepsDeletions)
