LibDecision: Withdraw a key while the store is away

A withdrawal needed the store. It now strikes at once in the memory of the instance that the operator reaches, spreads by heartbeats to every instance that can be reached, and watchers write it once the store answers. It strikes only the record that the operator saw, so a key that was written anew is not touched. Shown in virtual time with the store down everywhere and in a cut-off data centre, and with real processes.

--- a/Libraries/LibConfiguration/RecordSet.cpp
+++ b/Libraries/LibConfiguration/RecordSet.cpp
@@ -68,11 +68,13 @@
         revision_ = revision;
 }
 
-SnapshotPointer RecordSet::compile() const
+SnapshotPointer RecordSet::compile(const std::set<std::string>& without) const
 {
     std::vector<Record> records;
     records.reserve(entries_.size());
     for (const auto& [key, entry] : entries_) {
+        if (without.contains(key))
+            continue;
         if (const auto name = parseRecordKey(prefix_, key))
             records.push_back(readOrFailClosed(*name, entry));
     }
--- a/Libraries/LibConfiguration/RecordSet.h
+++ b/Libraries/LibConfiguration/RecordSet.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -43,7 +44,8 @@
     void advance(Revision revision);
 
     /// Compiles all records. One that can't be read is kept as of an unknown schema, which fails closed.
-    SnapshotPointer compile() const;
+    /// Those at the keys `without` are left out.
+    SnapshotPointer compile(const std::set<std::string>& without = {}) const;
 
     /// The revision that the set has reached.
     Revision revision() const { return revision_; }
--- a/Libraries/LibDecision/Configuration/ConfigurationMessages.h
+++ b/Libraries/LibDecision/Configuration/ConfigurationMessages.h
@@ -33,6 +33,19 @@
     std::vector<RecordChange> changes;
 };
 
+/// A key's withdrawal that the store may not have yet. It only ever narrows: it strikes the record that the operator
+/// saw, and no later one.
+struct EmergencyWithdrawal {
+    /// The store's key of the record.
+    std::string key;
+    /// The revision of the record that the operator saw.
+    Revision seen;
+    /// The change's id, the operator's name and the time, as in ChangeRequest.
+    std::string id;
+    std::string who;
+    std::string when;
+};
+
 enum class Readiness : std::uint8_t {
     /// The instance started and may still be behind what was in force.
     Starting,
@@ -70,6 +83,7 @@
     Readiness readiness { Readiness::Starting };
     UpdateWish wish { UpdateWish::Delta };
     MemberState state { MemberState::Live };
+    std::vector<EmergencyWithdrawal> withdrawals;
 };
 
 /// The revision of an instance without records.
--- a/Libraries/LibDecision/Configuration/SnapshotAdopter.cpp
+++ b/Libraries/LibDecision/Configuration/SnapshotAdopter.cpp
@@ -27,6 +27,7 @@
 /// How long silent peers are waited for; what was in force has reached everyone who can be reached by then.
 constexpr Duration settleWait = std::chrono::seconds(3);
 constexpr Duration recheckWait = std::chrono::seconds(2);
+constexpr Duration withdrawalWritePeriod = std::chrono::seconds(1);
 constexpr Duration resendPause = std::chrono::milliseconds(400);
 
 void addOnce(std::vector<InstanceId>& list, const InstanceId& instance)
@@ -90,6 +91,7 @@
             actions.peers.emplace_back(makeHeartbeat(now, peer, HeartbeatKind::Request));
         feed_.forgetSilent(now);
     }
+    writeWithdrawals(now, actions);
     updateReadiness(now);
     return actions;
 }
@@ -158,6 +160,11 @@
         return actions;
     if (heartbeat.kind == HeartbeatKind::Request)
         actions.peers.emplace_back(makeHeartbeat(now, from, HeartbeatKind::Reply));
+    bool isNews = false;
+    for (const auto& withdrawal : heartbeat.withdrawals)
+        isNews = withdrawals_.add(withdrawal, log_) || isNews;
+    if (isNews)
+        spreadWithdrawals(now, actions);
     if (heartbeat.revision < log_.revision())
         offerUpdate(now, from, heartbeat.wish, actions);
     updateReadiness(now);
@@ -172,6 +179,35 @@
     return actions;
 }
 
+AdopterActions SnapshotAdopter::withdraw(TimePoint now, const EmergencyWithdrawal& withdrawal)
+{
+    AdopterActions actions;
+    if (withdrawals_.add(withdrawal, log_))
+        spreadWithdrawals(now, actions);
+    return actions;
+}
+
+// Tells the data centre and one instance of each other one, which do the same when it is news to them.
+void SnapshotAdopter::spreadWithdrawals(TimePoint now, AdopterActions& actions)
+{
+    auto targets = others();
+    std::set<DataCentreId> told { self_.dataCentre };
+    for (const auto& member : instances_) {
+        if (member.state == MemberState::Live && told.insert(member.dataCentre).second)
+            targets.push_back(member.id);
+    }
+    for (const auto& peer : targets)
+        actions.peers.emplace_back(makeHeartbeat(now, peer, HeartbeatKind::Request));
+}
+
+void SnapshotAdopter::writeWithdrawals(TimePoint now, AdopterActions& actions)
+{
+    if (!isWatcher_ || !isStoreFresh(now) || now < nextWithdrawalWrite_)
+        return;
+    nextWithdrawalWrite_ = now + withdrawalWritePeriod;
+    actions.withdrawals = withdrawals_.all();
+}
+
 AdopterActions SnapshotAdopter::leave(TimePoint now)
 {
     state_ = MemberState::Leaving;
@@ -335,6 +371,7 @@
     heartbeat.storeAge = storeAge(now).value_or(Duration(-1));
     heartbeat.readiness = readiness_;
     heartbeat.state = state_;
+    heartbeat.withdrawals = withdrawals_.all();
     const auto* state = feed_.find(peer);
     const bool isBest = state->revision > log_.revision()
         && std::none_of(feed_.peers().begin(), feed_.peers().end(), [&](const auto& other) { return other.second.revision > state->revision && feed_.isConfirmed(now, other.first); });
@@ -367,8 +404,10 @@
 {
     AdopterActions actions;
     const auto adoption = log_.adopt(update);
-    if (adoption == Adoption::Adopted)
+    if (adoption == Adoption::Adopted) {
+        withdrawals_.settle(log_);
         announce(now, actions);
+    }
     return actions;
 }
 
--- a/Libraries/LibDecision/Configuration/SnapshotAdopter.h
+++ b/Libraries/LibDecision/Configuration/SnapshotAdopter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibDecision/Configuration/EmergencyWithdrawals.h>
 #include <LibDecision/Configuration/PeerFeed.h>
 #include <LibDecision/Configuration/RecordLog.h>
 #include <LibDecision/Configuration/StoreFollower.h>
@@ -23,6 +24,8 @@
 struct AdopterActions {
     std::vector<StoreAction> store;
     std::vector<PeerAction> peers;
+    /// Withdrawals to write to the store; writing one twice is harmless, since it has an id.
+    std::vector<EmergencyWithdrawal> withdrawals;
 };
 
 /// Everything below the records' folder as one read of the store shows it.
@@ -56,6 +59,13 @@
     AdopterActions onHeartbeat(TimePoint now, const InstanceId& from, const ControlHeartbeat& heartbeat);
     AdopterActions onUpdate(TimePoint now, const ConfigurationUpdate& update);
 
+    /// An operator withdraws a key here. It strikes at once, is spread to every instance that can be reached, and is
+    /// written to the store by watchers as soon as that answers.
+    AdopterActions withdraw(TimePoint now, const EmergencyWithdrawal& withdrawal);
+
+    /// The store's keys of the records that are withdrawn and still in the log.
+    std::set<std::string> withdrawn() const { return withdrawals_.withdrawn(log_); }
+
     /// This instance leaves: every instance is told at once.
     AdopterActions leave(TimePoint now);
 
@@ -89,6 +99,8 @@
     SendHeartbeat makeHeartbeat(TimePoint now, const InstanceId& peer, HeartbeatKind kind);
     void offerUpdate(TimePoint now, const InstanceId& peer, UpdateWish wish, AdopterActions& actions);
     void announce(TimePoint now, AdopterActions& actions);
+    void spreadWithdrawals(TimePoint now, AdopterActions& actions);
+    void writeWithdrawals(TimePoint now, AdopterActions& actions);
     AdopterActions adopt(TimePoint now, const ConfigurationUpdate& update);
 
     InstanceIdentity self_;
@@ -96,6 +108,8 @@
     RecordLog log_;
     StoreFollower follower_;
     PeerFeed feed_;
+    EmergencyWithdrawals withdrawals_;
+    TimePoint nextWithdrawalWrite_ {};
     std::vector<Member> instances_;
     Readiness readiness_ { Readiness::Starting };
     /// Evidence from before this time does not make the instance ready.
--- a/Libraries/LibHTTP/OperatorInterface.cpp
+++ b/Libraries/LibHTTP/OperatorInterface.cpp
@@ -67,6 +67,11 @@
     return edit;
 }
 
+bool isWithdrawalOfKey(const ChangeRequest& change)
+{
+    return change.edits.size() == 1 && change.edits.front().name.kind == "keys" && !change.edits.front().json;
+}
+
 std::string makeChangeId()
 {
     std::random_device device;
@@ -90,7 +95,7 @@
 
 } // namespace
 
-OperatorInterface::OperatorInterface(InstanceTables& tables, StoreClient& store, const ConfigurationFeed& feed)
+OperatorInterface::OperatorInterface(InstanceTables& tables, StoreClient& store, ConfigurationFeed& feed)
     : tables_(tables)
     , store_(store)
     , feed_(feed)
@@ -266,8 +271,32 @@
 Task<OperatorReply> OperatorInterface::write(ChangeRequest change)
 {
     const std::string id = change.id;
-    const ChangeResult result = co_await writer_.write(std::move(change));
-    co_return showResult(id, result);
+    const bool isKeyWithdrawal = isWithdrawalOfKey(change);
+    if (isKeyWithdrawal)
+        withdrawAtOnce(change);
+    ChangeResult result;
+    std::optional<Error> failure;
+    try {
+        result = co_await writer_.write(std::move(change));
+    } catch (const Error& error) {
+        failure = error;
+    }
+    if (!failure)
+        co_return showResult(id, result);
+    if (!isKeyWithdrawal)
+        throw Error(*failure);
+    const nlohmann::json body { { "change", id }, { "withdrawn", "where instances can be reached; the store follows when it answers" } };
+    co_return OperatorReply { 202, "application/json", body.dump() };
+}
+
+// A key must stop working even while the store is away, so it is struck before the store is asked.
+void OperatorInterface::withdrawAtOnce(ChangeRequest& change)
+{
+    auto& edit = change.edits.front();
+    if (edit.expected == noRevision)
+        edit.expected = feed_.revisionOf(edit.name);
+    if (edit.expected != Revision(0))
+        feed_.withdraw(edit.name, { "", edit.expected, change.id, change.who, change.when });
 }
 
 OperatorReply OperatorInterface::showResult(const std::string& changeId, const ChangeResult& result) const
--- a/Libraries/LibHTTP/OperatorInterface.h
+++ b/Libraries/LibHTTP/OperatorInterface.h
@@ -32,7 +32,7 @@
 class OperatorInterface {
 public:
     /// Precondition: `tables`, `store` and `feed` outlive the interface.
-    OperatorInterface(InstanceTables& tables, StoreClient& store, const ConfigurationFeed& feed);
+    OperatorInterface(InstanceTables& tables, StoreClient& store, ConfigurationFeed& feed);
 
     /// Answers one request; failures become error answers.
     Task<OperatorReply> handle(OperatorRequest request);
@@ -56,6 +56,7 @@
     Task<OperatorReply> showHistory(OperatorRequest request);
     Task<OperatorReply> changeLogLevel(OperatorRequest request);
     Task<OperatorReply> write(ChangeRequest change);
+    void withdrawAtOnce(ChangeRequest& change);
     ChangeRequest makeChange(const OperatorRequest& request) const;
     OperatorReply showResult(const std::string& changeId, const ChangeResult& result) const;
     /// The name of the credential that the request came with.
@@ -63,7 +64,7 @@
 
     InstanceTables& tables_;
     StoreClient& store_;
-    const ConfigurationFeed& feed_;
+    ConfigurationFeed& feed_;
     RecordWriter writer_;
 };
 
--- a/Libraries/LibPeer/ControlMessages.cpp
+++ b/Libraries/LibPeer/ControlMessages.cpp
@@ -27,9 +27,12 @@
 PeerMessage encode(const SendHeartbeat& action)
 {
     const auto& heartbeat = action.heartbeat;
-    return HeartbeatMessage { static_cast<std::uint8_t>(heartbeat.kind), heartbeat.incarnation.count(), nanoseconds(heartbeat.sentAt),
+    HeartbeatMessage message { static_cast<std::uint8_t>(heartbeat.kind), heartbeat.incarnation.count(), nanoseconds(heartbeat.sentAt),
         heartbeat.echoIncarnation.count(), nanoseconds(heartbeat.echo), heartbeat.revision.count(), heartbeat.storeAge.count(),
-        static_cast<std::uint8_t>(heartbeat.readiness), static_cast<std::uint8_t>(heartbeat.wish), static_cast<std::uint8_t>(heartbeat.state) };
+        static_cast<std::uint8_t>(heartbeat.readiness), static_cast<std::uint8_t>(heartbeat.wish), static_cast<std::uint8_t>(heartbeat.state), {} };
+    for (const auto& withdrawal : heartbeat.withdrawals)
+        message.withdrawals.push_back({ withdrawal.key, withdrawal.seen.count(), withdrawal.id, withdrawal.who, withdrawal.when });
+    return message;
 }
 
 PeerMessage encode(const SendUpdate& action)
@@ -54,6 +57,8 @@
     heartbeat.readiness = choice(message.readiness, Readiness::Rechecking);
     heartbeat.wish = choice(message.wish, UpdateWish::Full);
     heartbeat.state = choice(message.state, MemberState::Leaving);
+    for (const auto& withdrawal : message.withdrawals)
+        heartbeat.withdrawals.push_back({ withdrawal.key, Revision(withdrawal.seen), withdrawal.id, withdrawal.who, withdrawal.when });
     return heartbeat;
 }
 
--- a/Libraries/LibPeer/Frame.h
+++ b/Libraries/LibPeer/Frame.h
@@ -71,6 +71,16 @@
     MSGPACK_DEFINE(code, ran, text)
 };
 
+/// A withdrawal that the store may not have yet; see EmergencyWithdrawal.
+struct WithdrawalMessage {
+    std::string key;
+    std::int64_t seen { 0 };
+    std::string id;
+    std::string who;
+    std::string when;
+    MSGPACK_DEFINE(key, seen, id, who, when)
+};
+
 /// What an instance tells a peer of itself; see ControlHeartbeat. Times are nanoseconds of the sender's own clock.
 struct HeartbeatMessage {
     std::uint8_t kind { 0 };
@@ -83,7 +93,8 @@
     std::uint8_t readiness { 0 };
     std::uint8_t wish { 0 };
     std::uint8_t state { 0 };
-    MSGPACK_DEFINE(kind, incarnation, sentAt, echoIncarnation, echo, revision, storeAge, readiness, wish, state)
+    std::vector<WithdrawalMessage> withdrawals;
+    MSGPACK_DEFINE(kind, incarnation, sentAt, echoIncarnation, echo, revision, storeAge, readiness, wish, state, withdrawals)
 };
 
 /// One record's change; see RecordChange.
--- a/Libraries/LibPlatform/ConfigurationFeed.cpp
+++ b/Libraries/LibPlatform/ConfigurationFeed.cpp
@@ -39,6 +39,7 @@
     , onSnapshot_(std::move(onSnapshot))
     , onPeerAction_(std::move(onPeerAction))
     , adopter_(std::move(self), std::move(prefix), makeIncarnation(), now())
+    , writer_(store, prefix_)
 {
 }
 
@@ -69,6 +70,35 @@
     return performBut(from, adopter_.onUpdate(now(), update));
 }
 
+void ConfigurationFeed::withdraw(const RecordName& name, EmergencyWithdrawal withdrawal)
+{
+    withdrawal.key = recordKey(prefix_, name);
+    perform(adopter_.withdraw(now(), withdrawal));
+    publish();
+}
+
+Revision ConfigurationFeed::revisionOf(const RecordName& name) const
+{
+    const auto& entries = adopter_.log().records().entries();
+    const auto found = entries.find(recordKey(prefix_, name));
+    return found == entries.end() ? Revision(0) : found->second.revision;
+}
+
+Task<void> ConfigurationFeed::write(EmergencyWithdrawal withdrawal)
+{
+    const auto name = parseRecordKey(prefix_, withdrawal.key);
+    if (!name)
+        co_return;
+    ChangeRequest change { withdrawal.id, withdrawal.who, withdrawal.when, {} };
+    change.edits.push_back({ *name, std::nullopt, withdrawal.seen });
+    try {
+        const ChangeResult result = co_await writer_.write(std::move(change));
+        feedLog.info("Withdrawal written.", { { "code", static_cast<unsigned>(result.code) }, { "change", withdrawal.id } });
+    } catch (const std::exception& error) {
+        feedLog.warning("Withdrawal not written yet.", { { "change", withdrawal.id }, { "reason", error.what() } });
+    }
+}
+
 void ConfigurationFeed::leave()
 {
     perform(adopter_.leave(now()));
@@ -110,6 +140,8 @@
         std::visit([this](const auto& storeAction) { call(storeAction); }, action);
     for (const auto& action : actions.peers)
         onPeerAction_(action);
+    for (const auto& withdrawal : actions.withdrawals)
+        Asio::co_spawn(executor_, write(withdrawal), Asio::detached);
 }
 
 void ConfigurationFeed::call(const ReadStore& action)
@@ -188,8 +220,10 @@
 {
     const bool isServing = adopter_.readiness() == Readiness::Ready;
     const auto revision = adopter_.log().revision();
-    if (isServing == isServing_ && revision == published_)
+    auto withdrawn = adopter_.withdrawn();
+    if (isServing == isServing_ && revision == published_ && withdrawn == withdrawn_)
         return;
+    withdrawn_ = std::move(withdrawn);
     isServing_ = isServing;
     published_ = revision;
     if (!isServing) {
@@ -197,7 +231,7 @@
         onSnapshot_(nullptr);
         return;
     }
-    auto snapshot = adopter_.log().records().compile();
+    auto snapshot = adopter_.log().records().compile(withdrawn_);
     feedLog.info("Configuration in force.", { { "revision", snapshot->revision() }, { "records", snapshot->recordCount() } });
     onSnapshot_(std::move(snapshot));
 }
--- a/Libraries/LibPlatform/ConfigurationFeed.h
+++ b/Libraries/LibPlatform/ConfigurationFeed.h
@@ -2,6 +2,7 @@
 
 #include <LibDecision/Configuration/SnapshotAdopter.h>
 #include <LibDecision/Membership/MembershipTracker.h>
+#include <LibPlatform/RecordWriter.h>
 #include <LibPlatform/StoreClient.h>
 
 #include <functional>
@@ -39,6 +40,12 @@
     std::vector<PeerAction> onHeartbeat(const InstanceId& from, const ControlHeartbeat& heartbeat);
     std::vector<PeerAction> onUpdate(const InstanceId& from, const ConfigurationUpdate& update);
 
+    /// Withdraws a key here and wherever a peer can be reached, whether or not the store answers.
+    void withdraw(const RecordName& name, EmergencyWithdrawal withdrawal);
+
+    /// The revision of a record in force; zero if there is none.
+    Revision revisionOf(const RecordName& name) const;
+
     /// Tells every instance that this one leaves.
     void leave();
 
@@ -57,6 +64,7 @@
     Task<void> read(StoreCallId id);
     Task<void> readHead(StoreCallId id);
     Task<void> watch(WatchStore action);
+    Task<void> write(EmergencyWithdrawal withdrawal);
     std::vector<PeerAction> performBut(const InstanceId& from, AdopterActions actions);
     void publish();
 
@@ -69,6 +77,8 @@
     std::optional<StoreCallId> watch_;
     Revision published_ { noRevision };
     bool isServing_ { false };
+    std::set<std::string> withdrawn_;
+    RecordWriter writer_;
 };
 
 } // namespace Ibisturn
--- a/Programs/ibisturn/ControlCommand.cpp
+++ b/Programs/ibisturn/ControlCommand.cpp
@@ -3,6 +3,7 @@
 #include <LibConfiguration/Declarations.h>
 #include <LibCore/Error.h>
 #include <LibDecision/Configuration/ChangePlan.h>
+#include <LibDecision/Configuration/ConfigurationMessages.h>
 
 #include <algorithm>
 #include <cstdlib>
@@ -18,6 +19,7 @@
 namespace {
 
 constexpr unsigned httpOk = 200;
+constexpr unsigned httpAccepted = 202;
 constexpr unsigned httpNotFound = 404;
 constexpr unsigned httpUnavailable = 503;
 constexpr unsigned httpGatewayTimeout = 504;
@@ -58,7 +60,7 @@
         fmt::print("{}\n", reply.body);
     else
         fmt::print("{}\n", json.dump(2));
-    return reply.status == httpOk ? 0 : 1;
+    return reply.status == httpOk || reply.status == httpAccepted ? 0 : 1;
 }
 
 std::string recordTarget(const RecordName& name)
@@ -233,10 +235,12 @@
 int runControlWithdraw(const ControlOptions& options, const ControlArguments& arguments)
 {
     const RecordName name { arguments.kind, arguments.name };
-    const auto revision = fetchRevision(options, name);
-    if (!revision)
-        return 1;
-    return show(options, postChange(options, { { name, {}, {}, Revision(*revision) } }, ChangeMode::Write));
+    // While the store is away, the instance takes the revision that it has in force.
+    const auto reply = exchange(makeCall(options, "GET", recordTarget(name)));
+    if (reply.status != httpOk && reply.status != httpUnavailable && reply.status != httpGatewayTimeout)
+        return show(options, reply);
+    const auto seen = reply.status == httpOk ? readPresent(reply.body).front().revision : noRevision;
+    return show(options, postChange(options, { { name, {}, {}, seen } }, ChangeMode::Write));
 }
 
 int runStatus(const ControlOptions& options)
--- a/Programs/ibisturn/ControlPlane.h
+++ b/Programs/ibisturn/ControlPlane.h
@@ -26,7 +26,7 @@
     void leave();
 
     /// What follows the configuration.
-    const ConfigurationFeed& feed() const { return feed_; }
+    ConfigurationFeed& feed() { return feed_; }
 
     /// Thread safety: any worker.
     Task<std::vector<PeerAction>> receive(InstanceId from, ControlEvent event) override;
--- a/Tests/LibDecision/ConfigurationAdoptionTest.cpp
+++ b/Tests/LibDecision/ConfigurationAdoptionTest.cpp
@@ -227,6 +227,36 @@
         EXPECT_EQ(node.adopter->readiness(), Readiness::Starting);
 }
 
+// In a cut-off data centre, with the store down everywhere, and both.
+TEST(ConfigurationAdoption, KeyIsWithdrawnWithoutTheStoreWhereverAPeerIsReached)
+{
+    for (const bool isCutOff : { false, true }) {
+        WorldShape shape;
+        shape.dataCentres = 4;
+        ConfigurationWorld world(shape);
+        world.run(bound);
+        const auto seen = world.write("k", "value");
+        world.run(bound);
+        world.setStoreDown(true);
+        if (isCutOff)
+            cutBothWays(world, [&](auto from, auto to) { return (world.nodes()[from].dataCentre == 2) != (world.nodes()[to].dataCentre == 2); });
+        world.run(5s);
+        world.withdraw(7, "k", seen);
+        world.run(1s);
+        for (std::size_t node = 0; node < world.nodes().size(); ++node)
+            EXPECT_EQ(world.serves(node, "k"), isCutOff && world.nodes()[node].dataCentre != 2) << node;
+        world.restart(7);
+        world.run(4s);
+        EXPECT_FALSE(world.serves(7, "k"));
+        ASSERT_TRUE(convergesAfterHealing(world));
+        EXPECT_FALSE(world.commits().rbegin()->second.records.contains("/i/records/keys/k"));
+        // A key that is written anew is not struck by the old withdrawal.
+        world.write("k", "again");
+        world.run(bound);
+        EXPECT_TRUE(world.serves(7, "k"));
+    }
+}
+
 TEST(ConfigurationAdoption, OnlyTwoInstancesOfADataCentreWatch)
 {
     WorldShape shape;
--- a/Tests/LibDecision/ConfigurationWorld.h
+++ b/Tests/LibDecision/ConfigurationWorld.h
@@ -99,6 +99,7 @@
             records[key] = *value;
         else
             records.erase(key);
+        modified_[key] = position_;
         commits_[position_] = { now_, std::move(records) };
         const std::vector<RecordChange> changes { { key, value, position_ }, { headKey(), formatRecordHead({ previous }), position_ } };
         if (!skipsWatchEvents)
@@ -163,6 +164,20 @@
         now_ = end;
     }
 
+    /// An operator withdraws a key at an instance, which may be cut from the store.
+    void withdraw(std::size_t node, const std::string& name, Revision seen)
+    {
+        perform(node, nodes_[node].adopter->withdraw(local(node), { "/i/records/keys/" + name, seen, "id", "ann", "now" }));
+    }
+
+    /// Whether an instance would still serve the key.
+    bool serves(std::size_t node, const std::string& name) const
+    {
+        const auto& adopter = *nodes_[node].adopter;
+        const auto key = "/i/records/keys/" + name;
+        return adopter.readiness() == Readiness::Ready && adopter.log().records().entries().contains(key) && !adopter.withdrawn().contains(key);
+    }
+
     Revision latest() const { return commits_.rbegin()->first; }
 
     bool areAllAt(Revision revision) const
@@ -240,6 +255,8 @@
             std::visit([this, node](const auto& call) { callStore(node, call); }, action);
         for (auto& action : actions.peers)
             send(node, std::move(action));
+        for (const auto& withdrawal : actions.withdrawals)
+            writeWithdrawal(node, withdrawal);
         observe(node);
     }
 
@@ -247,6 +264,16 @@
 
     Duration storeDelay(std::size_t node) { return delay(nodes_[node].dataCentre == 0 ? shape_.within : shape_.store); }
 
+    void writeWithdrawal(std::size_t node, const EmergencyWithdrawal& withdrawal)
+    {
+        at(now_ + storeDelay(node), [this, node, withdrawal] {
+            const auto found = modified_.find(withdrawal.key);
+            const bool isPresent = found != modified_.end() && commits_.rbegin()->second.records.contains(withdrawal.key);
+            if (!isStoreDown && nodes_[node].canReachStore && isPresent && found->second == withdrawal.seen)
+                write(withdrawal.key.substr(std::string_view("/i/records/keys/").size()), std::nullopt);
+        });
+    }
+
     template <typename Answer>
     void callStoreWith(std::size_t node, StoreCallId call, Answer answer)
     {
@@ -268,7 +295,7 @@
         callStoreWith(node, read.call, [this, node, call = read.call] {
             StoreRecords records { position_, { { headKey(), formatRecordHead({ noRevision }), latest() } } };
             for (const auto& [key, value] : commits_.rbegin()->second.records)
-                records.records.push_back({ key, value, latest() });
+                records.records.push_back({ key, value, modified_.at(key) });
             return std::function<void()>([this, node, call, records] { perform(node, nodes_[node].adopter->onRead(local(node), call, records)); });
         });
     }
@@ -427,6 +454,7 @@
     std::map<InstanceId, std::size_t> byId_;
     std::map<Revision, Commit> commits_;
     Revision position_ { 1 };
+    std::map<std::string, Revision> modified_;
     std::vector<std::pair<std::size_t, StoreCallId>> watches_;
     std::uint64_t storeCalls_ { 0 };
     std::vector<std::string> violations_;
--- a/Tests/LibPeer/ControlMessagesTest.cpp
+++ b/Tests/LibPeer/ControlMessagesTest.cpp
@@ -17,7 +17,7 @@
 TEST(ControlMessages, HeartbeatKeepsItsFields)
 {
     ControlHeartbeat sent { HeartbeatKind::Reply, Incarnation(7), TimePoint(Duration(11)), Incarnation(9), TimePoint(Duration(13)), Revision(-1),
-        Duration(-1), Readiness::Rechecking, UpdateWish::Full, MemberState::Leaving };
+        Duration(-1), Readiness::Rechecking, UpdateWish::Full, MemberState::Leaving, { { "key", Revision(4), "id", "ann", "now" } } };
     const auto event = pass(SendHeartbeat { InstanceId("a"), sent });
     const auto& got = std::get<ControlHeartbeat>(event);
     EXPECT_EQ(got.kind, sent.kind);
@@ -30,6 +30,9 @@
     EXPECT_EQ(got.readiness, sent.readiness);
     EXPECT_EQ(got.wish, sent.wish);
     EXPECT_EQ(got.state, sent.state);
+    ASSERT_EQ(got.withdrawals.size(), 1U);
+    EXPECT_EQ(got.withdrawals.front().key, "key");
+    EXPECT_EQ(got.withdrawals.front().seen, Revision(4));
 }
 
 TEST(ControlMessages, UpdateOfTenThousandRecordsKeepsDeletions)
--- a/Tests/Process/ConfigurationTest.sh
+++ b/Tests/Process/ConfigurationTest.sh
@@ -108,8 +108,11 @@
 start "$watcher"
 list_instances
 await "$watcher" "\"readiness\":\"ready\".*\"revision\":$written"
-curl -sS -X POST "http://$STORE/faults" -d '{"down":false}' >/dev/null
+
+# A key is withdrawn in memory while the store is down, and in the store once that answers.
 CONTACT=$watcher
-written=$(revision "$(ctl withdraw keys "$digest")")
-for instance in "${INSTANCES[@]}"; do await "$instance" "\"revision\":$written"; done
+expect 'the store follows' ctl withdraw keys "$digest"
+for instance in "${INSTANCES[@]}"; do await "$instance" "\"records\":2,.*\"revision\":$written"; done
+curl -sS -X POST "http://$STORE/faults" -d '{"down":false}' >/dev/null
+for instance in "${INSTANCES[@]}"; do await "$instance" "\"records\":2,.*\"revision\":$((written + 1))"; done
 echo "configuration: ok"
