RequestRunner: Tell membership which peers answered

Only heartbeats told; an instance of another data centre that froze went on being chosen until the live list showed it. Status names the instances that this one does not reach.

--- a/Libraries/LibHTTP/InstanceTables.h
+++ b/Libraries/LibHTTP/InstanceTables.h
@@ -6,6 +6,7 @@
 #include <LibCore/SharedValue.h>
 #include <LibDecision/Membership/MembershipView.h>
 #include <LibHTTP/LoadTable.h>
+#include <LibHTTP/PeerReachTable.h>
 #include <LibHTTP/Tracer.h>
 
 #include <atomic>
@@ -25,6 +26,7 @@
     SharedValue<Snapshot> configuration { TableLevel::Configuration };
     SharedValue<MembershipView> membership { TableLevel::Membership };
     LoadTable load;
+    PeerReachTable peerReach;
     Metrics metrics;
     Tracer tracer;
     /// Set once the instance refuses new requests.
--- a/Libraries/LibHTTP/OperatorInterface.cpp
+++ b/Libraries/LibHTTP/OperatorInterface.cpp
@@ -67,6 +67,18 @@
     return edit;
 }
 
+nlohmann::json suspectedOf(const MembershipPointer& membership)
+{
+    auto list = nlohmann::json::array();
+    if (!membership)
+        return list;
+    for (const auto& member : membership->instances) {
+        if (member.state == MemberState::Suspected)
+            list.push_back(member.id.value());
+    }
+    return list;
+}
+
 bool isWithdrawalOfKey(const ChangeRequest& change)
 {
     return change.edits.size() == 1 && change.edits.front().name.kind == "keys" && !change.edits.front().json;
@@ -177,6 +189,7 @@
         { "readiness", readinessName(state.readiness) },
         { "store_age_ms", state.storeAge ? std::chrono::duration_cast<std::chrono::milliseconds>(*state.storeAge).count() : -1 },
         { "watcher", state.isWatcher },
+        { "cut_off_from", suspectedOf(membership) },
         { "instances", membership ? membership->instances.size() : 0 },
         { "requests_under_way", tables_.requestsUnderWay.load() },
         { "draining", tables_.isDraining.load() },
--- a/Libraries/LibHTTP/RequestRunner.cpp
+++ b/Libraries/LibHTTP/RequestRunner.cpp
@@ -164,7 +164,14 @@
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(request.deadline - SteadyClock().now());
     message.timeoutMilliseconds = left.count() > 0 ? static_cast<std::uint64_t>(left.count()) : 0;
     message.body = std::move(request.body);
-    co_await peers_.run(peer, std::move(message), sink);
+    try {
+        co_await peers_.run(peer, std::move(message), sink);
+        tables_.peerReach.note(peer.id, Reach::Answered);
+    } catch (const Error& error) {
+        const bool isSilent = error.code() == ResultCode::PeerUnreachable || error.code() == ResultCode::OutcomeUnknown;
+        tables_.peerReach.note(peer.id, isSilent ? Reach::Silent : Reach::Answered);
+        throw;
+    }
 }
 
 SnapshotPointer RequestRunner::requireConfiguration() const
