--- a/Tests/LibDecision/ConfigurationAdoptionTest.cpp
+++ b/Tests/LibDecision/ConfigurationAdoptionTest.cpp
@@ -77,6 +77,12 @@
 void writeSomething(ConfigurationWorld& world)
 {
     const auto name = fmt::format("k{}", world.pick(4));
+    const auto node = world.pick(world.nodes().size());
+    if (world.pick(4) == 0 && !world.nodes()[node].isFrozen && world.serves(node, name)) {
+        const auto& entries = world.nodes()[node].adopter->log().records().entries();
+        world.withdraw(node, name, entries.find("/i/records/keys/" + name)->second.revision);
+        return;
+    }
     if (world.pick(3) == 0)
         world.write(name, std::nullopt);
     else
--- a/Tests/LibDecision/ConfigurationWorld.h
+++ b/Tests/LibDecision/ConfigurationWorld.h
@@ -46,6 +46,8 @@
         Revision seen { noRevision };
         Readiness readiness { Readiness::Starting };
         std::vector<std::pair<TimePoint, Revision>> history;
+        /// The records that were withdrawn in memory, with the revision that was seen.
+        std::map<std::string, Revision> struck;
         std::uint64_t bytesSent { 0 };
         std::uint64_t bytesReceived { 0 };
     };
@@ -149,6 +151,7 @@
         node.seen = noRevision;
         node.readiness = Readiness::Starting;
         node.history.clear();
+        node.struck.clear();
         start(index);
     }
 
@@ -396,6 +399,7 @@
                 onAdopted(index, revision);
         }
         checkAge(index);
+        checkStruck(node);
         const auto readiness = node.adopter->readiness();
         if (node.readiness == Readiness::Starting && readiness == Readiness::Ready)
             checkStart(index);
@@ -414,6 +418,20 @@
             fail(node, fmt::format("records differ from those accepted at {}", node.seen));
     }
 
+    // A withdrawn record does not come back; only a later one may take its place.
+    void checkStruck(Node& node)
+    {
+        const auto withdrawn = node.adopter->withdrawn();
+        const auto& entries = node.adopter->log().records().entries();
+        for (const auto& key : withdrawn)
+            node.struck[key] = entries.find(key)->second.revision;
+        for (const auto& [key, seen] : node.struck) {
+            const auto found = entries.find(key);
+            if (found != entries.end() && found->second.revision <= seen && !withdrawn.contains(key))
+                fail(node, fmt::format("serves {} again, which was withdrawn at {}", key, seen));
+        }
+    }
+
     // An instance that says how old its records can be must be right.
     void checkAge(std::size_t index)
     {
