--- a/Tests/LibConfiguration/DeclarationsTest.cpp
+++ b/Tests/LibConfiguration/DeclarationsTest.cpp
@@ -45,6 +45,7 @@
         { { "workspaces", "old" }, "{}", Revision(5) } };
     const auto differences = compareDeclarations(declared, present, Pruning::Delete);
     std::vector<std::string> names;
+    names.reserve(differences.size());
     for (const auto& difference : differences)
         names.push_back((difference.after ? "" : "-") + difference.name.kind);
     EXPECT_EQ(names, (std::vector<std::string> { "residency", "workspaces", "keys", "-workspaces", "-residency" }));
--- a/Tests/LibDecision/ConfigurationWorld.h
+++ b/Tests/LibDecision/ConfigurationWorld.h
@@ -125,7 +125,7 @@
                 continue;
             }
             watch = watches_.erase(watch);
-            reply(node, nodes_[node].life, [this, node, call = call] { nodes_[node].adopter->onStoreFailed(local(node), call); });
+            reply(node, nodes_[node].life, [this, node = node, call = call] { nodes_[node].adopter->onStoreFailed(local(node), call); });
         }
     }
 
