--- a/Benchmarks/ConfigurationBenchmark.cpp
+++ b/Benchmarks/ConfigurationBenchmark.cpp
@@ -23,7 +23,7 @@
 
 std::uint64_t frameBytes(const PeerAction& action)
 {
-    return encodeFrame({ Incarnation(1), RequestId(0), toPeerMessage(action) }).size();
+    return encodeFrame({ Incarnation(0x9e3779b97f4a7c15), RequestId(0), toPeerMessage(action) }).size();
 }
 
 /// How long each write took until the last instance had it in force.
--- a/Benchmarks/MembershipBenchmark.cpp
+++ b/Benchmarks/MembershipBenchmark.cpp
@@ -80,7 +80,7 @@
     print({ name, "entries_us", microseconds(answered - viewed), 0, seed });
     print({ name, "members_seen", static_cast<double>(seen) / (2 * rounds), static_cast<double>(instances), seed });
     // All instances are told at once by the one that leaves; the baseline is a heartbeat of all to all each half second.
-    const auto heartbeat = static_cast<double>(encodeFrame({ Incarnation(1), RequestId(0), toPeerMessage(SendHeartbeat {}) }).size());
+    const auto heartbeat = static_cast<double>(encodeFrame({ Incarnation(0x9e3779b97f4a7c15), RequestId(0), toPeerMessage(SendHeartbeat {}) }).size());
     print({ name, "leave_bytes", heartbeat * static_cast<double>(instances - 1), 0, seed });
 }
 
--- a/Tests/LibDecision/ConfigurationWorld.h
+++ b/Tests/LibDecision/ConfigurationWorld.h
@@ -213,7 +213,7 @@
     {
         auto& node = nodes_[index];
         const DataCentreId dataCentre(fmt::format("dc{}", node.dataCentre));
-        node.adopter = std::make_unique<SnapshotAdopter>(InstanceIdentity { node.id, RegionId("r"), dataCentre }, "/i/", Incarnation((index + 1) * 1000 + node.life), local(index));
+        node.adopter = std::make_unique<SnapshotAdopter>(InstanceIdentity { node.id, RegionId("r"), dataCentre }, "/i/", Incarnation((index + 1) * 0x9e3779b97f4a7c15 + node.life), local(index));
         at(now_ + std::chrono::milliseconds(pick(100)), [this, index, life = node.life] { tick(index, life); });
     }
 
