--- a/Libraries/LibConfiguration/Settings.cpp
+++ b/Libraries/LibConfiguration/Settings.cpp
@@ -34,13 +34,11 @@
     return left.port != 0 && left == right;
 }
 
-std::optional<TlsSettings> readTls(SettingsSection section, bool needsAuthority)
+std::optional<TlsSettings> readTls(SettingsSection section)
 {
     if (!section.isPresent())
         return std::nullopt;
-    TlsSettings tls { section.text("certificate"), section.text("private_key"), {} };
-    if (needsAuthority)
-        tls.authority = section.text("authority");
+    TlsSettings tls { section.text("certificate"), section.text("private_key") };
     section.finish();
     return tls;
 }
@@ -56,7 +54,7 @@
 {
     auto callers = root.section("callers");
     settings.callersListen = callers.endpoint("listen");
-    settings.callersTls = readTls(callers.section("tls"), false);
+    settings.callersTls = readTls(callers.section("tls"));
     callers.finish();
 
     auto operators = root.section("operators");
@@ -72,7 +70,9 @@
 
     auto peers = root.section("peers");
     settings.peersListen = peers.endpoint("listen");
-    settings.peersTls = readTls(peers.section("tls"), true);
+    // FIXME: Mutual TLS between instances. Until then a deployment must not believe that it has it.
+    if (peers.section("tls").isPresent())
+        peers.fail("tls", "is not supported yet");
     peers.finish();
     if (isSameListener(settings.callersListen, settings.operatorsListen) || isSameListener(settings.callersListen, settings.peersListen))
         root.fail("callers", "listens where another listener does");
--- a/Libraries/LibConfiguration/Settings.h
+++ b/Libraries/LibConfiguration/Settings.h
@@ -30,8 +30,6 @@
 struct TlsSettings {
     std::string certificate;
     std::string privateKey;
-    /// Certificates that peers must chain to; empty on the callers' listener.
-    std::string authority;
 };
 
 /// Who and where this process is.
@@ -55,7 +53,6 @@
     Endpoint operatorsListen;
     std::vector<OperatorCredential> operatorCredentials;
     Endpoint peersListen;
-    std::optional<TlsSettings> peersTls;
     std::string storeKind { "etcd" };
     std::vector<Endpoint> storeEndpoints;
     std::string storePrefix { "/ibisturn/" };
--- a/Libraries/LibHTTP/ClaimService.cpp
+++ b/Libraries/LibHTTP/ClaimService.cpp
@@ -1,9 +1,10 @@
 #include <LibHTTP/ClaimService.h>
 
 #include <LibCore/Error.h>
+#include <LibCore/RandomIdentity.h>
 #include <LibCore/SteadyClock.h>
+#include <LibKernel/Pause.h>
 
-#include <random>
 #include <utility>
 
 namespace Ibisturn {
@@ -15,21 +16,6 @@
 /// A lease is shared by all claims of this period, so a claim is kept for the retention at least.
 constexpr Duration leasePeriod = std::chrono::hours(1);
 
-// Two lives of one instance draw the same number once in 2^64.
-Incarnation drawIncarnation()
-{
-    std::random_device device;
-    const std::uint64_t high = device();
-    return Incarnation((high << 32U) | device());
-}
-
-Task<void> pause(Duration duration)
-{
-    const auto executor = co_await Asio::this_coro::executor;
-    Asio::steady_timer timer(executor, duration);
-    co_await timer.async_wait(Asio::use_awaitable);
-}
-
 } // namespace
 
 ClaimService::ClaimService(const Settings& settings, StoreClient& store, Asio::any_io_executor storeExecutor)
--- /dev/null
+++ b/Libraries/LibHTTP/HopSpan.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <LibHTTP/Tracer.h>
+
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace Ibisturn {
+
+/// Ends and exports a span when its hop is over, also after an exception.
+/// Thread safety: one coroutine at a time.
+class HopSpan {
+public:
+    /// Starts the span now. Precondition: `tracer` outlives the object.
+    HopSpan(const Tracer& tracer, std::string name, const std::optional<TraceContext>& parent)
+        : tracer_(tracer)
+        , span_(std::move(name), parent)
+    {
+    }
+
+    ~HopSpan() { tracer_.finish(span_); }
+    HopSpan(const HopSpan&) = delete;
+    HopSpan& operator=(const HopSpan&) = delete;
+
+    /// The span, to add attributes to it.
+    Span& span() { return span_; }
+
+private:
+    const Tracer& tracer_;
+    Span span_;
+};
+
+} // namespace Ibisturn
--- a/Libraries/LibHTTP/OperatorInterface.cpp
+++ b/Libraries/LibHTTP/OperatorInterface.cpp
@@ -2,12 +2,12 @@
 
 #include <LibConfiguration/RecordSet.h>
 #include <LibCore/Digest.h>
+#include <LibCore/RandomIdentity.h>
 #include <LibHTTP/ErrorBody.h>
 
 #include <charconv>
 #include <ctime>
 #include <optional>
-#include <random>
 #include <utility>
 
 #include <boost/beast/core.hpp>
@@ -84,12 +84,6 @@
     return change.edits.size() == 1 && change.edits.front().name.kind == "keys" && !change.edits.front().json;
 }
 
-std::string makeChangeId()
-{
-    std::random_device device;
-    return fmt::format("{:08x}{:08x}{:08x}", device(), device(), device());
-}
-
 std::string_view readinessName(Readiness readiness)
 {
     static constexpr std::string_view names[] { "starting", "ready", "rechecking" };
@@ -274,7 +268,7 @@
 {
     ChangeRequest change;
     change.who = requireOperator(request);
-    change.id = request.changeId.empty() ? makeChangeId() : request.changeId;
+    change.id = request.changeId.empty() ? drawChangeId() : request.changeId;
     if (change.id.size() > mostChangeIdLength)
         throw Error(ResultCode::MalformedRequest, Ran::No, "The Idempotency-Key is too long");
     change.when = fmt::format("{:%Y-%m-%dT%H:%M:%SZ}", fmt::gmtime(std::time(nullptr)));
--- /dev/null
+++ b/Libraries/LibHTTP/OutstandingRequest.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <LibHTTP/LoadTable.h>
+
+#include <utility>
+
+namespace Ibisturn {
+
+/// Counts a request as under way on a backend server while it lives.
+/// Thread safety: one coroutine at a time.
+class OutstandingRequest {
+public:
+    /// Precondition: `load` outlives the object.
+    OutstandingRequest(LoadTable& load, BackendServerId server)
+        : load_(load)
+        , server_(std::move(server))
+    {
+        load_.begin(server_);
+    }
+
+    ~OutstandingRequest() { load_.end(server_); }
+    OutstandingRequest(const OutstandingRequest&) = delete;
+    OutstandingRequest& operator=(const OutstandingRequest&) = delete;
+
+private:
+    LoadTable& load_;
+    BackendServerId server_;
+};
+
+} // namespace Ibisturn
--- a/Libraries/LibHTTP/RequestRunner.cpp
+++ b/Libraries/LibHTTP/RequestRunner.cpp
@@ -4,7 +4,10 @@
 #include <LibDecision/Membership/EntryDirectory.h>
 #include <LibDecision/Routing/HeadDecision.h>
 #include <LibHTTP/CompletionScanner.h>
+#include <LibHTTP/DeadlineTimer.h>
 #include <LibHTTP/ForwardedRequest.h>
+#include <LibHTTP/HopSpan.h>
+#include <LibHTTP/OutstandingRequest.h>
 #include <LibHTTP/RoutingStrategyRegistry.h>
 
 #include <algorithm>
@@ -21,45 +24,6 @@
 // FIXME: Use the request's max_tokens.
 constexpr std::int64_t assumedAnswerTokens = 256;
 
-/// Counts a request as under way on a backend server while it lives.
-class OutstandingRequest {
-public:
-    OutstandingRequest(LoadTable& load, BackendServerId server)
-        : load_(load)
-        , server_(std::move(server))
-    {
-        load_.begin(server_);
-    }
-
-    ~OutstandingRequest() { load_.end(server_); }
-    OutstandingRequest(const OutstandingRequest&) = delete;
-    OutstandingRequest& operator=(const OutstandingRequest&) = delete;
-
-private:
-    LoadTable& load_;
-    BackendServerId server_;
-};
-
-/// Ends and exports a span when its hop is over, also after an exception.
-class HopSpan {
-public:
-    HopSpan(const Tracer& tracer, std::string name, const std::optional<TraceContext>& parent)
-        : tracer_(tracer)
-        , span_(std::move(name), parent)
-    {
-    }
-
-    ~HopSpan() { tracer_.finish(span_); }
-    HopSpan(const HopSpan&) = delete;
-    HopSpan& operator=(const HopSpan&) = delete;
-
-    Span& span() { return span_; }
-
-private:
-    const Tracer& tracer_;
-    Span span_;
-};
-
 std::uint64_t hashOf(const GatewayRequest& request)
 {
     return std::hash<std::string> {}(request.parent ? request.parent->spanId : request.body);
@@ -103,25 +67,6 @@
 
 constexpr std::size_t frameOverhead = 64UL * 1024;
 
-/// Cancels a request when the deadline that its caller gave is over.
-class DeadlineTimer {
-public:
-    DeadlineTimer(const Asio::any_io_executor& executor, const GatewayRequest& request)
-        : timer_(executor)
-    {
-        if (!request.callerDeadline)
-            return;
-        timer_.expires_after(*request.callerDeadline - SteadyClock().now());
-        timer_.async_wait([cancellation = request.cancellation](const boost::system::error_code& error) {
-            if (!error)
-                cancellation->cancel(DeadlinePassed {});
-        });
-    }
-
-private:
-    Asio::steady_timer timer_;
-};
-
 /// Throws the error that `actions` end a request with, if they do.
 void throwIfFailed(const RequestActions& actions)
 {
--- a/Libraries/LibPeer/PeerConnection.cpp
+++ b/Libraries/LibPeer/PeerConnection.cpp
@@ -1,9 +1,9 @@
 #include <LibPeer/PeerConnection.h>
 
+#include <LibCore/RandomIdentity.h>
 #include <LibKernel/GentleClose.h>
 
 #include <algorithm>
-#include <random>
 #include <utility>
 
 namespace Ibisturn {
@@ -13,18 +13,12 @@
 constexpr std::size_t readBytes = 4UL * 1024;
 constexpr std::size_t mostKept = 64UL * 1024;
 
-Incarnation makeIncarnation()
-{
-    std::random_device device;
-    return Incarnation((static_cast<std::uint64_t>(device()) << 32) | device());
-}
-
 } // namespace
 
 PeerConnection::PeerConnection(boost::beast::tcp_stream stream, ByteCount frameLimit)
     : stream_(std::move(stream))
     , frameLimit_(frameLimit.count())
-    , ownIncarnation_(makeIncarnation())
+    , ownIncarnation_(drawIncarnation())
 {
     boost::system::error_code ignored;
     stream_.socket().set_option(Asio::ip::tcp::no_delay(true), ignored);
--- a/Libraries/LibPlatform/ConfigurationFeed.cpp
+++ b/Libraries/LibPlatform/ConfigurationFeed.cpp
@@ -3,9 +3,9 @@
 #include <LibConfiguration/RecordHead.h>
 #include <LibCore/Error.h>
 #include <LibCore/Log.h>
+#include <LibCore/RandomIdentity.h>
 #include <LibCore/SteadyClock.h>
 
-#include <random>
 #include <utility>
 
 namespace Ibisturn {
@@ -20,12 +20,6 @@
     return SteadyClock().now();
 }
 
-Incarnation makeIncarnation()
-{
-    std::random_device device;
-    return Incarnation((static_cast<std::uint64_t>(device()) << 32) | device());
-}
-
 std::string recordsFolder(const std::string& prefix)
 {
     return prefix + "records/";
@@ -38,7 +32,7 @@
     , prefix_(prefix)
     , onSnapshot_(std::move(onSnapshot))
     , onPeerAction_(std::move(onPeerAction))
-    , adopter_(std::move(self), std::move(prefix), makeIncarnation(), now())
+    , adopter_(std::move(self), std::move(prefix), drawIncarnation(), now())
     , writer_(store, prefix_)
 {
 }
--- a/Libraries/LibPlatform/RecordWriter.cpp
+++ b/Libraries/LibPlatform/RecordWriter.cpp
@@ -1,6 +1,7 @@
 #include <LibPlatform/RecordWriter.h>
 
 #include <LibCore/Error.h>
+#include <LibKernel/Pause.h>
 
 #include <utility>
 
@@ -11,13 +12,6 @@
 constexpr int mostAttempts = 8;
 constexpr Duration retryPause = std::chrono::milliseconds(250);
 
-Task<void> pause()
-{
-    const auto executor = co_await Asio::this_coro::executor;
-    Asio::steady_timer timer(executor, retryPause);
-    co_await timer.async_wait(Asio::use_awaitable);
-}
-
 std::optional<ChangeResult> finished(const ChangePlan& plan)
 {
     if (const auto* applied = std::get_if<ChangeApplied>(&plan))
@@ -40,7 +34,7 @@
     bool isInDoubt = false;
     for (int attempts = 0; attempts < mostAttempts; ++attempts) {
         if (attempts > 0)
-            co_await pause();
+            co_await pause(retryPause);
         const std::optional<ChangeResult> result = co_await attempt(request, isInDoubt);
         if (result)
             co_return *result;
--- a/Meta/deployment.sh
+++ b/Meta/deployment.sh
@@ -107,12 +107,13 @@
     write_records
     for region in "${REGIONS[@]}"; do
         operators=${region}_1_operators
-        await_status "${!operators}"
+        await_status "${!operators}" '"instances":3.*"records":9'
     done
 }
 
+# Waits until the status of the instance with the operators' listener $1 matches $2.
 await_status() {
-    IBISTURN_OPERATOR_KEY=$OPERATOR_KEY timeout 10 bash -c "until '$BIN/ibisturn' status --json --instance '$1' | grep -q '\"instances\":3.*\"records\":9'; do sleep 0.05; done"
+    IBISTURN_OPERATOR_KEY=$OPERATOR_KEY timeout 10 bash -c "until '$BIN/ibisturn' status --json --instance '$1' | grep -q '$2'; do sleep 0.05; done"
 }
 
 stop_deployment() {
--- a/Programs/ibisturn/ControlCommand.cpp
+++ b/Programs/ibisturn/ControlCommand.cpp
@@ -2,6 +2,7 @@
 
 #include <LibConfiguration/Declarations.h>
 #include <LibCore/Error.h>
+#include <LibCore/RandomIdentity.h>
 #include <LibDecision/Configuration/ChangePlan.h>
 #include <LibDecision/Configuration/ConfigurationMessages.h>
 
@@ -9,7 +10,6 @@
 #include <cstdlib>
 #include <exception>
 #include <optional>
-#include <random>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -86,12 +86,6 @@
     Check,
 };
 
-std::string makeChangeId()
-{
-    std::random_device device;
-    return fmt::format("{:08x}{:08x}{:08x}", device(), device(), device());
-}
-
 HttpReply exchangeOrUnknown(const HttpCall& call)
 {
     try {
@@ -113,7 +107,7 @@
         changes.push_back({ { "kind", edit.name.kind }, { "name", edit.name.name }, { "record", std::move(record) }, { "revision", edit.seen.count() } });
     }
     auto call = makeCall(options, "POST", "/v1/changes");
-    call.headers.push_back({ "Idempotency-Key", makeChangeId() });
+    call.headers.push_back({ "Idempotency-Key", drawChangeId() });
     call.body = nlohmann::json { { "changes", std::move(changes) }, { "dry_run", mode == ChangeMode::Check } }.dump();
     call.timeout = changeTimeout;
     HttpReply reply;
--- a/Programs/ibisturn/Instance.cpp
+++ b/Programs/ibisturn/Instance.cpp
@@ -1,6 +1,7 @@
 #include "Instance.h"
 
 #include <LibHTTP/PeerServer.h>
+#include <LibKernel/Pause.h>
 #include <LibPlatform/EngineLoadClient.h>
 #include <LibPlatform/LiveListClient.h>
 
@@ -21,13 +22,6 @@
 constexpr Duration drainPoll = std::chrono::milliseconds(20);
 constexpr Duration claimDrain = std::chrono::seconds(3);
 
-Task<void> pause(Duration duration)
-{
-    const auto executor = co_await Asio::this_coro::executor;
-    Asio::steady_timer timer(executor, duration);
-    co_await timer.async_wait(Asio::use_awaitable);
-}
-
 Asio::ip::tcp::acceptor listenOn(Asio::io_context& context, const Endpoint& endpoint)
 {
     return { context, Asio::ip::tcp::endpoint(Asio::ip::make_address(endpoint.address), endpoint.port) };
--- a/Tests/LibConfiguration/SettingsTest.cpp
+++ b/Tests/LibConfiguration/SettingsTest.cpp
@@ -61,6 +61,7 @@
     { "16KiB", "4GiB", "s.yaml:20: limits.head must be at most" },
     { "4MiB", "4GiB", "s.yaml:21: limits.body must be at most" },
     { "instance: khomas-1\n", "", "s.yaml:1: instance is missing" },
+    { "  listen: 127.0.0.1:8082", "  listen: 127.0.0.1:8082\n  tls: {certificate: a, private_key: b}", "s.yaml:13: peers.tls is not supported yet" },
     { "  listen: 127.0.0.1:8080", "  {}", "s.yaml:5: callers.listen is missing" },
     { "platform:\n  store:\n    endpoints: [127.0.0.1:2379]\n", "platform:\n", "s.yaml:14: platform.store.endpoints is missing" },
     { "[127.0.0.1:2379]", "[]", "s.yaml:15: platform.store.endpoints must be a list" },
--- a/Tests/Process/ClaimsTest.sh
+++ b/Tests/Process/ClaimsTest.sh
@@ -67,6 +67,6 @@
 # Claims move the store's revision; an instance that starts now must not take the others for being behind.
 start_instance omaheke-1
 write_live_list
-await_status "$omaheke_1_operators"
+await_status "$omaheke_1_operators" '"instances":3.*"records":9'
 expect '{"runs":1}' "$(book "$omaheke_1_callers" restarted)" "booking through the restarted entry"
 echo "claims: ok"
--- a/Tests/Process/TlsReload.sh
+++ b/Tests/Process/TlsReload.sh
@@ -29,6 +29,7 @@
 sed -i "s#^callers: .*#callers: {listen: \"127.0.0.1:0\", tls: {certificate: $WORK/callers.crt, private_key: $WORK/callers.key}}#" "$WORK/khomas-1.yaml"
 start_instance khomas-1
 write_records
+await_status "$khomas_1_operators" '"records":9'
 until curl -sf --cacert "$WORK/first.crt" "https://$khomas_1_callers/readyz" -o /dev/null; do sleep 0.02; done
 
 # The running stream keeps the first certificate.
