--- a/Meta/ibisturn.sh
+++ b/Meta/ibisturn.sh
@@ -5,7 +5,7 @@
 
 PACKAGES="libboost-dev libboost-system-dev libmsgpack-cxx-dev libfmt-dev libcli11-dev libyaml-cpp-dev
     libssl-dev nlohmann-json3-dev libxxhash-dev librapidcheck-dev libgtest-dev libbenchmark-dev
-    ninja-build ccache cmake g++ clang-format clang-tidy curl openssl"
+    ninja-build ccache cmake g++ clang-format clang-tidy curl openssl procps"
 JOBS=${IBISTURN_JOBS:-$(nproc)}
 BUILD=${IBISTURN_BUILD:-build}
 # Worktrees in different folders share one cache.
