LibHTTP: Rank backend servers anew only when the membership says something new

Cause: while any target is troubled, each request comes with a copy of the membership, and the board compared pointers; so it hashed every backend server against every instance of the data centre for each request, under the queue's lock. Change: the board compares what it takes from a view: leaving backend servers, and the instances' ids, places and states. Ruled out: caching the copy in the health board, since it also depends on the request's own failed attempts. Before -> after: read in the code, not measured; 177 tests passed on both sides, and the file is clean under format and lint. Conclusion: behaviour is the same; requests during trouble cost a comparison instead of the ranking.

--- a/Libraries/LibHTTP/AdmissionBoard.cpp
+++ b/Libraries/LibHTTP/AdmissionBoard.cpp
@@ -4,6 +4,7 @@
 #include <LibCore/SteadyClock.h>
 #include <LibDecision/Membership/EntryDirectory.h>
 
+#include <algorithm>
 #include <mutex>
 #include <utility>
 
@@ -38,6 +39,19 @@
     return true;
 }
 
+// While a target is troubled each request comes with a view of its own, which mostly says the same.
+bool isSameForPool(const MembershipPointer& known, const MembershipPointer& view)
+{
+    if (known == view)
+        return true;
+    if (!known || known->leavingBackendServers != view->leavingBackendServers)
+        return false;
+    const auto isSameMember = [](const Member& left, const Member& right) {
+        return left.id == right.id && left.dataCentre == right.dataCentre && left.state == right.state;
+    };
+    return std::equal(known->instances.begin(), known->instances.end(), view->instances.begin(), view->instances.end(), isSameMember);
+}
+
 Error errorOf(const RefuseAction& refusal)
 {
     Error error(refusal.code, Ran::No, std::string(resultCodeEntry(refusal.code).meaning));
@@ -176,7 +190,7 @@
             pool = makePool(servers);
         pool->revision = snapshot->revision();
     }
-    if (pool->membership != membership)
+    if (!isSameForPool(pool->membership, membership))
         applyMembership(*pool, membership);
     return pool;
 }
