--- a/Libraries/LibHTTP/AdmissionBoard.cpp
+++ b/Libraries/LibHTTP/Backends/AdmissionBoard.cpp
@@ -1,4 +1,4 @@
-#include <LibHTTP/AdmissionBoard.h>
+#include <LibHTTP/Backends/AdmissionBoard.h>
 
 #include <LibCore/Error.h>
 #include <LibCore/SteadyClock.h>
--- a/Libraries/LibHTTP/AdmissionBoard.h
+++ b/Libraries/LibHTTP/Backends/AdmissionBoard.h
@@ -4,7 +4,7 @@
 #include <LibCore/TableLock.h>
 #include <LibDecision/Admission/AdmissionControl.h>
 #include <LibDecision/Membership/MembershipView.h>
-#include <LibHTTP/Cancellation.h>
+#include <LibHTTP/Requests/Cancellation.h>
 #include <LibKernel/Asio.h>
 
 #include <map>
--- a/Libraries/LibHTTP/AnswerCompleteness.cpp
+++ b/Libraries/LibHTTP/Backends/AnswerCompleteness.cpp
@@ -1,4 +1,4 @@
-#include <LibHTTP/AnswerCompleteness.h>
+#include <LibHTTP/Backends/AnswerCompleteness.h>
 
 namespace Ibisturn {
 
--- a/Libraries/LibHTTP/BackendClient.cpp
+++ b/Libraries/LibHTTP/Backends/BackendClient.cpp
@@ -1,8 +1,8 @@
-#include <LibHTTP/BackendClient.h>
+#include <LibHTTP/Backends/BackendClient.h>
 
 #include <LibCore/Error.h>
-#include <LibHTTP/AnswerCompleteness.h>
-#include <LibHTTP/SocketWatch.h>
+#include <LibHTTP/Backends/AnswerCompleteness.h>
+#include <LibHTTP/Callers/SocketWatch.h>
 #include <LibKernel/HttpLimits.h>
 
 #include <array>
--- a/Libraries/LibHTTP/BackendClient.h
+++ b/Libraries/LibHTTP/Backends/BackendClient.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibConfiguration/Records.h>
-#include <LibHTTP/GatewayRequest.h>
+#include <LibHTTP/Requests/GatewayRequest.h>
 #include <LibKernel/AnswerSink.h>
 
 #include <map>
--- a/Libraries/LibHTTP/EventStreamGate.cpp
+++ b/Libraries/LibHTTP/Backends/EventStreamGate.cpp
@@ -1,4 +1,4 @@
-#include <LibHTTP/EventStreamGate.h>
+#include <LibHTTP/Backends/EventStreamGate.h>
 
 #include <LibCore/Error.h>
 
--- a/Libraries/LibHTTP/LoadTable.cpp
+++ b/Libraries/LibHTTP/Backends/LoadTable.cpp
@@ -1,4 +1,4 @@
-#include <LibHTTP/LoadTable.h>
+#include <LibHTTP/Backends/LoadTable.h>
 
 #include <mutex>
 
--- a/Libraries/LibHTTP/OutstandingRequest.h
+++ b/Libraries/LibHTTP/Backends/OutstandingRequest.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibHTTP/LoadTable.h>
+#include <LibHTTP/Backends/LoadTable.h>
 
 #include <utility>
 
--- a/Libraries/LibHTTP/CallerSession.cpp
+++ b/Libraries/LibHTTP/Callers/CallerSession.cpp
@@ -1,15 +1,15 @@
-#include <LibHTTP/CallerSession.h>
+#include <LibHTTP/Callers/CallerSession.h>
 
 #include <LibCore/SteadyClock.h>
 #include <LibDecision/Membership/EntryDirectory.h>
 #include <LibDecision/Requests/RequestTimeout.h>
 #include <LibDecision/Routing/HeadDecision.h>
-#include <LibHTTP/CallerCredentials.h>
-#include <LibHTTP/CallerSink.h>
-#include <LibHTTP/ErrorBody.h>
-#include <LibHTTP/ForwardedRequest.h>
-#include <LibHTTP/RequestUnderWay.h>
-#include <LibHTTP/SocketWatch.h>
+#include <LibHTTP/Callers/CallerCredentials.h>
+#include <LibHTTP/Callers/CallerSink.h>
+#include <LibHTTP/Callers/ErrorBody.h>
+#include <LibHTTP/Callers/SocketWatch.h>
+#include <LibHTTP/Peers/ForwardedRequest.h>
+#include <LibHTTP/Requests/RequestUnderWay.h>
 #include <LibKernel/GentleClose.h>
 #include <LibKernel/HttpLimits.h>
 
--- a/Libraries/LibHTTP/CallerSession.h
+++ b/Libraries/LibHTTP/Callers/CallerSession.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <LibHTTP/InstanceTables.h>
-#include <LibHTTP/RequestRunner.h>
-#include <LibHTTP/TlsIdentity.h>
+#include <LibHTTP/Callers/TlsIdentity.h>
+#include <LibHTTP/Requests/InstanceTables.h>
+#include <LibHTTP/Requests/RequestRunner.h>
 
 namespace Ibisturn {
 
--- a/Libraries/LibHTTP/CallerSink.h
+++ b/Libraries/LibHTTP/Callers/CallerSink.h
@@ -2,7 +2,7 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/Error.h>
-#include <LibHTTP/AnswerFormat.h>
+#include <LibHTTP/Callers/AnswerFormat.h>
 
 #include <array>
 #include <atomic>
--- a/Libraries/LibHTTP/ErrorBody.cpp
+++ b/Libraries/LibHTTP/Callers/ErrorBody.cpp
@@ -1,4 +1,4 @@
-#include <LibHTTP/ErrorBody.h>
+#include <LibHTTP/Callers/ErrorBody.h>
 
 #include <nlohmann/json.hpp>
 
--- a/Libraries/LibHTTP/IdleConnections.h
+++ b/Libraries/LibHTTP/Callers/IdleConnections.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibHTTP/SocketWatch.h>
+#include <LibHTTP/Callers/SocketWatch.h>
 
 #include <memory>
 #include <set>
--- a/Libraries/LibHTTP/SocketWatch.cpp
+++ b/Libraries/LibHTTP/Callers/SocketWatch.cpp
@@ -1,4 +1,4 @@
-#include <LibHTTP/SocketWatch.h>
+#include <LibHTTP/Callers/SocketWatch.h>
 
 #include <cerrno>
 #include <sys/socket.h>
--- a/Libraries/LibHTTP/SocketWatch.h
+++ b/Libraries/LibHTTP/Callers/SocketWatch.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibHTTP/Cancellation.h>
+#include <LibHTTP/Requests/Cancellation.h>
 #include <LibKernel/Asio.h>
 
 namespace Ibisturn {
--- a/Libraries/LibHTTP/TlsIdentity.cpp
+++ b/Libraries/LibHTTP/Callers/TlsIdentity.cpp
@@ -1,4 +1,4 @@
-#include <LibHTTP/TlsIdentity.h>
+#include <LibHTTP/Callers/TlsIdentity.h>
 
 #include <LibCore/Digest.h>
 #include <LibCore/Error.h>
--- a/Libraries/LibHTTP/HopSpan.h
+++ b/Libraries/LibHTTP/Operators/HopSpan.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibHTTP/Tracer.h>
+#include <LibHTTP/Operators/Tracer.h>
 
 #include <optional>
 #include <string>
--- a/Libraries/LibHTTP/OperatorInterface.cpp
+++ b/Libraries/LibHTTP/Operators/OperatorInterface.cpp
@@ -1,9 +1,9 @@
-#include <LibHTTP/OperatorInterface.h>
+#include <LibHTTP/Operators/OperatorInterface.h>
 
 #include <LibConfiguration/RecordSet.h>
 #include <LibCore/Digest.h>
 #include <LibCore/RandomIdentity.h>
-#include <LibHTTP/ErrorBody.h>
+#include <LibHTTP/Callers/ErrorBody.h>
 
 #include <charconv>
 #include <ctime>
--- a/Libraries/LibHTTP/OperatorInterface.h
+++ b/Libraries/LibHTTP/Operators/OperatorInterface.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibHTTP/InstanceTables.h>
+#include <LibHTTP/Requests/InstanceTables.h>
 #include <LibPlatform/ConfigurationFeed.h>
 #include <LibPlatform/RecordWriter.h>
 #include <LibPlatform/StoreClient.h>
--- a/Libraries/LibHTTP/SpanExporter.cpp
+++ b/Libraries/LibHTTP/Operators/SpanExporter.cpp
@@ -1,4 +1,4 @@
-#include <LibHTTP/SpanExporter.h>
+#include <LibHTTP/Operators/SpanExporter.h>
 
 #include <LibCore/Log.h>
 #include <LibKernel/HttpClient.h>
--- a/Libraries/LibHTTP/Tracer.cpp
+++ b/Libraries/LibHTTP/Operators/Tracer.cpp
@@ -1,4 +1,4 @@
-#include <LibHTTP/Tracer.h>
+#include <LibHTTP/Operators/Tracer.h>
 
 #include <cstdio>
 #include <utility>
--- a/Libraries/LibHTTP/ForwardedRequest.cpp
+++ b/Libraries/LibHTTP/Peers/ForwardedRequest.cpp
@@ -1,4 +1,4 @@
-#include <LibHTTP/ForwardedRequest.h>
+#include <LibHTTP/Peers/ForwardedRequest.h>
 
 #include <algorithm>
 #include <array>
--- a/Libraries/LibHTTP/ForwardedRequest.h
+++ b/Libraries/LibHTTP/Peers/ForwardedRequest.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibHTTP/GatewayRequest.h>
+#include <LibHTTP/Requests/GatewayRequest.h>
 #include <LibPeer/Frame.h>
 
 namespace Ibisturn {
--- a/Libraries/LibHTTP/PeerClient.cpp
+++ b/Libraries/LibHTTP/Peers/PeerClient.cpp
@@ -1,7 +1,7 @@
-#include <LibHTTP/PeerClient.h>
+#include <LibHTTP/Peers/PeerClient.h>
 
-#include <LibHTTP/ForwardedRequest.h>
-#include <LibHTTP/SocketWatch.h>
+#include <LibHTTP/Callers/SocketWatch.h>
+#include <LibHTTP/Peers/ForwardedRequest.h>
 
 #include <utility>
 
--- a/Libraries/LibHTTP/PeerClient.h
+++ b/Libraries/LibHTTP/Peers/PeerClient.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibDecision/Membership/MembershipView.h>
-#include <LibHTTP/GatewayRequest.h>
+#include <LibHTTP/Requests/GatewayRequest.h>
 #include <LibKernel/AnswerSink.h>
 #include <LibPeer/PeerConnection.h>
 
--- a/Libraries/LibHTTP/PeerServer.cpp
+++ b/Libraries/LibHTTP/Peers/PeerServer.cpp
@@ -1,8 +1,8 @@
-#include <LibHTTP/PeerServer.h>
+#include <LibHTTP/Peers/PeerServer.h>
 
 #include <LibCore/SteadyClock.h>
-#include <LibHTTP/RequestUnderWay.h>
-#include <LibHTTP/SocketWatch.h>
+#include <LibHTTP/Callers/SocketWatch.h>
+#include <LibHTTP/Requests/RequestUnderWay.h>
 
 #include <algorithm>
 #include <optional>
--- a/Libraries/LibHTTP/PeerServer.h
+++ b/Libraries/LibHTTP/Peers/PeerServer.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <LibHTTP/InstanceTables.h>
-#include <LibHTTP/RequestRunner.h>
+#include <LibHTTP/Requests/InstanceTables.h>
+#include <LibHTTP/Requests/RequestRunner.h>
 #include <LibPeer/ControlReceiver.h>
 #include <LibPeer/PeerConnection.h>
 
--- a/Libraries/LibHTTP/AccessWatch.cpp
+++ b/Libraries/LibHTTP/Requests/AccessWatch.cpp
@@ -1,4 +1,4 @@
-#include <LibHTTP/AccessWatch.h>
+#include <LibHTTP/Requests/AccessWatch.h>
 
 #include <utility>
 
--- a/Libraries/LibHTTP/AccessWatch.h
+++ b/Libraries/LibHTTP/Requests/AccessWatch.h
@@ -2,7 +2,7 @@
 
 #include <LibCore/TimerService.h>
 #include <LibDecision/Requests/RequestAccess.h>
-#include <LibHTTP/Cancellation.h>
+#include <LibHTTP/Requests/Cancellation.h>
 
 #include <map>
 #include <memory>
--- a/Libraries/LibHTTP/AttemptSink.cpp
+++ b/Libraries/LibHTTP/Requests/AttemptSink.cpp
@@ -1,4 +1,4 @@
-#include <LibHTTP/AttemptSink.h>
+#include <LibHTTP/Requests/AttemptSink.h>
 
 #include <LibCore/SteadyClock.h>
 
--- a/Libraries/LibHTTP/AttemptSink.h
+++ b/Libraries/LibHTTP/Requests/AttemptSink.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibDecision/Requests/RequestLife.h>
-#include <LibHTTP/EventStreamGate.h>
+#include <LibHTTP/Backends/EventStreamGate.h>
 #include <LibKernel/AnswerSink.h>
 
 namespace Ibisturn {
--- a/Libraries/LibHTTP/ClaimRunner.cpp
+++ b/Libraries/LibHTTP/Requests/ClaimRunner.cpp
@@ -1,8 +1,8 @@
-#include <LibHTTP/ClaimRunner.h>
+#include <LibHTTP/Requests/ClaimRunner.h>
 
 #include <LibCore/Digest.h>
 #include <LibCore/Error.h>
-#include <LibHTTP/RecordingSink.h>
+#include <LibHTTP/Requests/RecordingSink.h>
 
 #include <utility>
 
--- a/Libraries/LibHTTP/ClaimRunner.h
+++ b/Libraries/LibHTTP/Requests/ClaimRunner.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <LibHTTP/ClaimService.h>
-#include <LibHTTP/GatewayRequest.h>
+#include <LibHTTP/Requests/ClaimService.h>
+#include <LibHTTP/Requests/GatewayRequest.h>
 #include <LibKernel/AnswerSink.h>
 
 #include <functional>
--- a/Libraries/LibHTTP/ClaimService.cpp
+++ b/Libraries/LibHTTP/Requests/ClaimService.cpp
@@ -1,4 +1,4 @@
-#include <LibHTTP/ClaimService.h>
+#include <LibHTTP/Requests/ClaimService.h>
 
 #include <LibCore/Error.h>
 #include <LibCore/RandomIdentity.h>
--- a/Libraries/LibHTTP/DeadlineTimer.h
+++ b/Libraries/LibHTTP/Requests/DeadlineTimer.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibCore/SteadyClock.h>
-#include <LibHTTP/GatewayRequest.h>
+#include <LibHTTP/Requests/GatewayRequest.h>
 #include <LibKernel/Asio.h>
 
 namespace Ibisturn {
--- a/Libraries/LibHTTP/GatewayRequest.h
+++ b/Libraries/LibHTTP/Requests/GatewayRequest.h
@@ -3,7 +3,7 @@
 #include <LibCore/Clock.h>
 #include <LibCore/Identifier.h>
 #include <LibCore/Span.h>
-#include <LibHTTP/Cancellation.h>
+#include <LibHTTP/Requests/Cancellation.h>
 
 #include <optional>
 #include <string>
--- a/Libraries/LibHTTP/InstanceTables.h
+++ b/Libraries/LibHTTP/Requests/InstanceTables.h
@@ -5,11 +5,11 @@
 #include <LibCore/Metrics.h>
 #include <LibCore/SharedValue.h>
 #include <LibDecision/Membership/MembershipView.h>
-#include <LibHTTP/AdmissionBoard.h>
-#include <LibHTTP/HealthBoard.h>
-#include <LibHTTP/LoadTable.h>
-#include <LibHTTP/PeerReachTable.h>
-#include <LibHTTP/Tracer.h>
+#include <LibHTTP/Backends/AdmissionBoard.h>
+#include <LibHTTP/Backends/HealthBoard.h>
+#include <LibHTTP/Backends/LoadTable.h>
+#include <LibHTTP/Operators/Tracer.h>
+#include <LibHTTP/Peers/PeerReachTable.h>
 
 #include <atomic>
 
--- a/Libraries/LibHTTP/RecordingSink.cpp
+++ b/Libraries/LibHTTP/Requests/RecordingSink.cpp
@@ -1,4 +1,4 @@
-#include <LibHTTP/RecordingSink.h>
+#include <LibHTTP/Requests/RecordingSink.h>
 
 #include <LibCore/Error.h>
 
--- a/Libraries/LibHTTP/RequestRunner.cpp
+++ b/Libraries/LibHTTP/Requests/RequestRunner.cpp
@@ -1,14 +1,14 @@
-#include <LibHTTP/RequestRunner.h>
+#include <LibHTTP/Requests/RequestRunner.h>
 
 #include <LibCore/SteadyClock.h>
 #include <LibDecision/Membership/EntryDirectory.h>
 #include <LibDecision/Routing/HeadDecision.h>
-#include <LibHTTP/CompletionScanner.h>
-#include <LibHTTP/DeadlineTimer.h>
-#include <LibHTTP/ForwardedRequest.h>
-#include <LibHTTP/HopSpan.h>
-#include <LibHTTP/OutstandingRequest.h>
-#include <LibHTTP/RoutingStrategyRegistry.h>
+#include <LibHTTP/Backends/OutstandingRequest.h>
+#include <LibHTTP/Backends/RoutingStrategyRegistry.h>
+#include <LibHTTP/Callers/CompletionScanner.h>
+#include <LibHTTP/Operators/HopSpan.h>
+#include <LibHTTP/Peers/ForwardedRequest.h>
+#include <LibHTTP/Requests/DeadlineTimer.h>
 
 #include <algorithm>
 #include <utility>
--- a/Libraries/LibHTTP/RequestRunner.h
+++ b/Libraries/LibHTTP/Requests/RequestRunner.h
@@ -2,14 +2,14 @@
 
 #include <LibDecision/Requests/RequestLife.h>
 #include <LibDecision/Routing/PlaceDecision.h>
-#include <LibHTTP/AccessWatch.h>
-#include <LibHTTP/AttemptSink.h>
-#include <LibHTTP/BackendClient.h>
-#include <LibHTTP/ClaimRunner.h>
-#include <LibHTTP/GatewayRequest.h>
-#include <LibHTTP/IdleConnections.h>
-#include <LibHTTP/InstanceTables.h>
-#include <LibHTTP/PeerClient.h>
+#include <LibHTTP/Backends/BackendClient.h>
+#include <LibHTTP/Callers/IdleConnections.h>
+#include <LibHTTP/Peers/PeerClient.h>
+#include <LibHTTP/Requests/AccessWatch.h>
+#include <LibHTTP/Requests/AttemptSink.h>
+#include <LibHTTP/Requests/ClaimRunner.h>
+#include <LibHTTP/Requests/GatewayRequest.h>
+#include <LibHTTP/Requests/InstanceTables.h>
 
 #include <memory>
 
--- a/Plugins/LeastOutstandingStrategy.cpp
+++ b/Plugins/LeastOutstandingStrategy.cpp
@@ -1,4 +1,4 @@
-#include <LibHTTP/RoutingStrategyRegistry.h>
+#include <LibHTTP/Backends/RoutingStrategyRegistry.h>
 
 #include <LibDecision/Membership/EntryDirectory.h>
 
--- a/Programs/ibisturn/ControlPlane.h
+++ b/Programs/ibisturn/ControlPlane.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibHTTP/InstanceTables.h>
+#include <LibHTTP/Requests/InstanceTables.h>
 #include <LibPeer/ControlLinks.h>
 #include <LibPlatform/ConfigurationFeed.h>
 
--- a/Programs/ibisturn/Instance.cpp
+++ b/Programs/ibisturn/Instance.cpp
@@ -1,6 +1,6 @@
 #include "Instance.h"
 
-#include <LibHTTP/PeerServer.h>
+#include <LibHTTP/Peers/PeerServer.h>
 #include <LibKernel/Pause.h>
 #include <LibPlatform/EngineLoadClient.h>
 #include <LibPlatform/LiveListClient.h>
--- a/Programs/ibisturn/Instance.h
+++ b/Programs/ibisturn/Instance.h
@@ -2,12 +2,12 @@
 
 #include <LibCore/SteadyClock.h>
 #include <LibCore/TimerService.h>
-#include <LibHTTP/CallerSession.h>
-#include <LibHTTP/InstanceTables.h>
-#include <LibHTTP/OperatorInterface.h>
-#include <LibHTTP/RequestRunner.h>
-#include <LibHTTP/SpanExporter.h>
-#include <LibHTTP/TlsIdentity.h>
+#include <LibHTTP/Callers/CallerSession.h>
+#include <LibHTTP/Callers/TlsIdentity.h>
+#include <LibHTTP/Operators/OperatorInterface.h>
+#include <LibHTTP/Operators/SpanExporter.h>
+#include <LibHTTP/Requests/InstanceTables.h>
+#include <LibHTTP/Requests/RequestRunner.h>
 #include <LibKernel/WorkerPool.h>
 
 #include "ControlPlane.h"
--- a/Tests/LibHTTP/AnswerFormatTest.cpp
+++ b/Tests/LibHTTP/AnswerFormatTest.cpp
@@ -1,4 +1,4 @@
-#include <LibHTTP/AnswerFormat.h>
+#include <LibHTTP/Callers/AnswerFormat.h>
 
 #include <gtest/gtest.h>
 
--- a/Tests/LibHTTP/BackendClientTest.cpp
+++ b/Tests/LibHTTP/BackendClientTest.cpp
@@ -1,7 +1,7 @@
 #include <LibKernel/Asio.h>
 
 #include <LibCore/Error.h>
-#include <LibHTTP/BackendClient.h>
+#include <LibHTTP/Backends/BackendClient.h>
 
 #include <gtest/gtest.h>
 
--- a/Tests/LibHTTP/CallerCredentialsTest.cpp
+++ b/Tests/LibHTTP/CallerCredentialsTest.cpp
@@ -1,4 +1,4 @@
-#include <LibHTTP/CallerCredentials.h>
+#include <LibHTTP/Callers/CallerCredentials.h>
 
 #include <LibCore/Digest.h>
 #include <Tests/Support/Cases.h>
--- a/Tests/LibHTTP/CompletionScannerTest.cpp
+++ b/Tests/LibHTTP/CompletionScannerTest.cpp
@@ -1,4 +1,4 @@
-#include <LibHTTP/CompletionScanner.h>
+#include <LibHTTP/Callers/CompletionScanner.h>
 
 #include <LibCore/Error.h>
 #include <Tests/Support/Cases.h>
--- a/Tests/LibHTTP/EventStreamGateTest.cpp
+++ b/Tests/LibHTTP/EventStreamGateTest.cpp
@@ -1,5 +1,5 @@
 #include <LibCore/Error.h>
-#include <LibHTTP/EventStreamGate.h>
+#include <LibHTTP/Backends/EventStreamGate.h>
 
 #include <gtest/gtest.h>
 
--- a/Tests/LibHTTP/HealthBoardTest.cpp
+++ b/Tests/LibHTTP/HealthBoardTest.cpp
@@ -1,4 +1,4 @@
-#include <LibHTTP/HealthBoard.h>
+#include <LibHTTP/Backends/HealthBoard.h>
 
 #include <gtest/gtest.h>
 
--- a/Tests/Scenarios/HttpCaller.cpp
+++ b/Tests/Scenarios/HttpCaller.cpp
@@ -1,6 +1,6 @@
 #include "HttpCaller.h"
 
-#include <LibHTTP/AnswerCompleteness.h>
+#include <LibHTTP/Backends/AnswerCompleteness.h>
 #include <LibKernel/Asio.h>
 
 #include <array>
--- a/Tests/Support/LoopbackInstance.h
+++ b/Tests/Support/LoopbackInstance.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <LibHTTP/CallerSession.h>
-#include <LibHTTP/PeerServer.h>
+#include <LibHTTP/Callers/CallerSession.h>
+#include <LibHTTP/Peers/PeerServer.h>
 #include <LibPeer/ControlReceiver.h>
 #include <Tests/Support/AbsentStore.h>
 #include <Tests/Support/LoopbackThread.h>
