FleetInstance: Reload settings on SIGHUP, and refuse late requests while draining

Cause: SIGHUP ended the process (code 129), and requests that came long after SIGTERM were cut at the end of the grace.

--- a/Libraries/LibDecision/Allowance/FleetAllowance.h
+++ b/Libraries/LibDecision/Allowance/FleetAllowance.h
@@ -46,6 +46,9 @@
 public:
     explicit FleetAllowance(FleetAllowanceLimits limits = {});
 
+    /// Changes the limits; what was used stays used.
+    void setLimits(FleetAllowanceLimits limits) { limits_ = limits; }
+
     /// Sets how many instances there are, whether or not they can be heard. Never smaller than before within a process.
     void setInstances(std::size_t count);
 
--- a/Libraries/LibDecision/Registry/BackendRegistry.h
+++ b/Libraries/LibDecision/Registry/BackendRegistry.h
@@ -32,6 +32,9 @@
 public:
     explicit BackendRegistry(RegistryLimits limits = {});
 
+    /// Changes the limits.
+    void setLimits(RegistryLimits limits) { limits_ = limits; }
+
     /// A backend server's entry was written. Precondition: entries of one id come in the order of their revisions.
     void onEntry(TimePoint now, const RegisteredServer& server);
 
--- a/Libraries/LibDecision/Requests/FleetRetryBudget.cpp
+++ b/Libraries/LibDecision/Requests/FleetRetryBudget.cpp
@@ -17,9 +17,20 @@
 {
 }
 
+void FleetRetryBudget::setLimits(FleetRetryLimits limits)
+{
+    limits_ = limits;
+    applyLimits();
+}
+
 void FleetRetryBudget::setInstances(std::size_t count)
 {
     instances_ = std::max<std::size_t>(1, count);
+    applyLimits();
+}
+
+void FleetRetryBudget::applyLimits()
+{
     for (auto& [service, budget] : budgets_)
         budget.setLimits(ownLimits());
 }
--- a/Libraries/LibDecision/Requests/FleetRetryBudget.h
+++ b/Libraries/LibDecision/Requests/FleetRetryBudget.h
@@ -23,6 +23,9 @@
 public:
     explicit FleetRetryBudget(FleetRetryLimits limits);
 
+    /// Changes the limits. Budgets in use keep what they counted.
+    void setLimits(FleetRetryLimits limits);
+
     /// Sets how many instances share the reserve. Budgets in use keep what they counted.
     void setInstances(std::size_t count);
 
@@ -35,6 +38,7 @@
 private:
     RetryBudget& budgetOf(const ServiceId& service);
     RetryBudgetLimits ownLimits() const;
+    void applyLimits();
 
     FleetRetryLimits limits_;
     std::size_t instances_ { 1 };
--- a/Libraries/LibHTTP/Callers/RoutedSession.cpp
+++ b/Libraries/LibHTTP/Callers/RoutedSession.cpp
@@ -120,6 +120,8 @@
         callerId_ = head.callerId;
         if (!snapshot)
             throw Error(ResultCode::ConfigurationNotReady, Ran::No, "The instance has no configuration yet");
+        if (tables_.isRefusing)
+            throw Error(ResultCode::Draining, Ran::No, "The instance is shutting down");
         GatewayRequest request;
         request.target = std::string(parser.get().target().data(), parser.get().target().size());
         request.method = std::string(parser.get().method_string().data(), parser.get().method_string().size());
--- a/Libraries/LibHTTP/Requests/InstanceTables.h
+++ b/Libraries/LibHTTP/Requests/InstanceTables.h
@@ -19,6 +19,20 @@
 
 namespace Ibisturn {
 
+inline FleetAllowanceLimits allowanceLimitsOf(const FleetSettings& fleet)
+{
+    FleetAllowanceLimits limits;
+    limits.window = fleet.allowanceWindow;
+    limits.tolerance = fleet.allowanceTolerance;
+    limits.slack = TokenCount(fleet.allowanceSlack);
+    return limits;
+}
+
+inline FleetRetryLimits retryLimitsOf(const FleetSettings& fleet)
+{
+    return { fleet.retryRatio, fleet.retryReserve, fleet.retryWindow };
+}
+
 /// What all workers of one instance share. Tables lock in the order of TableLevel.
 /// Thread safety: each member as its type says.
 struct InstanceTables {
@@ -26,8 +40,8 @@
         : settings(std::move(instanceSettings))
         , admission(settings.identity)
         , placement(settings.identity.region)
-        , allowance(settings.fleet ? FleetAllowanceLimits { settings.fleet->allowanceWindow, settings.fleet->allowanceTolerance, TokenCount(settings.fleet->allowanceSlack) } : FleetAllowanceLimits {})
-        , serviceRetries(settings.fleet ? FleetRetryLimits { settings.fleet->retryRatio, settings.fleet->retryReserve, settings.fleet->retryWindow } : FleetRetryLimits {})
+        , allowance(settings.fleet ? allowanceLimitsOf(*settings.fleet) : FleetAllowanceLimits {})
+        , serviceRetries(settings.fleet ? retryLimitsOf(*settings.fleet) : FleetRetryLimits {})
         , tracer(settings.identity.instance.value(), std::move(spans))
     {
     }
@@ -51,6 +65,8 @@
     CallerLimits callerLimits;
     /// Set once the instance refuses new requests.
     std::atomic<bool> isDraining { false };
+    /// Set once a draining instance refuses what callers still send on connections that they keep.
+    std::atomic<bool> isRefusing { false };
     /// Requests from callers and peers that are under way.
     std::atomic<std::uint64_t> requestsUnderWay { 0 };
 };
--- a/Libraries/LibPlatform/FleetKnowledge.cpp
+++ b/Libraries/LibPlatform/FleetKnowledge.cpp
@@ -26,6 +26,12 @@
 {
 }
 
+void FleetKnowledge::setLimits(RegistryLimits limits)
+{
+    limits_ = limits;
+    registry_.setLimits(limits);
+}
+
 std::vector<std::string> FleetKnowledge::prefixes() const
 {
     return { reader_.operatorsPrefix(), reader_.registryPrefix(), instancesPrefix_ };
--- a/Libraries/LibPlatform/FleetKnowledge.h
+++ b/Libraries/LibPlatform/FleetKnowledge.h
@@ -21,6 +21,9 @@
     /// `instancesPrefix` is where the instances keep their entries. Precondition: `reader` outlives it.
     FleetKnowledge(const DocumentReader& reader, std::string instancesPrefix, RegistryLimits limits);
 
+    /// Changes the limits.
+    void setLimits(RegistryLimits limits);
+
     /// The prefixes to follow.
     std::vector<std::string> prefixes() const;
 
--- a/Programs/ibisturn/FleetInstance.cpp
+++ b/Programs/ibisturn/FleetInstance.cpp
@@ -8,6 +8,8 @@
 #include <LibKernel/Pause.h>
 
 #include <csignal>
+#include <fstream>
+#include <sstream>
 #include <utility>
 
 namespace Ibisturn {
@@ -16,6 +18,8 @@
 
 constexpr Log instanceLog("instance");
 constexpr Duration planePeriod = std::chrono::milliseconds(50);
+/// A changed file is found this soon also without SIGHUP.
+constexpr Duration settingsPoll = std::chrono::seconds(1);
 constexpr Duration acceptRetryPause = std::chrono::milliseconds(20);
 constexpr Duration drainPoll = std::chrono::milliseconds(20);
 /// Callers that hold an older answer of the directory still find the instance for this long after SIGTERM.
@@ -29,6 +33,14 @@
     return { context, Asio::ip::tcp::endpoint(Asio::ip::make_address(endpoint.address), endpoint.port) };
 }
 
+std::string readFile(const std::string& path)
+{
+    const std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
 template <typename Registry, typename... Arguments>
 auto makePlugin(const char* kind, const std::string& name, Arguments&&... arguments)
 {
@@ -40,8 +52,10 @@
 
 } // namespace
 
-FleetInstance::FleetInstance(const Settings& settings)
-    : callers_(makePlugin<CallerDialectRegistry>("caller dialect", settings.fleet->dialect))
+FleetInstance::FleetInstance(const Settings& settings, std::string settingsFile)
+    : settingsFile_(std::move(settingsFile))
+    , settingsText_(readFile(settingsFile_))
+    , callers_(makePlugin<CallerDialectRegistry>("caller dialect", settings.fleet->dialect))
     , backends_(makePlugin<BackendDialectRegistry>("backend dialect", settings.fleet->dialect))
     , entries_(makePlugin<EntryDialectRegistry>("entry dialect", settings.fleet->dialect))
     , documents_(makePlugin<DocumentReaderRegistry>("document reader", settings.fleet->dialect, settings))
@@ -67,8 +81,10 @@
 void FleetInstance::run()
 {
     timers_.subscribe(SteadyClock().now(), planePeriod, [this](TimePoint now) { plane_.tick(now); });
+    timers_.subscribe(SteadyClock().now(), settingsPoll, [this](TimePoint) { reloadIfChanged(); });
     auto& context = workers_.context(0);
     plane_.start();
+    Asio::co_spawn(context, awaitHangUp(), Asio::detached);
     Asio::co_spawn(context, driveTimers(), Asio::detached);
     Asio::co_spawn(context, awaitShutdown(), Asio::detached);
     Asio::co_spawn(context, accept(callersAcceptor_, &FleetInstance::serveCallerOn), Asio::detached);
@@ -119,8 +135,12 @@
     runner_.idleConnections().close();
     co_await plane_.leave();
     const auto deadline = began + tables_.settings.fleet->shutdownGrace - closingReserve;
-    for (auto now = began; now < deadline && (tables_.requestsUnderWay > 0 || now < began + leastDrain); now = SteadyClock().now())
+    for (auto now = began; now < deadline && (tables_.requestsUnderWay > 0 || now < began + leastDrain); now = SteadyClock().now()) {
+        // What came later might not be finished within the grace.
+        tables_.isRefusing = now >= began + leastDrain;
         co_await pause(drainPoll);
+    }
+    tables_.isRefusing = true;
     runner_.idleConnections().close();
     runner_.cutAll();
     boost::system::error_code ignored;
@@ -134,6 +154,41 @@
     workers_.stop();
 }
 
+Task<void> FleetInstance::awaitHangUp()
+{
+    const auto executor = co_await Asio::this_coro::executor;
+    Asio::signal_set signals(executor, SIGHUP);
+    for (;;) {
+        co_await signals.async_wait(Asio::use_awaitable);
+        reload();
+    }
+}
+
+void FleetInstance::reloadIfChanged()
+{
+    if (readFile(settingsFile_) != settingsText_)
+        reload();
+}
+
+// Addresses and identity stay as they are until the next start.
+void FleetInstance::reload()
+{
+    auto text = readFile(settingsFile_);
+    try {
+        const auto settings = parseSettings(text, settingsFile_);
+        settingsText_ = std::move(text);
+        setLogLevel(settings.logLevel);
+        if (settings.fleet) {
+            plane_.reload(*settings.fleet);
+            source_.lifetime = settings.fleet->directoryLifetime;
+        }
+        instanceLog.info("Settings reloaded.", { { "file", settingsFile_ } });
+    } catch (const std::exception& error) {
+        settingsText_ = std::move(text);
+        instanceLog.error("Settings not reloaded.", { { "file", settingsFile_ }, { "reason", error.what() } });
+    }
+}
+
 void FleetInstance::serveCallerOn(Asio::ip::tcp::socket socket)
 {
     Asio::co_spawn(workers_.context(0), serveRoutedCaller(std::move(socket), tables_, runner_, *callers_), Asio::detached);
--- a/Programs/ibisturn/FleetInstance.h
+++ b/Programs/ibisturn/FleetInstance.h
@@ -16,9 +16,9 @@
 /// Thread safety: one thread, but for what its parts say.
 class FleetInstance {
 public:
-    /// Opens the listeners. Throws Error or boost::system::system_error; nothing is then left open.
+    /// Opens the listeners. The file is read again when it changes. Throws Error or boost::system::system_error; nothing is then left open.
     /// Precondition: the settings have a fleet.
-    explicit FleetInstance(const Settings& settings);
+    FleetInstance(const Settings& settings, std::string settingsFile);
 
     /// Serves until SIGTERM or SIGINT and then until the requests under way are finished, or the grace is nearly over.
     void run();
@@ -30,10 +30,15 @@
     Task<void> accept(Acceptor& acceptor, Serve serve);
     Task<void> driveTimers();
     Task<void> awaitShutdown();
+    Task<void> awaitHangUp();
+    void reloadIfChanged();
+    void reload();
     void serveCallerOn(Asio::ip::tcp::socket socket);
     void servePeerOn(Asio::ip::tcp::socket socket);
     void serveEntriesOn(Asio::ip::tcp::socket socket);
 
+    std::string settingsFile_;
+    std::string settingsText_;
     std::unique_ptr<CallerDialect> callers_;
     std::unique_ptr<BackendDialect> backends_;
     std::unique_ptr<EntryDialect> entries_;
--- a/Programs/ibisturn/FleetPlane.cpp
+++ b/Programs/ibisturn/FleetPlane.cpp
@@ -74,6 +74,13 @@
     tellPeers(now);
 }
 
+void FleetPlane::reload(const FleetSettings& fleet)
+{
+    knowledge_.setLimits(registryLimits(fleet));
+    tables_.serviceRetries.setLimits(retryLimitsOf(fleet));
+    tables_.allowance.setLimits(allowanceLimitsOf(fleet));
+}
+
 Task<void> FleetPlane::leave()
 {
     nextMembership_ = {};
--- a/Programs/ibisturn/FleetPlane.h
+++ b/Programs/ibisturn/FleetPlane.h
@@ -25,6 +25,9 @@
     /// Lets time pass: takes what is known into force and tells the others. To be called every 50 ms.
     void tick(TimePoint now);
 
+    /// Takes changed settings into force.
+    void reload(const FleetSettings& fleet);
+
     /// Tells the others and the store that this instance takes no more requests.
     Task<void> leave();
 
--- a/Programs/ibisturn/Main.cpp
+++ b/Programs/ibisturn/Main.cpp
@@ -30,7 +30,7 @@
     setLogLevel(settings.logLevel);
     std::signal(SIGPIPE, SIG_IGN);
     if (settings.fleet) {
-        FleetInstance instance(settings);
+        FleetInstance instance(settings, path);
         instance.run();
         std::_Exit(0);
     }
