--- a/Libraries/LibDecision/Requests/RequestLife.h
+++ b/Libraries/LibDecision/Requests/RequestLife.h
@@ -15,10 +15,10 @@
     HopsLeft hops { HopsLeft::One };
     /// No attempt begins after this.
     TimePoint deadline;
-    /// Attempts of which it can't be ruled out that they ran.
-    std::uint32_t mostRuns { 3 };
     /// Takes a retry from the instance's budget.
     std::function<bool(TimePoint)> takeRetry;
+    /// Attempts of which it can't be ruled out that they ran.
+    std::uint32_t mostRuns { 3 };
 };
 
 /// The life of one request at one instance, from its head to the end of its answer. It says when the request
--- /dev/null
+++ b/Tests/LibDecision/BackendRegistryTest.cpp
@@ -0,0 +1,132 @@
+#include <LibDecision/Registry/BackendRegistry.h>
+
+#include <gtest/gtest.h>
+
+namespace Ibisturn::Testing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+TimePoint at(Duration time)
+{
+    return TimePoint(1h) + time;
+}
+
+RegisteredServer server(const std::string& id, std::int64_t sequence = 1)
+{
+    RegisteredServer server;
+    server.id = BackendServerId(id);
+    server.started = StartTime(1000);
+    server.service = ServiceId("model");
+    server.endpoint = { "10.0.0.1", 8080 };
+    server.region = RegionId("khomas");
+    server.dataCentre = DataCentreId("khomas-a");
+    server.slots = 8;
+    server.sequence = sequence;
+    return server;
+}
+
+std::size_t usableAfter(BackendRegistry& registry, Duration time)
+{
+    registry.advance(at(time));
+    return registry.usable().size();
+}
+
+} // namespace
+
+TEST(BackendRegistry, DrainingServersAreNotUsed)
+{
+    BackendRegistry registry;
+    registry.onEntry(at(0s), server("a"));
+    auto leaving = server("a", 2);
+    leaving.state = RegistrationState::Draining;
+    registry.onEntry(at(1s), leaving);
+    EXPECT_EQ(usableAfter(registry, 1s), 0U);
+}
+
+TEST(BackendRegistry, AnEntryThatComesBackAtOnceWasNeverGone)
+{
+    BackendRegistry registry;
+    registry.onEntry(at(0s), server("a"));
+    registry.onRemoved(at(1s), BackendServerId("a"));
+    EXPECT_EQ(usableAfter(registry, 2s), 1U);
+    registry.onEntry(at(2100ms), server("a", 2));
+    EXPECT_EQ(usableAfter(registry, 9s), 1U);
+}
+
+TEST(BackendRegistry, ARemovedServerIsGoneBeforeItStopsServing)
+{
+    BackendRegistry registry;
+    registry.onEntry(at(0s), server("a"));
+    registry.onRemoved(at(1s), BackendServerId("a"));
+    EXPECT_EQ(usableAfter(registry, 1s + RegistryLimits().removalHold), 0U);
+}
+
+TEST(BackendRegistry, EntriesThatLapseWhileTheStoreIsAwayStay)
+{
+    BackendRegistry registry;
+    registry.onEntry(at(0s), server("a"));
+    registry.onEntry(at(0s), server("b"));
+    registry.onStoreAway(at(1s));
+    EXPECT_EQ(usableAfter(registry, 60s), 2U);
+    // The listing after the return shows neither; one of them writes its entry again.
+    registry.onRemoved(at(60s), BackendServerId("a"));
+    registry.onRemoved(at(60s), BackendServerId("b"));
+    registry.onStoreBack(at(60s));
+    EXPECT_EQ(usableAfter(registry, 61s), 2U);
+    registry.onEntry(at(61500ms), server("b", 7));
+    EXPECT_EQ(usableAfter(registry, 62s), 1U);
+    EXPECT_EQ(registry.usable().front().server.id, BackendServerId("b"));
+}
+
+TEST(BackendRegistry, EvacuatedServersReturnAsColdUntilTheySayOtherwise)
+{
+    BackendRegistry registry;
+    registry.onEntry(at(0s), server("a", 4));
+    registry.setEvacuated(at(1s), { DataCentreId("khomas-a") });
+    EXPECT_EQ(usableAfter(registry, 1s), 0U);
+    registry.setEvacuated(at(5s), {});
+    ASSERT_EQ(usableAfter(registry, 5s), 1U);
+    EXPECT_GT(registry.usable().front().coldUntil, at(5s));
+    // An entry from before the return says nothing.
+    registry.onEntry(at(5100ms), server("a", 4));
+    EXPECT_GT(registry.usable().front().coldUntil, at(5100ms));
+    registry.onEntry(at(5200ms), server("a", 5));
+    EXPECT_LE(registry.usable().front().coldUntil, at(5200ms));
+}
+
+TEST(BackendRegistry, AColdServerSaysHowLong)
+{
+    BackendRegistry registry;
+    auto cold = server("a");
+    cold.coldLeft = 3s;
+    registry.onEntry(at(1s), cold);
+    EXPECT_EQ(registry.usable().front().coldUntil, at(4s));
+}
+
+TEST(BackendRegistry, ANewLifeOfAnIdStartsAnew)
+{
+    BackendRegistry registry;
+    registry.onEntry(at(0s), server("a", 9));
+    registry.setEvacuated(at(1s), { DataCentreId("khomas-a") });
+    registry.setEvacuated(at(2s), {});
+    auto reborn = server("a", 1);
+    reborn.started = StartTime(2000);
+    const auto before = registry.version();
+    registry.onEntry(at(3s), reborn);
+    EXPECT_GT(registry.version(), before);
+    EXPECT_EQ(registry.usable().front().server.started, StartTime(2000));
+    EXPECT_LE(registry.usable().front().coldUntil, at(3s));
+}
+
+TEST(BackendRegistry, AHeartbeatAloneChangesNothing)
+{
+    BackendRegistry registry;
+    registry.onEntry(at(0s), server("a", 1));
+    const auto before = registry.version();
+    registry.onEntry(at(1s), server("a", 2));
+    EXPECT_EQ(registry.version(), before);
+}
+
+} // namespace Ibisturn::Testing
--- /dev/null
+++ b/Tests/LibDecision/FleetRequestsTest.cpp
@@ -0,0 +1,181 @@
+#include <LibDecision/Membership/EntryDirectory.h>
+#include <LibDecision/Requests/FleetRetryBudget.h>
+#include <LibDecision/Requests/RequestLife.h>
+#include <LibDecision/Requests/ServiceChoice.h>
+#include <LibDecision/Routing/HeadDecision.h>
+
+#include <gtest/gtest.h>
+
+namespace Ibisturn::Testing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+TimePoint at(Duration time)
+{
+    return TimePoint(1h) + time;
+}
+
+/// A request that waits for the answer of the backend server `server`.
+RequestLife handedOver(std::uint32_t mostRuns, Repeatability repeatability)
+{
+    RequestTerms terms;
+    terms.deadline = at(10s);
+    terms.mostRuns = mostRuns;
+    terms.takeRetry = [](TimePoint) { return true; };
+    RequestLife life(std::move(terms));
+    life.handle(HeadRead {}, at(0s));
+    life.handle(BodyTaken { repeatability }, at(0s));
+    life.handle(PlaceChosen { RunHere { BackendServerId("a") } }, at(0s));
+    life.handle(HandOverAsked { AttemptId(1) }, at(0s));
+    return life;
+}
+
+Member member(const std::string& id, const std::string& region, MemberState state = MemberState::Live)
+{
+    return { InstanceId(id), RegionId(region), DataCentreId(region + "-a"), {}, {}, state };
+}
+
+std::vector<std::string> namesOf(const std::vector<Member>& members)
+{
+    std::vector<std::string> names;
+    for (const auto& entry : members)
+        names.push_back(entry.id.value());
+    return names;
+}
+
+} // namespace
+
+TEST(RequestLife, ARefusalByTheBackendServerProvesThatNothingRan)
+{
+    auto life = handedOver(1, Repeatability::NonIdempotent);
+    const auto actions = life.handle(AttemptFailed { AttemptId(1), ResultCode::BackendBusy, Ran::No, FailedPart::Target, RanProof::Refusal }, at(1s));
+    EXPECT_TRUE(std::holds_alternative<ChoosePlace>(actions.front()));
+}
+
+TEST(RequestLife, WithoutAProofNothingIsSentTwice)
+{
+    auto life = handedOver(3, Repeatability::NonIdempotent);
+    const auto actions = life.handle(AttemptFailed { AttemptId(1), ResultCode::OutcomeUnknown, Ran::No }, at(1s));
+    const auto* answer = std::get_if<AnswerWithError>(&actions.front());
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->ran, Ran::Unknown);
+}
+
+TEST(RequestLife, ARouteBoundsTheBackendServersThatMayRunARequest)
+{
+    auto life = handedOver(1, Repeatability::Idempotent);
+    EXPECT_FALSE(life.mayRepeat(at(1s)));
+    const auto actions = life.handle(AttemptFailed { AttemptId(1), ResultCode::OutcomeUnknown, Ran::Unknown }, at(1s));
+    EXPECT_TRUE(std::holds_alternative<AnswerWithError>(actions.front()));
+    EXPECT_TRUE(handedOver(2, Repeatability::Idempotent).mayRepeat(at(1s)));
+    EXPECT_FALSE(handedOver(2, Repeatability::NonIdempotent).mayRepeat(at(1s)));
+}
+
+TEST(FleetRetryBudget, AllInstancesTogetherStayWithinTheReserve)
+{
+    constexpr std::size_t instances = 9;
+    std::size_t retries = 0;
+    for (std::size_t index = 0; index < instances; ++index) {
+        FleetRetryBudget budget(FleetRetryLimits { 0.2, 58, 10s });
+        budget.setInstances(instances);
+        while (budget.takeRetry(ServiceId("bookings"), at(1s)))
+            ++retries;
+    }
+    EXPECT_LE(retries, 58U);
+    EXPECT_GE(retries, 30U);
+}
+
+TEST(FleetRetryBudget, ServicesDoNotUseEachOthersRetries)
+{
+    FleetRetryBudget budget({ 0.5, 0, 10s });
+    for (int index = 0; index < 10; ++index)
+        budget.noteRequest(ServiceId("bookings"), at(1s));
+    EXPECT_FALSE(budget.takeRetry(ServiceId("model"), at(1s)));
+    EXPECT_TRUE(budget.takeRetry(ServiceId("bookings"), at(1s)));
+}
+
+TEST(FleetRetryBudget, ALongerWindowHoldsTheSameReserve)
+{
+    FleetRetryBudget budget({ 0, 40, 40s });
+    std::size_t retries = 0;
+    for (Duration time {}; time < 40s; time += 100ms)
+        retries += budget.takeRetry(ServiceId("bookings"), at(time)) ? 1 : 0;
+    EXPECT_LE(retries, 40U);
+}
+
+TEST(ServiceChoice, FollowsTheWeights)
+{
+    const std::vector<ServiceShare> shares { { ServiceId("a"), 90 }, { ServiceId("b"), 10 }, { ServiceId("none"), 0 } };
+    std::map<std::string, int> counts;
+    for (std::uint64_t spread = 0; spread < 1000; ++spread)
+        ++counts[chooseService(shares, spread * 7919).value()];
+    EXPECT_EQ(counts["a"], 900);
+    EXPECT_EQ(counts["b"], 100);
+    EXPECT_EQ(chooseService(shares, 42), chooseService(shares, 42));
+}
+
+TEST(EntryDirectory, NamesTheNearestThatServe)
+{
+    MembershipView view;
+    view.instances = { member("k1", "khomas"), member("k2", "khomas", MemberState::Leaving), member("o1", "omaheke") };
+    EXPECT_EQ(namesOf(entriesNear(view, RegionId("khomas"), DataCentreId("khomas-a"))), std::vector<std::string> { "k1" });
+    view.instances[0].state = MemberState::Suspected;
+    EXPECT_EQ(namesOf(entriesNear(view, RegionId("khomas"), DataCentreId("khomas-a"))), std::vector<std::string> { "o1" });
+    view.instances[2].state = MemberState::Leaving;
+    EXPECT_EQ(namesOf(entriesNear(view, RegionId("khomas"), DataCentreId("khomas-a"))), std::vector<std::string> { "k1" });
+}
+
+TEST(EntryDirectory, FindsAnEntryOfARegion)
+{
+    MembershipView view;
+    view.instances = { member("k1", "khomas", MemberState::Suspected), member("k2", "khomas"), member("o1", "omaheke", MemberState::Leaving) };
+    for (std::uint64_t spread = 0; spread < 20; ++spread)
+        EXPECT_EQ(findEntry(view, RegionId("khomas"), spread)->id, InstanceId("k2"));
+    EXPECT_FALSE(findEntry(view, RegionId("omaheke"), 1));
+}
+
+TEST(HeadDecision, HomesOfRouteAndWorkspaceBothBind)
+{
+    Route route;
+    route.id = RouteId("r");
+    route.pathPrefix = "/r/";
+    route.terms.emplace();
+    route.terms->homes = { RegionId("khomas"), RegionId("omaheke") };
+    Workspace bound;
+    bound.id = WorkspaceId("bound");
+    bound.residency = ResidencyRuleId("bound");
+    Workspace open;
+    open.id = WorkspaceId("open");
+    open.scope = ResidencyScope::Everywhere;
+    Workspace broken = bound;
+    broken.id = WorkspaceId("broken");
+    broken.residency = ResidencyRuleId("missing");
+    const Snapshot snapshot(Revision(1), { { "routes", "r", Revision(1), route }, { "workspaces", "bound", Revision(1), bound }, { "workspaces", "open", Revision(1), open }, { "workspaces", "broken", Revision(1), broken }, { "residency", "bound", Revision(1), ResidencyRule { ResidencyRuleId("bound"), { RegionId("omaheke"), RegionId("erongo") } } } });
+    EXPECT_EQ(homesFor(snapshot, bound.id, route.id), std::vector<RegionId> { RegionId("omaheke") });
+    EXPECT_EQ(homesFor(snapshot, open.id, route.id)->size(), 2U);
+    EXPECT_TRUE(homesFor(snapshot, broken.id, route.id)->empty());
+    EXPECT_FALSE(homesFor(snapshot, open.id, RouteId("other")));
+}
+
+TEST(Snapshot, FindsTheLongestPrefixOfAHost)
+{
+    const auto route = [](const std::string& id, const std::string& host, const std::string& prefix) {
+        Route made;
+        made.id = RouteId(id);
+        made.pathPrefix = prefix;
+        made.terms.emplace();
+        made.terms->host = host;
+        return Record { "routes", id, Revision(1), made };
+    };
+    const Snapshot snapshot(Revision(1), { route("all", "h", "/"), route("a", "h", "/a/"), route("ab", "h", "/a/b/"), route("other", "g", "/a/") });
+    EXPECT_EQ(snapshot.findRouteAt("h", "/a/b/c")->id, RouteId("ab"));
+    EXPECT_EQ(snapshot.findRouteAt("h", "/a/b")->id, RouteId("a"));
+    EXPECT_EQ(snapshot.findRouteAt("h", "/x")->id, RouteId("all"));
+    EXPECT_EQ(snapshot.findRouteAt("g", "/a/b/c")->id, RouteId("other"));
+    EXPECT_FALSE(snapshot.findRouteAt("g", "/x"));
+    EXPECT_FALSE(snapshot.findRouteAt("unknown", "/a/"));
+}
+
+} // namespace Ibisturn::Testing
--- /dev/null
+++ b/Tests/LibDecision/PlacementTableTest.cpp
@@ -0,0 +1,227 @@
+#include <LibDecision/Placement/PlacementTable.h>
+
+#include <map>
+
+#include <gtest/gtest.h>
+
+namespace Ibisturn::Testing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const RegionId here("khomas");
+const RegionId abroad("omaheke");
+const ServiceId model("model");
+const ServiceId bookings("bookings");
+
+TimePoint at(Duration time)
+{
+    return TimePoint(1h) + time;
+}
+
+Snapshot services()
+{
+    Service engines;
+    engines.id = model;
+    engines.coldRate = 4;
+    engines.mostConnections = 90;
+    engines.engine = EngineTraits { 8, TokenCount(100'000), 4 };
+    Service plain;
+    plain.id = bookings;
+    return { Revision(1), { { "services", "model", Revision(1), engines }, { "services", "bookings", Revision(1), plain } } };
+}
+
+BackendState state(const std::string& id, const ServiceId& service, const RegionId& region)
+{
+    BackendState state;
+    state.server.id = BackendServerId(id);
+    state.server.service = service;
+    state.server.endpoint = { "10.0.0.1", static_cast<std::uint16_t>(8000 + id.back()) };
+    state.server.region = region;
+    state.server.dataCentre = DataCentreId(region.value() + "-a");
+    state.server.slots = 8;
+    return state;
+}
+
+PlacementAsk ask(const ServiceId& service = model)
+{
+    PlacementAsk ask;
+    ask.service = service;
+    ask.promptTokens = TokenCount(2000);
+    ask.mostAnswerTokens = TokenCount(100);
+    ask.target = at(1s);
+    ask.deadline = at(10s);
+    return ask;
+}
+
+std::string serverOf(const PlacementDecision& decision)
+{
+    const auto* placed = std::get_if<PlaceOnServer>(&decision);
+    return placed ? placed->server.value() : std::string();
+}
+
+class PlacementTableTest : public testing::Test {
+protected:
+    PlacementTableTest()
+    {
+        table_.setInstances(InstanceId("i1"), { InstanceId("i1") });
+        table_.setServers(servers_, services());
+    }
+
+    std::vector<BackendState> servers_ { state("a", model, here), state("b", model, here), state("c", model, abroad), state("p", bookings, here) };
+    PlacementTable table_ { here };
+};
+
+} // namespace
+
+TEST_F(PlacementTableTest, SpreadsRequestsThatAreAlike)
+{
+    std::map<std::string, int> counts;
+    for (int index = 0; index < 10; ++index) {
+        const auto server = serverOf(table_.place(at(0s), ask()));
+        ++counts[server];
+        table_.begin(at(0s), BackendServerId(server), ask());
+    }
+    EXPECT_EQ(counts["a"], 5);
+    EXPECT_EQ(counts["b"], 5);
+}
+
+TEST_F(PlacementTableTest, KeepsASessionWhereItsPromptIs)
+{
+    auto session = ask();
+    session.promptTokens = TokenCount(9000);
+    session.prompt = { { 1, TokenCount(500) }, { 2, TokenCount(6000) }, { 3, TokenCount(2500) } };
+    const auto first = serverOf(table_.place(at(0s), session));
+    table_.end(at(1s), table_.begin(at(0s), BackendServerId(first), session), PlacementOutcome::Answered);
+    for (int index = 0; index < 5; ++index) {
+        session.prompt.back().id = 100 + static_cast<std::uint64_t>(index);
+        EXPECT_EQ(serverOf(table_.place(at(1s), session)), first);
+    }
+}
+
+TEST_F(PlacementTableTest, LeavesASessionsServerThatIsFarBehind)
+{
+    auto session = ask();
+    session.promptTokens = TokenCount(9000);
+    session.prompt = { { 1, TokenCount(500) }, { 2, TokenCount(6000) }, { 3, TokenCount(2500) } };
+    const auto first = serverOf(table_.place(at(0s), session));
+    table_.begin(at(0s), BackendServerId(first), session);
+    table_.onPeerLoad(at(0s), InstanceId("i2"), { { BackendServerId(first), 5, TokenCount(60'000), TokenCount(60'000), TokenCount(60'000) } });
+    EXPECT_NE(serverOf(table_.place(at(0s), session)), first);
+}
+
+TEST_F(PlacementTableTest, UrgentRequestsDoNotWaitForOthers)
+{
+    for (const auto* id : { "a", "b" })
+        table_.onPeerLoad(at(0s), InstanceId(id), { { BackendServerId(id), 5, TokenCount(0), TokenCount(70'000), TokenCount(70'000) } });
+    auto ordinary = ask();
+    ordinary.priority = 1;
+    ordinary.mayLeaveRegion = false;
+    ordinary.target = at(300ms);
+    EXPECT_EQ(std::get<PlaceNowhere>(table_.place(at(0s), ordinary)).code, ResultCode::DeadlineUnreachable);
+    auto urgent = ordinary;
+    urgent.priority = 0;
+    EXPECT_FALSE(serverOf(table_.place(at(0s), urgent)).empty());
+}
+
+TEST_F(PlacementTableTest, ARefusalSaysWhenToComeBack)
+{
+    for (const auto* id : { "a", "b" })
+        table_.onPeerLoad(at(0s), InstanceId(id), { { BackendServerId(id), 5, TokenCount(200'000), TokenCount(200'000), TokenCount(0) } });
+    auto request = ask();
+    request.mayLeaveRegion = false;
+    const auto decision = table_.place(at(0s), request);
+    EXPECT_GT(std::get<PlaceNowhere>(decision).retryAfter, 1s);
+}
+
+TEST_F(PlacementTableTest, GoesAbroadWhereThatIsQuicker)
+{
+    table_.onOutlook(at(0s), abroad, { { model, 60ms, 60ms, 0.015 } });
+    EXPECT_FALSE(serverOf(table_.place(at(0s), ask())).empty());
+    for (const auto* id : { "a", "b" })
+        table_.onPeerLoad(at(0s), InstanceId(id), { { BackendServerId(id), 5, TokenCount(60'000), TokenCount(60'000), TokenCount(0) } });
+    const auto decision = table_.place(at(0s), ask());
+    ASSERT_TRUE(std::holds_alternative<PlaceInRegion>(decision));
+    EXPECT_EQ(std::get<PlaceInRegion>(decision).region, abroad);
+}
+
+TEST_F(PlacementTableTest, StaysWithinTheHomes)
+{
+    auto request = ask();
+    request.homes = std::vector<RegionId> { abroad };
+    EXPECT_TRUE(std::holds_alternative<PlaceInRegion>(table_.place(at(0s), request)));
+    request.mayLeaveRegion = false;
+    EXPECT_EQ(std::get<PlaceNowhere>(table_.place(at(0s), request)).code, ResultCode::NoBackendServer);
+    request.homes = std::vector<RegionId> { here };
+    request.mayLeaveRegion = true;
+    request.failedServers = { BackendServerId("a"), BackendServerId("b") };
+    EXPECT_TRUE(std::holds_alternative<PlaceNowhere>(table_.place(at(0s), request)));
+}
+
+TEST_F(PlacementTableTest, AServerThatCannotBeReachedIsLeftAloneForAWhile)
+{
+    const auto id = table_.begin(at(0s), BackendServerId("a"), ask());
+    table_.end(at(0s), id, PlacementOutcome::Unreachable);
+    for (int index = 0; index < 4; ++index)
+        EXPECT_EQ(serverOf(table_.place(at(10ms), ask())), "b");
+    table_.begin(at(5s), BackendServerId("b"), ask());
+    EXPECT_EQ(serverOf(table_.place(at(5s), ask())), "a");
+}
+
+TEST_F(PlacementTableTest, OneLostAnswerIsNoReasonToLeaveAServer)
+{
+    const auto id = table_.begin(at(0s), BackendServerId("a"), ask());
+    table_.end(at(0s), id, PlacementOutcome::Failed);
+    table_.begin(at(0s), BackendServerId("b"), ask());
+    EXPECT_EQ(serverOf(table_.place(at(1ms), ask())), "a");
+}
+
+TEST_F(PlacementTableTest, OneInstanceFillsAColdServer)
+{
+    servers_[0].coldUntil = at(10s);
+    servers_.erase(servers_.begin() + 1);
+    std::size_t senders = 0;
+    for (const auto* self : { "i1", "i2", "i3" }) {
+        PlacementTable table(here);
+        table.setInstances(InstanceId(self), { InstanceId("i1"), InstanceId("i2"), InstanceId("i3") });
+        table.setServers(servers_, services());
+        auto request = ask();
+        request.mayLeaveRegion = false;
+        std::size_t sent = 0;
+        for (Duration time {}; time < 1s; time += 10ms)
+            sent += serverOf(table.place(at(time), request)).empty() ? 0 : 1;
+        senders += sent > 0 ? 1 : 0;
+        EXPECT_LE(sent, 4U);
+    }
+    EXPECT_EQ(senders, 1U);
+}
+
+TEST_F(PlacementTableTest, ANewLifeOfAServerHasNothingUnderWay)
+{
+    const auto id = table_.begin(at(0s), BackendServerId("a"), ask());
+    servers_[0].server.started = StartTime(99);
+    table_.setServers(servers_, services());
+    EXPECT_TRUE(table_.ownLoads().empty());
+    table_.onFirstPart(at(1s), id);
+    table_.end(at(1s), id, PlacementOutcome::Answered);
+    EXPECT_TRUE(table_.ownLoads().empty());
+}
+
+TEST_F(PlacementTableTest, ConnectionsAreSharedByTheInstances)
+{
+    table_.setInstances(InstanceId("i1"), { InstanceId("i1"), InstanceId("i2"), InstanceId("i3") });
+    EXPECT_EQ(table_.mostConnections(BackendServerId("a")), 27U);
+}
+
+TEST(PromptCacheGuess, CountsLeadingPartsAndDropsTheLeastRecentlyUsed)
+{
+    PromptCacheGuess cache(TokenCount(100));
+    cache.note({ { 1, TokenCount(40) }, { 2, TokenCount(40) } });
+    EXPECT_EQ(cache.kept({ { 1, TokenCount(40) }, { 2, TokenCount(40) }, { 3, TokenCount(5) } }), TokenCount(80));
+    EXPECT_EQ(cache.kept({ { 3, TokenCount(5) }, { 1, TokenCount(40) } }), TokenCount(0));
+    cache.note({ { 1, TokenCount(40) }, { 4, TokenCount(50) } });
+    EXPECT_EQ(cache.kept({ { 1, TokenCount(40) }, { 2, TokenCount(40) } }), TokenCount(40));
+}
+
+} // namespace Ibisturn::Testing
--- /dev/null
+++ b/Tests/LibDecision/StoreMirrorTest.cpp
@@ -0,0 +1,89 @@
+#include <LibDecision/Registry/StoreMirror.h>
+#include <Tests/Support/Cases.h>
+
+#include <gtest/gtest.h>
+
+namespace Ibisturn::Testing {
+
+namespace {
+
+RecordChange written(const std::string& key, std::int64_t revision)
+{
+    return { key, fmt::format("{}@{}", key, revision), Revision(revision) };
+}
+
+RecordChange deleted(const std::string& key, std::int64_t revision)
+{
+    return { key, std::nullopt, Revision(revision) };
+}
+
+} // namespace
+
+TEST(StoreMirror, TakesOnlyLaterRevisionsOfAKey)
+{
+    StoreMirror mirror;
+    EXPECT_TRUE(mirror.apply(written("a/x", 5)));
+    EXPECT_FALSE(mirror.apply(written("a/x", 4)));
+    EXPECT_FALSE(mirror.apply(written("a/x", 5)));
+    EXPECT_TRUE(mirror.apply(deleted("a/x", 7)));
+    EXPECT_FALSE(mirror.apply(written("a/x", 6)));
+    EXPECT_FALSE(mirror.find("a/x")->value);
+}
+
+TEST(StoreMirror, AListingDeletesWhatItMisses)
+{
+    StoreMirror mirror;
+    mirror.apply(written("a/old", 3));
+    mirror.apply(written("b/other", 3));
+    const auto news = mirror.applyListing("a/", Revision(10), { written("a/new", 8) });
+    ASSERT_EQ(news.size(), 2U);
+    EXPECT_FALSE(mirror.find("a/old")->value);
+    EXPECT_TRUE(mirror.find("b/other")->value);
+}
+
+TEST(StoreMirror, AListingDoesNotDeleteWhatWasWrittenAfterItsFirstPage)
+{
+    StoreMirror mirror;
+    mirror.apply(written("a/late", 12));
+    EXPECT_TRUE(mirror.applyListing("a/", Revision(10), {}).empty());
+    EXPECT_TRUE(mirror.find("a/late")->value);
+}
+
+TEST(StoreMirror, ForgetsTheOldestDeletions)
+{
+    StoreMirror mirror;
+    for (int index = 1; index <= 5; ++index)
+        mirror.apply(deleted(fmt::format("a/{}", index), index));
+    mirror.apply(written("a/kept", 1));
+    mirror.forgetDeletions(2);
+    EXPECT_EQ(mirror.changesBelow("a/").size(), 3U);
+    EXPECT_TRUE(mirror.find("a/5"));
+    EXPECT_FALSE(mirror.find("a/1"));
+    EXPECT_TRUE(mirror.find("a/kept"));
+}
+
+// Whatever the order and repetition of changes and listings, the newest state that was told is known.
+TEST(StoreMirror, AnyOrderOfChangesEndsInTheSameState)
+{
+    forEachCase([](Random& random) {
+        std::vector<RecordChange> history;
+        std::map<std::string, RecordChange> truth;
+        for (std::int64_t revision = 1; revision <= 20; ++revision) {
+            const auto key = fmt::format("a/{}", below(random, 4));
+            const auto change = below(random, 3) == 0 ? deleted(key, revision) : written(key, revision);
+            history.push_back(change);
+            truth[key] = change;
+        }
+        auto told = history;
+        for (int copies = 0; copies < 5; ++copies)
+            told.push_back(oneOf(random, history));
+        std::shuffle(told.begin(), told.end(), random);
+        StoreMirror mirror;
+        for (const auto& change : told)
+            mirror.apply(change);
+        for (const auto& [key, change] : truth)
+            EXPECT_EQ(mirror.find(key)->value, change.value);
+    });
+}
+
+} // namespace Ibisturn::Testing
