Placement: Give each session one home over all regions

Cause: a third of the shared prompt parts were read again, since each region kept its own copy of a session; and small workspaces were refused within their rate, since a process began with nothing and bursts were too short for one prompt. Ruled out: instances of one region disagreeing (rendezvous hashing gives them one home).

--- a/Libraries/LibDecision/Allowance/FleetAllowance.cpp
+++ b/Libraries/LibDecision/Allowance/FleetAllowance.cpp
@@ -18,8 +18,9 @@
 
 } // namespace
 
-FleetAllowance::FleetAllowance(FleetAllowanceLimits limits)
+FleetAllowance::FleetAllowance(FleetAllowanceLimits limits, std::optional<TimePoint> startedAt)
     : limits_(limits)
+    , startedAt_(startedAt)
 {
 }
 
@@ -57,7 +58,8 @@
     share.demandUpdated = now;
     const auto rate = rateOf(now, workspace, share.demand, terms.rate.count());
     // What is not known to have been kept was used: a new process starts with nothing.
-    const auto elapsed = share.updated == TimePoint {} ? 0 : std::min(seconds(now - share.updated), seconds(limits_.window));
+    const auto since = share.updated == TimePoint {} ? startedAt_.value_or(now) : share.updated;
+    const auto elapsed = std::min(seconds(now - since), seconds(limits_.window));
     share.updated = now;
     share.level = std::min(burstOf(terms, rate), share.level + rate * elapsed);
     if (share.level > 0) {
--- a/Libraries/LibDecision/Allowance/FleetAllowance.h
+++ b/Libraries/LibDecision/Allowance/FleetAllowance.h
@@ -36,7 +36,7 @@
     Duration memory { std::chrono::seconds(2) };
     /// The part of what may be used beyond the rate that is given away as bursts; the rest covers what instances use
     /// before they hear of each other, and requests that are larger than what is left.
-    double burstShare { 0.4 };
+    double burstShare { 0.55 };
 };
 
 /// An instance's part of the workspaces' allowances. Instances that hear each other share by demand; each side of a cut
@@ -44,7 +44,8 @@
 /// Thread safety: one thread at a time.
 class FleetAllowance {
 public:
-    explicit FleetAllowance(FleetAllowanceLimits limits = {});
+    /// A process that uses it since `startedAt` earns from then on; what an earlier one used is not known.
+    explicit FleetAllowance(FleetAllowanceLimits limits = {}, std::optional<TimePoint> startedAt = std::nullopt);
 
     /// Changes the limits; what was used stays used.
     void setLimits(FleetAllowanceLimits limits) { limits_ = limits; }
@@ -88,6 +89,7 @@
     double burstOf(const AllowanceTerms& terms, double rate) const;
 
     FleetAllowanceLimits limits_;
+    std::optional<TimePoint> startedAt_;
     std::size_t instances_ { 1 };
     std::map<WorkspaceId, Share> shares_;
     std::map<InstanceId, Peer> peers_;
--- a/Libraries/LibDecision/Placement/PlacementTable.cpp
+++ b/Libraries/LibDecision/Placement/PlacementTable.cpp
@@ -58,6 +58,7 @@
 void PlacementTable::setServers(const std::vector<BackendState>& servers, const Snapshot& snapshot)
 {
     byService_.clear();
+    places_.clear();
     for (auto& [id, region] : regions_)
         region.servers.clear();
     std::set<BackendServerId> present;
@@ -65,6 +66,7 @@
         const auto* service = snapshot.findService(state.server.service);
         if (!service)
             continue;
+        places_[service->id].push_back({ state.server.id, state.server.region });
         auto& region = regions_[state.server.region];
         ++region.servers[service->id];
         if (state.server.region != here_) {
@@ -123,7 +125,7 @@
     const auto elsewhere = ask.mayLeaveRegion ? bestElsewhere(now, ask) : std::nullopt;
     if (!here && !elsewhere)
         return refuse(ask, ResultCode::NoBackendServer, Duration::zero());
-    const bool isHere = here && (!elsewhere || here->wait <= elsewhere->wait + limits_.regionMargin);
+    const bool isHere = here && (!elsewhere || here->cost <= elsewhere->cost + limits_.regionMargin);
     const auto& best = isHere ? *here : *elsewhere;
     const auto timeToTarget = ask.target - now;
     const auto longest = timeToTarget + milliseconds(inMilliseconds(timeToTarget) * limits_.lateness);
@@ -305,10 +307,10 @@
     return total;
 }
 
-TokenCount PlacementTable::toRead(const Server& server, const PlacementAsk& ask) const
+TokenCount PlacementTable::toRead(const PromptCacheGuess& cache, bool isHome, const PlacementAsk& ask) const
 {
-    auto kept = server.cache.kept(ask.prompt);
-    if (ask.prompt.size() > 1 && isHomeOf(server, ask)) {
+    auto kept = cache.kept(ask.prompt);
+    if (isHome) {
         // Other instances sent the session's earlier requests there.
         TokenCount shared;
         for (std::size_t index = 0; index + 1 < ask.prompt.size(); ++index)
@@ -318,18 +320,36 @@
     return std::max(TokenCount(0), ask.promptTokens - kept);
 }
 
-// The backend server that all instances of the region agree on for a session.
-bool PlacementTable::isHomeOf(const Server& server, const PlacementAsk& ask) const
+TokenCount PlacementTable::toRead(const Server& server, const PlacementAsk& ask) const
 {
-    const auto ids = byService_.find(ask.service);
-    if (ids == byService_.end() || ask.prompt.size() < 2)
-        return false;
+    const auto* home = sessionHome(ask);
+    return toRead(server.cache, home && home->server == server.state.server.id, ask);
+}
+
+// The backend server that all instances agree on for a session, in whatever region.
+const PlacementTable::Place* PlacementTable::sessionHome(const PlacementAsk& ask) const
+{
+    const auto places = places_.find(ask.service);
+    if (places == places_.end() || ask.prompt.size() < 2)
+        return nullptr;
     const auto subject = std::to_string(ask.prompt[ask.prompt.size() - 2].id);
-    const auto& own = server.state.server.id;
-    const auto score = rendezvousScore(subject, own.value());
-    return std::none_of(ids->second.begin(), ids->second.end(), [&](const BackendServerId& other) {
-        return other != own && rendezvousScore(subject, other.value()) > score;
-    });
+    const Place* home = nullptr;
+    std::uint64_t best = 0;
+    for (const auto& place : places->second) {
+        if (!mayRunIn(ask, place.region))
+            continue;
+        const auto score = rendezvousScore(subject, place.server.value());
+        if (home && score <= best)
+            continue;
+        home = &place;
+        best = score;
+    }
+    return home;
+}
+
+Duration PlacementTable::costOf(Duration wait, TokenCount toRead, double millisecondsPerToken) const
+{
+    return wait + milliseconds(static_cast<double>(toRead.count()) * millisecondsPerToken * limits_.readingWeight);
 }
 
 Duration PlacementTable::waitOn(TimePoint now, const Server& server, const PlacementAsk& ask) const
@@ -359,8 +379,9 @@
         if (!mayUse(now, server, ask))
             continue;
         const auto wait = waitOn(now, server, ask);
-        if (!best || wait < best->wait)
-            best = Candidate { &server, nullptr, wait };
+        const auto cost = costOf(wait, toRead(server, ask), millisecondsPerToken_);
+        if (!best || cost < best->cost)
+            best = Candidate { &server, nullptr, wait, cost };
     }
     return best;
 }
@@ -368,21 +389,25 @@
 std::optional<PlacementTable::Candidate> PlacementTable::bestElsewhere(TimePoint now, const PlacementAsk& ask)
 {
     std::optional<Candidate> best;
+    const auto* home = sessionHome(ask);
     for (const auto& [id, region] : regions_) {
         const auto servers = region.servers.find(ask.service);
         if (id == here_ || servers == region.servers.end() || servers->second == 0 || !mayRunIn(ask, id) || ask.failedRegions.contains(id))
             continue;
         // A region that says nothing is the last choice.
         auto wait = limits_.regionRoundTrip * 3;
+        const auto tokens = toRead(region.cache, home && home->region == id, ask);
+        auto perToken = millisecondsPerToken_;
         const auto found = region.outlooks.find(ask.service);
         if (found != region.outlooks.end() && now - found->second.at <= limits_.reportLifetime) {
             const auto& outlook = found->second.outlook;
-            const auto tokens = std::max(TokenCount(0), ask.promptTokens - region.cache.kept(ask.prompt));
-            const auto reading = milliseconds(static_cast<double>(tokens.count()) * outlook.millisecondsPerToken);
+            perToken = outlook.millisecondsPerToken;
+            const auto reading = milliseconds(static_cast<double>(tokens.count()) * perToken);
             wait = limits_.regionRoundTrip + reading + (ask.priority <= urgentPriority ? outlook.urgentWait : outlook.wait);
         }
-        if (!best || wait < best->wait)
-            best = Candidate { nullptr, &id, wait };
+        const auto cost = costOf(wait, tokens, perToken);
+        if (!best || cost < best->cost)
+            best = Candidate { nullptr, &id, wait, cost };
     }
     return best;
 }
--- a/Libraries/LibDecision/Placement/PlacementTable.h
+++ b/Libraries/LibDecision/Placement/PlacementTable.h
@@ -87,6 +87,8 @@
     Duration firstToken { std::chrono::milliseconds(60) };
     /// Engine time that a token of a prompt costs, before any is measured.
     double millisecondsPerToken { 0.015 };
+    /// What engine time spent on reading weighs against time that the request waits: others wait for it too.
+    double readingWeight { 3 };
     /// The share of an engine's memory that may be promised to running requests.
     double memoryShare { 0.9 };
     /// The share of an engine's memory that keeps parts of prompts.
@@ -201,11 +203,18 @@
         PromptCacheGuess cache;
     };
 
-    /// A place with the time until the first part of the answer that is expected of it.
+    /// A place with the time until the first part of the answer that is expected of it, and what choosing it costs in all.
     struct Candidate {
         Server* server { nullptr };
         const RegionId* region { nullptr };
         Duration wait {};
+        Duration cost {};
+    };
+
+    /// A backend server of any region.
+    struct Place {
+        BackendServerId server;
+        RegionId region;
     };
 
     bool mayRunIn(const PlacementAsk& ask, const RegionId& region) const;
@@ -213,8 +222,10 @@
     bool isColdOwner(const Server& server) const;
     Backlog totalOn(TimePoint now, const Server& server) const;
     Duration waitOn(TimePoint now, const Server& server, const PlacementAsk& ask) const;
+    TokenCount toRead(const PromptCacheGuess& cache, bool isHome, const PlacementAsk& ask) const;
     TokenCount toRead(const Server& server, const PlacementAsk& ask) const;
-    bool isHomeOf(const Server& server, const PlacementAsk& ask) const;
+    const Place* sessionHome(const PlacementAsk& ask) const;
+    Duration costOf(Duration wait, TokenCount toRead, double millisecondsPerToken) const;
     std::optional<Candidate> bestHere(TimePoint now, const PlacementAsk& ask);
     std::optional<Candidate> bestElsewhere(TimePoint now, const PlacementAsk& ask);
     PlaceNowhere refuse(const PlacementAsk& ask, ResultCode code, Duration wait) const;
@@ -225,6 +236,8 @@
     std::vector<InstanceId> instances_;
     std::map<BackendServerId, Server> servers_;
     std::map<ServiceId, std::vector<BackendServerId>> byService_;
+    /// All usable backend servers of a service, in all regions.
+    std::map<ServiceId, std::vector<Place>> places_;
     std::map<RegionId, RegionState> regions_;
     std::unordered_map<std::uint64_t, Placed> placed_;
     std::uint64_t lastPlaced_ { 0 };
--- a/Libraries/LibHTTP/Requests/InstanceTables.h
+++ b/Libraries/LibHTTP/Requests/InstanceTables.h
@@ -4,6 +4,7 @@
 #include <LibConfiguration/Snapshot.h>
 #include <LibCore/Metrics.h>
 #include <LibCore/SharedValue.h>
+#include <LibCore/SteadyClock.h>
 #include <LibDecision/Allowance/FleetAllowance.h>
 #include <LibDecision/Membership/MembershipView.h>
 #include <LibHTTP/Backends/AdmissionBoard.h>
@@ -40,7 +41,7 @@
         : settings(std::move(instanceSettings))
         , admission(settings.identity)
         , placement(settings.identity.region)
-        , allowance(settings.fleet ? allowanceLimitsOf(*settings.fleet) : FleetAllowanceLimits {})
+        , allowance(settings.fleet ? allowanceLimitsOf(*settings.fleet) : FleetAllowanceLimits {}, SteadyClock().now())
         , serviceRetries(settings.fleet ? retryLimitsOf(*settings.fleet) : FleetRetryLimits {})
         , tracer(settings.identity.instance.value(), std::move(spans))
     {
--- a/Tests/LibDecision/FleetAllowanceTest.cpp
+++ b/Tests/LibDecision/FleetAllowanceTest.cpp
@@ -30,7 +30,7 @@
     Fleet(std::size_t count, AllowanceTerms terms, Random& random)
         : terms_(terms)
         , random_(random)
-        , instances_(count, Instance(count))
+        , instances_(count, Instance(count, TimePoint(1h)))
     {
     }
 
@@ -62,7 +62,7 @@
 
     void cut(std::size_t from, std::size_t to, Duration length) { cuts_[{ from, to }] = now_ + length; }
     void freeze(std::size_t index, Duration length) { instances_[index].frozenUntil = now_ + length; }
-    void restart(std::size_t index) { instances_[index] = Instance(instances_.size()); }
+    void restart(std::size_t index) { instances_[index] = Instance(instances_.size(), now_); }
 
     /// The most tokens that were used in any window.
     std::int64_t mostInWindow() const
@@ -90,8 +90,8 @@
 
 private:
     struct Instance {
-        explicit Instance(std::size_t count)
-            : allowance(limits())
+        Instance(std::size_t count, TimePoint startedAt)
+            : allowance(limits(), startedAt)
         {
             allowance.setInstances(count);
         }
@@ -182,6 +182,14 @@
     }
 }
 
+TEST(FleetAllowance, CallersThatComeAfterAQuietStartAreServed)
+{
+    Random random(seedOfRun());
+    Fleet fleet(nine, small, random);
+    fleet.run(10s, evenly(1), 1);
+    EXPECT_LT(fleet.run(2s, evenly(small.rate.count() / 1.8), 3000), 0.01);
+}
+
 TEST(FleetAllowance, FollowsCallersThatGatherInOneRegion)
 {
     Random random(seedOfRun());
