Placement: Repeat failures in the region and keep connections to other regions warm

Cause: a request whose backend server answered with a failure was repeated abroad although the region's own server would do, and the first request to another region waited two round trips for its connection (370 ms in a trace). Also notes the fleet's size in the store, so that instances that start together after a loss of all don't take the whole allowance each while they see few others.

--- a/Libraries/LibDecision/Placement/PlacementAsk.h
+++ b/Libraries/LibDecision/Placement/PlacementAsk.h
@@ -37,6 +37,8 @@
     bool mayLeaveRegion { true };
     /// Backend servers and regions that failed the request before.
     std::set<BackendServerId> failedServers;
+    /// Whether one of them may be used again rather than another region: it answered, and its answer was a failure.
+    bool mayRepeat { false };
     std::set<RegionId> failedRegions;
 };
 
--- a/Libraries/LibDecision/Placement/PlacementTable.cpp
+++ b/Libraries/LibDecision/Placement/PlacementTable.cpp
@@ -121,7 +121,12 @@
 
 PlacementDecision PlacementTable::place(TimePoint now, const PlacementAsk& ask)
 {
-    const auto here = bestHere(now, ask);
+    auto here = bestHere(now, ask);
+    if (!here && ask.mayRepeat) {
+        auto repeated = ask;
+        repeated.failedServers.clear();
+        here = bestHere(now, repeated);
+    }
     const auto elsewhere = ask.mayLeaveRegion ? bestElsewhere(now, ask) : std::nullopt;
     if (!here && !elsewhere)
         return refuse(ask, ResultCode::NoBackendServer, Duration::zero());
--- a/Libraries/LibDecision/Requests/RequestLife.h
+++ b/Libraries/LibDecision/Requests/RequestLife.h
@@ -42,6 +42,9 @@
     const std::set<BackendServerId>& failedBackendServers() const { return failedBackendServers_; }
     const std::set<InstanceId>& failedInstances() const { return failedInstances_; }
 
+    /// Why the last attempt failed; nothing if none did.
+    const std::optional<ResultCode>& failure() const { return failure_; }
+
     /// Whether an attempt that ran and failed may be followed by another, the budget aside.
     bool mayRepeat(TimePoint now) const;
 
--- a/Libraries/LibHTTP/Peers/PeerClient.cpp
+++ b/Libraries/LibHTTP/Peers/PeerClient.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr Log peerLog("peer");
+
 Error errorOf(const FailureMessage& failure)
 {
     auto code = resultCodeFromNumber(failure.code).value_or(ResultCode::OutcomeUnknown);
@@ -78,6 +80,11 @@
         if (probeSocket(connection->socket()) != SocketState::Closed)
             co_return connection;
     }
+    co_return co_await open(endpoint);
+}
+
+Task<PeerClient::ConnectionPointer> PeerClient::open(Endpoint endpoint)
+{
     auto connection = std::make_unique<PeerConnection>(co_await PeerConnection::connect(endpoint, limits_.connectTimeout, limits_.frame));
     bool failed = false;
     HelloMessage hello = self_;
@@ -91,6 +98,23 @@
     co_return connection;
 }
 
+Task<void> PeerClient::keepWarm(Member peer, std::size_t count)
+{
+    const Endpoint endpoint = peer.peers;
+    auto& idle = idle_[endpoint];
+    std::erase_if(idle, [](const ConnectionPointer& connection) { return probeSocket(connection->socket()) == SocketState::Closed; });
+    if (idle.size() >= count || !warming_.insert(endpoint).second)
+        co_return;
+    try {
+        ConnectionPointer connection = co_await open(endpoint);
+        idle_[endpoint].push_back(std::move(connection));
+    } catch (const Error& error) {
+        // A request that needs the connection will find out again.
+        peerLog.debug("Peer not reached.", { { "peer", peer.id }, { "reason", error.what() } });
+    }
+    warming_.erase(endpoint);
+}
+
 Task<void> PeerClient::passAnswer(PeerConnection& connection, RequestId request, AnswerSink& sink)
 {
     for (;;) {
--- a/Libraries/LibHTTP/Peers/PeerClient.h
+++ b/Libraries/LibHTTP/Peers/PeerClient.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace Ibisturn {
@@ -34,16 +35,21 @@
     /// the request may have reached a backend server. `request` says when it may be handed over.
     Task<void> run(const Member& peer, ForwardMessage message, const GatewayRequest& request, AnswerSink& sink);
 
+    /// Opens connections to `peer` until `count` are idle, so that a request does not wait for one. At most one at a time.
+    Task<void> keepWarm(Member peer, std::size_t count);
+
 private:
     using ConnectionPointer = std::unique_ptr<PeerConnection>;
 
     Task<ConnectionPointer> obtain(Endpoint endpoint);
+    Task<ConnectionPointer> open(Endpoint endpoint);
     Task<void> passAnswer(PeerConnection& connection, RequestId request, AnswerSink& sink);
 
     HelloMessage self_;
     Limits limits_;
     std::uint64_t lastRequest_ { 0 };
     std::map<Endpoint, std::vector<ConnectionPointer>> idle_;
+    std::set<Endpoint> warming_;
 };
 
 } // namespace Ibisturn
--- a/Libraries/LibHTTP/Requests/RequestRunner.cpp
+++ b/Libraries/LibHTTP/Requests/RequestRunner.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t prefixBytes = 512;
 constexpr Log runnerLog("request");
 constexpr std::size_t bytesPerToken = 4;
+/// Idle connections to each instance of another region, where a new one costs two round trips.
+constexpr std::size_t warmConnections = 2;
 // FIXME: Use the request's max_tokens.
 constexpr std::int64_t assumedAnswerTokens = 256;
 
@@ -400,6 +402,7 @@
     PlacementAsk ask = askOf(request, *snapshot);
     ask.mayLeaveRegion = hops == HopsLeft::One;
     ask.failedServers = life.failedBackendServers();
+    ask.mayRepeat = life.failure() == ResultCode::BackendFailed;
     const auto membership = usableMembership(*snapshot, request.routed->route, life);
     for (;;) {
         ask.failedRegions = failedRegions;
@@ -422,6 +425,17 @@
     }
 }
 
+void RequestRunner::keepPeersWarm(const Asio::any_io_executor& executor)
+{
+    const auto membership = tables_.membership.get();
+    if (!membership)
+        return;
+    for (const auto& member : membership->instances) {
+        if (member.region != tables_.settings.identity.region && member.state == MemberState::Live)
+            Asio::co_spawn(executor, peers_.keepWarm(member, warmConnections), Asio::detached);
+    }
+}
+
 RequestTerms RequestRunner::termsOf(const GatewayRequest& request, const Route* route, HopsLeft hops)
 {
     RequestTerms terms;
--- a/Libraries/LibHTTP/Requests/RequestRunner.h
+++ b/Libraries/LibHTTP/Requests/RequestRunner.h
@@ -32,6 +32,10 @@
     /// Asks the configuration in force about all requests that wait or run; to be called often.
     void reviewAccess();
 
+    /// Keeps connections to the instances of other regions open, on which requests may go at once. `executor` is the
+    /// worker's.
+    void keepPeersWarm(const Asio::any_io_executor& executor);
+
     /// Cuts what still runs, visibly to its callers.
     void cutAll() { access_.cancelAll(ResultCode::Draining); }
 
--- a/Libraries/LibPlatform/FleetKnowledge.cpp
+++ b/Libraries/LibPlatform/FleetKnowledge.cpp
@@ -4,6 +4,7 @@
 #include <LibCore/Log.h>
 #include <LibPlatform/InstanceLease.h>
 
+#include <charconv>
 #include <utility>
 
 namespace Ibisturn {
@@ -13,14 +14,26 @@
 constexpr Log fleetLog("fleet");
 /// Deletions that are kept to tell peers of them.
 constexpr std::size_t mostDeletions = 512;
+constexpr std::size_t mostInstances = 100'000;
 /// A store that is silent for less is not worth asking peers instead.
 constexpr Duration patienceWithStore = std::chrono::milliseconds(500);
 
 } // namespace
 
-FleetKnowledge::FleetKnowledge(const DocumentReader& reader, std::string instancesPrefix, RegistryLimits limits)
+std::string instancesPrefixOf(const std::string& ownPrefix)
+{
+    return ownPrefix + "instances/";
+}
+
+std::string fleetSizeKeyOf(const std::string& ownPrefix)
+{
+    return ownPrefix + "fleet-size";
+}
+
+FleetKnowledge::FleetKnowledge(const DocumentReader& reader, std::string ownPrefix, RegistryLimits limits)
     : reader_(reader)
-    , instancesPrefix_(std::move(instancesPrefix))
+    , ownPrefix_(std::move(ownPrefix))
+    , instancesPrefix_(instancesPrefixOf(ownPrefix_))
     , limits_(limits)
     , registry_(limits)
 {
@@ -34,7 +47,7 @@
 
 std::vector<std::string> FleetKnowledge::prefixes() const
 {
-    return { reader_.operatorsPrefix(), reader_.registryPrefix(), instancesPrefix_ };
+    return { reader_.operatorsPrefix(), reader_.registryPrefix(), ownPrefix_ };
 }
 
 void FleetKnowledge::onListing(TimePoint now, const EntryFollower::Listing& listing)
@@ -113,6 +126,19 @@
         takeServer(now, change);
     else if (change.key.starts_with(instancesPrefix_))
         takeMember(now, change);
+    else if (change.key == fleetSizeKeyOf(ownPrefix_) && change.value)
+        takeFleetSize(*change.value);
+}
+
+void FleetKnowledge::takeFleetSize(const std::string& value)
+{
+    std::size_t size = 0;
+    const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), size);
+    if (error != std::errc {} || size > mostInstances) {
+        fleetLog.warning("Size of the fleet not readable.", { { "value", value } });
+        return;
+    }
+    fleetSize_ = std::max(fleetSize_, size);
 }
 
 void FleetKnowledge::takeOperators(TimePoint now, const RecordChange& change)
--- a/Libraries/LibPlatform/FleetKnowledge.h
+++ b/Libraries/LibPlatform/FleetKnowledge.h
@@ -13,13 +13,17 @@
 
 namespace Ibisturn {
 
+/// Where the instances below `ownPrefix` keep their entries, and the largest size that the fleet had.
+std::string instancesPrefixOf(const std::string& ownPrefix);
+std::string fleetSizeKeyOf(const std::string& ownPrefix);
+
 /// What one instance of a fleet knows from the store, directly or through other instances: the configuration, the
 /// backend servers, evacuations and the other instances.
 /// Thread safety: one thread at a time.
 class FleetKnowledge {
 public:
-    /// `instancesPrefix` is where the instances keep their entries. Precondition: `reader` outlives it.
-    FleetKnowledge(const DocumentReader& reader, std::string instancesPrefix, RegistryLimits limits);
+    /// `ownPrefix` is where the instances keep what is theirs. Precondition: `reader` outlives it.
+    FleetKnowledge(const DocumentReader& reader, std::string ownPrefix, RegistryLimits limits);
 
     /// Changes the limits.
     void setLimits(RegistryLimits limits);
@@ -53,6 +57,9 @@
     /// The instances that have entries, or had them a moment ago.
     std::vector<Member> members() const;
 
+    /// The most instances that there ever were, as far as the store tells.
+    std::size_t fleetSize() const { return fleetSize_; }
+
     /// The newest revision known of anything that peers may ask for.
     Revision newest() const { return newest_; }
 
@@ -69,8 +76,10 @@
     void takeOperators(TimePoint now, const RecordChange& change);
     void takeServer(TimePoint now, const RecordChange& change);
     void takeMember(TimePoint now, const RecordChange& change);
+    void takeFleetSize(const std::string& value);
 
     const DocumentReader& reader_;
+    std::string ownPrefix_;
     std::string instancesPrefix_;
     RegistryLimits limits_;
     StoreMirror mirror_;
@@ -79,6 +88,7 @@
     std::optional<CallerLimits> callerLimits_;
     std::set<DataCentreId> evacuated_;
     std::map<std::string, KnownMember> members_;
+    std::size_t fleetSize_ { 0 };
     Revision newest_;
     std::optional<TimePoint> awaySince_;
     std::optional<TimePoint> backSince_;
--- a/Programs/ibisturn/FleetInstance.cpp
+++ b/Programs/ibisturn/FleetInstance.cpp
@@ -20,6 +20,8 @@
 constexpr Duration planePeriod = std::chrono::milliseconds(50);
 /// A changed file is found this soon also without SIGHUP.
 constexpr Duration settingsPoll = std::chrono::seconds(1);
+/// How often connections to other regions are topped up.
+constexpr Duration warmPeriod = std::chrono::milliseconds(300);
 constexpr Duration acceptRetryPause = std::chrono::milliseconds(20);
 constexpr Duration drainPoll = std::chrono::milliseconds(20);
 /// Callers that hold an older answer of the directory still find the instance for this long after SIGTERM.
@@ -81,6 +83,7 @@
 void FleetInstance::run()
 {
     timers_.subscribe(SteadyClock().now(), planePeriod, [this](TimePoint now) { plane_.tick(now); });
+    timers_.subscribe(SteadyClock().now(), warmPeriod, [this](TimePoint) { runner_.keepPeersWarm(workers_.context(0).get_executor()); });
     timers_.subscribe(SteadyClock().now(), settingsPoll, [this](TimePoint) { reloadIfChanged(); });
     auto& context = workers_.context(0);
     plane_.start();
--- a/Programs/ibisturn/FleetPlane.cpp
+++ b/Programs/ibisturn/FleetPlane.cpp
@@ -11,7 +11,10 @@
 
 namespace {
 
+constexpr Log planeLog("fleet");
 constexpr Duration writeTimeout = std::chrono::seconds(2);
+/// How often the size of the fleet is written at most.
+constexpr Duration sizeNotePeriod = std::chrono::seconds(2);
 constexpr Duration membershipPeriod = std::chrono::milliseconds(250);
 /// Loads of the same region go stale within a few requests; those of others are a round trip old in any case.
 constexpr Duration nearNewsPeriod = std::chrono::milliseconds(100);
@@ -24,11 +27,6 @@
     return { identity.instance.value(), identity.region.value(), identity.dataCentre.value(), 0 };
 }
 
-std::string instancesPrefix(const Settings& settings)
-{
-    return settings.storePrefix + "instances/";
-}
-
 RegistryLimits registryLimits(const FleetSettings& fleet)
 {
     // What a change needs to arrive, and a request to be sent, comes off the time that a leaving backend server serves on.
@@ -43,8 +41,9 @@
 FleetPlane::FleetPlane(Asio::io_context& context, InstanceTables& tables, StoreClient& store, const DocumentReader& reader)
     : context_(context)
     , tables_(tables)
-    , knowledge_(reader, instancesPrefix(tables.settings), registryLimits(*tables.settings.fleet))
-    , lease_(store, instancesPrefix(tables.settings), self())
+    , store_(store)
+    , knowledge_(reader, tables.settings.storePrefix, registryLimits(*tables.settings.fleet))
+    , lease_(store, instancesPrefixOf(tables.settings.storePrefix), self())
     , links_(context, helloOf(tables.settings.identity), { tables.settings.connectTimeout, writeTimeout, tables.settings.idleTimeout }, *this)
     , incarnation_(drawIncarnation())
 {
@@ -176,8 +175,13 @@
             inRegion.push_back(member.id);
     }
     tables_.placement.with([&](PlacementTable& table) { table.setInstances(own.id, inRegion); });
-    tables_.serviceRetries.setInstances(view.instances.size());
-    tables_.allowance.setInstances(view.instances.size());
+    const auto size = std::max(view.instances.size(), knowledge_.fleetSize());
+    tables_.serviceRetries.setInstances(size);
+    tables_.allowance.setInstances(size);
+    if (view.instances.size() > knowledge_.fleetSize() && view.instances.front().id == own.id && now >= nextSizeNote_) {
+        nextSizeNote_ = now + sizeNotePeriod;
+        Asio::co_spawn(context_, noteFleetSize(size), Asio::detached);
+    }
     tables_.membership.set(std::make_shared<const MembershipView>(std::move(view)));
 }
 
@@ -209,6 +213,18 @@
     }
 }
 
+// Instances that start together after all of them were gone share the allowance as before, though they see few others yet.
+Task<void> FleetPlane::noteFleetSize(std::size_t size)
+{
+    try {
+        std::vector<StoreWrite> writes;
+        writes.push_back({ fleetSizeKeyOf(tables_.settings.storePrefix), std::to_string(size), std::nullopt, std::nullopt });
+        co_await store_.transact(std::move(writes));
+    } catch (const std::exception& error) {
+        planeLog.warning("Size of the fleet not noted.", { { "size", size }, { "reason", error.what() } });
+    }
+}
+
 FleetNews FleetPlane::newsFor(TimePoint now, const Member& peer) const
 {
     FleetNews news;
--- a/Programs/ibisturn/FleetPlane.h
+++ b/Programs/ibisturn/FleetPlane.h
@@ -45,11 +45,13 @@
     void applyServers();
     void applyMembership(TimePoint now);
     void tellPeers(TimePoint now);
+    Task<void> noteFleetSize(std::size_t size);
     FleetNews newsFor(TimePoint now, const Member& peer) const;
     Member self() const;
 
     Asio::io_context& context_;
     InstanceTables& tables_;
+    StoreClient& store_;
     FleetKnowledge knowledge_;
     InstanceLease lease_;
     ControlLinks links_;
@@ -62,6 +64,7 @@
     TimePoint nextNearNews_ {};
     TimePoint nextFarNews_ {};
     TimePoint nextWish_ {};
+    TimePoint nextSizeNote_ {};
     std::size_t wishes_ { 0 };
     InstanceId wishTarget_;
 };
--- a/Tests/LibDecision/PlacementTableTest.cpp
+++ b/Tests/LibDecision/PlacementTableTest.cpp
@@ -169,6 +169,20 @@
     EXPECT_EQ(serverOf(table_.place(at(5s), ask())), "a");
 }
 
+TEST_F(PlacementTableTest, AFailureThatWasAnsweredIsRepeatedHereRatherThanAbroad)
+{
+    table_.onOutlook(at(0s), abroad, { { bookings, 20ms, 20ms, 0 } });
+    auto request = ask(bookings);
+    request.failedServers = { BackendServerId("p") };
+    EXPECT_TRUE(serverOf(table_.place(at(0s), request)).empty());
+    request.mayRepeat = true;
+    EXPECT_EQ(serverOf(table_.place(at(0s), request)), "p");
+    auto engines = ask();
+    engines.failedServers = { BackendServerId("a") };
+    engines.mayRepeat = true;
+    EXPECT_EQ(serverOf(table_.place(at(0s), engines)), "b");
+}
+
 TEST_F(PlacementTableTest, OneLostAnswerIsNoReasonToLeaveAServer)
 {
     const auto id = table_.begin(at(0s), BackendServerId("a"), ask());
