--- a/Libraries/LibDecision/Allowance/FleetAllowance.h
+++ b/Libraries/LibDecision/Allowance/FleetAllowance.h
@@ -21,6 +21,8 @@
 struct AllowanceDemand {
     WorkspaceId workspace;
     TokensPerSecond demand;
+    /// What it used in the last window.
+    TokenCount used;
 };
 
 /// How a FleetAllowance shares.
@@ -37,10 +39,14 @@
     /// The part of what may be used beyond the rate that is given away as bursts; the rest covers what instances use
     /// before they hear of each other, and requests that are larger than what is left.
     double burstShare { 0.55 };
+    /// While every instance is heard and knows its own last window, what is used may grow up to this part of what a
+    /// window permits, wherever callers ask for it; the rest covers what is used before instances hear of it.
+    double knownShare { 0.7 };
 };
 
 /// An instance's part of the workspaces' allowances. Instances that hear each other share by demand; each side of a cut
 /// has the even shares of its own instances, which nobody else uses meanwhile. So the sum holds without asking anyone.
+/// While all are heard, a request that is larger than the share is not refused as long as the fleet is far from its bound.
 /// Thread safety: one thread at a time.
 class FleetAllowance {
 public:
@@ -54,7 +60,11 @@
     void setInstances(std::size_t count);
 
     /// An instance told its demands, and that it last heard this one `heardAgo` before, or never.
-    void onDemands(TimePoint now, const InstanceId& from, const std::vector<AllowanceDemand>& demands, std::optional<Duration> heardAgo);
+    /// `runsFor` is how long its process has run.
+    void onDemands(TimePoint now, const InstanceId& from, const std::vector<AllowanceDemand>& demands, std::optional<Duration> heardAgo, Duration runsFor);
+
+    /// How long this process has run.
+    Duration runsFor(TimePoint now) const { return startedAt_ ? now - *startedAt_ : Duration::zero(); }
 
     /// How long ago `instance` was heard; nothing if never.
     std::optional<Duration> heardAgo(TimePoint now, const InstanceId& instance) const;
@@ -63,7 +73,7 @@
     std::optional<Duration> take(TimePoint now, const WorkspaceId& workspace, const AllowanceTerms& terms, TokenCount tokens);
 
     /// Gives back what was taken for a request that has not run.
-    void giveBack(const WorkspaceId& workspace, TokenCount tokens);
+    void giveBack(TimePoint now, const WorkspaceId& workspace, TokenCount tokens);
 
     /// What this instance's callers ask for, of all workspaces that ask for anything.
     std::vector<AllowanceDemand> demands(TimePoint now) const;
@@ -75,17 +85,25 @@
         TimePoint updated {};
         double demand { 0 };
         TimePoint demandUpdated {};
+        /// What was used, in slots of the window.
+        std::map<std::int64_t, double> used;
     };
 
     struct Peer {
         TimePoint heardAt {};
         TimePoint heardUsAt {};
-        std::map<WorkspaceId, double> demands;
+        Duration ranFor {};
+        std::map<WorkspaceId, AllowanceDemand> demands;
     };
 
     double demandOf(const Share& share, TimePoint now) const;
     bool isMutual(const Peer& peer, TimePoint now) const;
     double rateOf(TimePoint now, const WorkspaceId& workspace, double own, double whole) const;
+    double permittedOf(const AllowanceTerms& terms) const;
+    bool isKnownFarFromBound(TimePoint now, const WorkspaceId& workspace, const AllowanceTerms& terms, double amount) const;
+    std::int64_t slotOf(TimePoint now) const;
+    double usedBy(const Share& share, TimePoint now) const;
+    void noteUse(Share& share, TimePoint now, double amount) const;
     double burstOf(const AllowanceTerms& terms, double rate) const;
 
     FleetAllowanceLimits limits_;
--- a/Libraries/LibDecision/Membership/FleetNews.h
+++ b/Libraries/LibDecision/Membership/FleetNews.h
@@ -16,6 +16,8 @@
     MemberState state { MemberState::Live };
     /// How long ago the receiver was heard; nothing if never.
     std::optional<Duration> heardAgo;
+    /// How long the process has run.
+    Duration runsFor {};
     std::vector<AllowanceDemand> demands;
     /// For instances of the same region.
     std::vector<OwnLoad> loads;
--- a/Libraries/LibHTTP/Callers/RoutedSession.cpp
+++ b/Libraries/LibHTTP/Callers/RoutedSession.cpp
@@ -149,7 +149,7 @@
         if (!failure)
             co_return after;
         if (failure->ran() == Ran::No)
-            tables_.allowance.giveBack(workspace, tokens);
+            tables_.allowance.giveBack(SteadyClock().now(), workspace, tokens);
         throw *failure;
     }
 
--- a/Libraries/LibPeer/ControlMessages.cpp
+++ b/Libraries/LibPeer/ControlMessages.cpp
@@ -66,8 +66,9 @@
     message.incarnation = news.incarnation.count();
     message.state = static_cast<std::uint8_t>(news.state);
     message.heardAgo = news.heardAgo ? news.heardAgo->count() : -1;
+    message.runsFor = news.runsFor.count();
     for (const auto& demand : news.demands)
-        message.demands.push_back({ demand.workspace.value(), demand.demand.count() });
+        message.demands.push_back({ demand.workspace.value(), demand.demand.count(), demand.used.count() });
     for (const auto& load : news.loads)
         message.loads.push_back({ load.server.value(), load.requests, load.urgentBacklog.count(), load.backlog.count(), load.held.count() });
     for (const auto& outlook : news.outlooks)
@@ -107,8 +108,9 @@
     news.state = choice(message.state, MemberState::Leaving);
     if (message.heardAgo >= 0)
         news.heardAgo = Duration(message.heardAgo);
+    news.runsFor = Duration(message.runsFor);
     for (const auto& demand : message.demands)
-        news.demands.push_back({ WorkspaceId(demand.workspace), TokensPerSecond(demand.tokensPerSecond) });
+        news.demands.push_back({ WorkspaceId(demand.workspace), TokensPerSecond(demand.tokensPerSecond), TokenCount(demand.used) });
     for (const auto& load : message.loads)
         news.loads.push_back({ BackendServerId(load.server), load.requests, TokenCount(load.urgentBacklog), TokenCount(load.backlog), TokenCount(load.held) });
     for (const auto& outlook : message.outlooks)
--- a/Libraries/LibPeer/Frame.h
+++ b/Libraries/LibPeer/Frame.h
@@ -161,7 +161,8 @@
 struct DemandMessage {
     std::string workspace;
     double tokensPerSecond { 0 };
-    MSGPACK_DEFINE(workspace, tokensPerSecond)
+    std::int64_t used { 0 };
+    MSGPACK_DEFINE(workspace, tokensPerSecond, used)
 };
 
 /// See OwnLoad.
@@ -188,12 +189,13 @@
     std::uint64_t incarnation { 0 };
     std::uint8_t state { 0 };
     std::int64_t heardAgo { -1 };
+    std::int64_t runsFor { 0 };
     std::vector<DemandMessage> demands;
     std::vector<LoadMessage> loads;
     std::vector<OutlookMessage> outlooks;
     std::int64_t wishAfter { -1 };
     std::vector<RecordChangeMessage> changes;
-    MSGPACK_DEFINE(incarnation, state, heardAgo, demands, loads, outlooks, wishAfter, changes)
+    MSGPACK_DEFINE(incarnation, state, heardAgo, runsFor, demands, loads, outlooks, wishAfter, changes)
 };
 
 using PeerMessage = std::variant<HelloMessage, ForwardMessage, AnswerHeadMessage, AnswerPartMessage, AnswerEndMessage, FailureMessage,
--- a/Programs/ibisturn/FleetPlane.cpp
+++ b/Programs/ibisturn/FleetPlane.cpp
@@ -115,7 +115,7 @@
     const auto* member = membership ? membership->find(from) : nullptr;
     if (member && member->state != news.state && news.state == MemberState::Leaving)
         nextMembership_ = {};
-    tables_.allowance.onDemands(now, from, news.demands, news.heardAgo);
+    tables_.allowance.onDemands(now, from, news.demands, news.heardAgo, news.runsFor);
     if (member && member->region == tables_.settings.identity.region)
         tables_.placement.with([&](PlacementTable& table) { table.onPeerLoad(now, from, news.loads); });
     else if (member)
@@ -231,6 +231,7 @@
     news.incarnation = incarnation_;
     news.state = self().state;
     news.heardAgo = tables_.allowance.heardAgo(now, peer.id);
+    news.runsFor = tables_.allowance.runsFor(now);
     news.demands = tables_.allowance.demands(now);
     if (peer.region == tables_.settings.identity.region)
         tables_.placement.with([&](PlacementTable& table) { news.loads = table.ownLoads(); });
--- a/Tests/LibDecision/FleetAllowanceTest.cpp
+++ b/Tests/LibDecision/FleetAllowanceTest.cpp
@@ -47,7 +47,9 @@
                     continue;
                 instance.owed += demand[index] * std::chrono::duration<double>(step).count();
                 while (instance.owed > 0) {
-                    const auto tokens = 1 + static_cast<std::int64_t>(below(random_, static_cast<std::size_t>(2 * mean)));
+                    // One request in a hundred is ten times as large.
+                    const auto size = below(random_, 100) == 0 ? 10 * mean : mean;
+                    const auto tokens = 1 + static_cast<std::int64_t>(below(random_, static_cast<std::size_t>(2 * size)));
                     instance.owed -= static_cast<double>(tokens);
                     asked += static_cast<double>(tokens);
                     if (instance.allowance.take(now_, school, terms_, TokenCount(tokens)))
@@ -60,6 +62,15 @@
         return refused / asked;
     }
 
+    /// One request at one instance; returns whether it was admitted.
+    bool send(std::size_t index, std::int64_t tokens)
+    {
+        const bool isAdmitted = !instances_[index].allowance.take(now_, school, terms_, TokenCount(tokens));
+        if (isAdmitted)
+            used_.push_back({ now_, tokens });
+        return isAdmitted;
+    }
+
     void cut(std::size_t from, std::size_t to, Duration length) { cuts_[{ from, to }] = now_ + length; }
     void freeze(std::size_t index, Duration length) { instances_[index].frozenUntil = now_ + length; }
     void restart(std::size_t index) { instances_[index] = Instance(instances_.size(), now_); }
@@ -109,6 +120,7 @@
         std::size_t to;
         std::vector<AllowanceDemand> demands;
         std::optional<Duration> heardAgo;
+        Duration runsFor;
     };
 
     void tradeNews()
@@ -116,7 +128,7 @@
         while (!news_.empty() && news_.front().due <= now_) {
             const auto& news = news_.front();
             if (now_ >= instances_[news.to].frozenUntil)
-                instances_[news.to].allowance.onDemands(now_, nameOf(news.from), news.demands, news.heardAgo);
+                instances_[news.to].allowance.onDemands(now_, nameOf(news.from), news.demands, news.heardAgo, news.runsFor);
             news_.pop_front();
         }
         if (now_ < nextNews_)
@@ -128,7 +140,7 @@
                 if (from == to || now_ < instances_[from].frozenUntil || (cut != cuts_.end() && now_ < cut->second))
                     continue;
                 const auto& allowance = instances_[from].allowance;
-                news_.push_back({ now_ + 60ms, from, to, allowance.demands(now_), allowance.heardAgo(now_, nameOf(to)) });
+                news_.push_back({ now_ + 60ms, from, to, allowance.demands(now_), allowance.heardAgo(now_, nameOf(to)), allowance.runsFor(now_) });
             }
         }
     }
@@ -168,7 +180,7 @@
     EXPECT_TRUE(allowance.take(TimePoint(1h), school, small, TokenCount(100)));
     EXPECT_FALSE(allowance.take(TimePoint(1h) + 1s, school, small, TokenCount(50'000)));
     EXPECT_TRUE(allowance.take(TimePoint(1h) + 1s, school, small, TokenCount(10)));
-    allowance.giveBack(school, TokenCount(50'000));
+    allowance.giveBack(TimePoint(1h) + 1s, school, TokenCount(50'000));
     EXPECT_FALSE(allowance.take(TimePoint(1h) + 1s, school, small, TokenCount(10)));
 }
 
@@ -190,6 +202,18 @@
     EXPECT_LT(fleet.run(2s, evenly(small.rate.count() / 1.8), 3000), 0.01);
 }
 
+// A long prompt of a small workspace must not keep its other requests out while the fleet has what they need.
+TEST(FleetAllowance, ALargeRequestDoesNotShutOutTheOthers)
+{
+    Random random(seedOfRun());
+    Fleet fleet(nine, small, random);
+    fleet.run(12s, evenly(small.rate.count() / 3), 3000);
+    EXPECT_TRUE(fleet.send(0, 70'000));
+    for (int index = 0; index < 5; ++index)
+        EXPECT_TRUE(fleet.send(0, 2000));
+    EXPECT_LE(fleet.mostInWindow(), fleet.permitted());
+}
+
 TEST(FleetAllowance, FollowsCallersThatGatherInOneRegion)
 {
     Random random(seedOfRun());
