--- a/Libraries/LibCore/Log.cpp
+++ b/Libraries/LibCore/Log.cpp
@@ -1,9 +1,11 @@
 #include <LibCore/Log.h>
 
+#include <LibCore/LogWriter.h>
+
 #include <array>
 #include <atomic>
 #include <chrono>
-#include <cstdio>
+#include <unistd.h>
 #include <utility>
 
 #include <fmt/chrono.h>
@@ -16,6 +18,28 @@
 
 std::atomic<LogLevel> leastLevel { LogLevel::Info };
 
+LogWriter& standardOutput()
+{
+    static LogWriter writer(STDOUT_FILENO);
+    return writer;
+}
+
+// A value with spaces is quoted, so that the fields of a line can be told apart.
+void appendValue(std::string& line, const std::string& value)
+{
+    if (!value.empty() && value.find_first_of(" \"=\\\n\r\t") == std::string::npos) {
+        line += value;
+        return;
+    }
+    line += '"';
+    for (const char character : value) {
+        if (character == '"' || character == '\\')
+            line += '\\';
+        line += static_cast<unsigned char>(character) < ' ' ? ' ' : character;
+    }
+    line += '"';
+}
+
 } // namespace
 
 std::optional<LogLevel> logLevelFromName(std::string_view name)
@@ -27,6 +51,11 @@
     return std::nullopt;
 }
 
+std::uint64_t droppedLogLines()
+{
+    return standardOutput().dropped();
+}
+
 void setLogLevel(LogLevel level)
 {
     leastLevel = level;
@@ -61,11 +90,12 @@
     const auto seconds = std::chrono::system_clock::to_time_t(now);
     auto line = fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z {} {}: {}", fmt::gmtime(seconds), milliseconds,
         levelNames.at(static_cast<std::size_t>(level)), prefix_, sentence);
-    for (const auto& field : fields)
-        fmt::format_to(std::back_inserter(line), " {}={}", field.key, field.value);
+    for (const auto& field : fields) {
+        fmt::format_to(std::back_inserter(line), " {}=", field.key);
+        appendValue(line, field.value);
+    }
     line += '\n';
-    // One call a line keeps lines of several threads whole.
-    std::fwrite(line.data(), 1, line.size(), stderr);
+    standardOutput().write(line, level >= LogLevel::Warning ? LineKind::Important : LineKind::Ordinary);
 }
 
 } // namespace Ibisturn
--- a/Libraries/LibCore/Log.h
+++ b/Libraries/LibCore/Log.h
@@ -23,6 +23,9 @@
 /// Sets the least level that is written, for the whole process. Thread safety: any thread.
 void setLogLevel(LogLevel level);
 
+/// Lines that were dropped because too many came or nobody read them. Thread safety: any thread.
+std::uint64_t droppedLogLines();
+
 /// One key=value pair of a log line.
 struct LogField {
     template <typename T>
@@ -36,7 +39,7 @@
     std::string value;
 };
 
-/// Writes lines of one part to standard error: time, level, prefix, sentence, fields.
+/// Writes lines of one part to standard output: time, level, prefix, sentence, fields. It never waits for a reader.
 /// Thread safety: all methods from any thread.
 class Log {
 public:
--- /dev/null
+++ b/Libraries/LibCore/LogWriter.cpp
@@ -0,0 +1,67 @@
+#include <LibCore/LogWriter.h>
+
+#include <algorithm>
+#include <limits.h>
+#include <poll.h>
+#include <unistd.h>
+
+#include <fmt/format.h>
+
+namespace Ibisturn {
+
+LogWriter::LogWriter(int descriptor, LogLimits limits)
+    : descriptor_(descriptor)
+    , limits_(limits)
+{
+}
+
+void LogWriter::write(std::string_view line, LineKind kind)
+{
+    const std::scoped_lock lock(mutex_);
+    const auto now = std::chrono::steady_clock::now();
+    if (now - second_ >= std::chrono::seconds(1)) {
+        second_ = now;
+        linesInSecond_ = 0;
+        noteDropped();
+    }
+    const bool isOverRate = kind == LineKind::Ordinary && linesInSecond_ >= limits_.linesPerSecond;
+    if (isOverRate || waiting_.size() + line.size() > limits_.waitingBytes) {
+        ++dropped_;
+        flush();
+        return;
+    }
+    if (kind == LineKind::Ordinary)
+        ++linesInSecond_;
+    waiting_ += line;
+    flush();
+}
+
+std::uint64_t LogWriter::dropped() const
+{
+    const std::scoped_lock lock(mutex_);
+    return dropped_;
+}
+
+// A pipe that poll() calls writable takes PIPE_BUF bytes without blocking.
+void LogWriter::flush()
+{
+    while (!waiting_.empty()) {
+        pollfd state { descriptor_, POLLOUT, 0 };
+        if (::poll(&state, 1, 0) <= 0 || (state.revents & POLLOUT) == 0)
+            return;
+        const auto count = ::write(descriptor_, waiting_.data(), std::min<std::size_t>(waiting_.size(), PIPE_BUF));
+        if (count <= 0)
+            return;
+        waiting_.erase(0, static_cast<std::size_t>(count));
+    }
+}
+
+void LogWriter::noteDropped()
+{
+    if (dropped_ == noted_)
+        return;
+    waiting_ += fmt::format("warning log: Lines dropped. lines={} in_all={}\n", dropped_ - noted_, dropped_);
+    noted_ = dropped_;
+}
+
+} // namespace Ibisturn
--- a/Libraries/LibDecision/Allowance/FleetAllowance.cpp
+++ b/Libraries/LibDecision/Allowance/FleetAllowance.cpp
@@ -66,8 +66,7 @@
     share.updated = now;
     share.level = std::min(burstOf(terms, rate), share.level + rate * elapsed);
     if (share.level > 0 || isKnownFarFromBound(now, workspace, terms, amount)) {
-        // Beyond one more burst, a debt would only refuse what the fleet still has.
-        share.level = std::max(share.level - amount, -std::max(burstOf(terms, rate), amount));
+        share.level -= amount;
         noteUse(share, now, amount);
         return std::nullopt;
     }
--- a/Libraries/LibDecision/Allowance/FleetAllowance.h
+++ b/Libraries/LibDecision/Allowance/FleetAllowance.h
@@ -38,7 +38,7 @@
     Duration memory { std::chrono::seconds(2) };
     /// The part of what may be used beyond the rate that is given away as bursts; the rest covers what instances use
     /// before they hear of each other, and requests that are larger than what is left.
-    double burstShare { 0.55 };
+    double burstShare { 0.4 };
     /// While every instance is heard and knows its own last window, what is used may grow up to this part of what a
     /// window permits, wherever callers ask for it; the rest covers what is used before instances hear of it.
     double knownShare { 0.7 };
--- a/Libraries/LibDecision/Membership/EntryDirectory.cpp
+++ b/Libraries/LibDecision/Membership/EntryDirectory.cpp
@@ -37,7 +37,7 @@
     const auto distanceOf = [&](const Member& member) {
         constexpr int suspicion = 4;
         const int distance = member.dataCentre == dataCentre ? 0 : member.region == region ? 1
-                                                                                          : 2;
+                                                                                           : 2;
         return distance + (member.state == MemberState::Suspected ? suspicion : 0);
     };
     std::vector<Member> entries;
--- a/Libraries/LibDecision/Placement/PlacementTable.cpp
+++ b/Libraries/LibDecision/Placement/PlacementTable.cpp
@@ -136,13 +136,13 @@
     const auto longest = timeToTarget + milliseconds(inMilliseconds(timeToTarget) * limits_.lateness);
     const auto timeLeft = ask.deadline - now;
     if (best.wait > std::min(std::max(longest, Duration::zero()), timeLeft) && best.wait > limits_.firstToken * 3)
-        return refuse(ask, ResultCode::DeadlineUnreachable, best.wait - timeToTarget);
+        return refuse(ask, ResultCode::DeadlineUnreachable, best.wait - timeToTarget, best.wait);
     if (isHere) {
         if (best.server->coldRate > 0 && now < best.server->state.coldUntil)
             best.server->nextCold = now + milliseconds(1000 / best.server->coldRate);
-        return PlaceOnServer { best.server->state.server.id };
+        return PlaceOnServer { best.server->state.server.id, best.wait };
     }
-    return PlaceInRegion { *best.region };
+    return PlaceInRegion { *best.region, best.wait };
 }
 
 PlacementId PlacementTable::begin(TimePoint now, const BackendServerId& id, const PlacementAsk& ask)
@@ -417,11 +417,11 @@
     return best;
 }
 
-PlaceNowhere PlacementTable::refuse(const PlacementAsk& ask, ResultCode code, Duration wait) const
+PlaceNowhere PlacementTable::refuse(const PlacementAsk& ask, ResultCode code, Duration wait, std::optional<Duration> expected) const
 {
     // Spread over half as much again, so that callers don't come back together.
     const auto spread = 1 + 0.5 * static_cast<double>(ask.spread % 1024) / 1024;
-    return { code, milliseconds(inMilliseconds(std::max(wait, leastRetryAfter)) * spread) };
+    return { code, milliseconds(inMilliseconds(std::max(wait, leastRetryAfter)) * spread), expected };
 }
 
 } // namespace Ibisturn
--- a/Libraries/LibDecision/Placement/PlacementTable.h
+++ b/Libraries/LibDecision/Placement/PlacementTable.h
@@ -19,11 +19,14 @@
 /// Run the request on this backend server of the own region.
 struct PlaceOnServer {
     BackendServerId server;
+    /// The time until the first part of the answer that is expected.
+    Duration expected {};
 };
 
 /// Hand the request to an instance of this region.
 struct PlaceInRegion {
     RegionId region;
+    Duration expected {};
 };
 
 /// No place can serve the request in time; it has not run.
@@ -31,6 +34,8 @@
     ResultCode code { ResultCode::NoBackendServer };
     /// When it is worth coming back.
     Duration retryAfter {};
+    /// What the best place would have taken; nothing if there was none.
+    std::optional<Duration> expected;
 };
 
 using PlacementDecision = std::variant<PlaceOnServer, PlaceInRegion, PlaceNowhere>;
@@ -228,7 +233,7 @@
     Duration costOf(Duration wait, TokenCount toRead, double millisecondsPerToken) const;
     std::optional<Candidate> bestHere(TimePoint now, const PlacementAsk& ask);
     std::optional<Candidate> bestElsewhere(TimePoint now, const PlacementAsk& ask);
-    PlaceNowhere refuse(const PlacementAsk& ask, ResultCode code, Duration wait) const;
+    PlaceNowhere refuse(const PlacementAsk& ask, ResultCode code, Duration wait, std::optional<Duration> expected = std::nullopt) const;
 
     RegionId here_;
     PlacementLimits limits_;
--- a/Libraries/LibDecision/Requests/RequestLife.h
+++ b/Libraries/LibDecision/Requests/RequestLife.h
@@ -42,6 +42,9 @@
     const std::set<BackendServerId>& failedBackendServers() const { return failedBackendServers_; }
     const std::set<InstanceId>& failedInstances() const { return failedInstances_; }
 
+    /// Attempts so far.
+    std::uint32_t attempts() const { return attempt_.count(); }
+
     /// Why the last attempt failed; nothing if none did.
     const std::optional<ResultCode>& failure() const { return failure_; }
 
--- a/Libraries/LibHTTP/Backends/BackendClient.cpp
+++ b/Libraries/LibHTTP/Backends/BackendClient.cpp
@@ -37,8 +37,6 @@
     Task<void> writeEnd() override { co_return; }
 };
 
-
-
 /// Passes the body of one answer on, part by part, and says whether its end was reached.
 Task<void> passBody(boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer, Http::response_parser<Http::buffer_body>& parser,
     Duration silence, AnswerSink& sink, AnswerCompleteness& completeness)
--- a/Libraries/LibHTTP/Callers/RoutedSession.cpp
+++ b/Libraries/LibHTTP/Callers/RoutedSession.cpp
@@ -53,6 +53,7 @@
     Task<AfterRequest> serveOne()
     {
         callerId_.clear();
+        target_.clear();
         RequestParser parser;
         parser.header_limit(static_cast<std::uint32_t>(limits().head.count()));
         parser.body_limit(limits().body.count());
@@ -118,6 +119,7 @@
         const auto snapshot = tables_.configuration.get();
         CallerHead head = dialect_.readHead(parser.get());
         callerId_ = head.callerId;
+        target_ = std::string(parser.get().target().data(), parser.get().target().size());
         if (!snapshot)
             throw Error(ResultCode::ConfigurationNotReady, Ran::No, "The instance has no configuration yet");
         if (tables_.isRefusing)
@@ -274,7 +276,9 @@
     void noteFailure(const Error& failure) const
     {
         tables_.metrics.increment(fmt::format("ibisturn_requests_total{{result=\"{}\"}}", resultCodeEntry(failure.code()).name));
-        callerLog.info("Request failed.", { { "request", callerId_ }, { "code", resultCodeEntry(failure.code()).name }, { "ran", ranName(failure.ran()) }, { "reason", failure.what() } });
+        const auto snapshot = tables_.configuration.get();
+        const auto retryAfter = failure.retryAfter() ? failure.retryAfter()->count() : -1;
+        callerLog.info("Request failed.", { { "request", callerId_ }, { "code", resultCodeEntry(failure.code()).name }, { "ran", ranName(failure.ran()) }, { "reason", failure.what() }, { "retry_after_ms", retryAfter }, { "target", target_ }, { "configuration", snapshot ? snapshot->revision().count() : -1 }, { "store", tables_.storeAwaySince ? "away" : "followed" } });
     }
 
     const CallerLimits& limits() const { return tables_.callerLimits; }
@@ -286,6 +290,7 @@
     Beast::flat_buffer buffer_;
     PendingInput pendingInput_ { PendingInput::LeaveUnread };
     std::string callerId_;
+    std::string target_;
 };
 
 } // namespace
--- a/Libraries/LibHTTP/Requests/InstanceTables.h
+++ b/Libraries/LibHTTP/Requests/InstanceTables.h
@@ -7,12 +7,12 @@
 #include <LibCore/SteadyClock.h>
 #include <LibDecision/Allowance/FleetAllowance.h>
 #include <LibDecision/Membership/MembershipView.h>
-#include <LibHTTP/Backends/AdmissionBoard.h>
 #include <LibDecision/Requests/FleetRetryBudget.h>
+#include <LibHTTP/Backends/AdmissionBoard.h>
 #include <LibHTTP/Backends/BackendDialect.h>
 #include <LibHTTP/Backends/HealthBoard.h>
-#include <LibHTTP/Backends/PlacementBoard.h>
 #include <LibHTTP/Backends/LoadTable.h>
+#include <LibHTTP/Backends/PlacementBoard.h>
 #include <LibHTTP/Operators/Tracer.h>
 #include <LibHTTP/Peers/PeerReachTable.h>
 
@@ -41,8 +41,8 @@
         : settings(std::move(instanceSettings))
         , admission(settings.identity)
         , placement(settings.identity.region)
-        , allowance(settings.fleet ? allowanceLimitsOf(*settings.fleet) : FleetAllowanceLimits {}, SteadyClock().now())
         , serviceRetries(settings.fleet ? retryLimitsOf(*settings.fleet) : FleetRetryLimits {})
+        , allowance(settings.fleet ? allowanceLimitsOf(*settings.fleet) : FleetAllowanceLimits {}, SteadyClock().now())
         , tracer(settings.identity.instance.value(), std::move(spans))
     {
     }
@@ -64,6 +64,8 @@
     Tracer tracer;
     /// Of callers on routes with terms. Used by one worker.
     CallerLimits callerLimits;
+    /// Since when the store has not answered; nothing while it does. Used by one worker.
+    std::optional<TimePoint> storeAwaySince;
     /// Set once the instance refuses new requests.
     std::atomic<bool> isDraining { false };
     /// Set once a draining instance refuses what callers still send on connections that they keep.
--- /dev/null
+++ b/Libraries/LibHTTP/Requests/RequestJournal.cpp
@@ -0,0 +1,78 @@
+#include <LibHTTP/Requests/RequestJournal.h>
+
+#include <LibCore/SteadyClock.h>
+
+namespace Ibisturn {
+
+namespace {
+
+constexpr Log journalLog("request");
+/// One in so many successes is written.
+constexpr std::size_t sampleOf = 32;
+
+std::string nameOf(const Place& place)
+{
+    if (const auto* here = std::get_if<RunHere>(&place))
+        return here->backendServer.value();
+    const auto* forward = std::get_if<ForwardTo>(&place);
+    return forward ? "instance:" + forward->instance.value() : std::string("none");
+}
+
+std::int64_t milliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+} // namespace
+
+RequestJournal::RequestJournal(const InstanceTables& tables, const GatewayRequest& request)
+    : tables_(tables)
+    , workspace_(request.workspace)
+    , begunAt_(SteadyClock().now())
+    , isRouted_(request.routed.has_value())
+{
+    if (!isRouted_)
+        return;
+    request_ = request.routed->callerId;
+    route_ = request.routed->route.value();
+    service_ = request.routed->service.value();
+    revision_ = request.routed->revision;
+    isSampled_ = std::hash<std::string> {}(request_) % sampleOf == 0;
+}
+
+void RequestJournal::notePlace(TimePoint now, const Place& place, Duration expected, std::uint32_t attempt)
+{
+    if (!isRouted_ || (!isSampled_ && attempt <= 1))
+        return;
+    journalLog.info("Place chosen.", { { "request", request_ }, { "place", nameOf(place) }, { "expected_ms", milliseconds(expected) }, { "attempt", attempt }, { "service", service_ }, { "elapsed_ms", milliseconds(now - begunAt_) }, { "configuration", revision_ }, { "store", storeState(now) } });
+}
+
+void RequestJournal::noteRefusal(TimePoint now, ResultCode code, std::optional<Duration> expected, Duration retryAfter)
+{
+    if (!isRouted_)
+        return;
+    journalLog.info("No place.", { { "request", request_ }, { "code", resultCodeEntry(code).name }, { "best_ms", expected ? milliseconds(*expected) : -1 }, { "retry_after_ms", milliseconds(retryAfter) }, { "route", route_ }, { "service", service_ }, { "workspace", workspace_ }, { "elapsed_ms", milliseconds(now - begunAt_) }, { "configuration", revision_ }, { "store", storeState(now) } });
+}
+
+void RequestJournal::noteFailure(TimePoint now, const Place& place, const Error& error, RanProof proof, bool goesOn)
+{
+    if (!isRouted_)
+        return;
+    journalLog.info("Attempt failed.", { { "request", request_ }, { "place", nameOf(place) }, { "code", resultCodeEntry(error.code()).name }, { "ran", ranName(error.ran()) }, { "refused", proof == RanProof::Refusal }, { "next", goesOn ? "retry" : "end" }, { "service", service_ }, { "elapsed_ms", milliseconds(now - begunAt_) }, { "reason", error.what() }, { "store", storeState(now) } });
+}
+
+void RequestJournal::noteEnd(TimePoint now, const Place& place, std::optional<TimePoint> firstPart)
+{
+    if (!isRouted_ || !isSampled_)
+        return;
+    journalLog.info("Answered.", { { "request", request_ }, { "place", nameOf(place) }, { "first_part_ms", firstPart ? milliseconds(*firstPart - begunAt_) : -1 }, { "elapsed_ms", milliseconds(now - begunAt_) }, { "route", route_ }, { "workspace", workspace_ } });
+}
+
+std::string RequestJournal::storeState(TimePoint now) const
+{
+    if (!tables_.storeAwaySince)
+        return "followed";
+    return fmt::format("away:{}ms", milliseconds(now - *tables_.storeAwaySince));
+}
+
+} // namespace Ibisturn
--- a/Libraries/LibHTTP/Requests/RequestRunner.cpp
+++ b/Libraries/LibHTTP/Requests/RequestRunner.cpp
@@ -294,9 +294,10 @@
     const auto asked = request.resumeAfter ? ResumeNeed::AfterLastEvent : ResumeNeed::None;
     bool isFirstAttempt = true;
     std::set<RegionId> failedRegions;
+    RequestJournal journal(tables_, request);
     while (!life.hasEnded()) {
         const auto resume = std::max(asked, std::get<ChoosePlace>(actions.front()).resume);
-        Place place = request.routed ? chooseRoutedPlace(request, hops, life, failedRegions) : choosePlace(request, routeId, hops, life, resume);
+        Place place = request.routed ? chooseRoutedPlace(request, hops, life, failedRegions, journal) : choosePlace(request, routeId, hops, life, resume);
         // A retry has waited before, and the budget bounds retries.
         AdmissionSlotPointer slot;
         if (isFirstAttempt && !request.routed && std::holds_alternative<RunHere>(place))
@@ -335,14 +336,17 @@
             ticket->noteEnd(outcomeOf(request, failure));
         if (slot)
             noteEnd(*slot, started, answer, failure);
-        if (!failure)
+        if (!failure) {
+            journal.noteEnd(clock.now(), place, answer.firstPartAt());
             co_return;
+        }
         runnerLog.debug("Attempt failed.", { { "code", static_cast<unsigned>(failure->error.code()) }, { "reason", failure->error.what() } });
         if (life.hasEnded())
             throw failure->error;
         if (std::holds_alternative<ForwardTo>(place))
             failedRegions.insert(target);
         actions = life.handle(eventOf(request, attemptId, *failure), clock.now());
+        journal.noteFailure(clock.now(), place, failure->error, failure->proof, !life.hasEnded());
         throwIfFailed(actions);
         tables_.metrics.increment("ibisturn_retries_total");
     }
@@ -396,7 +400,8 @@
 }
 
 // Chooses among the region's backend servers and other regions.
-Place RequestRunner::chooseRoutedPlace(const GatewayRequest& request, HopsLeft hops, const RequestLife& life, std::set<RegionId>& failedRegions)
+Place RequestRunner::chooseRoutedPlace(
+    const GatewayRequest& request, HopsLeft hops, const RequestLife& life, std::set<RegionId>& failedRegions, RequestJournal& journal)
 {
     const auto snapshot = requireConfiguration();
     PlacementAsk ask = askOf(request, *snapshot);
@@ -408,18 +413,24 @@
         ask.failedRegions = failedRegions;
         const auto now = SteadyClock().now();
         const auto decision = tables_.placement.with([&](PlacementTable& table) { return table.place(now, ask); });
-        if (const auto* server = std::get_if<PlaceOnServer>(&decision))
-            return RunHere { server->server };
+        if (const auto* server = std::get_if<PlaceOnServer>(&decision)) {
+            const RunHere place { server->server };
+            journal.notePlace(now, place, server->expected, life.attempts() + 1);
+            return place;
+        }
         if (const auto* nowhere = std::get_if<PlaceNowhere>(&decision)) {
             // One that failed is better than none.
             if (!std::exchange(ask.failedServers, {}).empty())
                 continue;
+            journal.noteRefusal(now, nowhere->code, nowhere->expected, nowhere->retryAfter);
             return RefuseRequest { nowhere->code, nowhere->retryAfter };
         }
-        const auto& region = std::get<PlaceInRegion>(decision).region;
+        const auto& [region, expected] = std::get<PlaceInRegion>(decision);
         if (const auto* member = findEntry(*membership, region, ask.spread)) {
             tables_.placement.with([&](PlacementTable& table) { table.noteSent(region, ask); });
-            return ForwardTo { member->id };
+            const ForwardTo place { member->id };
+            journal.notePlace(now, place, expected, life.attempts() + 1);
+            return place;
         }
         failedRegions.insert(region);
     }
--- a/Libraries/LibHTTP/Requests/RequestRunner.h
+++ b/Libraries/LibHTTP/Requests/RequestRunner.h
@@ -10,6 +10,7 @@
 #include <LibHTTP/Requests/ClaimRunner.h>
 #include <LibHTTP/Requests/GatewayRequest.h>
 #include <LibHTTP/Requests/InstanceTables.h>
+#include <LibHTTP/Requests/RequestJournal.h>
 
 #include <memory>
 
@@ -64,7 +65,7 @@
     Task<void> forward(SnapshotPointer snapshot, Member peer, RouteId route, GatewayRequest& request, ClaimDuty duty, AnswerSink& sink);
     using TicketPointer = std::unique_ptr<PlacementBoard::Ticket>;
 
-    Place chooseRoutedPlace(const GatewayRequest& request, HopsLeft hops, const RequestLife& life, std::set<RegionId>& failedRegions);
+    Place chooseRoutedPlace(const GatewayRequest& request, HopsLeft hops, const RequestLife& life, std::set<RegionId>& failedRegions, RequestJournal& journal);
     RequestTerms termsOf(const GatewayRequest& request, const Route* route, HopsLeft hops);
     void noteFirstAttempt(const GatewayRequest& request, HopsLeft hops, AttemptSink& answer);
     TicketPointer makeTicket(const GatewayRequest& request, const Place& place);
--- a/Libraries/LibPlatform/FleetKnowledge.h
+++ b/Libraries/LibPlatform/FleetKnowledge.h
@@ -42,6 +42,9 @@
     /// Whether the store has not answered for a while.
     bool isStoreAway(TimePoint now) const;
 
+    /// Since when the store has not answered; nothing while it does.
+    const std::optional<TimePoint>& awaySince() const { return awaySince_; }
+
     /// Lets time pass.
     void advance(TimePoint now);
 
--- a/Meta/deployment.sh
+++ b/Meta/deployment.sh
@@ -48,7 +48,7 @@
 start_instance() {
     local instance=$1 name=${1//-/_} line part
     "$BIN/ibisturn" check "$WORK/$instance.yaml" >"$WORK/$instance.check" || return 1
-    "$BIN/ibisturn" serve --settings "$WORK/$instance.yaml" 2>"$WORK/$instance.log" &
+    "$BIN/ibisturn" serve --settings "$WORK/$instance.yaml" >"$WORK/$instance.log" 2>&1 &
     DEPLOYMENT_PIDS+=($!)
     line=$(await_line "$WORK/$instance.log" 'instance: Listening')
     for part in callers operators peers; do
--- a/Programs/ibisturn/FleetPlane.cpp
+++ b/Programs/ibisturn/FleetPlane.cpp
@@ -67,6 +67,7 @@
 void FleetPlane::tick(TimePoint now)
 {
     knowledge_.advance(now);
+    tables_.storeAwaySince = knowledge_.awaySince();
     applyConfiguration();
     applyServers();
     applyMembership(now);
--- /dev/null
+++ b/Tests/LibCore/LogWriterTest.cpp
@@ -0,0 +1,91 @@
+#include <LibCore/LogWriter.h>
+
+#include <array>
+#include <thread>
+#include <unistd.h>
+
+#include <gtest/gtest.h>
+
+namespace Ibisturn::Testing {
+
+namespace {
+
+/// A pipe whose reader may stop reading.
+class Pipe {
+public:
+    Pipe()
+    {
+        if (::pipe(ends_.data()) != 0)
+            throw std::runtime_error("no pipe");
+    }
+    ~Pipe()
+    {
+        ::close(ends_[0]);
+        ::close(ends_[1]);
+    }
+    Pipe(const Pipe&) = delete;
+    Pipe& operator=(const Pipe&) = delete;
+
+    int writer() const { return ends_[1]; }
+
+    /// What can be read at once.
+    std::string read()
+    {
+        std::array<char, 65536> buffer {};
+        const auto count = ::read(ends_[0], buffer.data(), buffer.size());
+        return { buffer.data(), static_cast<std::size_t>(std::max<ssize_t>(0, count)) };
+    }
+
+private:
+    std::array<int, 2> ends_ {};
+};
+
+} // namespace
+
+TEST(LogWriter, WritesLinesAtOnce)
+{
+    Pipe pipe;
+    LogWriter writer(pipe.writer());
+    writer.write("one\n", LineKind::Ordinary);
+    EXPECT_EQ(pipe.read(), "one\n");
+}
+
+TEST(LogWriter, AReaderThatStopsBlocksNothing)
+{
+    Pipe pipe;
+    LogLimits limits;
+    limits.linesPerSecond = 1'000'000;
+    LogWriter writer(pipe.writer(), limits);
+    const std::string line(1000, 'x');
+    // More than the pipe and the buffer hold together; a writer that waits would never return.
+    for (int index = 0; index < 1000; ++index)
+        writer.write(line + "\n", LineKind::Ordinary);
+    EXPECT_GT(writer.dropped(), 300U);
+    EXPECT_FALSE(pipe.read().empty());
+}
+
+TEST(LogWriter, AFloodOfOrdinaryLinesIsBoundedAndImportantOnesPass)
+{
+    Pipe pipe;
+    LogWriter writer(pipe.writer(), { 10, 100'000 });
+    for (int index = 0; index < 500; ++index)
+        writer.write("o\n", LineKind::Ordinary);
+    writer.write("important\n", LineKind::Important);
+    const auto text = pipe.read();
+    EXPECT_LE(std::count(text.begin(), text.end(), 'o'), 22);
+    EXPECT_NE(text.find("important"), std::string::npos);
+    EXPECT_GE(writer.dropped(), 480U);
+}
+
+TEST(LogWriter, SaysHowManyLinesAreMissing)
+{
+    Pipe pipe;
+    LogWriter writer(pipe.writer(), { 1, 100'000 });
+    for (int index = 0; index < 5; ++index)
+        writer.write("o\n", LineKind::Ordinary);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1050));
+    writer.write("later\n", LineKind::Ordinary);
+    EXPECT_NE(pipe.read().find("Lines dropped. lines=4"), std::string::npos);
+}
+
+} // namespace Ibisturn::Testing
--- /dev/null
+++ b/Tests/Platform/HeadsTest.cpp
@@ -0,0 +1,205 @@
+#include <LibCore/Digest.h>
+#include <LibHTTP/Backends/BackendDialectRegistry.h>
+#include <LibHTTP/Callers/CallerDialectRegistry.h>
+#include <LibHTTP/Operators/EntryDialect.h>
+
+#include <gtest/gtest.h>
+
+namespace Ibisturn::Testing {
+
+namespace Http = boost::beast::http;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+class CallerHeadsTest : public testing::Test {
+protected:
+    CallerHeadsTest()
+    {
+        fields_.set(Http::field::host, "barn.example");
+        fields_.set("X-Ibisturn-Request-Id", "9c41d07be2a35f68");
+        fields_.set("X-Ibisturn-Deadline-Ms", "12000");
+        fields_.set("X-Ibisturn-Token-Count", "1460,80");
+        fields_.set("X-Ibisturn-Prompt-Prefix", "5c1e07a2:800, 91bd3f06:410,e4402b7d:250");
+        fields_.set(Http::field::authorization, "Bearer secret");
+    }
+
+    bool passesOn(const std::string& name) const
+    {
+        const auto head = dialect_->readHead(fields_);
+        return std::any_of(head.passedOn.begin(), head.passedOn.end(), [&name](const HttpHeader& header) { return header.name == name; });
+    }
+
+    std::string failure(ResultCode code, Ran ran, std::optional<std::chrono::milliseconds> retryAfter = {}) const
+    {
+        Error error(code, ran, "text");
+        if (retryAfter)
+            error.setRetryAfter(*retryAfter);
+        return dialect_->formatFailure(error, "id-1", AfterAnswer::KeepAlive);
+    }
+
+    CallerDialect::RequestFields fields_;
+    std::unique_ptr<CallerDialect> dialect_ { CallerDialectRegistry::instance().make("platform") };
+};
+
+class ReplicaHeadsTest : public testing::Test {
+protected:
+    ReplicaHeadsTest()
+    {
+        request_.method = "POST";
+        request_.target = "/short/1?x=1";
+        request_.body = "prompt";
+        request_.workspace = WorkspaceId("guides");
+        request_.deadline = TimePoint(10s);
+        request_.routed.emplace();
+        request_.routed->callerId = "id-1";
+        request_.routed->host = "barn.example";
+        request_.routed->headers = { { "X-Ibisturn-Model", "m" }, { "X-Other", "1" } };
+        request_.routed->prompt = { { 1, TokenCount(10) } };
+        request_.routed->priority = 12;
+        server_.id = BackendServerId("i-1");
+    }
+
+    AnswerReading read(unsigned status, std::initializer_list<std::pair<const char*, const char*>> headers) const
+    {
+        BackendDialect::AnswerFields answer;
+        answer.result(status);
+        for (const auto& [name, value] : headers)
+            answer.set(name, value);
+        return dialect_->readAnswer(answer, request_);
+    }
+
+    GatewayRequest request_;
+    BackendServer server_;
+    std::unique_ptr<BackendDialect> dialect_ { BackendDialectRegistry::instance().make("platform") };
+};
+
+Member entryAt(const std::string& address)
+{
+    Member member;
+    member.callers = *parseEndpoint(address);
+    return member;
+}
+
+} // namespace
+
+TEST_F(CallerHeadsTest, ReadsWhatTheCallerSays)
+{
+    const auto head = dialect_->readHead(fields_);
+    EXPECT_EQ(head.callerId, "9c41d07be2a35f68");
+    EXPECT_EQ(head.host, "barn.example");
+    EXPECT_EQ(head.patience, 12s);
+    EXPECT_EQ(head.key, digestOfKey("secret"));
+    EXPECT_EQ(head.promptTokens, TokenCount(1460));
+    EXPECT_EQ(head.mostAnswerTokens, TokenCount(80));
+    ASSERT_EQ(head.prompt.size(), 3U);
+    EXPECT_EQ(head.prompt[1].tokens, TokenCount(410));
+    EXPECT_FALSE(head.lastEvent);
+}
+
+TEST_F(CallerHeadsTest, MalformedHeadersAreAsIfTheyWereNotThere)
+{
+    fields_.set("X-Ibisturn-Deadline-Ms", "soon");
+    fields_.set("X-Ibisturn-Token-Count", "-5,x");
+    fields_.set("X-Ibisturn-Prompt-Prefix", ",,:,abc,d:9999999999999999999");
+    fields_.set("Last-Event-Id", "-1");
+    fields_.set(Http::field::authorization, "Basic c2VjcmV0");
+    const auto head = dialect_->readHead(fields_);
+    EXPECT_FALSE(head.patience);
+    EXPECT_EQ(head.promptTokens, TokenCount(0));
+    EXPECT_FALSE(head.lastEvent);
+    EXPECT_FALSE(head.key);
+}
+
+TEST_F(CallerHeadsTest, WhatInstancesSetIsNotTakenFromCallers)
+{
+    for (const auto* name : { "X-Ibisturn-Tenant", "X-Ibisturn-Expect-Instance", "X-Ibisturn-Request-Priority", "X-Ibisturn-Hold", "X-Ibisturn-Pin-Ms", "X-Ibisturn-Kv-Backup", "Kv-From", "Kv-Fetch", "Authorization", "Connection", "Keep-Alive", "Upgrade" }) {
+        fields_.set(name, "x");
+        EXPECT_FALSE(passesOn(name)) << name;
+    }
+    fields_.set(Http::field::connection, "close, X-Hop");
+    fields_.set("X-Hop", "1");
+    fields_.set("X-Kept", "1");
+    EXPECT_FALSE(passesOn("X-Hop"));
+    EXPECT_TRUE(passesOn("X-Kept"));
+}
+
+TEST_F(CallerHeadsTest, OnlyWhatHasNotRunIsPromisedNotToHaveRun)
+{
+    EXPECT_TRUE(failure(ResultCode::NoBackendServer, Ran::No).starts_with("HTTP/1.1 503 "));
+    EXPECT_TRUE(failure(ResultCode::BackendUnreachable, Ran::No).starts_with("HTTP/1.1 503 "));
+    EXPECT_TRUE(failure(ResultCode::ResidencyRefused, Ran::No).starts_with("HTTP/1.1 503 "));
+    EXPECT_TRUE(failure(ResultCode::AllowanceExceeded, Ran::No).starts_with("HTTP/1.1 429 "));
+    EXPECT_TRUE(failure(ResultCode::OutcomeUnknown, Ran::Unknown).starts_with("HTTP/1.1 502 "));
+    EXPECT_TRUE(failure(ResultCode::BackendBusy, Ran::Unknown).starts_with("HTTP/1.1 502 "));
+    EXPECT_TRUE(failure(ResultCode::DeadlineExceeded, Ran::Unknown).starts_with("HTTP/1.1 504 "));
+    EXPECT_TRUE(failure(ResultCode::KeyUnknown, Ran::No).starts_with("HTTP/1.1 401 "));
+    EXPECT_NE(failure(ResultCode::Overloaded, Ran::No, 250ms).find("Retry-After: 0.250\r\n"), std::string::npos);
+}
+
+TEST_F(ReplicaHeadsTest, NamesTheServerTheWorkspaceAndTheTimeLeft)
+{
+    request_.resumeAfter = 12;
+    const auto message = dialect_->makeRequest(server_, request_, TimePoint(7s));
+    EXPECT_EQ(message.target(), "/short/1?x=1");
+    EXPECT_EQ(message["Host"], "barn.example");
+    EXPECT_EQ(message["X-Ibisturn-Request-Id"], "id-1");
+    EXPECT_EQ(message["X-Ibisturn-Expect-Instance"], "i-1");
+    EXPECT_EQ(message["X-Ibisturn-Tenant"], "guides");
+    EXPECT_EQ(message["X-Ibisturn-Deadline-Ms"], "3000");
+    EXPECT_EQ(message["X-Ibisturn-Request-Priority"], "9");
+    EXPECT_EQ(message["X-Ibisturn-Model"], "m");
+    EXPECT_EQ(message["Last-Event-Id"], "12");
+    EXPECT_EQ(message.body(), "prompt");
+}
+
+TEST_F(ReplicaHeadsTest, TellsAnswersApart)
+{
+    EXPECT_EQ(read(200, { { "X-Ibisturn-Request-Id", "id-1" }, { "X-Ibisturn-Server-Seal", "s" } }).meaning, AnswerMeaning::Answer);
+    EXPECT_EQ(read(500, { { "X-Ibisturn-Request-Id", "id-1" } }).meaning, AnswerMeaning::Answer);
+    EXPECT_EQ(read(200, { { "X-Ibisturn-Request-Id", "id-2" }, { "X-Ibisturn-Server-Seal", "s" } }).meaning, AnswerMeaning::Stray);
+    EXPECT_EQ(read(200, { { "X-Ibisturn-Request-Id", "id-1" } }).meaning, AnswerMeaning::Unsound);
+    EXPECT_EQ(read(200, { { "X-Ibisturn-Server-Seal", "s" } }).meaning, AnswerMeaning::Unsound);
+    EXPECT_EQ(read(200, { { "X-Ibisturn-Request-Id", "id-1" }, { "X-Ibisturn-Server-Seal", "s" }, { "Content-Encoding", "gzip" } }).meaning, AnswerMeaning::Unsound);
+    EXPECT_EQ(read(503, { { "X-Ibisturn-Request-Id", "id-1" }, { "X-Ibisturn-Not-Executed", "1" } }).meaning, AnswerMeaning::Refused);
+    EXPECT_EQ(read(503, { { "X-Ibisturn-Request-Id", "id-1" } }).meaning, AnswerMeaning::Answer);
+    EXPECT_EQ(read(421, { { "X-Ibisturn-Instance-Id", "i-2" } }).meaning, AnswerMeaning::WrongServer);
+}
+
+TEST_F(ReplicaHeadsTest, ReadsLoadAndIdleTimeout)
+{
+    const auto reading = read(200, { { "X-Ibisturn-Request-Id", "id-1" }, { "X-Ibisturn-Server-Seal", "s" }, { "X-Ibisturn-Server-Load", "3,1,8" }, { "Keep-Alive", "timeout=5, max=9" } });
+    ASSERT_TRUE(reading.load);
+    EXPECT_EQ(reading.load->waiting, 1U);
+    EXPECT_EQ(reading.load->slots, 8U);
+    EXPECT_EQ(reading.idleTimeout, 5s);
+    EXPECT_FALSE(read(200, { { "X-Ibisturn-Server-Load", "3,x" }, { "Keep-Alive", "timeout=" } }).load);
+    for (const auto& header : reading.headers)
+        EXPECT_NE(header.name, "X-Ibisturn-Server-Load");
+}
+
+TEST(EntryQuestions, NamesEntriesAndReadiness)
+{
+    const auto dialect = EntryDialectRegistry::instance().make("platform");
+    EntrySource source;
+    bool isReady = true;
+    RegionId asked;
+    source.isReady = [&isReady] { return isReady; };
+    source.entries = [&asked](const RegionId& region, const DataCentreId& dataCentre) {
+        asked = region;
+        return dataCentre.isEmpty() ? std::vector<Member>() : std::vector<Member> { entryAt("10.1.0.25:8221") };
+    };
+    source.metrics = [] { return std::string("m 1\n"); };
+    source.lifetime = 2s;
+    EXPECT_EQ(dialect->answer("/-/resolve?Name=a&Region=bc%2Dcoast&Zone=z", source).body, R"({"Addrs":["10.1.0.25:8221"],"TtlS":2})");
+    EXPECT_EQ(asked, RegionId("bc-coast"));
+    EXPECT_EQ(dialect->answer("/-/resolve?Name=a", source).status, 503U);
+    EXPECT_EQ(dialect->answer("/-/ready", source).status, 200U);
+    isReady = false;
+    EXPECT_EQ(dialect->answer("/-/ready", source).status, 503U);
+    EXPECT_EQ(dialect->answer("/metrics", source).body, "m 1\n");
+    EXPECT_EQ(dialect->answer("/else", source).status, 404U);
+}
+
+} // namespace Ibisturn::Testing
--- /dev/null
+++ b/Tests/Process/FleetTest.sh
@@ -0,0 +1,194 @@
+#!/usr/bin/env bash
+# Three instances of a fleet in two regions as processes, on the stand-ins for the platform's store and replicas: requests,
+# streams, homes, keys, drains, changes of the configuration and an outage of the store. Usage: FleetTest.sh FOLDER, the
+# folder of the built programs.
+set -euo pipefail
+BIN=$(realpath "$1")
+STAND_INS="$BIN/Tests"
+WORK=$(mktemp -d)
+PIDS=()
+trap 'set +e; kill "${PIDS[@]}" 2>/dev/null; wait 2>/dev/null; rm -rf "$WORK"' EXIT
+
+fail() {
+    echo "FleetTest: $1" >&2
+    tail -n 30 "$WORK"/*.log >&2
+    exit 1
+}
+
+# Waits until a command succeeds, for ten seconds at most.
+await() {
+    local description=$1
+    shift
+    for _ in $(seq 200); do
+        "$@" && return
+        sleep 0.05
+    done
+    fail "$description"
+}
+
+# Starts a stand-in and sets the variable $1 to where it listens.
+start_stand_in() {
+    local variable=$1 log="$WORK/$2.log"
+    shift 2
+    "$STAND_INS/ibisturn-stand-ins" "$@" >"$log" 2>&1 &
+    PIDS+=($!)
+    await "a stand-in did not start: $*" grep -q '^listening ' "$log"
+    printf -v "$variable" '%s' "$(grep '^listening ' "$log" | cut -d' ' -f2)"
+}
+
+free_port() {
+    python3 -c 'import socket; s = socket.socket(); s.bind(("127.0.0.1", 0)); print(s.getsockname()[1])'
+}
+
+# Starts the instance $1 in region $2 and sets ${1}_callers, _ready, _directory, _metrics and _pid.
+start_instance() {
+    local name=$1 region=$2 part
+    for part in callers peers ready directory metrics; do
+        printf -v "${name}_$part" '127.0.0.1:%s' "$(free_port)"
+    done
+    local callers=${name}_callers peers=${name}_peers ready=${name}_ready directory=${name}_directory metrics=${name}_metrics
+    cat >"$WORK/$name.yaml" <<YAML
+instance: $name
+region: $region
+data_centre: $region-a
+callers: {listen: "${!callers}"}
+peers: {listen: "${!peers}"}
+platform:
+  store: {kind: platform, endpoints: ["$STORE"], prefix: ibisturn/}
+fleet:
+  dialect: platform
+  readiness: "${!ready}"
+  directory: {listen: "${!directory}", lifetime: 2s}
+  metrics: {listen: "${!metrics}"}
+  data_centres:
+    - {name: khomas-a, region: khomas}
+    - {name: omaheke-a, region: omaheke}
+  allowance: {window: 8s, tolerance: 0.1, slack: 1000}
+  shutdown: {backend_drain: 3s, grace: 8s}
+YAML
+    "$BIN/ibisturn" check "$WORK/$name.yaml" >"$WORK/$name.check" || fail "the settings of $name are not valid"
+    "$BIN/ibisturn" serve --settings "$WORK/$name.yaml" >"$WORK/$name.log" 2>&1 &
+    printf -v "${name}_pid" '%s' "$!"
+    PIDS+=("$!")
+}
+
+put() { curl -sS -X PUT "http://$STORE/entries/$1" --data-binary "$2" -o "$WORK/put"; }
+store_faults() { curl -sS "http://$STORE/faults" -d "$1" -o "$WORK/faults"; }
+
+configuration() {
+    local version=$1 keys=$2
+    cat <<JSON
+{"Version":$version,"Routes":[
+ {"Name":"stream","Host":"barn.example","PathPrefix":"/stream/","Kind":"stream","TimeoutMs":5000,"TargetLatencyMs":1000,"Service":"model","MaxAttempts":2,"Resumable":true},
+ {"Name":"home","Host":"barn.example","PathPrefix":"/home/","Kind":"idempotent","TimeoutMs":5000,"TargetLatencyMs":1000,"Service":"model","MaxAttempts":2,"HomeRegions":["omaheke"]},
+ {"Name":"book","Host":"barn.example","PathPrefix":"/book/","Kind":"non_idempotent","TimeoutMs":2000,"TargetLatencyMs":300,"Service":"app","MaxAttempts":1},
+ {"Name":"seats","Host":"barn.example","PathPrefix":"/seats/","Kind":"idempotent","TimeoutMs":2000,"TargetLatencyMs":300,"Service":"app","MaxAttempts":2}],
+ "Services":[{"Name":"model","MaxConns":100,"Engine":{"Slots":8,"KvCapacity":100000,"Stride":1}},{"Name":"app","MaxConns":100}],
+ "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
+ "Tenants":[{"Name":"guides","ApiKeys":$keys,"PlainTokens":1,"RatePerS":0},{"Name":"small","ApiKeys":["small-key"],"PlainTokens":1000,"RatePerS":100,"Burst":100}]}
+JSON
+}
+
+# ask INSTANCE PATH ID [CURL OPTION ...]: prints status and body.
+ask() {
+    local callers=${1}_callers path=$2 id=$3
+    shift 3
+    curl -sS -m 10 -w '\n%{http_code}' "http://${!callers}$path" -H 'Host: barn.example' -H "X-Ibisturn-Request-Id: $id" \
+        -H 'X-Ibisturn-Deadline-Ms: 5000' -H "Authorization: Bearer ${KEY:-guide-key}" "$@" 2>"$WORK/curl" || true
+}
+
+expect() {
+    local description=$1 pattern=$2 answer=$3
+    grep -qE "$pattern" <<<"$answer" || fail "$description: expected $pattern, got: $answer"
+}
+
+runs_of() { curl -sS "http://$1/runs"; }
+is_ready() { [ "$(curl -s -o "$WORK/ready" -w '%{http_code}' "http://$1/-/ready")" = 200 ]; }
+names() { curl -sS "http://$1/-/resolve?Name=barn.example&Region=$2&Zone=$2-a"; }
+names_both() { names "$khomas_directory" khomas | grep -q "$khomas_callers" && names "$khomas_directory" omaheke | grep -q "$omaheke_callers"; }
+names_without() { ! names "$khomas_directory" omaheke | grep -q "$1"; }
+# Any answer that a request got a place shows it; the first one to run fails.
+knows_application() { ask "$1" /book/0 "known-$RANDOM" | tail -1 | grep -qE "200|500"; }
+answers() { ask "$1" "$2" "$3" | tail -1 | grep -q "$4"; }
+
+start_stand_in STORE store platform-store
+store_faults '{"page":1}'
+start_instance khomas khomas
+await "the instance does not listen" curl -s -o "$WORK/probe" "http://$khomas_ready/-/ready"
+is_ready "$khomas_ready" && fail "an instance without a configuration says that it is ready"
+expect "without a configuration" '^503$' "$(ask khomas /seats/1 none-1)"
+put op/config "$(configuration 3 '["guide-key"]')"
+start_instance omaheke omaheke
+start_stand_in MODEL_K model-k replica --id model-k --service model --zone khomas-a --store "$STORE" --cut-after 3
+start_stand_in MODEL_O model-o replica --id model-o --service model --zone omaheke-a --store "$STORE"
+start_stand_in APP app replica --id app-k --service app --zone khomas-a --store "$STORE" --fail-first 2
+await "khomas is not ready" is_ready "$khomas_ready"
+await "omaheke is not ready" is_ready "$omaheke_ready"
+await "the directory does not name both" names_both
+await "the registry is not read" answers khomas /home/0 first-1 200
+await "the other region does not know the registry" knows_application omaheke
+
+# A failure is repeated where the kind of request allows it, a refusal anywhere.
+expect "a repeated failure" '^app-k tenant=guides key=$' "$(ask khomas /seats/1 seat-1)"
+runs_of "$APP" | grep -q '"seat-1":2' || fail "seat-1 ran another number of times than 2: $(runs_of "$APP")"
+expect "a booking" '^200$' "$(ask khomas /book/1 book-1 -d 'two coaches')"
+runs_of "$APP" | grep -q '"book-1":1' || fail "book-1 ran another number of times than once"
+
+# One hop: the application runs in khomas only, and a route stays in its homes.
+expect "a request from the other region" '^app-k tenant=guides' "$(ask omaheke /seats/2 seat-2)"
+expect "a route with a home" '^model-o tenant=guides' "$(ask khomas /home/1 home-1)"
+
+# A stream that is cut in the middle of an event goes on at another replica.
+stream=$(ask khomas /stream/1 stream-1 -d prompt)
+expect "a resumed stream" '^200$' "$stream"
+[ "$(grep -c '^data: piece' <<<"$stream")" = 5 ] || fail "pieces are missing or doubled: $stream"
+[ "$(grep '^id:' <<<"$stream" | sort -u | wc -l)" = 5 ] || fail "ids are missing or doubled: $stream"
+
+# Bad input and unknown keys.
+expect "an unknown key" '^401$' "$(KEY=other ask khomas /seats/1 key-1)"
+expect "an unknown path" '^404$' "$(ask khomas /nowhere/1 path-1)"
+expect "a body over the limit" '^413$' "$(head -c 200000 /dev/zero | ask khomas /book/2 body-1 --data-binary @-)"
+for index in 1 2 3 4 5 6; do small=$(KEY=small-key ask khomas "/seats/$index" "small-$index" | tail -1); done
+[ "$small" = 429 ] || fail "a workspace over its allowance is not refused: $small"
+
+# A withdrawn key, a lost history, and a configuration that can't be read.
+store_faults '{"compact":true}'
+put op/config "$(configuration 5 '["new-key"]')"
+await "the new key is not in force" eval 'KEY=new-key answers khomas /seats/3 new-1 200'
+expect "the withdrawn key" '^401$' "$(ask khomas /seats/3 old-1)"
+put op/config '{"Version":6,"Routes":'
+sleep 1
+expect "after a configuration that can't be read" '^200$' "$(KEY=new-key ask khomas /seats/4 kept-1)"
+put op/config "$(configuration 7 '["guide-key"]')"
+await "the configuration after it is not in force" answers khomas /seats/3 back-1 200
+
+# Evacuation, and an entry that names no server.
+put servers/odd '{"Service":5}'
+put op/evacuate/khomas-a '{}'
+evacuated() { ask khomas /seats/5 "evacuated-$RANDOM" | tail -1 | grep -q 503; }
+await "khomas is not evacuated" evacuated
+curl -sS -X DELETE "http://$STORE/entries/op/evacuate/khomas-a" -o "$WORK/taken-back"
+await "khomas is not taken back" answers khomas /seats/6 "taken-back-$RANDOM" 200
+
+# While the store is away, everything goes on; afterwards it is followed again.
+store_faults '{"down":true}'
+sleep 5
+expect "with the store away" '^200$' "$(ask khomas /seats/7 away-1)"
+expect "with the store away, abroad" '^200$' "$(ask omaheke /seats/8 away-2)"
+store_faults '{"down":false}'
+put op/config "$(configuration 9 '["guide-key","last-key"]')"
+await "the store is not followed again" eval 'KEY=last-key answers omaheke /seats/9 last-1 200'
+
+# A drained instance is not ready, leaves the directory and finishes what it read.
+ask omaheke /stream/9 drained-1 -d prompt >"$WORK/drained" &
+drained=$!
+kill -TERM "$omaheke_pid"
+await "the directory names a drained instance" names_without "$omaheke_callers"
+wait "$drained"
+grep -q '^200$' "$WORK/drained" || fail "a drained instance cut a request: $(cat "$WORK/drained")"
+
+curl -sS "http://$khomas_metrics/metrics" | grep -q '^ibisturn_requests_total' || fail "no metrics"
+if grep -qE 'guide-key|new-key|small-key' "$WORK"/khomas.log "$WORK"/omaheke.log; then
+    fail "a key stands in a log"
+fi
+echo "FleetTest: ok"
--- a/Tests/StandIns/Main.cpp
+++ b/Tests/StandIns/Main.cpp
@@ -1,5 +1,7 @@
 #include "StandInEngine.h"
 #include "StandInLiveList.h"
+#include "StandInPlatformStore.h"
+#include "StandInReplica.h"
 #include "StandInServer.h"
 #include "StandInService.h"
 #include "StandInStore.h"
@@ -24,6 +26,8 @@
     std::string name { "engine" };
     EngineOptions engine;
     std::uint32_t runMilliseconds { 5 };
+    ReplicaOptions replica;
+    std::string store;
 };
 
 void serve(const Options& options, Handler handler)
@@ -70,6 +74,26 @@
     serveStandIn(options, service);
 }
 
+void servePlatformStore(const Options& options)
+{
+    StandInPlatformStore store;
+    serveStandIn(options, store);
+}
+
+void serveReplica(const Options& options)
+{
+    const auto listen = parseEndpoint(options.listen);
+    const auto store = parseEndpoint(options.store);
+    if (!listen || !store)
+        throw std::invalid_argument("--listen and --store must be an IP address and a port");
+    StandInReplica replica(options.replica);
+    StandInServer server(*listen, [&replica](const HttpRequest& request, Responder& responder) { replica.handle(request, responder); });
+    replica.beginToRegister(server.endpoint(), *store);
+    fmt::print("listening {}\n", server.endpoint().toString());
+    std::fflush(stdout);
+    server.run();
+}
+
 int run(int argc, char** argv)
 {
     Options options;
@@ -96,6 +120,19 @@
     auto* service = app.add_subcommand("service", "Plain service that counts its runs")->fallthrough();
     service->add_option("--run-ms", options.runMilliseconds);
     service->callback([&options] { serveService(options); });
+    auto* platformStore = app.add_subcommand("platform-store", "The platform's metadata store")->fallthrough();
+    platformStore->callback([&options] { servePlatformStore(options); });
+    auto* replica = app.add_subcommand("replica", "A replica that registers itself in the platform's store")->fallthrough();
+    replica->add_option("--id", options.replica.id)->required();
+    replica->add_option("--service", options.replica.service)->required();
+    replica->add_option("--zone", options.replica.zone)->required();
+    replica->add_option("--store", options.store)->required();
+    replica->add_option("--events", options.replica.events);
+    replica->add_option("--event-ms", options.replica.eventMilliseconds);
+    replica->add_option("--cut-after", options.replica.cutAfterEvents, "Cuts the first stream in the middle of this event");
+    replica->add_option("--fail-first", options.replica.failures, "Answers this many requests with 500");
+    replica->add_option("--refuse-first", options.replica.refusals, "Refuses this many requests as not executed");
+    replica->callback([&options] { serveReplica(options); });
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError& error) {
--- /dev/null
+++ b/Tests/StandIns/StandInPlatformStore.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "StandInServer.h"
+
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+namespace Ibisturn::StandIns {
+
+/// The platform's metadata store as its published protocol describes it, in memory. Tests write what operators and
+/// replicas would by `PUT` and `DELETE /entries/KEY`, and set faults by `POST /faults`: `down` refuses every call,
+/// `lost` cuts so many transactions after they took effect, `compact` drops the history, `page` bounds listings.
+/// Thread safety: all methods from any thread.
+class StandInPlatformStore {
+public:
+    StandInPlatformStore();
+
+    /// Answers one request.
+    void handle(const HttpRequest& request, Responder& responder);
+
+private:
+    struct Item {
+        std::string value;
+        std::int64_t revision { 0 };
+        std::int64_t created { 0 };
+        std::int64_t lease { 0 };
+    };
+    struct Event {
+        std::string key;
+        Item item;
+        bool isDeletion { false };
+    };
+    struct Lease {
+        std::chrono::milliseconds length {};
+        std::chrono::steady_clock::time_point end;
+    };
+    using Query = std::map<std::string, std::string>;
+    using Handle = void (StandInPlatformStore::*)(const HttpRequest&, const Query&, Responder&);
+    struct Call {
+        std::string_view method;
+        std::string_view pathPrefix;
+        Handle handle;
+    };
+    static const std::vector<Call>& calls();
+
+    void range(const HttpRequest& request, const Query& query, Responder& responder);
+    void watch(const HttpRequest& request, const Query& query, Responder& responder);
+    void transact(const HttpRequest& request, const Query& query, Responder& responder);
+    void grant(const HttpRequest& request, const Query& query, Responder& responder);
+    void keep(const HttpRequest& request, const Query& query, Responder& responder);
+    void endLease(const HttpRequest& request, const Query& query, Responder& responder);
+    void write(const HttpRequest& request, const Query& query, Responder& responder);
+    void remove(const HttpRequest& request, const Query& query, Responder& responder);
+    void setFaults(const HttpRequest& request, const Query& query, Responder& responder);
+    void put(const std::string& key, const std::string& value, std::int64_t lease);
+    void erase(const std::string& key);
+    void expireLeases();
+    nlohmann::json show(const std::string& key, const Item& item) const;
+
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::int64_t revision_ { 7 };
+    std::int64_t compacted_ { 0 };
+    std::int64_t lastLease_ { 100 };
+    std::map<std::string, Item> items_;
+    std::map<std::int64_t, Lease> leases_;
+    std::vector<Event> events_;
+    bool isDown_ { false };
+    std::uint32_t repliesToLose_ { 0 };
+    std::size_t pageSize_ { 500 };
+};
+
+} // namespace Ibisturn::StandIns
--- a/Tests/StandIns/StandInServer.cpp
+++ b/Tests/StandIns/StandInServer.cpp
@@ -39,6 +39,8 @@
 {
     Http::response<Http::string_body> response(static_cast<Http::status>(status), httpVersion11);
     response.set(Http::field::content_type, contentType);
+    for (const auto& header : headers_)
+        response.set(header.name, header.value);
     response.body() = body;
     response.prepare_payload();
     boost::system::error_code error;
@@ -49,6 +51,8 @@
 {
     Http::response<Http::empty_body> response(Http::status::ok, httpVersion11);
     response.set(Http::field::content_type, contentType);
+    for (const auto& header : headers_)
+        response.set(header.name, header.value);
     response.chunked(true);
     Http::response_serializer<Http::empty_body> serializer(response);
     boost::system::error_code error;
--- a/Tests/StandIns/StandInServer.h
+++ b/Tests/StandIns/StandInServer.h
@@ -2,11 +2,14 @@
 
 #include <LibConfiguration/Settings.h>
 #include <LibKernel/Asio.h>
+#include <LibKernel/HttpHeader.h>
 
 #include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -20,6 +23,9 @@
 public:
     explicit Responder(Asio::ip::tcp::socket& socket);
 
+    /// Adds a header to the answer. Precondition: nothing was sent yet.
+    void addHeader(std::string name, std::string value) { headers_.push_back({ std::move(name), std::move(value) }); }
+
     /// Sends a whole answer.
     void send(unsigned status, const std::string& contentType, const std::string& body);
 
@@ -40,6 +46,7 @@
 
 private:
     Asio::ip::tcp::socket& socket_;
+    std::vector<HttpHeader> headers_;
 };
 
 using Handler = std::function<void(const HttpRequest&, Responder&)>;
