--- a/Libraries/LibDecision/Placement/PlacementTable.cpp
+++ b/Libraries/LibDecision/Placement/PlacementTable.cpp
@@ -212,6 +212,8 @@
         server.failures = 0;
     if (outcome == PlacementOutcome::Full)
         server.pausedUntil = std::max(server.pausedUntil, now + limits_.fullPause);
+    if (outcome == PlacementOutcome::Replaced)
+        server.pausedUntil = std::max(server.pausedUntil, now + limits_.replacedPause);
     const bool isFailure = outcome == PlacementOutcome::Failed || outcome == PlacementOutcome::Unreachable;
     if (!isFailure || now < server.pausedUntil)
         return;
@@ -357,16 +359,36 @@
     return wait + milliseconds(static_cast<double>(toRead.count()) * millisecondsPerToken * limits_.readingWeight);
 }
 
+// How far the request that has waited longest is behind what was expected; nothing within the margin, and nothing for one
+// request alone, which may be at fault itself.
+Duration PlacementTable::overdueOn(TimePoint now, const BackendServerId& id) const
+{
+    Duration worst {};
+    std::size_t count = 0;
+    for (const auto& [number, placed] : placed_) {
+        if (placed.hasStarted || placed.server != id)
+            continue;
+        const auto behind = now - placed.sentAt - placed.expected;
+        if (behind <= limits_.overdue)
+            continue;
+        ++count;
+        worst = std::max(worst, behind);
+    }
+    return count > 1 ? worst : Duration::zero();
+}
+
 Duration PlacementTable::waitOn(TimePoint now, const Server& server, const PlacementAsk& ask) const
 {
     const auto total = totalOn(now, server);
     if (!server.engine) {
         const auto slots = std::max<std::uint32_t>(1, server.state.server.slots);
-        return milliseconds(inMilliseconds(plainWork) * server.slowness * (1 + static_cast<double>(total.requests) / slots));
+        const auto overdue = overdueOn(now, server.state.server.id);
+        return overdue + milliseconds(inMilliseconds(plainWork) * server.slowness * (1 + static_cast<double>(total.requests) / slots));
     }
     const auto ahead = ask.priority <= urgentPriority ? total.urgent : total.all;
     const auto tokens = static_cast<double>((ahead + toRead(server, ask)).count());
     auto wait = milliseconds((inMilliseconds(limits_.firstToken) + tokens * millisecondsPerToken_) * server.slowness);
+    wait += overdueOn(now, server.state.server.id);
     const auto held = (total.held + ask.promptTokens + ask.mostAnswerTokens).count();
     if (static_cast<double>(held) > static_cast<double>(server.engine->memory.count()) * limits_.memoryShare || total.requests >= server.engine->slots)
         wait += memoryPenalty;
--- a/Libraries/LibDecision/Placement/PlacementTable.h
+++ b/Libraries/LibDecision/Placement/PlacementTable.h
@@ -54,6 +54,8 @@
     Full,
     /// No connection could be made.
     Unreachable,
+    /// Another backend server has its address.
+    Replaced,
     /// The connection broke, or the answer was cut or wrong.
     Failed,
     /// Nothing can be said: the caller left, for example.
@@ -103,6 +105,10 @@
     /// A failed backend server is left alone for this long at first, and for twice as long after each further failure.
     Duration firstPause { std::chrono::milliseconds(250) };
     Duration longestPause { std::chrono::milliseconds(2000) };
+    /// One whose address another one has is left alone for this long, unless it registers anew.
+    Duration replacedPause { std::chrono::milliseconds(5000) };
+    /// A request that waits for its first part this much longer than expected shows that its backend server hangs.
+    Duration overdue { std::chrono::milliseconds(400) };
     /// A backend server that refused for lack of room is left alone for this long.
     Duration fullPause { std::chrono::milliseconds(60) };
     /// A request may be expected this much later than its target, as a share of the time that it has until then.
@@ -226,6 +232,7 @@
     bool mayUse(TimePoint now, const Server& server, const PlacementAsk& ask) const;
     bool isColdOwner(const Server& server) const;
     Backlog totalOn(TimePoint now, const Server& server) const;
+    Duration overdueOn(TimePoint now, const BackendServerId& id) const;
     Duration waitOn(TimePoint now, const Server& server, const PlacementAsk& ask) const;
     TokenCount toRead(const PromptCacheGuess& cache, bool isHome, const PlacementAsk& ask) const;
     TokenCount toRead(const Server& server, const PlacementAsk& ask) const;
--- a/Libraries/LibHTTP/Requests/RequestRunner.cpp
+++ b/Libraries/LibHTTP/Requests/RequestRunner.cpp
@@ -110,6 +110,8 @@
         return PlacementOutcome::Unreachable;
     if (code == ResultCode::BackendBusy)
         return PlacementOutcome::Full;
+    if (code == ResultCode::BackendReplaced)
+        return PlacementOutcome::Replaced;
     return code != ResultCode::BackendFailed && isOfBackendServer(code) ? PlacementOutcome::Failed : PlacementOutcome::Unknown;
 }
 
--- a/Libraries/LibPlatform/FleetKnowledge.cpp
+++ b/Libraries/LibPlatform/FleetKnowledge.cpp
@@ -52,6 +52,7 @@
 
 void FleetKnowledge::onListing(TimePoint now, const EntryFollower::Listing& listing)
 {
+    listed_.insert(listing.prefix);
     for (const auto& change : mirror_.applyListing(listing.prefix, listing.position, listing.entries))
         take(now, change);
 }
--- a/Libraries/LibPlatform/FleetKnowledge.h
+++ b/Libraries/LibPlatform/FleetKnowledge.h
@@ -51,6 +51,9 @@
     /// The configuration in force; null if none is known.
     const SnapshotPointer& snapshot() const { return snapshot_; }
 
+    /// Whether everything that the instances follow was listed once.
+    bool isComplete() const { return listed_.size() == prefixes().size(); }
+
     /// What operators allow callers, if they say so.
     const std::optional<CallerLimits>& callerLimits() const { return callerLimits_; }
 
@@ -89,6 +92,7 @@
     BackendRegistry registry_;
     SnapshotPointer snapshot_;
     std::optional<CallerLimits> callerLimits_;
+    std::set<std::string> listed_;
     std::set<DataCentreId> evacuated_;
     std::map<std::string, KnownMember> members_;
     std::size_t fleetSize_ { 0 };
--- a/Programs/ibisturn/FleetPlane.cpp
+++ b/Programs/ibisturn/FleetPlane.cpp
@@ -92,7 +92,7 @@
 
 bool FleetPlane::isReady() const
 {
-    return tables_.configuration.get() && !tables_.isDraining;
+    return tables_.configuration.get() && knowledge_.isComplete() && !tables_.isDraining;
 }
 
 std::vector<Member> FleetPlane::entries(const RegionId& region, const DataCentreId& dataCentre) const
--- a/Tests/LibDecision/PlacementTableTest.cpp
+++ b/Tests/LibDecision/PlacementTableTest.cpp
@@ -183,6 +183,40 @@
     EXPECT_EQ(serverOf(table_.place(at(0s), engines)), "b");
 }
 
+TEST_F(PlacementTableTest, AServerThatLostItsAddressIsLeftAloneUntilItRegistersAnew)
+{
+    auto request = ask();
+    request.mayLeaveRegion = false;
+    request.target = at(5s);
+    table_.end(at(0s), table_.begin(at(0s), BackendServerId("a"), request), PlacementOutcome::Replaced);
+    for (int index = 0; index < 10; ++index) {
+        EXPECT_EQ(serverOf(table_.place(at(3s), request)), "b");
+        table_.begin(at(3s), BackendServerId("b"), request);
+    }
+    servers_[0].server.endpoint.port = 9999;
+    table_.setServers(servers_, services());
+    EXPECT_EQ(serverOf(table_.place(at(3s), request)), "a");
+}
+
+// A backend server that went silent holds its requests; new ones go elsewhere before any connection fails.
+TEST_F(PlacementTableTest, AServerThatHangsIsLeftBeforeItsRequestsFail)
+{
+    for (int index = 0; index < 3; ++index)
+        table_.begin(at(0s), BackendServerId("a"), ask());
+    for (int index = 0; index < 6; ++index)
+        table_.begin(at(0s), BackendServerId("b"), ask());
+    EXPECT_EQ(serverOf(table_.place(at(100ms), ask())), "a");
+    for (int index = 0; index < 6; ++index)
+        table_.onFirstPart(at(300ms), PlacementId(4U + static_cast<unsigned>(index)));
+    auto later = ask();
+    later.mayLeaveRegion = false;
+    later.target = at(3s);
+    for (int index = 0; index < 8; ++index) {
+        EXPECT_EQ(serverOf(table_.place(at(900ms), later)), "b");
+        table_.begin(at(900ms), BackendServerId("b"), later);
+    }
+}
+
 TEST_F(PlacementTableTest, OneLostAnswerIsNoReasonToLeaveAServer)
 {
     const auto id = table_.begin(at(0s), BackendServerId("a"), ask());
