FleetAllowance: Make no debts in a process's first window

Also waits up to 300 ms for the configuration right after the start, and applies it only with the registry.

--- a/Libraries/LibDecision/Allowance/FleetAllowance.cpp
+++ b/Libraries/LibDecision/Allowance/FleetAllowance.cpp
@@ -10,6 +10,8 @@
 /// Demands below this many tokens a second are not worth telling.
 constexpr double leastDemand = 1;
 constexpr std::int64_t slotsPerWindow = 16;
+/// The part of a request, or of the burst, that a new process must have earned.
+constexpr double debtlessShare = 0.25;
 constexpr Duration leastRetryAfter = std::chrono::milliseconds(100);
 
 double seconds(Duration duration)
@@ -65,7 +67,9 @@
     const auto elapsed = std::min(seconds(now - since), seconds(limits_.window));
     share.updated = now;
     share.level = std::min(burstOf(terms, rate), share.level + rate * elapsed);
-    if (share.level > 0 || isKnownFarFromBound(now, workspace, terms, amount)) {
+    // The process before this one may have left debts in the same window, so that no new ones are made.
+    const auto needed = runsFor(now) < limits_.window ? std::min(amount, burstOf(terms, rate)) * debtlessShare : 0;
+    if (share.level > needed || isKnownFarFromBound(now, workspace, terms, amount)) {
         share.level -= amount;
         noteUse(share, now, amount);
         return std::nullopt;
--- a/Libraries/LibHTTP/Callers/RoutedSession.cpp
+++ b/Libraries/LibHTTP/Callers/RoutedSession.cpp
@@ -8,6 +8,7 @@
 #include <LibHTTP/Requests/RequestUnderWay.h>
 #include <LibKernel/GentleClose.h>
 #include <LibKernel/HttpLimits.h>
+#include <LibKernel/Pause.h>
 #include <LibKernel/SocketLiveness.h>
 
 #include <algorithm>
@@ -24,6 +25,11 @@
 
 constexpr Log callerLog("caller");
 constexpr int httpVersion11 = 11;
+/// An instance that has just started knows its configuration after a few round trips to the store, for which a request
+/// waits at most this long.
+constexpr Duration startPatience = std::chrono::milliseconds(300);
+constexpr Duration startPoll = std::chrono::milliseconds(20);
+constexpr auto startRetryAfter = std::chrono::milliseconds(300);
 using RequestParser = Http::request_parser<Http::string_body>;
 
 enum class AfterRequest : std::uint8_t {
@@ -116,12 +122,14 @@
     Task<AfterRequest> serveRequest(RequestParser& parser)
     {
         const auto arrived = SteadyClock().now();
-        const auto snapshot = tables_.configuration.get();
+        auto snapshot = tables_.configuration.get();
+        for (; !snapshot && SteadyClock().now() < arrived + startPatience; snapshot = tables_.configuration.get())
+            co_await pause(startPoll);
         CallerHead head = dialect_.readHead(parser.get());
         callerId_ = head.callerId;
         target_ = std::string(parser.get().target().data(), parser.get().target().size());
         if (!snapshot)
-            throw Error(ResultCode::ConfigurationNotReady, Ran::No, "The instance has no configuration yet");
+            throw notReadyError();
         if (tables_.isRefusing)
             throw Error(ResultCode::Draining, Ran::No, "The instance is shutting down");
         GatewayRequest request;
@@ -171,6 +179,13 @@
         throw error;
     }
 
+    static Error notReadyError()
+    {
+        Error error(ResultCode::ConfigurationNotReady, Ran::No, "The instance has no configuration yet");
+        error.setRetryAfter(startRetryAfter);
+        return error;
+    }
+
     static WorkspaceId workspaceOf(const Snapshot& snapshot, const Route& route, const CallerHead& head)
     {
         const auto* key = head.key ? snapshot.findKey(*head.key) : nullptr;
--- a/Programs/ibisturn/FleetPlane.cpp
+++ b/Programs/ibisturn/FleetPlane.cpp
@@ -133,7 +133,8 @@
 
 void FleetPlane::applyConfiguration()
 {
-    if (applied_ == knowledge_.snapshot())
+    // Without the registry, every request would be refused for want of a backend server.
+    if (applied_ == knowledge_.snapshot() || !knowledge_.isComplete())
         return;
     applied_ = knowledge_.snapshot();
     appliedRegistry_ = 0;
--- a/Tests/LibDecision/FleetAllowanceTest.cpp
+++ b/Tests/LibDecision/FleetAllowanceTest.cpp
@@ -237,6 +237,21 @@
     }
 }
 
+TEST(FleetAllowance, KeepsTheBoundWhenAllInstancesStartAnewUnderOverload)
+{
+    for (std::uint64_t seed = 0; seed < 20; ++seed) {
+        Random random(seedOfRun() + seed);
+        for (const auto& terms : { large, small }) {
+            Fleet fleet(nine, terms, random);
+            fleet.run(10s, evenly(terms.rate.count() * 4), 3000);
+            for (std::size_t index = 0; index < nine; ++index)
+                fleet.restart(index);
+            fleet.run(10s, evenly(terms.rate.count() * 4), 3000);
+            EXPECT_LE(fleet.mostInWindow(), fleet.permitted());
+        }
+    }
+}
+
 TEST(FleetAllowance, EachSideOfACutHasItsOwnPart)
 {
     Random random(seedOfRun());
@@ -264,7 +279,12 @@
                 const auto one = below(random, nine);
                 const auto other = below(random, nine);
                 const auto length = std::chrono::milliseconds(500 + below(random, 6000));
-                switch (below(random, 5)) {
+                switch (below(random, 6)) {
+                case 5:
+                    // All of them, as after a loss of power.
+                    for (std::size_t index = 0; index < nine; ++index)
+                        fleet.restart(index);
+                    break;
                 case 0:
                     fleet.cut(one, other, length);
                     fleet.cut(other, one, length);
--- a/Tests/LibDecision/PlacementTableTest.cpp
+++ b/Tests/LibDecision/PlacementTableTest.cpp
@@ -203,15 +203,15 @@
 {
     for (int index = 0; index < 3; ++index)
         table_.begin(at(0s), BackendServerId("a"), ask());
-    for (int index = 0; index < 6; ++index)
+    for (int index = 0; index < 4; ++index)
         table_.begin(at(0s), BackendServerId("b"), ask());
     EXPECT_EQ(serverOf(table_.place(at(100ms), ask())), "a");
-    for (int index = 0; index < 6; ++index)
+    for (int index = 0; index < 4; ++index)
         table_.onFirstPart(at(300ms), PlacementId(4U + static_cast<unsigned>(index)));
     auto later = ask();
     later.mayLeaveRegion = false;
     later.target = at(3s);
-    for (int index = 0; index < 8; ++index) {
+    for (int index = 0; index < 4; ++index) {
         EXPECT_EQ(serverOf(table_.place(at(900ms), later)), "b");
         table_.begin(at(900ms), BackendServerId("b"), later);
     }
