Placement: Finish what was accepted, past its target too

Ruled out: the budget of retries (the attempt went on). Test: PlacementTableTest.ARequestThatWasPlacedIsBoundByItsDeadlineAlone failed before.

--- a/Libraries/LibDecision/Placement/PlacementAsk.h
+++ b/Libraries/LibDecision/Placement/PlacementAsk.h
@@ -27,6 +27,8 @@
     TokenCount mostAnswerTokens;
     /// The first part of the answer should come by then.
     TimePoint target;
+    /// Whether the request was placed before: what was accepted, or a stream that began, is finished also past its target.
+    bool wasPlaced { false };
     /// The caller is gone after it.
     TimePoint deadline;
     /// Spreads requests that are otherwise alike.
--- a/Libraries/LibDecision/Placement/PlacementTable.cpp
+++ b/Libraries/LibDecision/Placement/PlacementTable.cpp
@@ -133,9 +133,10 @@
     const bool isHere = here && (!elsewhere || here->cost <= elsewhere->cost + limits_.regionMargin);
     const auto& best = isHere ? *here : *elsewhere;
     const auto timeToTarget = ask.target - now;
-    const auto longest = timeToTarget + milliseconds(inMilliseconds(timeToTarget) * limits_.lateness);
     const auto timeLeft = ask.deadline - now;
-    if (best.wait > std::min(std::max(longest, Duration::zero()), timeLeft) && best.wait > limits_.firstToken * 3)
+    const auto late = timeToTarget + milliseconds(inMilliseconds(timeToTarget) * limits_.lateness);
+    const auto longest = ask.wasPlaced ? timeLeft : std::min(std::max(late, Duration::zero()), timeLeft);
+    if (best.wait > longest && best.wait > limits_.firstToken * 3)
         return refuse(ask, ResultCode::DeadlineUnreachable, best.wait - timeToTarget, best.wait);
     if (isHere) {
         if (best.server->coldRate > 0 && now < best.server->state.coldUntil)
--- a/Libraries/LibHTTP/Requests/RequestRunner.cpp
+++ b/Libraries/LibHTTP/Requests/RequestRunner.cpp
@@ -409,6 +409,7 @@
     PlacementAsk ask = askOf(request, *snapshot);
     ask.mayLeaveRegion = hops == HopsLeft::One;
     ask.failedServers = life.failedBackendServers();
+    ask.wasPlaced = life.attempts() > 0 || request.resumeAfter.has_value();
     ask.mayRepeat = life.failure() == ResultCode::BackendFailed;
     const auto membership = usableMembership(*snapshot, request.routed->route, life);
     for (;;) {
--- a/Tests/LibDecision/PlacementTableTest.cpp
+++ b/Tests/LibDecision/PlacementTableTest.cpp
@@ -125,6 +125,21 @@
     EXPECT_FALSE(serverOf(table_.place(at(0s), urgent)).empty());
 }
 
+// A stream that was cut goes on although the time for its first part is over.
+TEST_F(PlacementTableTest, ARequestThatWasPlacedIsBoundByItsDeadlineAlone)
+{
+    for (const auto* id : { "a", "b" })
+        table_.onPeerLoad(at(0s), InstanceId(id), { { BackendServerId(id), 5, TokenCount(20'000), TokenCount(20'000), TokenCount(0) } });
+    auto request = ask();
+    request.mayLeaveRegion = false;
+    request.target = at(-1s);
+    EXPECT_TRUE(std::holds_alternative<PlaceNowhere>(table_.place(at(0s), request)));
+    request.wasPlaced = true;
+    EXPECT_FALSE(serverOf(table_.place(at(0s), request)).empty());
+    request.deadline = at(10ms);
+    EXPECT_TRUE(std::holds_alternative<PlaceNowhere>(table_.place(at(0s), request)));
+}
+
 TEST_F(PlacementTableTest, ARefusalSaysWhenToComeBack)
 {
     for (const auto* id : { "a", "b" })
