--- a/Programs/ibisturn/Main.cpp
+++ b/Programs/ibisturn/Main.cpp
@@ -1,4 +1,5 @@
 #include "ControlCommand.h"
+#include "ExplainCommand.h"
 #include "FleetInstance.h"
 #include "Instance.h"
 
@@ -63,6 +64,8 @@
 struct CommandLine {
     CLI::App app { "ibisturn: a multi-region inference gateway" };
     std::string settingsFile;
+    std::string request;
+    std::vector<std::string> logFiles;
     ControlOptions control;
     ControlArguments arguments;
     bool json { false };
@@ -84,6 +87,10 @@
         auto* checkCommand = app.add_subcommand("check", "Check a settings file and open nothing");
         checkCommand->add_option("file", settingsFile, "Settings file (YAML)")->required();
         checkCommand->callback([this] { action = [this] { return check(settingsFile); }; });
+        auto* explainCommand = app.add_subcommand("explain", "Print the decisions on one request from instances' logs");
+        explainCommand->add_option("request", request, "The request's id")->required();
+        explainCommand->add_option("files", logFiles, "Log files of instances")->required();
+        explainCommand->callback([this] { action = [this] { return explainRequest(request, logFiles, std::cout, std::cerr); }; });
         auto* digestCommand = app.add_subcommand("digest", "Print the digest of a key read from standard input");
         digestCommand->callback([this] { action = printDigest; });
     }
--- a/Tests/Process/FleetTest.sh
+++ b/Tests/Process/FleetTest.sh
@@ -187,6 +187,9 @@
 wait "$drained"
 grep -q '^200$' "$WORK/drained" || fail "a drained instance cut a request: $(cat "$WORK/drained")"
 
+"$BIN/ibisturn" explain seat-1 "$WORK/khomas.log" "$WORK/omaheke.log" | grep -q 'Attempt failed.*next=retry' || fail "seat-1 is not explained"
+"$BIN/ibisturn" explain nobody "$WORK/khomas.log" 2>"$WORK/explain" && fail "a request that nobody sent is explained"
+grep -q 'no line names request "nobody"' "$WORK/explain" || fail "an unknown request is not named"
 curl -sS "http://$khomas_metrics/metrics" | grep -q '^ibisturn_requests_total' || fail "no metrics"
 if grep -qE 'guide-key|new-key|small-key' "$WORK"/khomas.log "$WORK"/omaheke.log; then
     fail "a key stands in a log"
