--- a/Libraries/LibHTTP/Requests/RequestRunner.cpp
+++ b/Libraries/LibHTTP/Requests/RequestRunner.cpp
@@ -428,11 +428,12 @@
             journal.noteRefusal(now, nowhere->code, nowhere->expected, nowhere->retryAfter);
             return RefuseRequest { nowhere->code, nowhere->retryAfter };
         }
-        const auto& [region, expected] = std::get<PlaceInRegion>(decision);
+        const auto& chosen = std::get<PlaceInRegion>(decision);
+        const auto& region = chosen.region;
         if (const auto* member = findEntry(*membership, region, ask.spread)) {
             tables_.placement.with([&](PlacementTable& table) { table.noteSent(region, ask); });
             const ForwardTo place { member->id };
-            journal.notePlace(now, place, expected, life.attempts() + 1);
+            journal.notePlace(now, place, chosen.expected, life.attempts() + 1);
             return place;
         }
         failedRegions.insert(region);
--- a/Libraries/LibPeer/ControlMessages.cpp
+++ b/Libraries/LibPeer/ControlMessages.cpp
@@ -38,6 +38,7 @@
 std::vector<RecordChangeMessage> encode(const std::vector<RecordChange>& changes)
 {
     std::vector<RecordChangeMessage> messages;
+    messages.reserve(changes.size());
     for (const auto& change : changes)
         messages.push_back({ change.key, !change.value, change.value.value_or(""), change.revision.count() });
     return messages;
@@ -46,6 +47,7 @@
 std::vector<RecordChange> decode(const std::vector<RecordChangeMessage>& messages)
 {
     std::vector<RecordChange> changes;
+    changes.reserve(messages.size());
     for (const auto& message : messages) {
         auto value = message.isDeleted ? std::nullopt : std::optional<std::string>(message.value);
         changes.push_back({ message.key, std::move(value), Revision(message.revision) });
--- a/Tests/LibDecision/FleetRequestsTest.cpp
+++ b/Tests/LibDecision/FleetRequestsTest.cpp
@@ -40,6 +40,7 @@
 std::vector<std::string> namesOf(const std::vector<Member>& members)
 {
     std::vector<std::string> names;
+    names.reserve(members.size());
     for (const auto& entry : members)
         names.push_back(entry.id.value());
     return names;
