LibPeer, LibKernel, Placement: Say each thing once and look each thing up once

Cause, from reading the change: listenOn() stood in both wirings and helloOf() in three files beside a fourth spelled out; a session's home was hashed over all backend servers twice for each candidate; each request searched all routes by id up to four times; a placed request kept a start time that nobody read. Behaviour is the same, no test changed.

--- a/Libraries/LibConfiguration/Snapshot.cpp
+++ b/Libraries/LibConfiguration/Snapshot.cpp
@@ -51,6 +51,7 @@
     };
     std::sort(routes_.begin(), routes_.end(), isLonger);
     for (std::size_t index = 0; index < routes_.size(); ++index) {
+        routesById_.emplace(routes_[index].id, index);
         if (routes_[index].terms)
             routesAt_.emplace(addressOf(routes_[index].terms->host, routes_[index].pathPrefix), index);
     }
@@ -75,8 +76,8 @@
 
 const Route* Snapshot::findRoute(const RouteId& id) const
 {
-    const auto found = std::find_if(routes_.begin(), routes_.end(), [&id](const Route& route) { return route.id == id; });
-    return found == routes_.end() ? nullptr : &*found;
+    const auto* index = findIn(routesById_, id);
+    return index ? &routes_[*index] : nullptr;
 }
 
 const BackendServer* Snapshot::findBackendServer(const BackendServerId& id) const
--- a/Libraries/LibConfiguration/Snapshot.h
+++ b/Libraries/LibConfiguration/Snapshot.h
@@ -67,6 +67,8 @@
     std::unordered_map<KeyDigest, Key> keys_;
     std::unordered_map<ResidencyRuleId, ResidencyRule> residencyRules_;
     std::vector<Route> routes_;
+    /// Indexes into routes_.
+    std::unordered_map<RouteId, std::size_t> routesById_;
     /// Indexes into routes_ by host and prefix.
     std::unordered_map<std::string, std::size_t> routesAt_;
     std::unordered_map<ServiceId, Service> services_;
--- a/Libraries/LibDecision/Placement/PlacementTable.cpp
+++ b/Libraries/LibDecision/Placement/PlacementTable.cpp
@@ -121,13 +121,14 @@
 
 PlacementDecision PlacementTable::place(TimePoint now, const PlacementAsk& ask)
 {
-    auto here = bestHere(now, ask);
+    const auto* home = sessionHome(ask);
+    auto here = bestHere(now, ask, home);
     if (!here && ask.mayRepeat) {
         auto repeated = ask;
         repeated.failedServers.clear();
-        here = bestHere(now, repeated);
+        here = bestHere(now, repeated, home);
     }
-    const auto elsewhere = ask.mayLeaveRegion ? bestElsewhere(now, ask) : std::nullopt;
+    const auto elsewhere = ask.mayLeaveRegion ? bestElsewhere(now, ask, home) : std::nullopt;
     if (!here && !elsewhere)
         return refuse(ask, ResultCode::NoBackendServer, Duration::zero());
     const bool isHere = here && (!elsewhere || here->cost <= elsewhere->cost + limits_.regionMargin);
@@ -153,7 +154,8 @@
     if (found == servers_.end())
         return placement;
     auto& server = found->second;
-    Placed placed { id, server.state.server.started, {}, false, now, waitOn(now, server, ask), toRead(server, ask) };
+    const auto tokens = toRead(server, ask, sessionHome(ask));
+    Placed placed { id, {}, false, now, waitOn(now, server, ask, tokens), tokens };
     placed.load = { ask.priority <= urgentPriority ? placed.toRead : TokenCount(0), placed.toRead, ask.promptTokens + ask.mostAnswerTokens, 1 };
     add(server.own, placed.load);
     server.cache.note(ask.prompt);
@@ -257,7 +259,7 @@
                 const auto& server = servers_.at(id);
                 if (now < server.pausedUntil || now < server.state.coldUntil)
                     continue;
-                const auto wait = waitOn(now, server, ask);
+                const auto wait = waitOn(now, server, ask, TokenCount(0));
                 least = least ? std::min(*least, wait) : wait;
             }
             if (!least)
@@ -328,9 +330,8 @@
     return std::max(TokenCount(0), ask.promptTokens - kept);
 }
 
-TokenCount PlacementTable::toRead(const Server& server, const PlacementAsk& ask) const
+TokenCount PlacementTable::toRead(const Server& server, const PlacementAsk& ask, const Place* home) const
 {
-    const auto* home = sessionHome(ask);
     return toRead(server.cache, home && home->server == server.state.server.id, ask);
 }
 
@@ -378,7 +379,7 @@
     return count > 1 ? worst : Duration::zero();
 }
 
-Duration PlacementTable::waitOn(TimePoint now, const Server& server, const PlacementAsk& ask) const
+Duration PlacementTable::waitOn(TimePoint now, const Server& server, const PlacementAsk& ask, TokenCount toRead) const
 {
     const auto total = totalOn(now, server);
     if (!server.engine) {
@@ -387,7 +388,7 @@
         return overdue + milliseconds(inMilliseconds(plainWork) * server.slowness * (1 + static_cast<double>(total.requests) / slots));
     }
     const auto ahead = ask.priority <= urgentPriority ? total.urgent : total.all;
-    const auto tokens = static_cast<double>((ahead + toRead(server, ask)).count());
+    const auto tokens = static_cast<double>((ahead + toRead).count());
     auto wait = milliseconds((inMilliseconds(limits_.firstToken) + tokens * millisecondsPerToken_) * server.slowness);
     wait += overdueOn(now, server.state.server.id);
     const auto held = (total.held + ask.promptTokens + ask.mostAnswerTokens).count();
@@ -396,7 +397,7 @@
     return wait;
 }
 
-std::optional<PlacementTable::Candidate> PlacementTable::bestHere(TimePoint now, const PlacementAsk& ask)
+std::optional<PlacementTable::Candidate> PlacementTable::bestHere(TimePoint now, const PlacementAsk& ask, const Place* home)
 {
     const auto ids = byService_.find(ask.service);
     if (ids == byService_.end() || !mayRunIn(ask, here_))
@@ -406,18 +407,18 @@
         auto& server = servers_.at(id);
         if (!mayUse(now, server, ask))
             continue;
-        const auto wait = waitOn(now, server, ask);
-        const auto cost = costOf(wait, toRead(server, ask), millisecondsPerToken_);
+        const auto tokens = toRead(server, ask, home);
+        const auto wait = waitOn(now, server, ask, tokens);
+        const auto cost = costOf(wait, tokens, millisecondsPerToken_);
         if (!best || cost < best->cost)
             best = Candidate { &server, nullptr, wait, cost };
     }
     return best;
 }
 
-std::optional<PlacementTable::Candidate> PlacementTable::bestElsewhere(TimePoint now, const PlacementAsk& ask)
+std::optional<PlacementTable::Candidate> PlacementTable::bestElsewhere(TimePoint now, const PlacementAsk& ask, const Place* home)
 {
     std::optional<Candidate> best;
-    const auto* home = sessionHome(ask);
     for (const auto& [id, region] : regions_) {
         const auto servers = region.servers.find(ask.service);
         if (id == here_ || servers == region.servers.end() || servers->second == 0 || !mayRunIn(ask, id) || ask.failedRegions.contains(id))
--- a/Libraries/LibDecision/Placement/PlacementTable.h
+++ b/Libraries/LibDecision/Placement/PlacementTable.h
@@ -195,7 +195,6 @@
 
     struct Placed {
         BackendServerId server;
-        StartTime started;
         Backlog load;
         bool hasStarted { false };
         TimePoint sentAt;
@@ -233,13 +232,13 @@
     bool isColdOwner(const Server& server) const;
     Backlog totalOn(TimePoint now, const Server& server) const;
     Duration overdueOn(TimePoint now, const BackendServerId& id) const;
-    Duration waitOn(TimePoint now, const Server& server, const PlacementAsk& ask) const;
+    Duration waitOn(TimePoint now, const Server& server, const PlacementAsk& ask, TokenCount toRead) const;
     TokenCount toRead(const PromptCacheGuess& cache, bool isHome, const PlacementAsk& ask) const;
-    TokenCount toRead(const Server& server, const PlacementAsk& ask) const;
+    TokenCount toRead(const Server& server, const PlacementAsk& ask, const Place* home) const;
     const Place* sessionHome(const PlacementAsk& ask) const;
     Duration costOf(Duration wait, TokenCount toRead, double millisecondsPerToken) const;
-    std::optional<Candidate> bestHere(TimePoint now, const PlacementAsk& ask);
-    std::optional<Candidate> bestElsewhere(TimePoint now, const PlacementAsk& ask);
+    std::optional<Candidate> bestHere(TimePoint now, const PlacementAsk& ask, const Place* home);
+    std::optional<Candidate> bestElsewhere(TimePoint now, const PlacementAsk& ask, const Place* home);
     PlaceNowhere refuse(const PlacementAsk& ask, ResultCode code, Duration wait, std::optional<Duration> expected = std::nullopt) const;
 
     RegionId here_;
--- a/Libraries/LibHTTP/Callers/RoutedSession.cpp
+++ b/Libraries/LibHTTP/Callers/RoutedSession.cpp
@@ -133,7 +133,7 @@
         if (tables_.isRefusing)
             throw Error(ResultCode::Draining, Ran::No, "The instance is shutting down");
         GatewayRequest request;
-        request.target = std::string(parser.get().target().data(), parser.get().target().size());
+        request.target = target_;
         request.method = std::string(parser.get().method_string().data(), parser.get().method_string().size());
         const auto* route = snapshot->findRouteAt(head.host, request.path());
         if (!route)
--- a/Libraries/LibHTTP/Peers/PeerServer.cpp
+++ b/Libraries/LibHTTP/Peers/PeerServer.cpp
@@ -3,6 +3,7 @@
 #include <LibCore/SteadyClock.h>
 #include <LibHTTP/Callers/SocketWatch.h>
 #include <LibHTTP/Requests/RequestUnderWay.h>
+#include <LibPeer/Hello.h>
 
 #include <algorithm>
 #include <optional>
@@ -110,8 +111,7 @@
 
 Task<void> serveFrames(PeerConnection& connection, InstanceTables& tables, RequestRunner& runner, ControlReceiver& control)
 {
-    const auto& identity = tables.settings.identity;
-    HelloMessage hello { identity.instance.value(), identity.region.value(), identity.dataCentre.value(), 0 };
+    HelloMessage hello = helloOf(tables.settings.identity);
     const HelloMessage other = co_await connection.handshake(std::move(hello), tables.settings.connectTimeout);
     for (;;) {
         Frame frame = co_await connection.read(tables.settings.idleTimeout);
--- a/Libraries/LibHTTP/Requests/RequestRunner.cpp
+++ b/Libraries/LibHTTP/Requests/RequestRunner.cpp
@@ -9,6 +9,7 @@
 #include <LibHTTP/Operators/HopSpan.h>
 #include <LibHTTP/Peers/ForwardedRequest.h>
 #include <LibHTTP/Requests/DeadlineTimer.h>
+#include <LibPeer/Hello.h>
 
 #include <algorithm>
 #include <utility>
@@ -43,11 +44,6 @@
     return TokenCount(static_cast<std::int64_t>(request.body.size() / bytesPerToken) + assumedAnswerTokens);
 }
 
-HelloMessage helloOf(const InstanceIdentity& identity)
-{
-    return { identity.instance.value(), identity.region.value(), identity.dataCentre.value(), 0 };
-}
-
 MembershipPointer withResumingServersOnly(const MembershipView& view, const Snapshot& snapshot, const RouteId& route)
 {
     auto resuming = std::make_shared<MembershipView>(view);
--- /dev/null
+++ b/Libraries/LibPeer/Hello.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <LibConfiguration/Settings.h>
+#include <LibPeer/Frame.h>
+
+namespace Ibisturn {
+
+/// What the instance `identity` says of itself in a handshake. Thread safety: any thread.
+inline HelloMessage helloOf(const InstanceIdentity& identity)
+{
+    return { identity.instance.value(), identity.region.value(), identity.dataCentre.value(), 0 };
+}
+
+} // namespace Ibisturn
--- a/Programs/ibisturn/ControlPlane.cpp
+++ b/Programs/ibisturn/ControlPlane.cpp
@@ -1,6 +1,7 @@
 #include "ControlPlane.h"
 
 #include <LibCore/SteadyClock.h>
+#include <LibPeer/Hello.h>
 
 #include <utility>
 
@@ -10,11 +11,6 @@
 
 constexpr Duration writeTimeout = std::chrono::seconds(2);
 
-HelloMessage helloOf(const InstanceIdentity& identity)
-{
-    return { identity.instance.value(), identity.region.value(), identity.dataCentre.value(), 0 };
-}
-
 } // namespace
 
 ControlPlane::ControlPlane(Asio::io_context& context, InstanceTables& tables, StoreClient& store)
--- a/Programs/ibisturn/FleetInstance.cpp
+++ b/Programs/ibisturn/FleetInstance.cpp
@@ -5,6 +5,7 @@
 #include <LibHTTP/Callers/RoutedSession.h>
 #include <LibHTTP/Operators/EntrySession.h>
 #include <LibHTTP/Peers/PeerServer.h>
+#include <LibKernel/Listen.h>
 #include <LibKernel/Pause.h>
 
 #include <csignal>
@@ -30,11 +31,6 @@
 constexpr Duration closingReserve = std::chrono::milliseconds(900);
 constexpr Duration closingGrace = std::chrono::milliseconds(300);
 
-Asio::ip::tcp::acceptor listenOn(Asio::io_context& context, const Endpoint& endpoint)
-{
-    return { context, Asio::ip::tcp::endpoint(Asio::ip::make_address(endpoint.address), endpoint.port) };
-}
-
 std::string readFile(const std::string& path)
 {
     const std::ifstream file(path);
--- a/Programs/ibisturn/FleetPlane.cpp
+++ b/Programs/ibisturn/FleetPlane.cpp
@@ -3,6 +3,7 @@
 #include <LibCore/RandomIdentity.h>
 #include <LibCore/SteadyClock.h>
 #include <LibDecision/Membership/EntryDirectory.h>
+#include <LibPeer/Hello.h>
 
 #include <algorithm>
 #include <utility>
@@ -22,11 +23,6 @@
 /// How often a peer is asked for what the store does not tell.
 constexpr Duration wishPeriod = std::chrono::milliseconds(500);
 
-HelloMessage helloOf(const InstanceIdentity& identity)
-{
-    return { identity.instance.value(), identity.region.value(), identity.dataCentre.value(), 0 };
-}
-
 RegistryLimits registryLimits(const FleetSettings& fleet)
 {
     // What a change needs to arrive, and a request to be sent, comes off the time that a leaving backend server serves on.
--- a/Programs/ibisturn/Instance.cpp
+++ b/Programs/ibisturn/Instance.cpp
@@ -1,6 +1,7 @@
 #include "Instance.h"
 
 #include <LibHTTP/Peers/PeerServer.h>
+#include <LibKernel/Listen.h>
 #include <LibKernel/Pause.h>
 #include <LibPlatform/EngineLoadClient.h>
 #include <LibPlatform/LiveListClient.h>
@@ -22,11 +23,6 @@
 constexpr Duration drainPoll = std::chrono::milliseconds(20);
 constexpr Duration claimDrain = std::chrono::seconds(3);
 
-Asio::ip::tcp::acceptor listenOn(Asio::io_context& context, const Endpoint& endpoint)
-{
-    return { context, Asio::ip::tcp::endpoint(Asio::ip::make_address(endpoint.address), endpoint.port) };
-}
-
 std::string listeningOn(const Asio::ip::tcp::acceptor& acceptor)
 {
     const auto local = acceptor.local_endpoint();
