Tests, Benchmarks: Model engines, instances and callers on virtual time

Change: Tests/Model gains a queue of virtual events, an engine (reading one prompt at a time by priority, answers side by side, memory shared with kept prompt parts) and a world of regions, instances and callers that leave and come back; each instance decides with the product's PlacementTable and RequestLife. The schedules check at most one run, true refusals, the cold rate and departed servers. `ibisturn-bench load` plays one seeded load against today's table, the least loaded server and a random one, and writes its windows as a table.

--- /dev/null
+++ b/Benchmarks/LoadBenchmark.cpp
@@ -0,0 +1,101 @@
+#include "Benchmark.h"
+
+#include "../Tests/Model/ServingWorld.h"
+
+#include <cstdio>
+#include <fstream>
+
+#include <fmt/format.h>
+#include <fmt/ostream.h>
+
+namespace Ibisturn::Benchmarks {
+
+namespace {
+
+using namespace std::chrono_literals;
+using Model::KindOutcome;
+using Model::PlacementPolicy;
+using Model::RequestKind;
+using Model::ServingOptions;
+using Model::ServingOutcome;
+using Model::ServingWorld;
+
+struct Policy {
+    const char* name;
+    PlacementPolicy policy;
+};
+
+constexpr Policy policies[] = { { "table", PlacementPolicy::Table }, { "least-load", PlacementPolicy::LeastLoad }, { "random", PlacementPolicy::Random } };
+
+/// Where the windows of each policy are written, for Meta/plot-load.sh.
+constexpr auto dataFile = "load.tsv";
+
+/// Short urgent replies, and long narratives in sessions that share most of their prompts; the peak moves through the regions.
+ServingOptions heavyDay()
+{
+    ServingOptions options;
+    RequestKind replies { "replies" };
+    replies.perSecond = 60;
+    RequestKind narratives { "narratives" };
+    narratives.perSecond = 14;
+    narratives.priority = 1;
+    narratives.meanPromptTokens = 1500;
+    narratives.meanAnswerTokens = 380;
+    narratives.target = 1000ms;
+    narratives.patience = 12s;
+    narratives.sharedTokens = 500;
+    narratives.sharedParts = 3;
+    narratives.sessionTokens = 4900;
+    narratives.sessions = 180;
+    options.kinds = { replies, narratives };
+    options.peak = 3;
+    options.length = 40s;
+    return options;
+}
+
+double share(std::uint32_t part, std::uint32_t whole)
+{
+    return whole == 0 ? 0 : static_cast<double>(part) / whole;
+}
+
+void printOutcome(const char* policy, const std::string& group, const KindOutcome& outcome)
+{
+    fmt::print("load policy={} of={} asked={} on_time={:.4f} late={:.4f} refused={:.4f} failed={:.4f}\n", policy, group, outcome.asked,
+        share(outcome.onTime, outcome.asked), share(outcome.late, outcome.asked), share(outcome.refused, outcome.asked), share(outcome.failed, outcome.asked));
+}
+
+void runLoad(std::uint64_t seed)
+{
+    auto options = heavyDay();
+    std::ofstream data(dataFile);
+    data << "policy\tsecond\tasked\ton_time\tlate\trefused\tfailed\n";
+    double leastLoadOnTime = 0;
+    double tableOnTime = 0;
+    for (const auto& [name, policy] : policies) {
+        options.policy = policy;
+        const auto outcome = ServingWorld(options, seed).run();
+        KindOutcome all;
+        for (std::size_t kind = 0; kind < options.kinds.size(); ++kind) {
+            printOutcome(name, options.kinds[kind].name, outcome.kinds[kind]);
+            all.asked += outcome.kinds[kind].asked;
+            all.onTime += outcome.kinds[kind].onTime;
+        }
+        for (std::size_t region = 0; region < options.regions; ++region)
+            printOutcome(name, fmt::format("region-{}", region), outcome.regions[region]);
+        fmt::print("load policy={} tokens_read={} shared_read_again={} sent_abroad={} attempts={}\n", name, outcome.tokensRead, outcome.sharedTokensRead, outcome.sentAbroad, outcome.attempts);
+        for (std::size_t index = 0; index < outcome.windows.size(); ++index) {
+            const auto& window = outcome.windows[index];
+            fmt::print(data, "{}\t{}\t{}\t{}\t{}\t{}\t{}\n", name, 2 * index, window.asked, window.onTime, window.late, window.refused, window.failed);
+        }
+        (policy == PlacementPolicy::Table ? tableOnTime : leastLoadOnTime) = share(all.onTime, all.asked);
+        if (policy == PlacementPolicy::LeastLoad)
+            print({ "load", "on_time_share", tableOnTime, leastLoadOnTime, seed });
+    }
+    fmt::print("load data={}\n", dataFile);
+}
+
+const BenchmarkRegistration registration("load", runLoad);
+
+} // namespace
+
+} // namespace Ibisturn::Benchmarks
