FleetPlane: Keep instances that are heard; tell all that ask; pace the news

Change: an instance stays listed while it is heard itself; questions of others are answered too; "Changes told by a peer" is logged. The period of news grows with the number of others, up to 400 ms in the region and 450 ms abroad, below what the allowance takes for silence; up to 9 and 17 instances nothing changes.

--- a/Libraries/LibPlatform/FleetKnowledge.cpp
+++ b/Libraries/LibPlatform/FleetKnowledge.cpp
@@ -18,6 +18,9 @@
 /// A store that is silent for less is not worth asking peers instead.
 constexpr Duration patienceWithStore = std::chrono::milliseconds(500);
 
+/// Several times the longest period of news.
+constexpr Duration heardHold = std::chrono::milliseconds(2000);
+
 /// An instance removes its entry when it takes nothing more, so that it is gone at once.
 RemovalLimits memberLimits(RemovalLimits limits)
 {
@@ -100,7 +103,19 @@
 {
     registry_.advance(now);
     mirror_.forgetDeletions(mostDeletions);
-    std::erase_if(members_, [this, now](const auto& entry) { return entry.second.removedAt && !memberHold_.isHeld(*entry.second.removedAt, now); });
+    std::erase_if(members_, [this, now](const auto& entry) { return isGone(entry.second, now); });
+}
+
+bool FleetKnowledge::isGone(const KnownMember& known, TimePoint now) const
+{
+    return known.removedAt && !memberHold_.isHeld(*known.removedAt, now) && now - known.heardAt >= heardHold;
+}
+
+void FleetKnowledge::onHeard(TimePoint now, const InstanceId& instance)
+{
+    const auto found = members_.find(instancesPrefix_ + instance.value());
+    if (found != members_.end())
+        found->second.heardAt = now;
 }
 
 std::vector<Member> FleetKnowledge::members() const
--- a/Libraries/LibPlatform/FleetKnowledge.h
+++ b/Libraries/LibPlatform/FleetKnowledge.h
@@ -39,6 +39,9 @@
     /// Takes in what a peer answered to the question for the changes after positions().
     void onPeerChanges(TimePoint now, const std::vector<RecordChange>& changes, PeerView view);
 
+    /// An instance said itself that it takes requests: if its entry lapsed, the store turns it away.
+    void onHeard(TimePoint now, const InstanceId& instance);
+
     /// The store does not answer, or answers again for one prefix.
     void onStoreAway(TimePoint now);
     void onStoreBack(TimePoint now);
@@ -67,7 +70,7 @@
     /// The backend servers.
     const BackendRegistry& registry() const { return registry_; }
 
-    /// The instances that have entries, or had them a moment ago.
+    /// The instances that have entries, had them a moment ago, or had them and are still heard.
     std::vector<Member> members() const;
 
     /// The most instances that there ever were, as far as the store tells.
@@ -84,8 +87,10 @@
     struct KnownMember {
         Member member;
         std::optional<TimePoint> removedAt;
+        TimePoint heardAt {};
     };
 
+    bool isGone(const KnownMember& known, TimePoint now) const;
     void take(TimePoint now, const RecordChange& change);
     void notePosition(std::string_view key, Revision position);
     void takeOperators(TimePoint now, const RecordChange& change);
--- a/Programs/ibisturn/FleetPlane.cpp
+++ b/Programs/ibisturn/FleetPlane.cpp
@@ -17,9 +17,10 @@
 /// How often the size of the fleet is written at most.
 constexpr Duration sizeNotePeriod = std::chrono::seconds(2);
 constexpr Duration membershipPeriod = std::chrono::milliseconds(250);
-/// Loads of the same region go stale within a few requests; those of others are a round trip old in any case.
-constexpr Duration nearNewsPeriod = std::chrono::milliseconds(100);
-constexpr Duration farNewsPeriod = std::chrono::milliseconds(200);
+/// Loads of the same region go stale within a few requests; those of others are a round trip old in any case. Two periods
+/// and a round trip must stay below the silence after which an allowance is shared evenly.
+constexpr NewsPace nearPace { std::chrono::milliseconds(100), 8, std::chrono::milliseconds(400) };
+constexpr NewsPace farPace { std::chrono::milliseconds(200), 16, std::chrono::milliseconds(450) };
 
 RemovalLimits removalLimits(const FleetSettings& fleet)
 {
@@ -110,6 +111,8 @@
 {
     tracker_.onAnnouncement(from, news.incarnation, news.state);
     tracker_.onReach(now, from, Reach::Answered);
+    if (news.state == MemberState::Live)
+        knowledge_.onHeard(now, from);
     const auto membership = tables_.membership.get();
     const auto* member = membership ? membership->find(from) : nullptr;
     if (member && member->state != news.state && news.state == MemberState::Leaving)
@@ -119,11 +122,17 @@
         tables_.placement.with([&](PlacementTable& table) { table.onPeerLoad(now, from, news.loads); });
     else if (member)
         tables_.placement.with([&](PlacementTable& table) { table.onOutlook(now, member->region, news.outlooks); });
-    if (news.changesView)
+    if (news.changesView) {
+        if (!news.changes.empty())
+            planeLog.info("Changes told by a peer.", { { "peer", from }, { "changes", news.changes.size() }, { "newest", news.changes.back().revision }, { "settled", *news.changesView == PeerView::Settled } });
         knowledge_.onPeerChanges(now, news.changes, *news.changesView);
-    if (news.wishAfter.empty() || !member)
+    }
+    if (news.wishAfter.empty())
         return {};
-    FleetNews answer = newsFor(now, *member);
+    // An instance that was cut off for long may not be listed any more when it can ask again.
+    Member unlisted;
+    unlisted.id = from;
+    FleetNews answer = newsFor(now, member ? *member : unlisted);
     answer.wishAfter.clear();
     answer.changes = knowledge_.changesAfter(news.wishAfter);
     answer.changesView = knowledge_.view(now);
@@ -204,18 +213,19 @@
     const auto membership = tables_.membership.get();
     if (!membership)
         return;
-    const bool tellsNear = now >= nextNearNews_;
-    const bool tellsFar = now >= nextFarNews_;
-    if (tellsNear)
-        nextNearNews_ = now + nearNewsPeriod;
-    if (tellsFar)
-        nextFarNews_ = now + farNewsPeriod;
     const auto& here = tables_.settings.identity;
     std::vector<const Member*> others;
     for (const auto& member : membership->instances) {
         if (member.id != here.instance)
             others.push_back(&member);
     }
+    const auto near = static_cast<std::size_t>(std::count_if(others.begin(), others.end(), [&here](const Member* member) { return member->region == here.region; }));
+    const bool tellsNear = now >= nextNearNews_;
+    const bool tellsFar = now >= nextFarNews_;
+    if (tellsNear)
+        nextNearNews_ = now + newsPeriod(nearPace, near);
+    if (tellsFar)
+        nextFarNews_ = now + newsPeriod(farPace, others.size() - near);
     const auto asked = wishes_.next(now, knowledge_.isStoreAway(now), others);
     for (const auto* member : others) {
         const bool isAsked = std::find(asked.begin(), asked.end(), member->id) != asked.end();
--- a/Programs/ibisturn/FleetPlane.h
+++ b/Programs/ibisturn/FleetPlane.h
@@ -6,6 +6,7 @@
 #include <LibPeer/ControlLinks.h>
 #include <LibPlatform/FleetKnowledge.h>
 #include <LibPlatform/InstanceLease.h>
+#include <LibPlatform/NewsPace.h>
 #include <LibPlatform/PeerWishes.h>
 
 #include <memory>
--- a/Tests/LibPlatform/FleetKnowledgeTest.cpp
+++ b/Tests/LibPlatform/FleetKnowledgeTest.cpp
@@ -121,6 +121,19 @@
     EXPECT_TRUE(followed_.members().empty());
 }
 
+TEST_F(FleetKnowledgeTest, AnInstanceThatIsStillHeardStaysThoughItsEntryLapsed)
+{
+    list(followed_, 0s, 5, { written("own/instances/i1", entryOf("i1"), 3) });
+    followed_.onHeard(at(900ms), InstanceId("i1"));
+    followed_.onChanges(at(1s), { deleted("own/instances/i1", 6) });
+    followed_.onHeard(at(2s), InstanceId("i1"));
+    followed_.onHeard(at(2s), InstanceId("stranger"));
+    followed_.advance(at(3900ms));
+    EXPECT_EQ(followed_.members().size(), 1U);
+    followed_.advance(at(4s));
+    EXPECT_TRUE(followed_.members().empty());
+}
+
 TEST_F(FleetKnowledgeTest, KnowsTheLargestSizeOfTheFleet)
 {
     list(followed_, 0s, 5, { written("own/fleet-size", "9", 3) });
