FleetPlane, Tests: Follow the linter; name the newest change that a peer told

Cause: the linter found a move out of a constant, two unused declarations and two vectors that grow in loops; the field "newest" held the last change of the answer, which is ordered by prefix.

--- a/Benchmarks/LoadBenchmark.cpp
+++ b/Benchmarks/LoadBenchmark.cpp
@@ -17,7 +17,6 @@
 using Model::PlacementPolicy;
 using Model::RequestKind;
 using Model::ServingOptions;
-using Model::ServingOutcome;
 using Model::ServingWorld;
 
 struct Policy {
--- a/Programs/ibisturn/FleetPlane.cpp
+++ b/Programs/ibisturn/FleetPlane.cpp
@@ -42,13 +42,13 @@
     , links_(context, helloOf(tables.settings.identity), { tables.settings.connectTimeout, writeTimeout, tables.settings.idleTimeout }, *this)
     , incarnation_(drawIncarnation())
 {
-    for (auto& prefix : knowledge_.prefixes()) {
+    for (const auto& prefix : knowledge_.prefixes()) {
         EntryFollower::Callbacks callbacks;
         callbacks.onListing = [this](const EntryFollower::Listing& listing) { knowledge_.onListing(SteadyClock().now(), listing); };
         callbacks.onChanges = [this](const std::vector<RecordChange>& changes) { knowledge_.onChanges(SteadyClock().now(), changes); };
         callbacks.onAway = [this] { knowledge_.onStoreAway(SteadyClock().now()); };
         callbacks.onBack = [this] { knowledge_.onStoreBack(SteadyClock().now()); };
-        followers_.push_back(std::make_unique<EntryFollower>(store, std::move(prefix), std::move(callbacks)));
+        followers_.push_back(std::make_unique<EntryFollower>(store, prefix, std::move(callbacks)));
     }
 }
 
@@ -123,8 +123,10 @@
     else if (member)
         tables_.placement.with([&](PlacementTable& table) { table.onOutlook(now, member->region, news.outlooks); });
     if (news.changesView) {
-        if (!news.changes.empty())
-            planeLog.info("Changes told by a peer.", { { "peer", from }, { "changes", news.changes.size() }, { "newest", news.changes.back().revision }, { "settled", *news.changesView == PeerView::Settled } });
+        const auto isOlder = [](const RecordChange& left, const RecordChange& right) { return left.revision < right.revision; };
+        const auto newest = std::max_element(news.changes.begin(), news.changes.end(), isOlder);
+        if (newest != news.changes.end())
+            planeLog.info("Changes told by a peer.", { { "peer", from }, { "changes", news.changes.size() }, { "newest", newest->revision }, { "settled", *news.changesView == PeerView::Settled } });
         knowledge_.onPeerChanges(now, news.changes, *news.changesView);
     }
     if (news.wishAfter.empty())
--- a/Tests/LibDecision/ServingScheduleTest.cpp
+++ b/Tests/LibDecision/ServingScheduleTest.cpp
@@ -11,7 +11,6 @@
 
 using namespace std::chrono_literals;
 using Model::KindOutcome;
-using Model::PlacementPolicy;
 using Model::RequestKind;
 using Model::ServingFaults;
 using Model::ServingMutation;
--- a/Tests/LibPlatform/PeerWishesTest.cpp
+++ b/Tests/LibPlatform/PeerWishesTest.cpp
@@ -34,8 +34,10 @@
 {
     std::vector<Member> members;
     std::vector<const Member*> others;
-    members.reserve(9);
-    for (int index = 0; index < 9; ++index)
+    constexpr std::size_t count = 9;
+    members.reserve(count);
+    others.reserve(count);
+    for (std::size_t index = 0; index < count; ++index)
         others.push_back(&members.emplace_back(member("i" + std::to_string(index))));
     PeerWishes wishes;
     std::set<InstanceId> asked;
--- a/Tests/Model/StoreModel.cpp
+++ b/Tests/Model/StoreModel.cpp
@@ -73,6 +73,7 @@
             entries.erase(change.key);
     }
     std::vector<RecordChange> listed;
+    listed.reserve(entries.size());
     for (auto& [key, change] : entries)
         listed.push_back(std::move(change));
     return listed;
