RemovalHold: Let one lost answer of the store hold nothing longer

Cause: the schedules gained answers of the store that are lost, as the stand-in has them. Ruled out: a hold that is measured from the removal, since entries that lapsed just before an absence may be back only after it. Change: an absence of less than 400 ms, in which no entry can lapse, starts no new hold. FleetWorld loses answers of watches and renewals and repeats operators' writes; ServingWorld spoils answers that began.

--- a/Libraries/LibDecision/Registry/RemovalHold.cpp
+++ b/Libraries/LibDecision/Registry/RemovalHold.cpp
@@ -2,6 +2,14 @@
 
 namespace Ibisturn {
 
+namespace {
+
+/// Leases outlast shorter absences: entries are renewed each 1.2 s and end after three times as long, of which a silent
+/// store takes 2 s until it is noticed.
+constexpr Duration shortestLapse = std::chrono::milliseconds(400);
+
+} // namespace
+
 RemovalHold::RemovalHold(RemovalLimits limits)
     : limits_(limits)
 {
@@ -11,15 +19,16 @@
 {
     if (!awaySince_)
         awaySince_ = now;
-    backSince_.reset();
 }
 
 void RemovalHold::onStoreBack(TimePoint now)
 {
     if (!awaySince_)
         return;
+    // One lost answer ends no lease and must not hold what is gone for longer.
+    if (now - *awaySince_ >= shortestLapse)
+        backSince_ = now;
     awaySince_.reset();
-    backSince_ = now;
 }
 
 bool RemovalHold::isHeld(TimePoint removedAt, TimePoint now) const
--- a/Tests/LibDecision/BackendRegistryTest.cpp
+++ b/Tests/LibDecision/BackendRegistryTest.cpp
@@ -80,6 +80,19 @@
     EXPECT_EQ(registry.usable().front().server.id, BackendServerId("b"));
 }
 
+TEST(BackendRegistry, OneLostAnswerOfTheStoreDoesNotHoldWhatIsGone)
+{
+    BackendRegistry registry;
+    registry.onEntry(at(0s), server("a"));
+    registry.onStoreAway(at(1s));
+    registry.onRemoved(at(9s), BackendServerId("a"));
+    registry.onStoreBack(at(9s));
+    registry.onStoreAway(at(10500ms));
+    registry.onStoreBack(at(10700ms));
+    EXPECT_EQ(usableAfter(registry, 10900ms), 1U);
+    EXPECT_EQ(usableAfter(registry, 11s), 0U);
+}
+
 TEST(BackendRegistry, ARemovalCountsWithoutTheStoreOnceAPeerConfirmsIt)
 {
     BackendRegistry registry;
--- a/Tests/Model/FleetWorld.cpp
+++ b/Tests/Model/FleetWorld.cpp
@@ -20,6 +20,9 @@
 constexpr Duration beatPeriod = 1200ms;
 constexpr Duration leaseLength = 3s;
 constexpr Duration longestLag = 600ms;
+constexpr Duration retryPause = 200ms;
+/// Of the store's answers, at each step of a watch and at each renewal.
+constexpr double lostReplyShare = 0.003;
 /// How long a server serves on after it reported that it leaves.
 constexpr Duration drainTime = 3s;
 /// The stated bounds: of changes at instances that follow the store, and of what peers must pass on.
@@ -125,8 +128,13 @@
 {
     if (isStoreDown())
         return;
-    if (chance(0.02))
-        configurations_.push_back({ now_, store_.put("op/config", fmt::format("c{}", configurations_.size())) });
+    if (chance(0.02)) {
+        const auto name = fmt::format("c{}", configurations_.size());
+        configurations_.push_back({ now_, store_.put("op/config", name) });
+        // The operator writes again what was not acknowledged.
+        if (chance(0.3))
+            store_.put("op/config", name);
+    }
     auto& [key, server] = *std::next(servers_.begin(), static_cast<std::ptrdiff_t>(pick(servers_.size())));
     const bool isUp = !server.leavingSince && !server.crashedAt;
     if (isUp && server.lease && chance(0.004)) {
@@ -154,7 +162,8 @@
         if (now_ < server.nextBeat)
             continue;
         server.nextBeat = now_ + beatPeriod;
-        if (server.lease && store_.renew(now_, *server.lease))
+        // A server whose renewal is not answered takes its lease for lost.
+        if (server.lease && store_.renew(now_, *server.lease) && !chance(lostReplyShare))
             continue;
         server.lease = store_.grant(now_, leaseLength);
         store_.put(key, server.leavingSince ? "leaving" : "model", server.lease);
@@ -187,6 +196,12 @@
                 list(instance, index);
             continue;
         }
+        if (chance(lostReplyShare)) {
+            follower.isWatching = false;
+            instance.knowledge->onStoreAway(now_);
+            follower.nextTry = now_ + retryPause;
+            continue;
+        }
         const auto upTo = revisionAt(now_ - follower.lag);
         if (upTo <= follower.position)
             continue;
@@ -206,7 +221,7 @@
     const auto& name = instance.knowledge->prefixes()[prefix];
     // A read may be served by a part of the store that lags.
     const auto position = revisionAt(now_ - within(500ms));
-    follower.nextTry = now_ + 200ms;
+    follower.nextTry = now_ + retryPause;
     instance.knowledge->onListing(now_, { name, position, store_.list(name, position) });
     instance.knowledge->onStoreBack(now_);
     follower.isWatching = true;
--- a/Tests/Model/FleetWorld.h
+++ b/Tests/Model/FleetWorld.h
@@ -28,8 +28,8 @@
 
 /// The store, backend servers that renew their entries, an operator who changes things, and instances that follow the
 /// store with the product's own knowledge, on virtual time and with seeded faults: a store that is down for all or for
-/// some, leases that run out meanwhile, history that is dropped, old reads, slow watches, cut links between instances,
-/// frozen and restarted instances, servers that leave and that crash.
+/// some, leases that run out meanwhile, history that is dropped, old reads, slow watches, answers that are lost, cut links
+/// between instances, frozen and restarted instances, servers that leave and that crash.
 /// Thread safety: one thread.
 class FleetWorld {
 public:
--- a/Tests/Model/ServingWorld.cpp
+++ b/Tests/Model/ServingWorld.cpp
@@ -463,7 +463,8 @@
     job.answerTokens = life->request->answerTokens;
     job.priority = life->request->ask.priority;
     const auto isCurrent = [life, attempt] { return life->placed && life->life.attempts() == attempt.count(); };
-    const bool isAnswerLost = chance(server.lostShare);
+    const bool isAnswerSpoilt = chance(server.lostShare);
+    const bool isAnswerLost = !isAnswerSpoilt && chance(server.lostShare);
     const bool isMutated = options_.mutation == ServingMutation::LostTakenForNotRun;
     job.onFirstToken = [=, this] {
         if (!isCurrent() || isAnswerLost)
@@ -476,6 +477,8 @@
         if (!isCurrent())
             return;
         life->job.reset();
+        if (isAnswerSpoilt)
+            return fails(PlacementOutcome::Failed, ResultCode::AnswerCut, Ran::Yes, RanProof::None);
         if (isAnswerLost)
             return fails(PlacementOutcome::Failed, ResultCode::OutcomeUnknown, isMutated ? Ran::No : Ran::Unknown, isMutated ? RanProof::Refusal : RanProof::None);
         auto& instance = *instances_[life->instance];
