LibKernel, LibHTTP, LibPlatform: Merge twins; work out news once a round

FleetKnowledge kept a second RemovalHold beside that of its registry and told both the same. News for peers was worked out anew for each of them, under two locks; what a place is asked for was worked out again for its ticket; each wait for a server looked through all placed requests. Change: acceptConnections(), readRequestBody(), serveShortRequests(), findMember() and PluginRegistry::require() serve both sides each; members are held by the registry's RemovalHold; a round's news is worked out once for the region and once for others; the ticket takes the ask of its decision; a server with fewer than two requests of this instance can't have overdue ones. The two schedule tests share the loop over seeds. Behaviour, bounds and tests' checks stay. Ruled out: reading only a settings file whose time of change moved, since a clock that steps would hide a change.

--- a/Libraries/LibDecision/Membership/EntryDirectory.cpp
+++ b/Libraries/LibDecision/Membership/EntryDirectory.cpp
@@ -14,13 +14,13 @@
     return XXH64(candidate.data(), candidate.size(), seed);
 }
 
-const Member* findEntry(const MembershipView& membership, const RegionId& region, std::uint64_t spread)
+const Member* findMember(const MembershipView& membership, std::uint64_t spread, const std::function<bool(const Member&)>& isCandidate)
 {
     const Member* best = nullptr;
     std::pair<bool, std::uint64_t> bestRank;
     const auto subject = std::to_string(spread);
     for (const auto& member : membership.instances) {
-        if (member.state == MemberState::Leaving || member.region != region)
+        if (!isCandidate(member))
             continue;
         const std::pair rank(member.state == MemberState::Live, rendezvousScore(subject, member.id.value()));
         if (best && rank <= bestRank)
@@ -31,6 +31,11 @@
     return best;
 }
 
+const Member* findEntry(const MembershipView& membership, const RegionId& region, std::uint64_t spread)
+{
+    return findMember(membership, spread, [&region](const Member& member) { return member.state != MemberState::Leaving && member.region == region; });
+}
+
 namespace {
 
 /// How a caller reaches an instance, from best to worst.
--- a/Libraries/LibDecision/Membership/EntryDirectory.h
+++ b/Libraries/LibDecision/Membership/EntryDirectory.h
@@ -3,6 +3,7 @@
 #include <LibConfiguration/Snapshot.h>
 #include <LibDecision/Membership/MembershipView.h>
 
+#include <functional>
 #include <optional>
 #include <vector>
 
@@ -12,7 +13,11 @@
 /// candidate goes, only its own subjects move. Thread safety: any thread.
 std::uint64_t rendezvousScore(std::string_view subject, std::string_view candidate);
 
-/// An instance of `region` that takes requests, or null; suspected ones come last, and `spread` chooses among the others.
+/// One of the instances that `isCandidate` names, or null; suspected ones come last, and `spread` chooses among the others.
+/// Thread safety: any thread.
+const Member* findMember(const MembershipView& membership, std::uint64_t spread, const std::function<bool(const Member&)>& isCandidate);
+
+/// An instance of `region` that takes requests, chosen as by findMember(), or null.
 /// Thread safety: any thread.
 const Member* findEntry(const MembershipView& membership, const RegionId& region, std::uint64_t spread);
 
--- a/Libraries/LibDecision/Placement/PlacementTable.cpp
+++ b/Libraries/LibDecision/Placement/PlacementTable.cpp
@@ -363,8 +363,11 @@
 
 // How far the request that has waited longest is behind what was expected; nothing within the margin, and nothing for one
 // request alone, which may be at fault itself.
-Duration PlacementTable::overdueOn(TimePoint now, const BackendServerId& id) const
+Duration PlacementTable::overdueOn(TimePoint now, const Server& server) const
 {
+    if (server.own.requests < 2)
+        return Duration::zero();
+    const auto& id = server.state.server.id;
     Duration worst {};
     std::size_t count = 0;
     for (const auto& [number, placed] : placed_) {
@@ -384,13 +387,13 @@
     const auto total = totalOn(now, server);
     if (!server.engine) {
         const auto slots = std::max<std::uint32_t>(1, server.state.server.slots);
-        const auto overdue = overdueOn(now, server.state.server.id);
+        const auto overdue = overdueOn(now, server);
         return overdue + milliseconds(inMilliseconds(plainWork) * server.slowness * (1 + static_cast<double>(total.requests) / slots));
     }
     const auto ahead = ask.priority <= urgentPriority ? total.urgent : total.all;
     const auto tokens = static_cast<double>((ahead + toRead).count());
     auto wait = milliseconds((inMilliseconds(limits_.firstToken) + tokens * millisecondsPerToken_) * server.slowness);
-    wait += overdueOn(now, server.state.server.id);
+    wait += overdueOn(now, server);
     const auto held = (total.held + ask.promptTokens + ask.mostAnswerTokens).count();
     if (static_cast<double>(held) > static_cast<double>(server.engine->memory.count()) * limits_.memoryShare || total.requests >= server.engine->slots)
         wait += memoryPenalty;
--- a/Libraries/LibDecision/Placement/PlacementTable.h
+++ b/Libraries/LibDecision/Placement/PlacementTable.h
@@ -231,7 +231,7 @@
     bool mayUse(TimePoint now, const Server& server, const PlacementAsk& ask) const;
     bool isColdOwner(const Server& server) const;
     Backlog totalOn(TimePoint now, const Server& server) const;
-    Duration overdueOn(TimePoint now, const BackendServerId& id) const;
+    Duration overdueOn(TimePoint now, const Server& server) const;
     Duration waitOn(TimePoint now, const Server& server, const PlacementAsk& ask, TokenCount toRead) const;
     TokenCount toRead(const PromptCacheGuess& cache, bool isHome, const PlacementAsk& ask) const;
     TokenCount toRead(const Server& server, const PlacementAsk& ask, const Place* home) const;
--- a/Libraries/LibDecision/Registry/BackendRegistry.h
+++ b/Libraries/LibDecision/Registry/BackendRegistry.h
@@ -42,6 +42,9 @@
     /// The store answers again and the entries it holds were taken in.
     void onStoreBack(TimePoint now) { hold_.onStoreBack(now); }
 
+    /// What decides how long entries that went are held; it serves other entries of the store as well.
+    const RemovalHold& hold() const { return hold_; }
+
     /// Nothing more may go to the backend servers of these data centres.
     void setEvacuated(TimePoint now, const std::set<DataCentreId>& dataCentres);
 
--- a/Libraries/LibDecision/Registry/RemovalHold.cpp
+++ b/Libraries/LibDecision/Registry/RemovalHold.cpp
@@ -31,13 +31,13 @@
     awaySince_.reset();
 }
 
-bool RemovalHold::isHeld(TimePoint removedAt, TimePoint now) const
+bool RemovalHold::isHeld(TimePoint removedAt, TimePoint now, Duration ordinary) const
 {
     if (awaySince_ && removedAt >= *awaySince_ - limits_.returnHold)
         return !toldAt_ || *toldAt_ < removedAt + limits_.returnHold;
     if (backSince_ && removedAt <= *backSince_ + limits_.returnHold)
         return now < *backSince_ + limits_.returnHold;
-    return now < removedAt + limits_.removalHold;
+    return now < removedAt + ordinary;
 }
 
 bool RemovalHold::isSettled(TimePoint now) const
--- a/Libraries/LibDecision/Registry/RemovalHold.h
+++ b/Libraries/LibDecision/Registry/RemovalHold.h
@@ -34,8 +34,12 @@
     /// Another instance told all that it knows, and what it knows was settled.
     void onTold(TimePoint now) { toldAt_ = now; }
 
-    /// Whether what an entry stood for that went at `removedAt` is still to be used.
-    bool isHeld(TimePoint removedAt, TimePoint now) const;
+    /// Whether what an entry stood for that went at `removedAt` is still to be used. `ordinary` is how long it is while the
+    /// store answers.
+    bool isHeld(TimePoint removedAt, TimePoint now, Duration ordinary) const;
+
+    /// As above, for a backend server.
+    bool isHeld(TimePoint removedAt, TimePoint now) const { return isHeld(removedAt, now, limits_.removalHold); }
 
     /// Whether entries that are missing now are gone: the store answers, and has done so for long enough.
     bool isSettled(TimePoint now) const;
--- a/Libraries/LibDecision/Routing/PlaceDecision.cpp
+++ b/Libraries/LibDecision/Routing/PlaceDecision.cpp
@@ -42,19 +42,7 @@
 // A suspected instance is better than a refusal: the attempt shows whether the suspicion was right.
 const Member* choosePeer(const PlaceQuery& query, const std::set<DataCentreId>& dataCentres)
 {
-    const Member* best = nullptr;
-    std::pair<bool, std::uint64_t> bestRank;
-    const auto subject = std::to_string(query.requestHash);
-    for (const auto& member : query.membership.instances) {
-        if (!mayForwardTo(query, member, dataCentres))
-            continue;
-        const std::pair rank(member.state == MemberState::Live, rendezvousScore(subject, member.id.value()));
-        if (best && rank <= bestRank)
-            continue;
-        best = &member;
-        bestRank = rank;
-    }
-    return best;
+    return findMember(query.membership, query.requestHash, [&](const Member& member) { return mayForwardTo(query, member, dataCentres); });
 }
 
 } // namespace
--- a/Libraries/LibHTTP/Callers/CallerSession.cpp
+++ b/Libraries/LibHTTP/Callers/CallerSession.cpp
@@ -4,6 +4,7 @@
 #include <LibDecision/Membership/EntryDirectory.h>
 #include <LibDecision/Requests/RequestTimeout.h>
 #include <LibDecision/Routing/HeadDecision.h>
+#include <LibHTTP/Callers/BodyReading.h>
 #include <LibHTTP/Callers/CallerCredentials.h>
 #include <LibHTTP/Callers/CallerSink.h>
 #include <LibHTTP/Callers/ErrorBody.h>
@@ -33,12 +34,6 @@
 
 using PlainStream = Beast::tcp_stream;
 using TlsStream = Beast::ssl_stream<Beast::tcp_stream>;
-using RequestParser = Http::request_parser<Http::string_body>;
-
-enum class AfterRequest : std::uint8_t {
-    KeepAlive,
-    Close,
-};
 
 /// One caller's connection.
 template <typename Stream>
@@ -64,7 +59,7 @@
 private:
     Task<AfterRequest> serveOne()
     {
-        RequestParser parser;
+        CallerParser parser;
         parser.header_limit(static_cast<std::uint32_t>(tables_.settings.headLimit.count()));
         // Residency comes before size, so the limit applies once the head was accepted.
         parser.body_limit(unlimitedBody);
@@ -96,7 +91,7 @@
         co_return AfterRequest::Close;
     }
 
-    Task<AfterRequest> serveParsedHead(RequestParser& parser)
+    Task<AfterRequest> serveParsedHead(CallerParser& parser)
     {
         const auto& head = parser.get();
         Span span("entry", parseTraceparent(toView(head["traceparent"])));
@@ -121,7 +116,7 @@
         co_return after;
     }
 
-    Task<AfterRequest> serveGateway(RequestParser& parser, CallerCredentials credentials, Span& span)
+    Task<AfterRequest> serveGateway(CallerParser& parser, CallerCredentials credentials, Span& span)
     {
         const auto snapshot = tables_.configuration.get();
         if (!snapshot)
@@ -158,7 +153,7 @@
         co_return co_await runRequest(std::move(request), parser.keep_alive());
     }
 
-    void setDeadline(GatewayRequest& request, const RequestParser& parser) const
+    void setDeadline(GatewayRequest& request, const CallerParser& parser) const
     {
         const auto now = SteadyClock().now();
         request.deadline = now + tables_.settings.requestTimeout;
@@ -198,7 +193,7 @@
         co_return AfterRequest::Close;
     }
 
-    Task<void> readBody(RequestParser& parser)
+    Task<void> readBody(CallerParser& parser)
     {
         pendingInput_ = PendingInput::Discard;
         const auto bodyLimit = tables_.settings.bodyLimit.count();
@@ -206,18 +201,7 @@
             throw Error(ResultCode::BodyTooLarge, Ran::No, "The request's body exceeds the limit");
         parser.body_limit(bodyLimit);
         expireAfter(tables_.settings.idleTimeout);
-        boost::system::error_code error;
-        if (Beast::iequals(parser.get()[Http::field::expect], "100-continue")) {
-            const Http::response<Http::empty_body> proceed(Http::status::continue_, httpVersion11);
-            co_await Http::async_write(stream_, proceed, Asio::redirect_error(Asio::use_awaitable, error));
-        }
-        co_await Http::async_read(stream_, buffer_, parser, Asio::redirect_error(Asio::use_awaitable, error));
-        if (error == Http::error::body_limit)
-            throw Error(ResultCode::BodyTooLarge, Ran::No, "The request's body exceeds the limit");
-        if (error == Beast::error::timeout)
-            throw Error(ResultCode::RequestReadTimeout, Ran::No, "The request's body did not arrive in time");
-        if (error)
-            throw Error(ResultCode::MalformedRequest, Ran::No, "The request's body is not valid HTTP");
+        co_await readRequestBody(stream_, buffer_, parser);
     }
 
     Task<void> writeErrorEvent(CallerSink<Stream>& sink, Error failure)
--- a/Libraries/LibHTTP/Callers/RoutedSession.cpp
+++ b/Libraries/LibHTTP/Callers/RoutedSession.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/SteadyClock.h>
 #include <LibDecision/Requests/ServiceChoice.h>
+#include <LibHTTP/Callers/BodyReading.h>
 #include <LibHTTP/Callers/CallerSink.h>
 #include <LibHTTP/Callers/SocketWatch.h>
 #include <LibHTTP/Peers/ForwardedRequest.h>
@@ -30,12 +31,6 @@
 constexpr Duration startPatience = std::chrono::milliseconds(300);
 constexpr Duration startPoll = std::chrono::milliseconds(20);
 constexpr auto startRetryAfter = std::chrono::milliseconds(300);
-using RequestParser = Http::request_parser<Http::string_body>;
-
-enum class AfterRequest : std::uint8_t {
-    KeepAlive,
-    Close,
-};
 
 class RoutedSession {
 public:
@@ -60,7 +55,7 @@
     {
         callerId_.clear();
         target_.clear();
-        RequestParser parser;
+        CallerParser parser;
         parser.header_limit(static_cast<std::uint32_t>(limits().head.count()));
         parser.body_limit(limits().body.count());
         boost::system::error_code error;
@@ -119,7 +114,7 @@
         co_return co_await write(refusal, AfterRequest::Close);
     }
 
-    Task<AfterRequest> serveRequest(RequestParser& parser)
+    Task<AfterRequest> serveRequest(CallerParser& parser)
     {
         const auto arrived = SteadyClock().now();
         auto snapshot = tables_.configuration.get();
@@ -223,24 +218,13 @@
         request.callerDeadline = request.deadline;
     }
 
-    Task<void> readBody(RequestParser& parser)
+    Task<void> readBody(CallerParser& parser)
     {
         stream_.expires_after(limits().headTime + limits().idle);
-        boost::system::error_code error;
         if (parser.is_done())
             co_return;
         pendingInput_ = PendingInput::Discard;
-        if (Beast::iequals(parser.get()[Http::field::expect], "100-continue")) {
-            const Http::response<Http::empty_body> proceed(Http::status::continue_, httpVersion11);
-            co_await Http::async_write(stream_, proceed, Asio::redirect_error(Asio::use_awaitable, error));
-        }
-        co_await Http::async_read(stream_, buffer_, parser, Asio::redirect_error(Asio::use_awaitable, error));
-        if (error == Http::error::body_limit)
-            throw Error(ResultCode::BodyTooLarge, Ran::No, "The request's body exceeds the limit");
-        if (error == Beast::error::timeout)
-            throw Error(ResultCode::RequestReadTimeout, Ran::No, "The request's body did not arrive in time");
-        if (error)
-            throw Error(ResultCode::MalformedRequest, Ran::No, "The request's body is not valid HTTP");
+        co_await readRequestBody(stream_, buffer_, parser);
         pendingInput_ = PendingInput::LeaveUnread;
     }
 
@@ -269,7 +253,7 @@
         co_return AfterRequest::Close;
     }
 
-    Task<AfterRequest> refuse(Error failure, const RequestParser& parser)
+    Task<AfterRequest> refuse(Error failure, const CallerParser& parser)
     {
         noteFailure(failure);
         if (failure.code() == ResultCode::CallerGone)
--- a/Libraries/LibHTTP/Operators/OperatorInterface.cpp
+++ b/Libraries/LibHTTP/Operators/OperatorInterface.cpp
@@ -17,12 +17,10 @@
 
 namespace Ibisturn {
 
-namespace Beast = boost::beast;
 namespace Http = boost::beast::http;
 
 namespace {
 
-constexpr int httpVersion11 = 11;
 constexpr std::string_view bearer = "Bearer ";
 constexpr std::string_view recordsPath = "/v1/records/";
 constexpr std::string_view historyPath = "/v1/history/";
@@ -50,7 +48,7 @@
     return *name;
 }
 
-OperatorReply errorReply(const Error& error)
+ShortReply errorReply(const Error& error)
 {
     return { resultCodeEntry(error.code()).httpStatus, "application/json", formatErrorBody(error) };
 }
@@ -109,10 +107,10 @@
 {
 }
 
-Task<OperatorReply> OperatorInterface::handle(OperatorRequest request)
+Task<ShortReply> OperatorInterface::handle(OperatorRequest request)
 {
     std::optional<Error> failure;
-    OperatorReply reply;
+    ShortReply reply;
     try {
         reply = co_await dispatch(std::move(request));
     } catch (const Error& error) {
@@ -140,7 +138,7 @@
     return table;
 }
 
-Task<OperatorReply> OperatorInterface::dispatch(OperatorRequest request)
+Task<ShortReply> OperatorInterface::dispatch(OperatorRequest request)
 {
     bool isPathKnown = false;
     for (const auto& endpoint : endpoints()) {
@@ -155,19 +153,19 @@
     throw Error(ResultCode::PathUnknown, Ran::No, "No interface has this path");
 }
 
-Task<OperatorReply> OperatorInterface::showMetrics(OperatorRequest /*request*/)
+Task<ShortReply> OperatorInterface::showMetrics(OperatorRequest /*request*/)
 {
-    co_return OperatorReply { 200, "text/plain; version=0.0.4", tables_.metrics.render() };
+    co_return ShortReply { 200, "text/plain; version=0.0.4", tables_.metrics.render() };
 }
 
-Task<OperatorReply> OperatorInterface::showHealth(OperatorRequest request)
+Task<ShortReply> OperatorInterface::showHealth(OperatorRequest request)
 {
     const bool isReady = tables_.configuration.get() && !tables_.isDraining;
     const bool isWell = request.target == "/healthz" || isReady;
-    co_return OperatorReply { isWell ? 200U : 503U, "application/json", isWell ? R"({"status":"ok"})" : R"({"status":"not ready"})" };
+    co_return ShortReply { isWell ? 200U : 503U, "application/json", isWell ? R"({"status":"ok"})" : R"({"status":"not ready"})" };
 }
 
-Task<OperatorReply> OperatorInterface::showStatus(OperatorRequest request)
+Task<ShortReply> OperatorInterface::showStatus(OperatorRequest request)
 {
     requireOperator(request);
     const auto snapshot = tables_.configuration.get();
@@ -188,10 +186,10 @@
         { "requests_under_way", tables_.requestsUnderWay.load() },
         { "draining", tables_.isDraining.load() },
     };
-    co_return OperatorReply { 200, "application/json", status.dump() };
+    co_return ShortReply { 200, "application/json", status.dump() };
 }
 
-Task<OperatorReply> OperatorInterface::listRecords(OperatorRequest request)
+Task<ShortReply> OperatorInterface::listRecords(OperatorRequest request)
 {
     requireOperator(request);
     const auto& prefix = tables_.settings.storePrefix;
@@ -208,24 +206,24 @@
     if (isOne && list.empty())
         throw Error(ResultCode::RecordNotFound, Ran::No, "There is no such record");
     const nlohmann::json body { { "revision", range.revision.count() }, { "records", std::move(list) } };
-    co_return OperatorReply { 200, "application/json", body.dump() };
+    co_return ShortReply { 200, "application/json", body.dump() };
 }
 
-Task<OperatorReply> OperatorInterface::putRecord(OperatorRequest request)
+Task<ShortReply> OperatorInterface::putRecord(OperatorRequest request)
 {
     ChangeRequest change = makeChange(request);
     change.edits.push_back({ parseTarget(request.target), request.body, parseRevision(request.ifMatch) });
     co_return co_await write(std::move(change));
 }
 
-Task<OperatorReply> OperatorInterface::withdrawRecord(OperatorRequest request)
+Task<ShortReply> OperatorInterface::withdrawRecord(OperatorRequest request)
 {
     ChangeRequest change = makeChange(request);
     change.edits.push_back({ parseTarget(request.target), std::nullopt, parseRevision(request.ifMatch) });
     co_return co_await write(std::move(change));
 }
 
-Task<OperatorReply> OperatorInterface::writeChanges(OperatorRequest request)
+Task<ShortReply> OperatorInterface::writeChanges(OperatorRequest request)
 {
     ChangeRequest change = makeChange(request);
     const auto body = nlohmann::json::parse(request.body, nullptr, false);
@@ -240,7 +238,7 @@
     co_return showResult(id, result);
 }
 
-Task<OperatorReply> OperatorInterface::showHistory(OperatorRequest request)
+Task<ShortReply> OperatorInterface::showHistory(OperatorRequest request)
 {
     requireOperator(request);
     RecordName name = parseTarget("/v1/records/" + request.target.substr(historyPath.size()));
@@ -251,17 +249,17 @@
         list.push_back({ { "id", entry.id }, { "who", entry.who }, { "when", entry.when }, { "record", record } });
     }
     const nlohmann::json body { { "changes", std::move(list) } };
-    co_return OperatorReply { 200, "application/json", body.dump() };
+    co_return ShortReply { 200, "application/json", body.dump() };
 }
 
-Task<OperatorReply> OperatorInterface::changeLogLevel(OperatorRequest request)
+Task<ShortReply> OperatorInterface::changeLogLevel(OperatorRequest request)
 {
     requireOperator(request);
     const auto level = logLevelFromName(request.body);
     if (!level)
         throw Error(ResultCode::MalformedBody, Ran::No, "The level must be debug, info, warning or error");
     setLogLevel(*level);
-    co_return OperatorReply { 200, "application/json", R"({"status":"ok"})" };
+    co_return ShortReply { 200, "application/json", R"({"status":"ok"})" };
 }
 
 ChangeRequest OperatorInterface::makeChange(const OperatorRequest& request) const
@@ -275,7 +273,7 @@
     return change;
 }
 
-Task<OperatorReply> OperatorInterface::write(ChangeRequest change)
+Task<ShortReply> OperatorInterface::write(ChangeRequest change)
 {
     const std::string id = change.id;
     const bool isKeyWithdrawal = isWithdrawalOfKey(change);
@@ -293,7 +291,7 @@
     if (!isKeyWithdrawal)
         throw Error(*failure);
     const nlohmann::json body { { "change", id }, { "withdrawn", "where instances can be reached; the store follows when it answers" } };
-    co_return OperatorReply { 202, "application/json", body.dump() };
+    co_return ShortReply { 202, "application/json", body.dump() };
 }
 
 // A key must stop working even while the store is away, so it is struck before the store is asked.
@@ -306,11 +304,11 @@
         feed_.withdraw(edit.name, { "", edit.expected, change.id, change.who, change.when });
 }
 
-OperatorReply OperatorInterface::showResult(const std::string& changeId, const ChangeResult& result) const
+ShortReply OperatorInterface::showResult(const std::string& changeId, const ChangeResult& result) const
 {
     if (result.code == ResultCode::Ok)
         return { 200, "application/json", nlohmann::json { { "revision", result.revision.count() }, { "change", changeId } }.dump() };
-    OperatorReply reply = errorReply(Error(result.code, Ran::No, result.reason));
+    ShortReply reply = errorReply(Error(result.code, Ran::No, result.reason));
     auto body = nlohmann::json::parse(reply.body);
     auto current = nlohmann::json::array();
     for (const auto& text : result.current)
@@ -335,30 +333,12 @@
 
 Task<void> serveOperator(Asio::ip::tcp::socket socket, OperatorInterface& interface)
 {
-    Beast::tcp_stream stream(std::move(socket));
-    Beast::flat_buffer buffer;
-    bool isOpen = true;
-    while (isOpen) {
-        Http::request_parser<Http::string_body> parser;
-        parser.header_limit(headLimit);
-        parser.body_limit(bodyLimit);
-        stream.expires_after(idleTimeout);
-        boost::system::error_code error;
-        co_await Http::async_read(stream, buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
-        if (error)
-            co_return;
-        const auto& message = parser.get();
+    std::function<Task<ShortReply>(const ShortRequest&)> answer = [&interface](const ShortRequest& message) {
         OperatorRequest request { std::string(message.method_string()), std::string(message.target()),
             std::string(message[Http::field::authorization]), std::string(message[Http::field::if_match]), std::string(message["Idempotency-Key"]), message.body() };
-        OperatorReply reply = co_await interface.handle(std::move(request));
-        Http::response<Http::string_body> response(static_cast<Http::status>(reply.status), httpVersion11);
-        response.set(Http::field::content_type, reply.contentType);
-        response.keep_alive(parser.keep_alive());
-        response.body() = std::move(reply.body);
-        response.prepare_payload();
-        co_await Http::async_write(stream, response, Asio::redirect_error(Asio::use_awaitable, error));
-        isOpen = !error && parser.keep_alive();
-    }
+        return interface.handle(std::move(request));
+    };
+    co_await serveShortRequests(std::move(socket), { idleTimeout, headLimit, bodyLimit }, std::move(answer));
 }
 
 } // namespace Ibisturn
--- a/Libraries/LibHTTP/Operators/OperatorInterface.h
+++ b/Libraries/LibHTTP/Operators/OperatorInterface.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibHTTP/Operators/ShortRequests.h>
 #include <LibHTTP/Requests/InstanceTables.h>
 #include <LibPlatform/ConfigurationFeed.h>
 #include <LibPlatform/RecordWriter.h>
@@ -21,12 +22,6 @@
     std::string body;
 };
 
-struct OperatorReply {
-    unsigned status { 200 };
-    std::string contentType { "application/json" };
-    std::string body;
-};
-
 /// Answers operators: metrics, status, records, log level.
 /// Thread safety: the first worker.
 class OperatorInterface {
@@ -35,30 +30,30 @@
     OperatorInterface(InstanceTables& tables, StoreClient& store, ConfigurationFeed& feed);
 
     /// Answers one request; failures become error answers.
-    Task<OperatorReply> handle(OperatorRequest request);
+    Task<ShortReply> handle(OperatorRequest request);
 
 private:
     struct Endpoint {
         std::string_view method;
         std::string_view pathPrefix;
-        Task<OperatorReply> (OperatorInterface::*handle)(OperatorRequest);
+        Task<ShortReply> (OperatorInterface::*handle)(OperatorRequest);
     };
     static const std::vector<Endpoint>& endpoints();
 
-    Task<OperatorReply> dispatch(OperatorRequest request);
-    Task<OperatorReply> showMetrics(OperatorRequest request);
-    Task<OperatorReply> showHealth(OperatorRequest request);
-    Task<OperatorReply> showStatus(OperatorRequest request);
-    Task<OperatorReply> listRecords(OperatorRequest request);
-    Task<OperatorReply> putRecord(OperatorRequest request);
-    Task<OperatorReply> withdrawRecord(OperatorRequest request);
-    Task<OperatorReply> writeChanges(OperatorRequest request);
-    Task<OperatorReply> showHistory(OperatorRequest request);
-    Task<OperatorReply> changeLogLevel(OperatorRequest request);
-    Task<OperatorReply> write(ChangeRequest change);
+    Task<ShortReply> dispatch(OperatorRequest request);
+    Task<ShortReply> showMetrics(OperatorRequest request);
+    Task<ShortReply> showHealth(OperatorRequest request);
+    Task<ShortReply> showStatus(OperatorRequest request);
+    Task<ShortReply> listRecords(OperatorRequest request);
+    Task<ShortReply> putRecord(OperatorRequest request);
+    Task<ShortReply> withdrawRecord(OperatorRequest request);
+    Task<ShortReply> writeChanges(OperatorRequest request);
+    Task<ShortReply> showHistory(OperatorRequest request);
+    Task<ShortReply> changeLogLevel(OperatorRequest request);
+    Task<ShortReply> write(ChangeRequest change);
     void withdrawAtOnce(ChangeRequest& change);
     ChangeRequest makeChange(const OperatorRequest& request) const;
-    OperatorReply showResult(const std::string& changeId, const ChangeResult& result) const;
+    ShortReply showResult(const std::string& changeId, const ChangeResult& result) const;
     /// The name of the credential that the request came with.
     std::string requireOperator(const OperatorRequest& request) const;
 
--- a/Libraries/LibHTTP/Requests/RequestRunner.cpp
+++ b/Libraries/LibHTTP/Requests/RequestRunner.cpp
@@ -55,14 +55,6 @@
     return resuming;
 }
 
-std::unique_ptr<RoutingStrategy> makeStrategy(const std::string& name)
-{
-    auto strategy = RoutingStrategyRegistry::instance().make(name);
-    if (!strategy)
-        throw Error(ResultCode::SettingsInvalid, Ran::No, "There is no routing strategy named " + name);
-    return strategy;
-}
-
 constexpr std::size_t frameOverhead = 64UL * 1024;
 
 /// Throws the error that `actions` end a request with, if they do; `place` may say when it is worth coming back.
@@ -187,7 +179,7 @@
 RequestRunner::RequestRunner(InstanceTables& tables, ClaimService& claims)
     : tables_(tables)
     , claims_(claims)
-    , strategy_(makeStrategy(tables.settings.routingStrategy))
+    , strategy_(RoutingStrategyRegistry::instance().require("routing strategy", tables.settings.routingStrategy))
     , backends_(
           { tables.settings.connectTimeout, tables.settings.requestTimeout }, *tables.backendDialect,
           [&tables](const BackendServerId& server, const ServerLoad& load) {
@@ -296,7 +288,8 @@
     RequestJournal journal(tables_, request);
     while (!life.hasEnded()) {
         const auto resume = std::max(asked, std::get<ChoosePlace>(actions.front()).resume);
-        Place place = request.routed ? chooseRoutedPlace(request, hops, life, failedRegions, journal) : choosePlace(request, routeId, hops, life, resume);
+        PlacementAsk ask;
+        Place place = request.routed ? chooseRoutedPlace(request, hops, life, failedRegions, journal, ask) : choosePlace(request, routeId, hops, life, resume);
         // A retry has waited before, and the budget bounds retries.
         AdmissionSlotPointer slot;
         if (isFirstAttempt && !request.routed && std::holds_alternative<RunHere>(place))
@@ -311,7 +304,7 @@
         const auto attemptId = dispatch ? dispatch->attempt : std::get<ForwardToPeer>(actions.front()).attempt;
         if (resume == ResumeNeed::AfterLastEvent && answer.lastEvent())
             request.resumeAfter = answer.lastEvent();
-        const auto ticket = makeTicket(request, place);
+        const auto ticket = makeTicket(request, place, ask);
         std::function<void(TimePoint)> onFirstPart;
         if (ticket)
             onFirstPart = [&ticket](TimePoint now) { ticket->noteFirstPart(now); };
@@ -403,10 +396,10 @@
 
 // Chooses among the region's backend servers and other regions.
 Place RequestRunner::chooseRoutedPlace(
-    const GatewayRequest& request, HopsLeft hops, const RequestLife& life, std::set<RegionId>& failedRegions, RequestJournal& journal)
+    const GatewayRequest& request, HopsLeft hops, const RequestLife& life, std::set<RegionId>& failedRegions, RequestJournal& journal, PlacementAsk& ask)
 {
     const auto snapshot = requireConfiguration();
-    PlacementAsk ask = askOf(request, *snapshot);
+    ask = askOf(request, *snapshot);
     ask.mayLeaveRegion = hops == HopsLeft::One;
     ask.failedServers = life.failedBackendServers();
     ask.wasPlaced = life.attempts() > 0 || request.resumeAfter.has_value();
@@ -477,12 +470,11 @@
         tables_.serviceRetries.noteRequest(request.routed->service, now);
 }
 
-RequestRunner::TicketPointer RequestRunner::makeTicket(const GatewayRequest& request, const Place& place)
+RequestRunner::TicketPointer RequestRunner::makeTicket(const GatewayRequest& request, const Place& place, const PlacementAsk& ask)
 {
     const auto* here = std::get_if<RunHere>(&place);
     if (!here || !request.routed)
         return nullptr;
-    const auto ask = askOf(request, *requireConfiguration());
     const auto id = tables_.placement.with([&](PlacementTable& table) { return table.begin(SteadyClock().now(), here->backendServer, ask); });
     return std::make_unique<PlacementBoard::Ticket>(tables_.placement, id);
 }
--- /dev/null
+++ b/Libraries/LibKernel/Listen.cpp
@@ -0,0 +1,36 @@
+#include <LibKernel/Listen.h>
+
+#include <LibKernel/Pause.h>
+
+namespace Ibisturn {
+
+namespace {
+
+/// Out of descriptors, for example: wait rather than spin.
+constexpr Duration retryPause = std::chrono::milliseconds(20);
+
+} // namespace
+
+Asio::ip::tcp::acceptor listenOn(Asio::io_context& context, const Endpoint& endpoint)
+{
+    return { context, Asio::ip::tcp::endpoint(Asio::ip::make_address(endpoint.address), endpoint.port) };
+}
+
+Task<void> acceptConnections(Asio::ip::tcp::acceptor& acceptor, WorkerPool& workers, std::function<void(Asio::ip::tcp::socket, std::size_t)> serve)
+{
+    for (;;) {
+        const auto worker = workers.nextIndex();
+        Asio::ip::tcp::socket socket(workers.context(worker));
+        boost::system::error_code error;
+        co_await acceptor.async_accept(socket, Asio::redirect_error(Asio::use_awaitable, error));
+        if (error == Asio::error::operation_aborted)
+            co_return;
+        if (error) {
+            co_await pause(retryPause);
+            continue;
+        }
+        serve(std::move(socket), worker);
+    }
+}
+
+} // namespace Ibisturn
--- a/Libraries/LibKernel/PluginRegistry.h
+++ b/Libraries/LibKernel/PluginRegistry.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <LibCore/Error.h>
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -33,6 +35,15 @@
         return found == factories_.end() ? nullptr : found->second(std::forward<Arguments>(arguments)...);
     }
 
+    /// Makes the plug-in named `name`. Throws Error with SettingsInvalid, which calls it a `kind`, if there is none.
+    std::unique_ptr<Interface> require(std::string_view kind, const std::string& name, Arguments... arguments) const
+    {
+        auto plugin = make(name, std::forward<Arguments>(arguments)...);
+        if (!plugin)
+            throw Error(ResultCode::SettingsInvalid, Ran::No, fmt::format("There is no {} named {}", kind, name));
+        return plugin;
+    }
+
     /// The names of all plug-ins, sorted.
     std::vector<std::string> names() const
     {
--- a/Libraries/LibPlatform/FleetKnowledge.cpp
+++ b/Libraries/LibPlatform/FleetKnowledge.cpp
@@ -21,13 +21,6 @@
 /// Several times the longest period of news.
 constexpr Duration heardHold = std::chrono::milliseconds(2000);
 
-/// An instance removes its entry when it takes nothing more, so that it is gone at once.
-RemovalLimits memberLimits(RemovalLimits limits)
-{
-    limits.removalHold = Duration::zero();
-    return limits;
-}
-
 } // namespace
 
 std::string instancesPrefixOf(const std::string& ownPrefix)
@@ -46,7 +39,6 @@
     , instancesPrefix_(instancesPrefixOf(ownPrefix_))
     , prefixes_({ reader_.operatorsPrefix(), reader_.registryPrefix(), ownPrefix_ })
     , registry_(limits)
-    , memberHold_(memberLimits(limits))
     , positions_(prefixes_.size())
 {
 }
@@ -54,7 +46,6 @@
 void FleetKnowledge::setLimits(RemovalLimits limits)
 {
     registry_.setLimits(limits);
-    memberHold_.setLimits(memberLimits(limits));
 }
 
 void FleetKnowledge::onListing(TimePoint now, const EntryFollower::Listing& listing)
@@ -71,7 +62,6 @@
     if (view == PeerView::Partial)
         return;
     registry_.onTold(now);
-    memberHold_.onTold(now);
 }
 
 void FleetKnowledge::onChanges(TimePoint now, const std::vector<RecordChange>& changes)
@@ -85,13 +75,11 @@
 void FleetKnowledge::onStoreAway(TimePoint now)
 {
     registry_.onStoreAway(now);
-    memberHold_.onStoreAway(now);
 }
 
 void FleetKnowledge::onStoreBack(TimePoint now)
 {
     registry_.onStoreBack(now);
-    memberHold_.onStoreBack(now);
 }
 
 bool FleetKnowledge::isStoreAway(TimePoint now) const
@@ -108,7 +96,8 @@
 
 bool FleetKnowledge::isGone(const KnownMember& known, TimePoint now) const
 {
-    return known.removedAt && !memberHold_.isHeld(*known.removedAt, now) && now - known.heardAt >= heardHold;
+    // An instance removes its entry when it takes nothing more, so that it is gone at once while the store answers.
+    return known.removedAt && !registry_.hold().isHeld(*known.removedAt, now, Duration::zero()) && now - known.heardAt >= heardHold;
 }
 
 void FleetKnowledge::onHeard(TimePoint now, const InstanceId& instance)
--- a/Libraries/LibPlatform/FleetKnowledge.h
+++ b/Libraries/LibPlatform/FleetKnowledge.h
@@ -50,10 +50,10 @@
     bool isStoreAway(TimePoint now) const;
 
     /// What this instance has to say of the store to one that asks.
-    PeerView view(TimePoint now) const { return memberHold_.isSettled(now) ? PeerView::Settled : PeerView::Partial; }
+    PeerView view(TimePoint now) const { return registry_.hold().isSettled(now) ? PeerView::Settled : PeerView::Partial; }
 
     /// Since when the store has not answered; nothing while it does.
-    const std::optional<TimePoint>& awaySince() const { return memberHold_.awaySince(); }
+    const std::optional<TimePoint>& awaySince() const { return registry_.hold().awaySince(); }
 
     /// Lets time pass.
     void advance(TimePoint now);
@@ -109,7 +109,6 @@
     std::set<std::string> listed_;
     std::set<DataCentreId> evacuated_;
     std::map<std::string, KnownMember> members_;
-    RemovalHold memberHold_;
     std::size_t fleetSize_ { 0 };
     /// In the order of prefixes_.
     std::vector<Revision> positions_;
--- a/Programs/ibisturn/FleetInstance.cpp
+++ b/Programs/ibisturn/FleetInstance.cpp
@@ -23,7 +23,6 @@
 constexpr Duration settingsPoll = std::chrono::seconds(1);
 /// How often connections to other regions are topped up.
 constexpr Duration warmPeriod = std::chrono::milliseconds(300);
-constexpr Duration acceptRetryPause = std::chrono::milliseconds(20);
 constexpr Duration drainPoll = std::chrono::milliseconds(20);
 /// Callers that hold an older answer of the directory still find the instance for this long after SIGTERM.
 constexpr Duration leastDrain = std::chrono::milliseconds(2500);
@@ -39,25 +38,16 @@
     return text.str();
 }
 
-template <typename Registry, typename... Arguments>
-auto makePlugin(const char* kind, const std::string& name, Arguments&&... arguments)
-{
-    auto plugin = Registry::instance().make(name, std::forward<Arguments>(arguments)...);
-    if (!plugin)
-        throw Error(ResultCode::SettingsInvalid, Ran::No, fmt::format("There is no {} named {}", kind, name));
-    return plugin;
-}
-
 } // namespace
 
 FleetInstance::FleetInstance(const Settings& settings, std::string settingsFile)
     : settingsFile_(std::move(settingsFile))
     , settingsText_(readFile(settingsFile_))
-    , callers_(makePlugin<CallerDialectRegistry>("caller dialect", settings.fleet->dialect))
-    , backends_(makePlugin<BackendDialectRegistry>("backend dialect", settings.fleet->dialect))
-    , entries_(makePlugin<EntryDialectRegistry>("entry dialect", settings.fleet->dialect))
-    , documents_(makePlugin<DocumentReaderRegistry>("document reader", settings.fleet->dialect, settings))
-    , store_(makePlugin<StoreClientRegistry>("store client", settings.storeKind, settings))
+    , callers_(CallerDialectRegistry::instance().require("caller dialect", settings.fleet->dialect))
+    , backends_(BackendDialectRegistry::instance().require("backend dialect", settings.fleet->dialect))
+    , entries_(EntryDialectRegistry::instance().require("entry dialect", settings.fleet->dialect))
+    , documents_(DocumentReaderRegistry::instance().require("document reader", settings.fleet->dialect, settings))
+    , store_(StoreClientRegistry::instance().require("store client", settings.storeKind, settings))
     , tables_(settings)
     , workers_(1)
     , claims_(tables_.settings, *store_, workers_.context(0).get_executor())
@@ -89,31 +79,20 @@
     Asio::co_spawn(context, awaitHangUp(), Asio::detached);
     Asio::co_spawn(context, driveTimers(), Asio::detached);
     Asio::co_spawn(context, awaitShutdown(), Asio::detached);
-    Asio::co_spawn(context, accept(callersAcceptor_, &FleetInstance::serveCallerOn), Asio::detached);
-    Asio::co_spawn(context, accept(peersAcceptor_, &FleetInstance::servePeerOn), Asio::detached);
-    Asio::co_spawn(context, accept(readinessAcceptor_, &FleetInstance::serveEntriesOn), Asio::detached);
-    Asio::co_spawn(context, accept(directoryAcceptor_, &FleetInstance::serveEntriesOn), Asio::detached);
+    acceptOn(callersAcceptor_, &FleetInstance::serveCallerOn);
+    acceptOn(peersAcceptor_, &FleetInstance::servePeerOn);
+    acceptOn(readinessAcceptor_, &FleetInstance::serveEntriesOn);
+    acceptOn(directoryAcceptor_, &FleetInstance::serveEntriesOn);
     if (metricsAcceptor_)
-        Asio::co_spawn(context, accept(*metricsAcceptor_, &FleetInstance::serveEntriesOn), Asio::detached);
+        acceptOn(*metricsAcceptor_, &FleetInstance::serveEntriesOn);
     instanceLog.info("Listening.", { { "instance", tables_.settings.identity.instance }, { "callers", tables_.settings.callersListen.toString() }, { "peers", tables_.settings.peersListen.toString() } });
     workers_.run();
 }
 
-Task<void> FleetInstance::accept(Acceptor& acceptor, Serve serve)
+void FleetInstance::acceptOn(Acceptor& acceptor, Serve serve)
 {
-    for (;;) {
-        Asio::ip::tcp::socket socket(workers_.context(0));
-        boost::system::error_code error;
-        co_await acceptor.async_accept(socket, Asio::redirect_error(Asio::use_awaitable, error));
-        if (error == Asio::error::operation_aborted)
-            co_return;
-        if (error) {
-            // Out of descriptors, for example: wait rather than spin.
-            co_await pause(acceptRetryPause);
-            continue;
-        }
-        (this->*serve)(std::move(socket));
-    }
+    auto handle = [this, serve](Asio::ip::tcp::socket socket, std::size_t worker) { (this->*serve)(std::move(socket), worker); };
+    Asio::co_spawn(workers_.context(0), acceptConnections(acceptor, workers_, std::move(handle)), Asio::detached);
 }
 
 Task<void> FleetInstance::driveTimers()
@@ -191,17 +170,17 @@
     }
 }
 
-void FleetInstance::serveCallerOn(Asio::ip::tcp::socket socket)
+void FleetInstance::serveCallerOn(Asio::ip::tcp::socket socket, std::size_t /*worker*/)
 {
     Asio::co_spawn(workers_.context(0), serveRoutedCaller(std::move(socket), tables_, runner_, *callers_), Asio::detached);
 }
 
-void FleetInstance::servePeerOn(Asio::ip::tcp::socket socket)
+void FleetInstance::servePeerOn(Asio::ip::tcp::socket socket, std::size_t /*worker*/)
 {
     Asio::co_spawn(workers_.context(0), servePeer(std::move(socket), tables_, runner_, plane_), Asio::detached);
 }
 
-void FleetInstance::serveEntriesOn(Asio::ip::tcp::socket socket)
+void FleetInstance::serveEntriesOn(Asio::ip::tcp::socket socket, std::size_t /*worker*/)
 {
     Asio::co_spawn(workers_.context(0), serveEntries(std::move(socket), *entries_, source_), Asio::detached);
 }
--- a/Programs/ibisturn/FleetInstance.h
+++ b/Programs/ibisturn/FleetInstance.h
@@ -25,17 +25,17 @@
 
 private:
     using Acceptor = Asio::ip::tcp::acceptor;
-    using Serve = void (FleetInstance::*)(Asio::ip::tcp::socket);
+    using Serve = void (FleetInstance::*)(Asio::ip::tcp::socket, std::size_t);
 
-    Task<void> accept(Acceptor& acceptor, Serve serve);
+    void acceptOn(Acceptor& acceptor, Serve serve);
     Task<void> driveTimers();
     Task<void> awaitShutdown();
     Task<void> awaitHangUp();
     void reloadIfChanged();
     void reload();
-    void serveCallerOn(Asio::ip::tcp::socket socket);
-    void servePeerOn(Asio::ip::tcp::socket socket);
-    void serveEntriesOn(Asio::ip::tcp::socket socket);
+    void serveCallerOn(Asio::ip::tcp::socket socket, std::size_t worker);
+    void servePeerOn(Asio::ip::tcp::socket socket, std::size_t worker);
+    void serveEntriesOn(Asio::ip::tcp::socket socket, std::size_t worker);
 
     std::string settingsFile_;
     std::string settingsText_;
--- a/Programs/ibisturn/FleetPlane.cpp
+++ b/Programs/ibisturn/FleetPlane.cpp
@@ -118,7 +118,7 @@
     if (member && member->state != news.state && news.state == MemberState::Leaving)
         nextMembership_ = {};
     tables_.allowance.onDemands(now, from, news.demands, news.heardAgo, news.runsFor);
-    if (member && member->region == tables_.settings.identity.region)
+    if (member && audienceOf(member->region) == Audience::OwnRegion)
         tables_.placement.with([&](PlacementTable& table) { table.onPeerLoad(now, from, news.loads); });
     else if (member)
         tables_.placement.with([&](PlacementTable& table) { table.onOutlook(now, member->region, news.outlooks); });
@@ -132,10 +132,8 @@
     if (news.wishAfter.empty())
         return {};
     // An instance that was cut off for long may not be listed any more when it can ask again.
-    Member unlisted;
-    unlisted.id = from;
-    FleetNews answer = newsFor(now, member ? *member : unlisted);
-    answer.wishAfter.clear();
+    FleetNews answer = newsFor(now, member ? audienceOf(member->region) : Audience::OtherRegions);
+    answer.heardAgo = tables_.allowance.heardAgo(now, from);
     answer.changes = knowledge_.changesAfter(news.wishAfter);
     answer.changesView = knowledge_.view(now);
     return { SendNews { from, std::move(answer) } };
@@ -215,13 +213,13 @@
     const auto membership = tables_.membership.get();
     if (!membership)
         return;
-    const auto& here = tables_.settings.identity;
     std::vector<const Member*> others;
     for (const auto& member : membership->instances) {
-        if (member.id != here.instance)
+        if (member.id != tables_.settings.identity.instance)
             others.push_back(&member);
     }
-    const auto near = static_cast<std::size_t>(std::count_if(others.begin(), others.end(), [&here](const Member* member) { return member->region == here.region; }));
+    const auto isNear = [this](const Member* member) { return audienceOf(member->region) == Audience::OwnRegion; };
+    const auto near = static_cast<std::size_t>(std::count_if(others.begin(), others.end(), isNear));
     const bool tellsNear = now >= nextNearNews_;
     const bool tellsFar = now >= nextFarNews_;
     if (tellsNear)
@@ -229,11 +227,17 @@
     if (tellsFar)
         nextFarNews_ = now + newsPeriod(farPace, others.size() - near);
     const auto asked = wishes_.next(now, knowledge_.isStoreAway(now), others);
+    std::optional<FleetNews> nearNews;
+    std::optional<FleetNews> farNews;
     for (const auto* member : others) {
         const bool isAsked = std::find(asked.begin(), asked.end(), member->id) != asked.end();
-        if (!isAsked && !(member->region == here.region ? tellsNear : tellsFar))
+        if (!isAsked && !(isNear(member) ? tellsNear : tellsFar))
             continue;
-        auto news = newsFor(now, *member);
+        auto& shared = isNear(member) ? nearNews : farNews;
+        if (!shared)
+            shared = newsFor(now, audienceOf(member->region));
+        FleetNews news = *shared;
+        news.heardAgo = tables_.allowance.heardAgo(now, member->id);
         if (isAsked)
             news.wishAfter = knowledge_.positions();
         links_.send(*member, toPeerMessage(SendNews { member->id, std::move(news) }));
@@ -252,15 +256,19 @@
     }
 }
 
-FleetNews FleetPlane::newsFor(TimePoint now, const Member& peer) const
+FleetPlane::Audience FleetPlane::audienceOf(const RegionId& region) const
+{
+    return region == tables_.settings.identity.region ? Audience::OwnRegion : Audience::OtherRegions;
+}
+
+FleetNews FleetPlane::newsFor(TimePoint now, Audience audience) const
 {
     FleetNews news;
     news.incarnation = incarnation_;
     news.state = self().state;
-    news.heardAgo = tables_.allowance.heardAgo(now, peer.id);
     news.runsFor = tables_.allowance.runsFor(now);
     news.demands = tables_.allowance.demands(now);
-    if (peer.region == tables_.settings.identity.region)
+    if (audience == Audience::OwnRegion)
         tables_.placement.with([&](PlacementTable& table) { news.loads = table.ownLoads(); });
     else
         tables_.placement.with([&](PlacementTable& table) { news.outlooks = table.outlooks(now); });
--- a/Programs/ibisturn/FleetPlane.h
+++ b/Programs/ibisturn/FleetPlane.h
@@ -50,7 +50,14 @@
     void setGauges(TimePoint now, const MembershipView& view);
     void tellPeers(TimePoint now);
     Task<void> noteFleetSize(std::size_t size);
-    FleetNews newsFor(TimePoint now, const Member& peer) const;
+    /// What is told the instances of this region, or those of others.
+    enum class Audience : std::uint8_t {
+        OwnRegion,
+        OtherRegions,
+    };
+
+    Audience audienceOf(const RegionId& region) const;
+    FleetNews newsFor(TimePoint now, Audience audience) const;
     Member self() const;
 
     Asio::io_context& context_;
--- a/Programs/ibisturn/Instance.cpp
+++ b/Programs/ibisturn/Instance.cpp
@@ -29,20 +29,12 @@
     return Endpoint { local.address().to_string(), local.port() }.toString();
 }
 
-std::unique_ptr<StoreClient> makeStore(const Settings& settings)
-{
-    auto store = StoreClientRegistry::instance().make(settings.storeKind, settings);
-    if (!store)
-        throw Error(ResultCode::SettingsInvalid, Ran::No, "There is no store client named " + settings.storeKind);
-    return store;
-}
-
 } // namespace
 
 Instance::Instance(const Settings& settings)
     : tables_(settings)
     , workers_(tables_.settings.workers)
-    , store_(makeStore(tables_.settings))
+    , store_(StoreClientRegistry::instance().require("store client", tables_.settings.storeKind, tables_.settings))
     , claims_(tables_.settings, *store_, workers_.context(0).get_executor())
     , control_(workers_.context(0), tables_, *store_)
     , operators_(tables_, *store_, control_.feed())
@@ -73,9 +65,9 @@
     Asio::co_spawn(context, followLiveList(), Asio::detached);
     Asio::co_spawn(context, driveTimers(), Asio::detached);
     Asio::co_spawn(context, awaitShutdown(), Asio::detached);
-    Asio::co_spawn(context, accept(callersAcceptor_, &Instance::serveCallerOn), Asio::detached);
-    Asio::co_spawn(context, accept(peersAcceptor_, &Instance::servePeerOn), Asio::detached);
-    Asio::co_spawn(context, accept(operatorsAcceptor_, &Instance::serveOperatorOn), Asio::detached);
+    acceptOn(callersAcceptor_, &Instance::serveCallerOn);
+    acceptOn(peersAcceptor_, &Instance::servePeerOn);
+    acceptOn(operatorsAcceptor_, &Instance::serveOperatorOn);
     // With port 0 in the settings, these lines tell which ports were taken.
     instanceLog.info("Listening.", { { "instance", tables_.settings.identity.instance }, { "callers", listeningOn(callersAcceptor_) }, { "operators", listeningOn(operatorsAcceptor_) }, { "peers", listeningOn(peersAcceptor_) } });
     workers_.run();
@@ -101,22 +93,10 @@
     timers_.subscribe(SteadyClock().now(), certificatePoll, [this](TimePoint) { callersTls_->reloadIfChanged(); });
 }
 
-Task<void> Instance::accept(Acceptor& acceptor, Serve serve)
+void Instance::acceptOn(Acceptor& acceptor, Serve serve)
 {
-    for (;;) {
-        const auto worker = workers_.nextIndex();
-        Asio::ip::tcp::socket socket(workers_.context(worker));
-        boost::system::error_code error;
-        co_await acceptor.async_accept(socket, Asio::redirect_error(Asio::use_awaitable, error));
-        if (error == Asio::error::operation_aborted)
-            co_return;
-        if (error) {
-            // Out of descriptors, for example: wait rather than spin.
-            co_await pause(drainPoll);
-            continue;
-        }
-        (this->*serve)(std::move(socket), worker);
-    }
+    auto handle = [this, serve](Asio::ip::tcp::socket socket, std::size_t worker) { (this->*serve)(std::move(socket), worker); };
+    Asio::co_spawn(workers_.context(0), acceptConnections(acceptor, workers_, std::move(handle)), Asio::detached);
 }
 
 Task<void> Instance::followLiveList()
--- a/Programs/ibisturn/Instance.h
+++ b/Programs/ibisturn/Instance.h
@@ -36,7 +36,7 @@
 
     void sendSpans();
     void watchCertificate();
-    Task<void> accept(Acceptor& acceptor, Serve serve);
+    void acceptOn(Acceptor& acceptor, Serve serve);
     Task<void> followLiveList();
     Task<void> driveTimers();
     Task<void> awaitShutdown();
--- a/Tests/LibDecision/ServingScheduleTest.cpp
+++ b/Tests/LibDecision/ServingScheduleTest.cpp
@@ -56,11 +56,7 @@
     constexpr std::uint64_t schedules = 20;
     auto options = withFaults();
     options.mutation = mutation;
-    for (std::uint64_t index = 0; index < schedules; ++index) {
-        if (!ServingWorld(options, seedOfRun() * caseCount + index).run().violation.empty())
-            return true;
-    }
-    return false;
+    return holdsForSomeCase([&options](std::uint64_t seed) { return !ServingWorld(options, seed).run().violation.empty(); }, schedules);
 }
 
 } // namespace
--- a/Tests/LibPlatform/FleetScheduleTest.cpp
+++ b/Tests/LibPlatform/FleetScheduleTest.cpp
@@ -20,13 +20,12 @@
 
 bool isNoticed(FleetMutation mutation)
 {
-    for (std::uint64_t index = 0; index < mutatedSchedules; ++index) {
-        FleetWorld world(seedOfRun() * caseCount + index, mutation);
+    const auto isNoticedAt = [mutation](std::uint64_t seed) {
+        FleetWorld world(seed, mutation);
         world.run();
-        if (!world.violation().empty())
-            return true;
-    }
-    return false;
+        return !world.violation().empty();
+    };
+    return holdsForSomeCase(isNoticedAt, mutatedSchedules);
 }
 
 /// Without the log, of which each schedule would write thousands of lines.
--- a/Tests/Support/Cases.h
+++ b/Tests/Support/Cases.h
@@ -38,6 +38,17 @@
     }
 }
 
+/// Whether `check` holds for the seed of some of `count` cases.
+template <typename Check>
+bool holdsForSomeCase(Check check, std::uint64_t count)
+{
+    for (std::uint64_t index = 0; index < count; ++index) {
+        if (check(seedOfRun() * caseCount + index))
+            return true;
+    }
+    return false;
+}
+
 /// A number from zero up to `limit`, without it. Precondition: `limit` is positive.
 inline std::size_t below(Random& random, std::size_t limit)
 {
