LibConfiguration: Take what a platform fills into the template, whatever its form

Values of the fleet's bounds may now be a fraction (rounded down), zero, empty (the default is used) or very large (limited); each adjustment is logged at start and reload and printed by `ibisturn check`. Negative values, text and lists are still refused with file, line and key.

--- a/Libraries/LibConfiguration/Settings.cpp
+++ b/Libraries/LibConfiguration/Settings.cpp
@@ -66,18 +66,18 @@
 void readFleetBounds(SettingsSection& section, FleetSettings& fleet)
 {
     auto retries = section.section("retries");
-    fleet.retryRatio = retries.decimal("ratio", fleet.retryRatio, 0, 1);
-    fleet.retryReserve = retries.number("reserve", fleet.retryReserve, 0, maxRetryReserve);
-    fleet.retryWindow = retries.duration("window", fleet.retryWindow);
+    fleet.retryRatio = retries.suppliedDecimal("ratio", fleet.retryRatio, 1);
+    fleet.retryReserve = retries.suppliedNumber("reserve", fleet.retryReserve, maxRetryReserve);
+    fleet.retryWindow = retries.suppliedPeriod("window", fleet.retryWindow);
     retries.rejectUnknownKeys();
     auto allowance = section.section("allowance");
-    fleet.allowanceWindow = allowance.duration("window", fleet.allowanceWindow);
-    fleet.allowanceTolerance = allowance.decimal("tolerance", fleet.allowanceTolerance, 0, 1);
-    fleet.allowanceSlack = allowance.number("slack", fleet.allowanceSlack, 0, maxAllowanceSlack);
+    fleet.allowanceWindow = allowance.suppliedPeriod("window", fleet.allowanceWindow);
+    fleet.allowanceTolerance = allowance.suppliedDecimal("tolerance", fleet.allowanceTolerance, 1);
+    fleet.allowanceSlack = allowance.suppliedNumber("slack", fleet.allowanceSlack, maxAllowanceSlack);
     allowance.rejectUnknownKeys();
     auto shutdown = section.section("shutdown");
-    fleet.backendDrainPeriod = shutdown.duration("backend_drain", fleet.backendDrainPeriod);
-    fleet.shutdownGracePeriod = shutdown.duration("grace", fleet.shutdownGracePeriod);
+    fleet.backendDrainPeriod = shutdown.suppliedGrace("backend_drain", fleet.backendDrainPeriod);
+    fleet.shutdownGracePeriod = shutdown.suppliedGrace("grace", fleet.shutdownGracePeriod);
     shutdown.rejectUnknownKeys();
 }
 
@@ -247,6 +247,7 @@
     settings.routingStrategy = root.text("routing", settings.routingStrategy);
     readObservability(root, settings);
     root.rejectUnknownKeys();
+    settings.adjustments = root.adjustments();
     return settings;
 }
 
--- a/Libraries/LibConfiguration/Settings.h
+++ b/Libraries/LibConfiguration/Settings.h
@@ -97,6 +97,8 @@
     LogLevel logLevel { LogLevel::Info };
     /// Where spans are sent: `none`, `stderr`, or the endpoint of an OTLP/JSON collector.
     std::string traceCollector { "none" };
+    /// Values that a platform supplied and that could not be used as they are, with file, line, key and the value used.
+    std::vector<std::string> adjustments;
 };
 
 /// Reads and validates the settings file at `path`; opens no other file.
--- a/Libraries/LibConfiguration/SettingsSection.cpp
+++ b/Libraries/LibConfiguration/SettingsSection.cpp
@@ -2,8 +2,10 @@
 
 #include <LibConfiguration/SettingsError.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -62,7 +64,9 @@
 
 SettingsSection SettingsSection::section(const std::string& key)
 {
-    return { fileName_, path_.empty() ? key : path_ + "." + key, find(key), mark_ };
+    SettingsSection child(fileName_, path_.empty() ? key : path_ + "." + key, find(key), mark_);
+    child.adjustments_ = adjustments_;
+    return child;
 }
 
 std::string SettingsSection::text(const std::string& key)
@@ -107,8 +111,10 @@
         return sections;
     if (!list.IsSequence())
         fail(key, "must be a list");
-    for (const auto& item : list)
+    for (const auto& item : list) {
         sections.emplace_back(fileName_, path_ + "." + key, item, mark_);
+        sections.back().adjustments_ = adjustments_;
+    }
     return sections;
 }
 
@@ -166,6 +172,92 @@
     return value;
 }
 
+double SettingsSection::suppliedDecimal(const std::string& key, double fallback, double maximum)
+{
+    const auto value = suppliedValue(key, "", fmt::format("{}", fallback));
+    if (!value)
+        return fallback;
+    if (*value > maximum)
+        recordAdjustment(key, fmt::format("{} is limited to {}", *value, maximum));
+    return std::min(*value, maximum);
+}
+
+std::uint32_t SettingsSection::suppliedNumber(const std::string& key, std::uint32_t fallback, std::uint32_t maximum)
+{
+    const auto value = suppliedValue(key, "", fmt::format("{}", fallback));
+    if (!value)
+        return fallback;
+    if (*value > maximum) {
+        recordAdjustment(key, fmt::format("{} is limited to {}", *value, maximum));
+        return maximum;
+    }
+    const auto whole = std::floor(*value);
+    if (whole != *value)
+        recordAdjustment(key, fmt::format("{} is rounded down to {}", *value, whole));
+    return static_cast<std::uint32_t>(whole);
+}
+
+Duration SettingsSection::suppliedPeriod(const std::string& key, Duration fallback)
+{
+    const auto fallbackText = fmt::format("{}ms", std::chrono::duration_cast<std::chrono::milliseconds>(fallback).count());
+    const auto value = suppliedDuration(key, fallbackText);
+    if (value && *value == Duration::zero())
+        recordAdjustment(key, fmt::format("must not be zero; {} is used", fallbackText));
+    return value && *value > Duration::zero() ? *value : fallback;
+}
+
+Duration SettingsSection::suppliedGrace(const std::string& key, Duration fallback)
+{
+    const auto fallbackText = fmt::format("{}ms", std::chrono::duration_cast<std::chrono::milliseconds>(fallback).count());
+    return suppliedDuration(key, fallbackText).value_or(fallback);
+}
+
+std::optional<Duration> SettingsSection::suppliedDuration(const std::string& key, const std::string& fallback)
+{
+    constexpr double nanosecondsPerMillisecond = 1e6;
+    constexpr double millisecondsPerSecond = 1e3;
+    const auto text = std::as_const(node_).IsDefined() && std::as_const(node_)[key].IsScalar() ? std::as_const(node_)[key].Scalar() : std::string();
+    const auto isMilliseconds = text.ends_with("ms");
+    const auto value = suppliedValue(key, isMilliseconds ? "ms" : "s", fallback);
+    if (!value)
+        return std::nullopt;
+    const auto nanoseconds = *value * nanosecondsPerMillisecond * (isMilliseconds ? 1 : millisecondsPerSecond);
+    if (nanoseconds <= static_cast<double>(maxDuration))
+        return Duration(static_cast<Duration::rep>(nanoseconds));
+    recordAdjustment(key, fmt::format("{} is limited to 1440min", text));
+    return Duration(static_cast<Duration::rep>(maxDuration));
+}
+
+// Returns nullopt, and records that `fallback` is used, if the platform supplied no value: the text is empty apart from `unit`.
+std::optional<double> SettingsSection::suppliedValue(const std::string& key, std::string_view unit, const std::string& fallback)
+{
+    const auto node = find(key);
+    if (!node.IsDefined())
+        return std::nullopt;
+    if (!node.IsNull() && !node.IsScalar())
+        fail(key, "must be a single value");
+    const auto text = node.IsNull() ? std::string() : node.Scalar();
+    if (text.empty() || text == unit) {
+        recordAdjustment(key, fmt::format("has no value; {} is used", fallback));
+        return std::nullopt;
+    }
+    const auto digits = std::string_view(text).substr(0, text.size() - (text.ends_with(unit) ? unit.size() : 0));
+    double value = 0;
+    const auto* last = digits.data() + digits.size();
+    const auto [end, error] = std::from_chars(digits.data(), last, value);
+    const bool hasUnit = text.ends_with(unit);
+    if (error != std::errc {} || end != last || !hasUnit || !std::isfinite(value) || value < 0)
+        fail(key, unit.empty() ? "must be a number that is not negative" : "must be a duration with a unit (ms, s), such as 250ms");
+    return value;
+}
+
+void SettingsSection::recordAdjustment(const std::string& key, const std::string& adjustment)
+{
+    const auto node = node_.IsDefined() ? std::as_const(node_)[key] : node_;
+    const auto mark = node.IsDefined() ? node.Mark() : mark_;
+    adjustments_->push_back(location(mark, path_.empty() ? key : path_ + "." + key) + " " + adjustment);
+}
+
 void SettingsSection::rejectUnknownKeys() const
 {
     if (!node_.IsDefined())
@@ -213,9 +305,14 @@
 }
 
 void SettingsSection::failAt(const YAML::Mark& mark, const std::string& key, const std::string& problem) const
+{
+    throw SettingsError(location(mark, key) + " " + problem);
+}
+
+std::string SettingsSection::location(const YAML::Mark& mark, const std::string& key) const
 {
     const auto line = mark.line < 0 ? 1 : mark.line + 1;
-    throw SettingsError(fmt::format("{}:{}: {} {}", fileName_, line, key, problem));
+    return fmt::format("{}:{}: {}", fileName_, line, key);
 }
 
 } // namespace Ibisturn
--- a/Programs/ibisturn/FleetInstance.cpp
+++ b/Programs/ibisturn/FleetInstance.cpp
@@ -38,6 +38,12 @@
     return text.str();
 }
 
+void logAdjustments(const Settings& settings)
+{
+    for (const auto& adjustment : settings.adjustments)
+        instanceLog.warning("Setting adjusted.", { { "setting", adjustment } });
+}
+
 } // namespace
 
 FleetInstance::FleetInstance(const Settings& settings, std::string settingsFile)
@@ -86,6 +92,7 @@
     if (metricsAcceptor_)
         acceptOn(*metricsAcceptor_, &FleetInstance::serveEntriesOn);
     instanceLog.info("Listening.", { { "instance", tables_.settings.identity.instance }, { "callers", tables_.settings.callersListen.toString() }, { "peers", tables_.settings.peersListen.toString() } });
+    logAdjustments(tables_.settings);
     workers_.run();
 }
 
@@ -164,6 +171,7 @@
             entrySource_.lifetime = settings.fleet->directoryLifetime;
         }
         instanceLog.info("Settings reloaded.", { { "file", settingsFile_ } });
+        logAdjustments(settings);
     } catch (const std::exception& error) {
         settingsText_ = std::move(text);
         instanceLog.error("Settings not reloaded.", { { "file", settingsFile_ }, { "reason", error.what() } });
--- a/Programs/ibisturn/Main.cpp
+++ b/Programs/ibisturn/Main.cpp
@@ -20,7 +20,9 @@
 
 int check(const std::string& path)
 {
-    loadSettings(path);
+    const auto settings = loadSettings(path);
+    for (const auto& adjustment : settings.adjustments)
+        fmt::print(stderr, "{}\n", adjustment);
     fmt::print("{}: ok\n", path);
     return 0;
 }
