RequestRunner: Check before sending that the backend server has not left

Nothing looked at the registry again after connecting.

The request is now sent only if the server is still usable when the connection is ready; otherwise it goes elsewhere as not run. Ruled out: a shorter grace, which would drop servers whose entries are written again a moment after they lapsed.

cancelAllRequests() also reaches requests on routes with a policy, which ended without an answer at the end of a drain.

RoutedRequestTest: both cases failed before (the request was sent to the server that had left; the cancelled request never ended).

--- a/Libraries/LibHTTP/Requests/AccessWatch.cpp
+++ b/Libraries/LibHTTP/Requests/AccessWatch.cpp
@@ -10,7 +10,9 @@
         return;
     reviewed_ = snapshot;
     for (const auto& [id, watched] : *watched_) {
-        const auto access = decideAccess(*snapshot, watched.region, watched.access);
+        if (!watched.access)
+            continue;
+        const auto access = decideAccess(*snapshot, watched.region, *watched.access);
         if (access != ResultCode::Ok)
             watched.cancellation->cancel(AccessReviewed { access });
     }
@@ -22,7 +24,7 @@
         watched.cancellation->cancel(AccessReviewed { code });
 }
 
-AccessWatch::Subscription::Subscription(AccessWatch& watch, RequestAccess access, RegionId region, CancellationPointer cancellation)
+AccessWatch::Subscription::Subscription(AccessWatch& watch, std::optional<RequestAccess> access, RegionId region, CancellationPointer cancellation)
     : watched_(watch.watched_)
     , id_(watch.lastId_ += SubscriptionId(1))
 {
--- a/Libraries/LibHTTP/Requests/AccessWatch.h
+++ b/Libraries/LibHTTP/Requests/AccessWatch.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace Ibisturn {
 
@@ -13,7 +14,8 @@
 /// Thread safety: one worker.
 class AccessWatch {
     struct Watched {
-        RequestAccess access;
+        /// Empty for a request that configuration changes do not cancel.
+        std::optional<RequestAccess> access;
         RegionId region;
         CancellationPointer cancellation;
     };
@@ -29,8 +31,8 @@
     /// A request that is watched for the lifetime of the object.
     class Subscription {
     public:
-        /// `region` is the region that holds the request's data.
-        Subscription(AccessWatch& watch, RequestAccess access, RegionId region, CancellationPointer cancellation);
+        /// `region` is the region that holds the request's data. Without `access`, only cancelAll() affects the request.
+        Subscription(AccessWatch& watch, std::optional<RequestAccess> access, RegionId region, CancellationPointer cancellation);
         ~Subscription();
         Subscription(const Subscription&) = delete;
         Subscription& operator=(const Subscription&) = delete;
--- a/Libraries/LibHTTP/Requests/RequestRunner.cpp
+++ b/Libraries/LibHTTP/Requests/RequestRunner.cpp
@@ -266,11 +266,9 @@
 {
     const auto executor = co_await Asio::this_coro::executor;
     const auto& here = tables_.settings.identity.region;
-    const RequestAccess access { request.workspace, request.key };
     // A request on a route with a policy is not cancelled by configuration changes while it runs.
-    std::optional<AccessWatch::Subscription> watched;
-    if (!request.routed)
-        watched.emplace(access_, access, here, request.cancellation);
+    const auto access = request.routed ? std::nullopt : std::optional(RequestAccess { request.workspace, request.key });
+    const AccessWatch::Subscription watched(access_, access, here, request.cancellation);
     const DeadlineTimer deadline(executor, request);
     const SteadyClock clock;
     const auto* route = requireConfiguration()->findRoute(routeId);
@@ -313,7 +311,10 @@
         std::optional<AccessWatch::Subscription> watchedInTarget;
         if (!request.routed)
             watchedInTarget.emplace(access_, access, target, request.cancellation);
-        request.beforeSend = [this, &request, &lifecycle, &target, attemptId] { checkBeforeSend(request, target, attemptId, lifecycle); };
+        request.beforeSend = [this, &request, &lifecycle, &target, &place, attemptId] {
+            requireUsableServer(request, place);
+            checkBeforeSend(request, target, attemptId, lifecycle);
+        };
         std::optional<AttemptFailure> failure;
         try {
             co_await attempt(place, routeId, request, lifecycle, answer);
@@ -511,6 +512,17 @@
     throwIfFailed(lifecycle.handle(ConnectionReady { attempt, decided }, now));
 }
 
+// A backend server may have left since it was chosen, while the connection to it was made.
+void RequestRunner::requireUsableServer(const GatewayRequest& request, const Place& place) const
+{
+    const auto* here = std::get_if<RunHere>(&place);
+    if (!here || !request.routed)
+        return;
+    const bool isUsable = tables_.placement.with([&](PlacementTable& table) { return table.findServer(here->backendServer) != nullptr; });
+    if (!isUsable)
+        throw NotRunError(ResultCode::NoBackendServer, Ran::No, "The backend server left before the request was sent");
+}
+
 ResultCode RequestRunner::accessOf(const GatewayRequest& request, const RegionId& region) const
 {
     // Access was decided when the head arrived; the permitted regions are checked when the place is chosen.
--- a/Libraries/LibHTTP/Requests/RequestRunner.h
+++ b/Libraries/LibHTTP/Requests/RequestRunner.h
@@ -37,7 +37,7 @@
     /// handshake. `executor` is the worker's.
     void keepPeersWarm(const Asio::any_io_executor& executor);
 
-    /// Cancels the requests that still run on routes without a policy; their callers receive an error.
+    /// Cancels the requests that still run; their callers receive an error.
     void cancelAllRequests() { access_.cancelAll(ResultCode::Draining); }
 
     /// The idle connections of callers on this worker.
@@ -74,6 +74,7 @@
     std::optional<BackendServer> findBackendServer(const Snapshot& snapshot, const BackendServerId& id, const GatewayRequest& request);
     Place choosePlace(const GatewayRequest& request, const RouteId& routeId, HopsLeft hops, const RequestLifecycle& lifecycle, ResumeNeed resume);
     void checkBeforeSend(const GatewayRequest& request, const RegionId& target, AttemptId attempt, RequestLifecycle& lifecycle) const;
+    void requireUsableServer(const GatewayRequest& request, const Place& place) const;
     ResultCode accessOf(const GatewayRequest& request, const RegionId& region) const;
     RegionId regionOf(const Place& place) const;
     SnapshotPointer requireConfiguration() const;
--- /dev/null
+++ b/Tests/LibHTTP/RoutedRequestTest.cpp
@@ -0,0 +1,172 @@
+#include <LibKernel/Asio.h>
+
+#include <LibHTTP/Requests/RequestRunner.h>
+#include <Tests/Support/LoopbackInstance.h>
+#include <Tests/Support/RecordingSink.h>
+#include <Tests/Support/ScriptedServer.h>
+
+#include <gtest/gtest.h>
+
+namespace Ibisturn::Testing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const ServiceId bookings("bookings");
+const RegionId khomas("khomas");
+
+SnapshotPointer configuration()
+{
+    Service service;
+    service.id = bookings;
+    Route route;
+    route.id = RouteId("book");
+    route.pathPrefix = "/";
+    route.kind = BackendKind::Service;
+    route.repeatability = Repeatability::Idempotent;
+    route.policy = RoutePolicy();
+    route.policy->services = { { bookings, 1 } };
+    route.policy->maxAttempts = 3;
+    return std::make_shared<const Snapshot>(Revision(1), std::vector<Record> { { "services", "bookings", Revision(1), service }, { "routes", "book", Revision(1), route } });
+}
+
+/// Runs requests on a route with a policy against backend servers on loopback, in one event loop.
+class RoutedRequestTest : public testing::Test {
+protected:
+    RoutedRequestTest()
+        : tables_(settingsIn("khomas"), nullptr)
+        , claims_(tables_.settings, store_, context_.get_executor())
+        , runner_(tables_, claims_)
+    {
+        tables_.configuration.set(configuration());
+    }
+
+    void setServers(const std::vector<const ScriptedServer*>& servers)
+    {
+        std::vector<BackendState> states;
+        for (const auto* server : servers) {
+            BackendState state;
+            state.server.id = BackendServerId(fmt::format("s{}", server->endpoint().port));
+            state.server.service = bookings;
+            state.server.endpoint = server->endpoint();
+            state.server.region = khomas;
+            state.server.slots = 8;
+            states.push_back(state);
+        }
+        const auto snapshot = tables_.configuration.get();
+        tables_.placement.with([&](PlacementTable& table) {
+            table.setInstances(tables_.settings.identity.instance, { tables_.settings.identity.instance });
+            table.setServers(states, *snapshot);
+        });
+    }
+
+    GatewayRequest makeRequest() const
+    {
+        GatewayRequest request;
+        request.method = "POST";
+        request.target = "/book";
+        request.deadline = SteadyClock().now() + 10s;
+        request.callerDeadline = request.deadline;
+        request.routed.emplace();
+        request.routed->route = RouteId("book");
+        request.routed->service = bookings;
+        request.routed->target = SteadyClock().now() + 1s;
+        return request;
+    }
+
+    /// Starts a request; its error, if any, is in failure() once it has ended.
+    void start(GatewayRequest request)
+    {
+        done_ = Asio::co_spawn(context_, run(std::move(request)), Asio::use_future);
+    }
+
+    void await()
+    {
+        while (done_.wait_for(0s) != std::future_status::ready)
+            context_.run_one();
+    }
+
+    const std::optional<Error>& failure() const { return failure_; }
+
+    Asio::io_context context_ { 1 };
+    InstanceTables tables_;
+    UnreachableStore store_;
+    ClaimService claims_;
+    RequestRunner runner_;
+    RecordingSink sink_;
+
+private:
+    Task<void> run(GatewayRequest request)
+    {
+        try {
+            co_await runner_.runFromCaller(std::move(request), sink_);
+        } catch (const Error& error) {
+            failure_ = error;
+        }
+    }
+
+    std::future<void> done_;
+    std::optional<Error> failure_;
+};
+
+const std::string completeAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+} // namespace
+
+TEST_F(RoutedRequestTest, IsNotSentToAServerThatLeftWhileTheConnectionWasMade)
+{
+    ScriptedServer leaving(context_, { completeAnswer });
+    setServers({ &leaving });
+    start(makeRequest());
+    // The request has chosen the server and waits for the connection.
+    Asio::post(context_, [this] { setServers({}); });
+    await();
+    ASSERT_TRUE(failure());
+    EXPECT_EQ(failure()->ran(), Ran::No);
+    EXPECT_EQ(leaving.requests(), 0U);
+}
+
+TEST_F(RoutedRequestTest, GoesToAnotherServerIfTheChosenOneLeft)
+{
+    ScriptedServer leaving(context_, { completeAnswer });
+    ScriptedServer staying(context_, { completeAnswer });
+    setServers({ &leaving });
+    start(makeRequest());
+    Asio::post(context_, [&] { setServers({ &staying }); });
+    await();
+    EXPECT_FALSE(failure());
+    EXPECT_EQ(sink_.body, "ok");
+    EXPECT_EQ(leaving.requests(), 0U);
+    EXPECT_EQ(staying.requests(), 1U);
+}
+
+// At the end of a drain, callers of requests that still run must receive an error instead of a closed connection.
+TEST_F(RoutedRequestTest, CancellingAllRequestsEndsItWithAnError)
+{
+    ScriptedServer silent(context_, { "-" });
+    silent.onRequest([this] { runner_.cancelAllRequests(); });
+    setServers({ &silent });
+    start(makeRequest());
+    await();
+    ASSERT_TRUE(failure());
+    EXPECT_EQ(failure()->code(), ResultCode::Draining);
+    EXPECT_EQ(failure()->ran(), Ran::Unknown);
+}
+
+// A configuration change must not end a running request on a route with a policy.
+TEST_F(RoutedRequestTest, ReviewingAccessLeavesItRunning)
+{
+    ScriptedServer server(context_, { completeAnswer });
+    server.onRequest([this] {
+        tables_.configuration.set(std::make_shared<const Snapshot>(Revision(2), std::vector<Record>()));
+        runner_.reviewAccess();
+    });
+    setServers({ &server });
+    start(makeRequest());
+    await();
+    EXPECT_FALSE(failure());
+    EXPECT_EQ(sink_.body, "ok");
+}
+
+} // namespace Ibisturn::Testing
