--- a/Libraries/LibHTTP/Backends/BackendClient.cpp
+++ b/Libraries/LibHTTP/Backends/BackendClient.cpp
@@ -7,6 +7,7 @@
 #include <LibKernel/HttpLimits.h>
 #include <LibKernel/SocketOptions.h>
 
+#include <algorithm>
 #include <array>
 #include <limits>
 #include <utility>
@@ -71,16 +72,16 @@
 {
     ConnectionPointer connection = takeIdle(server.endpoint, repeatability);
     if (!connection)
-        connection = co_await connect(server.endpoint);
+        connection = co_await connect(server.endpoint, request.deadline);
     co_await exchange(*connection, server, request, sink);
     keepIdle(server.endpoint, std::move(connection));
 }
 
-Task<BackendClient::ConnectionPointer> BackendClient::connect(Endpoint endpoint)
+Task<BackendClient::ConnectionPointer> BackendClient::connect(Endpoint endpoint, TimePoint deadline)
 {
     const auto executor = co_await Asio::this_coro::executor;
     auto connection = std::make_unique<Connection>(Connection { boost::beast::tcp_stream(executor), {} });
-    connection->stream.expires_after(limits_.connectTimeout);
+    connection->stream.expires_after(std::min(limits_.connectTimeout, deadline - SteadyClock().now()));
     const Asio::ip::tcp::endpoint target(Asio::ip::make_address(endpoint.address), endpoint.port);
     boost::system::error_code error;
     co_await connection->stream.async_connect(target, Asio::redirect_error(Asio::use_awaitable, error));
--- a/Libraries/LibHTTP/Backends/BackendClient.h
+++ b/Libraries/LibHTTP/Backends/BackendClient.h
@@ -52,7 +52,7 @@
     };
     using ConnectionPointer = std::unique_ptr<Connection>;
 
-    Task<ConnectionPointer> connect(Endpoint endpoint);
+    Task<ConnectionPointer> connect(Endpoint endpoint, TimePoint deadline);
     ConnectionPointer takeIdle(const Endpoint& endpoint, Repeatability repeatability);
     void keepIdle(const Endpoint& endpoint, ConnectionPointer connection);
     using AnswerParser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
--- a/Libraries/LibHTTP/Callers/RoutedSession.cpp
+++ b/Libraries/LibHTTP/Callers/RoutedSession.cpp
@@ -140,7 +140,7 @@
         request.resumeAfter = head.lastEventId;
         request.key = head.key;
         setDeadline(request, *route, head, arrived);
-        co_await readBody(parser);
+        co_await readBody(parser, request.deadline);
         request.body = std::move(parser.get().body());
         const WorkspaceId workspace = request.workspace;
         const auto tokens = takeAllowance(*snapshot, request, head.promptTokens.has_value());
@@ -218,9 +218,10 @@
         request.callerDeadline = request.deadline;
     }
 
-    Task<void> readBody(CallerParser& parser)
+    // Throws RequestReadTimeout if the body is not complete at the request's deadline.
+    Task<void> readBody(CallerParser& parser, TimePoint deadline)
     {
-        stream_.expires_after(limits().headTimeout + limits().idleTimeout);
+        stream_.expires_after(std::min<Duration>(limits().headTimeout + limits().idleTimeout, deadline - SteadyClock().now()));
         if (parser.is_done())
             co_return;
         pendingInput_ = PendingInput::Discard;
--- a/Libraries/LibHTTP/Peers/PeerClient.cpp
+++ b/Libraries/LibHTTP/Peers/PeerClient.cpp
@@ -1,8 +1,10 @@
 #include <LibHTTP/Peers/PeerClient.h>
 
+#include <LibCore/SteadyClock.h>
 #include <LibHTTP/Callers/SocketWatch.h>
 #include <LibHTTP/Peers/ForwardedRequest.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace Ibisturn {
@@ -51,7 +53,7 @@
 Task<void> PeerClient::run(const Member& peer, ForwardMessage message, const GatewayRequest& gatewayRequest, AnswerSink& sink)
 {
     const Endpoint endpoint = peer.peers;
-    ConnectionPointer connection = co_await acquireConnection(endpoint);
+    ConnectionPointer connection = co_await acquireConnection(endpoint, gatewayRequest.deadline);
     const Cancellation::Scope closing(gatewayRequest.cancellation, [&connection] { connection->close(); });
     const RequestId request(++lastRequest_);
     if (gatewayRequest.beforeSend)
@@ -70,7 +72,7 @@
     idle_[endpoint].push_back(std::move(connection));
 }
 
-Task<PeerClient::ConnectionPointer> PeerClient::acquireConnection(Endpoint endpoint)
+Task<PeerClient::ConnectionPointer> PeerClient::acquireConnection(Endpoint endpoint, TimePoint deadline)
 {
     auto& idle = idle_[endpoint];
     while (!idle.empty()) {
@@ -80,16 +82,17 @@
         if (probeSocket(connection->socket()) != SocketState::Closed)
             co_return connection;
     }
-    co_return co_await openConnection(endpoint);
+    co_return co_await openConnection(endpoint, deadline);
 }
 
-Task<PeerClient::ConnectionPointer> PeerClient::openConnection(Endpoint endpoint)
+Task<PeerClient::ConnectionPointer> PeerClient::openConnection(Endpoint endpoint, TimePoint deadline)
 {
-    auto connection = std::make_unique<PeerConnection>(co_await PeerConnection::connect(endpoint, limits_.connectTimeout, limits_.frame));
+    const auto timeout = [this, deadline] { return std::min(limits_.connectTimeout, deadline - SteadyClock().now()); };
+    auto connection = std::make_unique<PeerConnection>(co_await PeerConnection::connect(endpoint, timeout(), limits_.frame));
     bool failed = false;
     HelloMessage hello = self_;
     try {
-        co_await connection->handshake(std::move(hello), limits_.connectTimeout);
+        co_await connection->handshake(std::move(hello), timeout());
     } catch (const boost::system::system_error&) {
         failed = true;
     }
@@ -106,7 +109,7 @@
     if (idle.size() >= count || !warming_.insert(endpoint).second)
         co_return;
     try {
-        ConnectionPointer connection = co_await openConnection(endpoint);
+        ConnectionPointer connection = co_await openConnection(endpoint, TimePoint::max());
         idle_[endpoint].push_back(std::move(connection));
     } catch (const Error& error) {
         // A request that needs the connection will report the failure itself.
--- a/Libraries/LibHTTP/Peers/PeerClient.h
+++ b/Libraries/LibHTTP/Peers/PeerClient.h
@@ -42,8 +42,8 @@
 private:
     using ConnectionPointer = std::unique_ptr<PeerConnection>;
 
-    Task<ConnectionPointer> acquireConnection(Endpoint endpoint);
-    Task<ConnectionPointer> openConnection(Endpoint endpoint);
+    Task<ConnectionPointer> acquireConnection(Endpoint endpoint, TimePoint deadline);
+    Task<ConnectionPointer> openConnection(Endpoint endpoint, TimePoint deadline);
     Task<void> relayAnswer(PeerConnection& connection, RequestId request, AnswerSink& sink);
 
     HelloMessage self_;
