PlacementTable: Keep the awaited first parts of each backend server in order

Cause: each choice of a place walked all requests in flight once for each backend server to find overdue ones, so a choice became slower the more requests waited. The expected times now stand in a set of each server, and the two earliest are looked at. Decisions are unchanged (PlacementTableTest).

--- a/Libraries/LibDecision/Placement/PlacementTable.cpp
+++ b/Libraries/LibDecision/Placement/PlacementTable.cpp
@@ -159,6 +159,7 @@
     placed.load = { query.priority <= urgentPriority ? placed.uncachedTokens : TokenCount(0), placed.uncachedTokens, query.promptTokens + query.maxAnswerTokens, 1 };
     add(server.ownLoad, placed.load);
     server.cache.record(query.prompt);
+    server.awaitedFirstParts.emplace(placed.sentAt + placed.expected, placement.count());
     placedRequests_.emplace(placement.count(), placed);
     return placement;
 }
@@ -174,8 +175,9 @@
     if (found == placedRequests_.end() || found->second.hasStarted)
         return;
     auto& placed = found->second;
-    placed.hasStarted = true;
     auto& server = servers_.at(placed.server);
+    stopAwaiting(server, id.count(), placed);
+    placed.hasStarted = true;
     server.ownLoad.urgentBacklog -= placed.load.urgentBacklog;
     server.ownLoad.backlog -= placed.load.backlog;
     placed.load.urgentBacklog = TokenCount(0);
@@ -207,6 +209,7 @@
     const auto placed = found->second;
     placedRequests_.erase(found);
     auto& server = servers_.at(placed.server);
+    stopAwaiting(server, id.count(), placed);
     server.ownLoad.urgentBacklog -= placed.load.urgentBacklog;
     server.ownLoad.backlog -= placed.load.backlog;
     server.ownLoad.reservedTokens -= placed.load.reservedTokens;
@@ -361,25 +364,21 @@
     return wait + milliseconds(static_cast<double>(uncachedTokens.count()) * millisecondsPerToken * limits_.prefillWeight);
 }
 
+void PlacementTable::stopAwaiting(Server& server, std::uint64_t id, const PlacedRequest& placed)
+{
+    server.awaitedFirstParts.erase({ placed.sentAt + placed.expected, id });
+}
+
 // How far the most overdue request exceeds its expected time to the first part. Zero within the margin, and zero if only one
 // request is overdue, since that request itself may be the cause.
 Duration PlacementTable::overdueTime(TimePoint now, const Server& server) const
 {
-    if (server.ownLoad.requests < 2)
+    if (server.awaitedFirstParts.size() < 2)
         return Duration::zero();
-    const auto& id = server.state.server.id;
-    Duration maxDelay {};
-    std::size_t count = 0;
-    for (const auto& [number, placed] : placedRequests_) {
-        if (placed.hasStarted || placed.server != id)
-            continue;
-        const auto delay = now - placed.sentAt - placed.expected;
-        if (delay <= limits_.overdueMargin)
-            continue;
-        ++count;
-        maxDelay = std::max(maxDelay, delay);
-    }
-    return count > 1 ? maxDelay : Duration::zero();
+    const auto mostOverdue = server.awaitedFirstParts.begin();
+    if (now - std::next(mostOverdue)->first <= limits_.overdueMargin)
+        return Duration::zero();
+    return now - mostOverdue->first;
 }
 
 Duration PlacementTable::estimateWait(TimePoint now, const Server& server, const PlacementQuery& query, TokenCount uncachedTokens) const
--- a/Libraries/LibDecision/Placement/PlacementTable.h
+++ b/Libraries/LibDecision/Placement/PlacementTable.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <variant>
 
@@ -192,6 +193,8 @@
         /// Average ratio of the measured to the expected time to the first part.
         double slowness { 1 };
         TimePoint nextColdRequestAt {};
+        /// When the first part of each request that still waits for it was expected, earliest first.
+        std::set<std::pair<TimePoint, std::uint64_t>> awaitedFirstParts;
     };
 
     struct PlacedRequest {
@@ -232,6 +235,7 @@
     bool isUsable(TimePoint now, const Server& server, const PlacementQuery& query) const;
     bool isColdSender(const Server& server) const;
     Load totalLoad(TimePoint now, const Server& server) const;
+    static void stopAwaiting(Server& server, std::uint64_t id, const PlacedRequest& placed);
     Duration overdueTime(TimePoint now, const Server& server) const;
     Duration estimateWait(TimePoint now, const Server& server, const PlacementQuery& query, TokenCount uncachedTokens) const;
     TokenCount uncachedTokens(const PromptCacheEstimate& cache, bool isPreferred, const PlacementQuery& query) const;
