LibDecision, LibPeer, LibConfiguration: Mend faults that reading had found

- An empty loan grant counted as two failures, so the backoff grew twice as fast.
LoanTable test failed before.
- Replies on a control connection were queued without a bound.
- The schema of an unknown record was cut to 32 bits.
- FairQueue removed and expired a request in linear time.
- The stand-in for the store read its call count without the lock.

--- a/Libraries/LibConfiguration/Records.cpp
+++ b/Libraries/LibConfiguration/Records.cpp
@@ -180,7 +180,7 @@
     return findKind(kind) != nullptr;
 }
 
-UnknownRecord parseUnknownRecord(std::uint32_t schema, std::string_view json)
+UnknownRecord parseUnknownRecord(std::uint64_t schema, std::string_view json)
 {
     UnknownRecord record { schema, "/", {} };
     const auto parsed = nlohmann::json::parse(json, nullptr, false);
--- a/Libraries/LibConfiguration/Records.h
+++ b/Libraries/LibConfiguration/Records.h
@@ -198,7 +198,7 @@
 Record parseRecord(std::string_view kind, std::string_view name, std::string_view json, Revision revision);
 
 /// Extracts path and model, if present, from a record that parseRecord() can't read. Thread safety: any thread.
-UnknownRecord parseUnknownRecord(std::uint32_t schema, std::string_view json);
+UnknownRecord parseUnknownRecord(std::uint64_t schema, std::string_view json);
 
 /// Whether `kind` is a kind of record. Thread safety: any thread.
 bool isRecordKind(std::string_view kind);
--- a/Libraries/LibDecision/Admission/FairQueue.cpp
+++ b/Libraries/LibDecision/Admission/FairQueue.cpp
@@ -1,6 +1,7 @@
 #include <LibDecision/Admission/FairQueue.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace Ibisturn {
@@ -30,10 +31,10 @@
     }
     const Deadline deadline { request.latestStart, request.id, request.workspace };
     deadlines_.insert(deadline);
-    deadlineById_.emplace(request.id.count(), deadline);
     cost_ += request.cost;
     ++size_;
     workspaceQueue.requests.push_back(std::move(request));
+    positionById_.emplace(deadline.id.count(), Position { deadline, std::prev(workspaceQueue.requests.end()) });
     return EnqueueResult::Queued;
 }
 
@@ -56,28 +57,25 @@
 {
     std::vector<QueuedRequest> expired;
     while (!deadlines_.empty() && deadlines_.begin()->latestStart < now) {
-        const auto deadline = *deadlines_.begin();
-        const auto& requests = workspaceQueues_.at(deadline.workspace).requests;
-        const auto found = std::find_if(requests.begin(), requests.end(), [&](const auto& request) { return request.id == deadline.id; });
-        expired.push_back(*found);
-        remove(deadline.id);
+        const auto id = deadlines_.begin()->id;
+        expired.push_back(*positionById_.at(id.count()).request);
+        remove(id);
     }
     return expired;
 }
 
 bool FairQueue::remove(RequestId id)
 {
-    const auto known = deadlineById_.find(id.count());
-    if (known == deadlineById_.end())
+    const auto known = positionById_.find(id.count());
+    if (known == positionById_.end())
         return false;
-    const auto deadline = known->second;
+    const auto [deadline, request] = known->second;
     auto& workspaceQueue = workspaceQueues_.at(deadline.workspace);
-    const auto found = std::find_if(workspaceQueue.requests.begin(), workspaceQueue.requests.end(), [id](const auto& request) { return request.id == id; });
-    cost_ -= found->cost;
+    cost_ -= request->cost;
     --size_;
-    workspaceQueue.requests.erase(found);
+    workspaceQueue.requests.erase(request);
     deadlines_.erase(deadline);
-    deadlineById_.erase(known);
+    positionById_.erase(known);
     if (!workspaceQueue.requests.empty())
         return true;
     // A request that was never served costs the workspace nothing: its next request reuses the start tag.
@@ -94,7 +92,7 @@
     auto request = std::move(workspaceQueue.requests.front());
     workspaceQueue.requests.pop_front();
     deadlines_.erase({ request.latestStart, request.id, request.workspace });
-    deadlineById_.erase(request.id.count());
+    positionById_.erase(request.id.count());
     cost_ -= request.cost;
     --size_;
     virtualTime_ = std::max(virtualTime_, order.startTag);
--- a/Libraries/LibDecision/Admission/FairQueue.h
+++ b/Libraries/LibDecision/Admission/FairQueue.h
@@ -5,7 +5,7 @@
 #include <LibCore/Quantity.h>
 
 #include <cstdint>
-#include <deque>
+#include <list>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -37,8 +37,8 @@
 };
 
 /// Start-time fair queueing between workspaces by token cost: a workspace that exceeds its share waits behind its own
-/// requests, and one that was idle is served next. Enqueueing and dequeueing take logarithmic time in the number of
-/// workspaces and waiting requests, except for a sweep of finish tags.
+/// requests, and one that was idle is served next. All operations on one request take logarithmic time in the
+/// number of workspaces and waiting requests, except for a sweep of finish tags.
 /// Thread safety: one thread at a time.
 class FairQueue {
 public:
@@ -68,7 +68,7 @@
 
 private:
     struct WorkspaceQueue {
-        std::deque<QueuedRequest> requests;
+        std::list<QueuedRequest> requests;
         /// Start tag of the first request, in tokens of virtual service.
         double startTag { 0 };
     };
@@ -84,6 +84,12 @@
         auto operator<=>(const Deadline&) const = default;
     };
 
+    /// Where a queued request is found.
+    struct Position {
+        Deadline deadline;
+        std::list<QueuedRequest>::iterator request;
+    };
+
     QueuedRequest takeFirst(const WorkspaceOrder& order);
     void discardObsoleteFinishTags();
 
@@ -98,7 +104,7 @@
     /// Non-empty workspace queues, ordered by the start tag of their first request.
     std::set<WorkspaceOrder> workspaceOrder_;
     std::set<Deadline> deadlines_;
-    std::unordered_map<std::uint64_t, Deadline> deadlineById_;
+    std::unordered_map<std::uint64_t, Position> positionById_;
 };
 
 } // namespace Ibisturn
--- a/Libraries/LibDecision/Allowance/LoanTable.cpp
+++ b/Libraries/LibDecision/Allowance/LoanTable.cpp
@@ -103,7 +103,9 @@
     auto& request = requests_.at(grant.lender.instance);
     const bool isFailed = (grant.transferred + grant.lent).count() < 1;
     request.isPending = false;
-    request.consecutiveFailures = isFailed ? request.consecutiveFailures + 1 : 0;
+    // endRequest() has already counted the request as failed.
+    if (!isFailed)
+        request.consecutiveFailures = 0;
     const TimePoint end = request.sentAt + shortenedByDrift(term_);
     if (grant.capacity <= TokenAmount() || end <= now)
         return;
--- a/Libraries/LibPeer/ControlLinks.cpp
+++ b/Libraries/LibPeer/ControlLinks.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr Log controlLog("control");
-constexpr std::size_t maxQueuedMessages = 32;
 /// A full configuration update carries every record.
 constexpr ByteCount frameLimit { 32UL * 1024 * 1024 };
 constexpr RequestId noRequest { 0 };
@@ -41,10 +40,15 @@
         links_[peer.id] = link;
         Asio::co_spawn(context_, run(link), Asio::detached);
     }
-    if (link->queue.size() == maxQueuedMessages)
-        link->queue.pop_front();
-    link->queue.push_back(std::move(message));
-    link->queueTimer.cancel();
+    enqueue(*link, std::move(message));
+}
+
+void ControlLinks::enqueue(Link& link, PeerMessage message)
+{
+    while (link.queue.size() >= maxQueuedMessages)
+        link.queue.pop_front();
+    link.queue.push_back(std::move(message));
+    link.queueTimer.cancel();
 }
 
 Task<void> ControlLinks::run(LinkPointer link)
@@ -108,8 +112,7 @@
     InstanceId from = link->peer.id;
     const std::vector<PeerAction> replies = co_await receiver_.receive(std::move(from), std::move(event));
     for (const auto& action : replies)
-        link->queue.push_back(toPeerMessage(action));
-    link->queueTimer.cancel();
+        enqueue(*link, toPeerMessage(action));
 }
 
 void ControlLinks::drop(const LinkPointer& link)
--- a/Libraries/LibPeer/ControlLinks.h
+++ b/Libraries/LibPeer/ControlLinks.h
@@ -28,6 +28,9 @@
     /// `self` is sent to peers in the handshake. Precondition: `receiver` outlives this object.
     ControlLinks(Asio::io_context& context, HelloMessage self, Limits limits, ControlReceiver& receiver);
 
+    /// The maximum number of messages that wait for one peer.
+    static constexpr std::size_t maxQueuedMessages = 32;
+
     /// Queues a message for `peer`. Drops the oldest queued message if the queue is full.
     void send(const Member& peer, PeerMessage message);
 
@@ -42,6 +45,7 @@
     };
     using LinkPointer = std::shared_ptr<Link>;
 
+    static void enqueue(Link& link, PeerMessage message);
     Task<void> run(LinkPointer link);
     Task<void> open(LinkPointer link);
     Task<void> write(LinkPointer link);
--- a/Tests/LibConfiguration/RecordsTest.cpp
+++ b/Tests/LibConfiguration/RecordsTest.cpp
@@ -94,4 +94,13 @@
     });
 }
 
+TEST(Records, UnknownSchemaKeepsAllItsDigits)
+{
+    constexpr std::uint64_t schema = 4'294'967'297;
+    const auto record = parseRecord("routes", "new", fmt::format(R"({{"schema":{},"path":"/"}})", schema), Revision(1));
+    const auto* unknown = std::get_if<UnknownRecord>(&record.body);
+    ASSERT_TRUE(unknown);
+    EXPECT_EQ(unknown->schema, schema);
+}
+
 } // namespace Ibisturn
--- a/Tests/LibDecision/WorkspaceAllowanceTest.cpp
+++ b/Tests/LibDecision/WorkspaceAllowanceTest.cpp
@@ -84,4 +84,18 @@
     EXPECT_EQ(fleet.admissions().size(), requests);
 }
 
+TEST(LoanTable, AnEmptyGrantCountsAsOneFailure)
+{
+    LoanTable loans(10s);
+    const InstanceProcess lender { InstanceId("lender"), Incarnation(1) };
+    LoanGrant grant;
+    grant.lender = lender;
+    for (std::uint32_t failures = 1; failures <= 3; ++failures) {
+        grant.number = loans.beginRequest(lender.instance, TokenAmount(), TimePoint(1h));
+        loans.endRequest(lender.instance);
+        loans.accept(grant, TimePoint(1h));
+        EXPECT_EQ(loans.consecutiveFailures(lender.instance), failures);
+    }
+}
+
 } // namespace Ibisturn
--- a/Tests/StandIns/StandInStore.cpp
+++ b/Tests/StandIns/StandInStore.cpp
@@ -61,8 +61,10 @@
     const std::string target(request.target());
     if (target == "/faults")
         return setFaults(request, responder);
-    if (target == "/calls")
+    if (target == "/calls") {
+        const std::scoped_lock lock(mutex_);
         return responder.send(200, "application/json", nlohmann::json { { "calls", callCount_ } }.dump());
+    }
     StoreFaults faults;
     {
         const std::scoped_lock lock(mutex_);
