--- a/Libraries/LibDecision/Allowance/FleetAllowance.h
+++ b/Libraries/LibDecision/Allowance/FleetAllowance.h
@@ -47,7 +47,7 @@
     double burstShare { 0.4 };
     /// The usage of all reachable instances, each of which has run for a whole window, may reach this fraction of their part
     /// of what a window permits; the rest covers what is used before the others receive reports of it.
-    double visibleUsageShare { 0.6 };
+    double visibleUsageShare { 0.7 };
     /// If callers request more than this multiple of the rate, only a random selection of the requests that are larger than
     /// the share is admitted.
     double selectionThreshold { 2 };
