PlacementTable: Measure round trips and idle times, use servers' reports

Round trips are taken from the handshakes of connections between instances; idle times from requests with nothing ahead of them, per service. Both are smoothed, bounded, and expire after five minutes. A server's report counts for a second, with what was sent since.

--- a/Libraries/LibDecision/Placement/PlacementTable.cpp
+++ b/Libraries/LibDecision/Placement/PlacementTable.cpp
@@ -20,8 +20,9 @@
 constexpr double maxMillisecondsPerToken = 0.5;
 /// The share of a session's earlier prompt parts that is assumed to be cached on the session's preferred backend server.
 constexpr double preferredServerCachedShare = 0.7;
-/// Assumed processing time of a plain service's request.
-constexpr Duration plainServiceTime = std::chrono::milliseconds(20);
+constexpr std::int64_t timeGainDivisor = 8;
+/// Measured times stay within these multiples of the assumed one.
+constexpr std::int64_t maxTimeFactor = 8;
 /// Added to the wait if the engine's memory share would be exceeded or all its slots are taken.
 constexpr Duration memoryPenalty = std::chrono::milliseconds(500);
 constexpr Duration minRetryAfter = std::chrono::milliseconds(100);
@@ -160,7 +161,9 @@
         return placement;
     auto& server = found->second;
     const auto tokens = uncachedTokens(server, query, preferredServer(query));
-    PlacedRequest placed { id, {}, false, now, estimateWait(now, server, query, tokens), tokens };
+    const auto ahead = totalLoad(now, server);
+    const bool isFirstInLine = ahead.backlog == TokenCount(0) && ahead.requests < std::max<std::uint32_t>(1, server.engine ? server.engine->slots : server.state.server.slots);
+    PlacedRequest placed { id, {}, false, now, estimateWait(now, server, query, tokens), tokens, isFirstInLine };
     placed.load = { query.priority <= urgentPriority ? placed.uncachedTokens : TokenCount(0), placed.uncachedTokens, query.promptTokens + query.maxAnswerTokens, 1 };
     add(server.ownLoad, placed.load);
     server.cache.record(query.prompt);
@@ -191,19 +194,37 @@
     const auto expected = std::max(1.0, inMilliseconds(placed.expected));
     const auto ratio = std::clamp(measured / expected * server.slowness, minSlowness, maxSlowness);
     server.slowness += (ratio - server.slowness) * slownessGain;
+    const auto idle = inMilliseconds(idleTime(now, server));
+    const bool isPrefillNegligible = !server.engine || static_cast<double>(placed.uncachedTokens.count()) * millisecondsPerToken_ < idle;
+    if (placed.isFirstInLine && isPrefillNegligible) {
+        const auto prefillTime = server.engine ? static_cast<double>(placed.uncachedTokens.count()) * millisecondsPerToken_ : 0;
+        const auto sample = milliseconds(measured - prefillTime);
+        measure(idleTimes_[server.state.server.service], now, sample, server.engine ? limits_.timeToFirstToken : limits_.plainServiceTime);
+    }
     if (!server.engine || placed.uncachedTokens.count() < minMeasuredTokens)
         return;
-    const auto prefillTime = std::max(0.0, measured - inMilliseconds(limits_.timeToFirstToken));
-    const auto tokensAhead = std::max(1.0, (expected / server.slowness - inMilliseconds(limits_.timeToFirstToken)) / millisecondsPerToken_);
+    const auto prefillTime = std::max(0.0, measured - idle);
+    const auto tokensAhead = std::max(1.0, (expected / server.slowness - idle) / millisecondsPerToken_);
     const auto perToken = std::clamp(prefillTime / tokensAhead, minMillisecondsPerToken, maxMillisecondsPerToken);
     millisecondsPerToken_ += (perToken - millisecondsPerToken_) * rateGain;
 }
 
-void PlacementTable::onServerLoad(TimePoint /*now*/, const BackendServerId& id, const ServerLoad& load)
+void PlacementTable::onRoundTrip(TimePoint now, const RegionId& region, Duration roundTrip)
+{
+    if (region != ownRegion_)
+        measure(regions_[region].roundTrip, now, roundTrip, limits_.regionRoundTrip);
+}
+
+void PlacementTable::onServerLoad(TimePoint now, const BackendServerId& id, const ServerLoad& load)
 {
     const auto found = servers_.find(id);
-    if (found != servers_.end() && load.slots > 0)
-        found->second.state.server.slots = load.slots;
+    if (found == servers_.end() || load.slots == 0)
+        return;
+    auto& server = found->second;
+    server.state.server.slots = load.slots;
+    server.reportedRequests = load.running + load.waiting;
+    server.ownRequestsAtReport = server.ownLoad.requests;
+    server.reportedAt = now;
 }
 
 void PlacementTable::end(TimePoint now, PlacementId id, PlacementOutcome outcome)
@@ -320,9 +341,33 @@
     Load total = server.ownLoad;
     if (now - otherLoadsReceivedAt_ <= limits_.reportLifetime)
         add(total, server.otherLoad);
+    if (now - server.reportedAt > limits_.serverLoadLifetime)
+        return total;
+    // The server's own report lacks what was sent since.
+    const auto sentSince = server.ownLoad.requests - std::min(server.ownLoad.requests, server.ownRequestsAtReport);
+    total.requests = std::max(total.requests, server.reportedRequests + sentSince);
     return total;
 }
 
+void PlacementTable::measure(MeasuredTime& time, TimePoint now, Duration sample, Duration initial) const
+{
+    const auto limited = std::clamp(sample, initial / maxTimeFactor, initial * maxTimeFactor);
+    const auto before = measuredOr(time, now, initial);
+    time = { before + (limited - before) / timeGainDivisor, now };
+}
+
+Duration PlacementTable::measuredOr(const MeasuredTime& time, TimePoint now, Duration initial) const
+{
+    return time.measuredAt != TimePoint {} && now - time.measuredAt <= limits_.measurementLifetime ? time.value : initial;
+}
+
+Duration PlacementTable::idleTime(TimePoint now, const Server& server) const
+{
+    const auto initial = server.engine ? limits_.timeToFirstToken : limits_.plainServiceTime;
+    const auto found = idleTimes_.find(server.state.server.service);
+    return found == idleTimes_.end() ? initial : measuredOr(found->second, now, initial);
+}
+
 TokenCount PlacementTable::uncachedTokens(const PromptCacheEstimate& cache, bool isPreferred, const PlacementQuery& query) const
 {
     auto cached = cache.cachedTokens(query.prompt);
@@ -390,11 +435,11 @@
     if (!server.engine) {
         const auto slots = std::max<std::uint32_t>(1, server.state.server.slots);
         const auto overdue = overdueTime(now, server);
-        return overdue + milliseconds(inMilliseconds(plainServiceTime) * server.slowness * (1 + static_cast<double>(total.requests) / slots));
+        return overdue + milliseconds(inMilliseconds(idleTime(now, server)) * server.slowness * (1 + static_cast<double>(total.requests) / slots));
     }
     const auto tokensAhead = query.priority <= urgentPriority ? total.urgentBacklog : total.backlog;
     const auto tokens = static_cast<double>((tokensAhead + uncachedTokens).count());
-    auto wait = milliseconds((inMilliseconds(limits_.timeToFirstToken) + tokens * millisecondsPerToken_) * server.slowness);
+    auto wait = milliseconds((inMilliseconds(idleTime(now, server)) + tokens * millisecondsPerToken_) * server.slowness);
     wait += overdueTime(now, server);
     const auto reserved = (total.reservedTokens + query.promptTokens + query.maxAnswerTokens).count();
     if (static_cast<double>(reserved) > static_cast<double>(server.engine->memory.count()) * limits_.memoryShare || total.requests >= server.engine->slots)
@@ -429,7 +474,8 @@
         if (id == ownRegion_ || servers == region.servers.end() || servers->second == 0 || !isAllowedIn(query, id) || query.failedRegions.contains(id))
             continue;
         // A region without a current estimate gets a high wait, so that it is the last choice.
-        auto wait = limits_.regionRoundTrip * 3;
+        const auto roundTrip = measuredOr(region.roundTrip, now, limits_.regionRoundTrip);
+        auto wait = roundTrip * 3;
         const auto tokens = uncachedTokens(region.cache, preferred && preferred->region == id, query);
         auto perToken = millisecondsPerToken_;
         const auto found = region.waitEstimates.find(query.service);
@@ -437,7 +483,7 @@
             const auto& estimate = found->second.estimate;
             perToken = estimate.millisecondsPerToken;
             const auto prefillTime = milliseconds(static_cast<double>(tokens.count()) * perToken);
-            wait = limits_.regionRoundTrip + prefillTime + (query.priority <= urgentPriority ? estimate.urgentWait : estimate.wait);
+            wait = roundTrip + prefillTime + (query.priority <= urgentPriority ? estimate.urgentWait : estimate.wait);
         }
         const auto cost = costOf(wait, tokens, perToken);
         if (!best || cost < best->cost)
--- a/Libraries/LibDecision/Placement/PlacementTable.h
+++ b/Libraries/LibDecision/Placement/PlacementTable.h
@@ -85,14 +85,20 @@
 
 /// Parameters of a PlacementTable.
 struct PlacementLimits {
-    /// Assumed round-trip time to another region.
+    /// Assumed round-trip time to another region, before any is measured.
     Duration regionRoundTrip { std::chrono::milliseconds(130) };
     /// How much cheaper another region must be, so that small differences don't send requests out of the region.
     Duration regionMargin { std::chrono::milliseconds(60) };
     /// Load reports and wait estimates of other instances expire after this time.
     Duration reportLifetime { std::chrono::milliseconds(1500) };
-    /// Assumed time from the arrival at an idle engine to the first token of an empty prompt.
+    /// Assumed time from the arrival at an idle engine to the first token of an empty prompt, before any is measured.
     Duration timeToFirstToken { std::chrono::milliseconds(60) };
+    /// Assumed processing time of a plain service's request, before any is measured.
+    Duration plainServiceTime { std::chrono::milliseconds(20) };
+    /// Measured times are not used after this time without a new measurement.
+    Duration measurementLifetime { std::chrono::minutes(5) };
+    /// A backend server's report of its own load is used for this long.
+    Duration serverLoadLifetime { std::chrono::milliseconds(1000) };
     /// Engine time per prompt token, before any is measured.
     double millisecondsPerToken { 0.015 };
     /// Weight of engine time spent on prefill relative to the request's own wait: other requests wait for it too.
@@ -149,7 +155,10 @@
     /// Records that the first part of an answer arrived.
     void onFirstPart(TimePoint now, PlacementId id);
 
-    /// Updates a backend server's reported slots.
+    /// Records a measured round-trip time to another region.
+    void onRoundTrip(TimePoint now, const RegionId& region, Duration roundTrip);
+
+    /// Updates the slots and the load that a backend server reports.
     void onServerLoad(TimePoint now, const BackendServerId& server, const ServerLoad& load);
 
     /// Records the end of a request. Unknown ids are ignored.
@@ -191,6 +200,10 @@
         /// Average ratio of the measured to the expected time to the first part.
         double slowness { 1 };
         TimePoint nextColdRequestAt {};
+        /// Running and waiting requests as the server reported them, and this instance's requests there at that time.
+        std::uint32_t reportedRequests { 0 };
+        std::uint32_t ownRequestsAtReport { 0 };
+        TimePoint reportedAt {};
         /// When the first part of each request that still waits for it was expected, earliest first.
         std::set<std::pair<TimePoint, std::uint64_t>> awaitedFirstParts;
     };
@@ -202,6 +215,14 @@
         TimePoint sentAt;
         Duration expected {};
         TokenCount uncachedTokens;
+        /// Whether nothing was ahead of it, so that the time to its first part is that of an idle server.
+        bool isFirstInLine { false };
+    };
+
+    /// A smoothed measurement.
+    struct MeasuredTime {
+        Duration value {};
+        TimePoint measuredAt {};
     };
 
     struct TimedWaitEstimate {
@@ -213,6 +234,7 @@
         std::map<ServiceId, TimedWaitEstimate> waitEstimates;
         std::map<ServiceId, std::uint32_t> servers;
         PromptCacheEstimate cache;
+        MeasuredTime roundTrip;
     };
 
     /// A possible choice, its expected time to the first part of the answer, and its total cost.
@@ -233,6 +255,10 @@
     bool isUsable(TimePoint now, const Server& server, const PlacementQuery& query) const;
     bool isColdSender(const BackendServerId& id) const;
     Load totalLoad(TimePoint now, const Server& server) const;
+    void measure(MeasuredTime& time, TimePoint now, Duration sample, Duration initial) const;
+    Duration measuredOr(const MeasuredTime& time, TimePoint now, Duration initial) const;
+    /// The time to the first part of an answer of an idle server of a service, without prefill.
+    Duration idleTime(TimePoint now, const Server& server) const;
     static void stopAwaiting(Server& server, std::uint64_t id, const PlacedRequest& placed);
     Duration overdueTime(TimePoint now, const Server& server) const;
     Duration estimateWait(TimePoint now, const Server& server, const PlacementQuery& query, TokenCount uncachedTokens) const;
@@ -254,6 +280,7 @@
     /// All usable backend servers of a service, in all regions.
     std::map<ServiceId, std::vector<ServerLocation>> serverLocations_;
     std::map<RegionId, RegionState> regions_;
+    std::map<ServiceId, MeasuredTime> idleTimes_;
     std::unordered_map<std::uint64_t, PlacedRequest> placedRequests_;
     std::uint64_t lastPlacementId_ { 0 };
     /// Measured engine time per prompt token.
--- a/Libraries/LibHTTP/Peers/PeerClient.cpp
+++ b/Libraries/LibHTTP/Peers/PeerClient.cpp
@@ -44,16 +44,17 @@
 
 } // namespace
 
-PeerClient::PeerClient(HelloMessage self, Limits limits)
+PeerClient::PeerClient(HelloMessage self, Limits limits, RoundTripCallback onRoundTrip)
     : self_(std::move(self))
     , limits_(limits)
+    , onRoundTrip_(std::move(onRoundTrip))
 {
 }
 
 Task<void> PeerClient::run(const Member& peer, ForwardMessage message, const GatewayRequest& gatewayRequest, AnswerSink& sink)
 {
     const Endpoint endpoint = peer.peers;
-    ConnectionPointer connection = co_await acquireConnection(endpoint, gatewayRequest.deadline);
+    ConnectionPointer connection = co_await acquireConnection(peer, gatewayRequest.deadline);
     const Cancellation::Scope closing(gatewayRequest.cancellation, [&connection] { connection->close(); });
     const RequestId request(++lastRequest_);
     if (gatewayRequest.beforeSend)
@@ -72,8 +73,9 @@
     idle_[endpoint].push_back(std::move(connection));
 }
 
-Task<PeerClient::ConnectionPointer> PeerClient::acquireConnection(Endpoint endpoint, TimePoint deadline)
+Task<PeerClient::ConnectionPointer> PeerClient::acquireConnection(const Member& peer, TimePoint deadline)
 {
+    const Endpoint endpoint = peer.peers;
     auto& idle = idle_[endpoint];
     while (!idle.empty()) {
         ConnectionPointer connection = std::move(idle.back());
@@ -82,15 +84,17 @@
         if (probeSocket(connection->socket()) != SocketState::Closed)
             co_return connection;
     }
-    co_return co_await openConnection(endpoint, deadline);
+    RegionId region = peer.region;
+    co_return co_await openConnection(endpoint, std::move(region), deadline);
 }
 
-Task<PeerClient::ConnectionPointer> PeerClient::openConnection(Endpoint endpoint, TimePoint deadline)
+Task<PeerClient::ConnectionPointer> PeerClient::openConnection(Endpoint endpoint, RegionId region, TimePoint deadline)
 {
     const auto timeout = [this, deadline] { return std::min(limits_.connectTimeout, deadline - SteadyClock().now()); };
     auto connection = std::make_unique<PeerConnection>(co_await PeerConnection::connect(endpoint, timeout(), limits_.frame));
     bool failed = false;
     HelloMessage hello = self_;
+    const auto started = SteadyClock().now();
     try {
         co_await connection->handshake(std::move(hello), timeout());
     } catch (const boost::system::system_error&) {
@@ -98,6 +102,8 @@
     }
     if (failed)
         throw PeerConnectionError(ResultCode::PeerUnreachable, Ran::No, "The peer did not complete the handshake");
+    if (onRoundTrip_)
+        onRoundTrip_(region, SteadyClock().now() - started);
     co_return connection;
 }
 
@@ -109,7 +115,7 @@
     if (idle.size() >= count || !warming_.insert(endpoint).second)
         co_return;
     try {
-        ConnectionPointer connection = co_await openConnection(endpoint, TimePoint::max());
+        ConnectionPointer connection = co_await openConnection(endpoint, peer.region, TimePoint::max());
         idle_[endpoint].push_back(std::move(connection));
     } catch (const Error& error) {
         // A request that needs the connection will report the failure itself.
--- a/Libraries/LibHTTP/Peers/PeerClient.h
+++ b/Libraries/LibHTTP/Peers/PeerClient.h
@@ -5,6 +5,7 @@
 #include <LibKernel/AnswerSink.h>
 #include <LibPeer/PeerConnection.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -28,8 +29,11 @@
         ByteCount frame;
     };
 
+    /// Called with the region of an instance and the round-trip time measured to it.
+    using RoundTripCallback = std::function<void(const RegionId&, Duration)>;
+
     /// `self` identifies this instance in every handshake.
-    PeerClient(HelloMessage self, Limits limits);
+    PeerClient(HelloMessage self, Limits limits, RoundTripCallback onRoundTrip = nullptr);
 
     /// Runs `message` on `peer` and writes its answer to `sink`. Throws Error, whose ran() says whether
     /// the request may have reached a backend server. `request.beforeSend` is called before anything is written.
@@ -42,12 +46,13 @@
 private:
     using ConnectionPointer = std::unique_ptr<PeerConnection>;
 
-    Task<ConnectionPointer> acquireConnection(Endpoint endpoint, TimePoint deadline);
-    Task<ConnectionPointer> openConnection(Endpoint endpoint, TimePoint deadline);
+    Task<ConnectionPointer> acquireConnection(const Member& peer, TimePoint deadline);
+    Task<ConnectionPointer> openConnection(Endpoint endpoint, RegionId region, TimePoint deadline);
     Task<void> relayAnswer(PeerConnection& connection, RequestId request, AnswerSink& sink);
 
     HelloMessage self_;
     Limits limits_;
+    RoundTripCallback onRoundTrip_;
     std::uint64_t lastRequest_ { 0 };
     std::map<Endpoint, std::vector<ConnectionPointer>> idle_;
     std::set<Endpoint> warming_;
--- a/Libraries/LibHTTP/Requests/RequestRunner.cpp
+++ b/Libraries/LibHTTP/Requests/RequestRunner.cpp
@@ -186,7 +186,10 @@
               tables.placement.with([&](PlacementTable& table) { table.onServerLoad(SteadyClock().now(), server, load); });
           })
     , peers_(makeHelloMessage(tables.settings.identity),
-          { tables.settings.connectTimeout, tables.settings.requestTimeout, tables.settings.bodyLimit + ByteCount(frameOverhead) })
+          { tables.settings.connectTimeout, tables.settings.requestTimeout, tables.settings.bodyLimit + ByteCount(frameOverhead) },
+          [&tables](const RegionId& region, Duration roundTrip) {
+              tables.placement.with([&](PlacementTable& table) { table.onRoundTrip(SteadyClock().now(), region, roundTrip); });
+          })
 {
 }
 
--- a/Tests/LibDecision/FleetRequestsTest.cpp
+++ b/Tests/LibDecision/FleetRequestsTest.cpp
@@ -4,6 +4,9 @@
 #include <LibDecision/Requests/ServiceChoice.h>
 #include <LibDecision/Routing/HeadDecision.h>
 
+#include <set>
+
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 namespace Ibisturn::Testing {
@@ -225,4 +228,45 @@
     EXPECT_FALSE(snapshot.findRouteByHostAndPath("unknown", "/a/"));
 }
 
+// Connections to another region must not grow with the number of its instances, and its instances share the requests.
+TEST(FleetRequests, ForwardsToAFewInstancesOfARegion)
+{
+    MembershipView view;
+    for (int index = 0; index < 100; ++index) {
+        Member member;
+        member.id = InstanceId(fmt::format("k{}", index));
+        member.region = RegionId("khomas");
+        member.state = index == 0 ? MemberState::Leaving : MemberState::Live;
+        view.instances.push_back(member);
+    }
+    std::set<InstanceId> usedByAll;
+    for (int sender = 0; sender < 100; ++sender) {
+        const InstanceId self(fmt::format("o{}", sender));
+        std::set<InstanceId> used;
+        for (std::uint64_t hash = 0; hash < 100; ++hash)
+            used.insert(findForwardingEntry(view, self, RegionId("khomas"), hash)->id);
+        EXPECT_EQ(used.size(), 4U);
+        EXPECT_FALSE(used.contains(InstanceId("k0")));
+        usedByAll.insert(used.begin(), used.end());
+    }
+    EXPECT_GT(usedByAll.size(), 90U);
+    EXPECT_FALSE(findForwardingEntry(view, InstanceId("o1"), RegionId("omaheke"), 1));
+}
+
+TEST(FleetRequests, ForwardsToSuspectedInstancesOnlyIfThereAreNoOthers)
+{
+    MembershipView view;
+    for (int index = 0; index < 8; ++index) {
+        Member member;
+        member.id = InstanceId(fmt::format("k{}", index));
+        member.region = RegionId("khomas");
+        member.state = index == 7 ? MemberState::Live : MemberState::Suspected;
+        view.instances.push_back(member);
+    }
+    for (std::uint64_t hash = 0; hash < 20; ++hash)
+        EXPECT_EQ(findForwardingEntry(view, InstanceId("o1"), RegionId("khomas"), hash)->id, InstanceId("k7"));
+    view.instances.back().state = MemberState::Suspected;
+    EXPECT_TRUE(findForwardingEntry(view, InstanceId("o1"), RegionId("khomas"), 1));
+}
+
 } // namespace Ibisturn::Testing
--- a/Tests/LibDecision/PlacementTableTest.cpp
+++ b/Tests/LibDecision/PlacementTableTest.cpp
@@ -284,4 +284,54 @@
     EXPECT_EQ(cache.cachedTokens({ { 1, TokenCount(40) }, { 2, TokenCount(40) } }), TokenCount(40));
 }
 
+// The wait in another region that has no backlog is the round trip and the engine's own time.
+TEST_F(PlacementTableTest, UsesTheMeasuredRoundTripToARegion)
+{
+    auto request = makeQuery();
+    request.homeRegions = std::vector<RegionId> { otherRegion };
+    request.promptTokens = TokenCount(0);
+    table_.onWaitEstimates(at(0s), otherRegion, { { model, 60ms, 60ms, 0.015 } });
+    const auto expectedAt = [&](Duration time) {
+        request.target = at(time) + 10s;
+        request.deadline = at(time) + 20s;
+        return std::get<PlaceInRegion>(table_.place(at(time), request)).expected;
+    };
+    EXPECT_EQ(expectedAt(0s), 190ms);
+    for (int index = 0; index < 100; ++index)
+        table_.onRoundTrip(at(0s), otherRegion, 30ms);
+    EXPECT_LT(expectedAt(0s), 91ms);
+    // Absurd samples have a bounded effect, and a measurement expires.
+    for (int index = 0; index < 100; ++index)
+        table_.onRoundTrip(at(0s), otherRegion, 1h);
+    EXPECT_LT(expectedAt(0s), 1101ms);
+    table_.onWaitEstimates(at(10min), otherRegion, { { model, 60ms, 60ms, 0.015 } });
+    EXPECT_EQ(expectedAt(10min), 190ms);
+}
+
+TEST_F(PlacementTableTest, MeasuresTheTimeOfAPlainService)
+{
+    auto request = makeQuery(bookings);
+    request.promptTokens = TokenCount(0);
+    const auto expected = [&] { return std::get<PlaceOnServer>(table_.place(at(0s), request)).expected; };
+    EXPECT_EQ(expected(), 20ms);
+    for (int index = 0; index < 200; ++index) {
+        const auto id = table_.begin(at(0s), BackendServerId("p"), request);
+        table_.onFirstPart(at(60ms), id);
+        table_.end(at(60ms), id, PlacementOutcome::Answered);
+    }
+    EXPECT_NEAR(std::chrono::duration<double>(expected()).count(), 0.06, 0.01);
+}
+
+TEST_F(PlacementTableTest, UsesTheLoadThatAServerReports)
+{
+    const auto request = makeQuery(bookings);
+    const auto expectedAt = [&](Duration time) { return std::get<PlaceOnServer>(table_.place(at(time), request)).expected; };
+    const auto idle = expectedAt(0s);
+    table_.onServerLoad(at(0s), BackendServerId("p"), { 8, 24, 8 });
+    EXPECT_EQ(expectedAt(100ms), idle * 5);
+    table_.begin(at(100ms), BackendServerId("p"), request);
+    EXPECT_GT(expectedAt(100ms), idle * 5);
+    EXPECT_LT(expectedAt(3s), idle * 2);
+}
+
 } // namespace Ibisturn::Testing
