StoreFeed, store client: Spend fewer calls while a fleet starts

An instance stops following after one second, and the pause between calls grows with the period of confirmation, so that entries of instances cost one call a second.

--- a/Libraries/LibDecision/Dissemination/StoreFeed.cpp
+++ b/Libraries/LibDecision/Dissemination/StoreFeed.cpp
@@ -14,7 +14,7 @@
 constexpr Duration silenceTimeout = std::chrono::milliseconds(2500);
 constexpr Duration statusTimeout = std::chrono::milliseconds(1200);
 /// How long a better placed instance must follow the store before this one stops.
-constexpr Duration handBackTime = std::chrono::seconds(3);
+constexpr Duration handBackTime = std::chrono::seconds(1);
 constexpr Duration requestSpacing = std::chrono::milliseconds(200);
 
 bool isAhead(const std::vector<Revision>& positions, const std::vector<Revision>& others)
--- a/Programs/ibisturn/FleetControlPlane.cpp
+++ b/Programs/ibisturn/FleetControlPlane.cpp
@@ -19,9 +19,10 @@
 constexpr Duration fleetSizeWritePeriod = std::chrono::seconds(2);
 constexpr Duration membershipPeriod = std::chrono::milliseconds(250);
 /// How often the store confirms a quiet prefix. Operators' changes must be in force within seconds, so a copy of them that is
-/// no longer current must be noticed sooner than one of the others.
+/// no longer current must be noticed sooner than one of the others. Entries of instances may be the latest.
 constexpr Duration operatorsConfirmationPeriod = std::chrono::milliseconds(800);
-constexpr Duration otherConfirmationPeriod = std::chrono::milliseconds(4000);
+constexpr Duration registryConfirmationPeriod = std::chrono::milliseconds(3200);
+constexpr Duration instancesConfirmationPeriod = std::chrono::milliseconds(8000);
 
 RemovalLimits removalLimits(const FleetSettings& fleet)
 {
@@ -59,8 +60,8 @@
         };
         callbacks.onUnavailable = [this] { fleetState_.onStoreUnavailable(SteadyClock().now()); };
         callbacks.onAvailable = [this] { fleetState_.onStoreAvailable(SteadyClock().now()); };
-        const auto confirmationPeriod = isOperators ? operatorsConfirmationPeriod : otherConfirmationPeriod;
-        followers_.push_back(std::make_unique<EntryFollower>(store, prefix, confirmationPeriod, std::move(callbacks)));
+        const auto otherPeriod = prefix == reader.registryPrefix() ? registryConfirmationPeriod : instancesConfirmationPeriod;
+        followers_.push_back(std::make_unique<EntryFollower>(store, prefix, isOperators ? operatorsConfirmationPeriod : otherPeriod, std::move(callbacks)));
     }
 }
 
--- a/Tests/LibDecision/StoreFeedTest.cpp
+++ b/Tests/LibDecision/StoreFeedTest.cpp
@@ -39,9 +39,9 @@
 TEST(StoreFeed, OthersStopOnceABetterOneFollows)
 {
     StoreFeed feed(at(0s));
-    run(feed, 1, 0s, 2s, 20s);
+    run(feed, 1, 0s, 500ms, 20s);
     EXPECT_TRUE(feed.isFollowing());
-    run(feed, 1, 2s, 5s, 20s);
+    run(feed, 1, 500ms, 5s, 20s);
     EXPECT_FALSE(feed.isFollowing());
     EXPECT_TRUE(feed.isCurrent(at(5s)));
 }
