Tests: Play servers that send late second copies and bytes without end

Neither can happen here: copies are told by their id and skipped, connections with bytes left over are not used again, heads are limited, and bodies end at the deadline. Shown by LateAnswerTest, BackendClientTest and RoutedRequestTest.

--- a/Tests/LibHTTP/BackendClientTest.cpp
+++ b/Tests/LibHTTP/BackendClientTest.cpp
@@ -3,6 +3,7 @@
 #include <LibCore/Error.h>
 #include <LibCore/SteadyClock.h>
 #include <LibHTTP/Backends/BackendClient.h>
+#include <Tests/Support/EndlessServer.h>
 #include <Tests/Support/RecordingSink.h>
 #include <Tests/Support/ScriptedServer.h>
 
@@ -13,6 +14,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using Testing::EndlessServer;
 using Testing::RecordingSink;
 using Testing::ScriptedServer;
 
@@ -21,9 +23,11 @@
 class BackendClientTest : public testing::Test {
 protected:
     /// Sends one request and returns its error, if it failed.
-    std::optional<Error> send(ScriptedServer& server, RecordingSink& sink)
+    template <typename Server>
+    std::optional<Error> send(Server& server, RecordingSink& sink)
     {
         record_.endpoint = server.endpoint();
+        context_.restart();
         std::optional<Error> failure;
         auto done = Asio::co_spawn(context_, run(sink, failure), Asio::use_future);
         while (done.wait_for(0s) != std::future_status::ready)
@@ -102,4 +106,24 @@
     EXPECT_EQ(server.requests(), 0U);
 }
 
+// A faulty backend server may send bytes that are no answer until its client closes the connection.
+TEST_F(BackendClientTest, ClosesTheConnectionOfAnEndlessHead)
+{
+    const std::vector<std::pair<std::string, std::string>> heads {
+        { "", "xxxxxxxxxxxxxxxx" },
+        { "HTTP/1.1 200 OK\r\n", "X-Filling: abcdefgh\r\n" },
+        { "HTTP/1.1 200 OK\r\nX-Filling: ", "abcdefghabcdefgh" },
+    };
+    for (const auto& [start, filling] : heads) {
+        EndlessServer server(context_, start, filling);
+        RecordingSink sink;
+        const auto failure = send(server, sink);
+        ASSERT_TRUE(failure) << start;
+        EXPECT_EQ(failure->ran(), Ran::Unknown) << start;
+        while (!server.isClosedByClient())
+            context_.run_one();
+        EXPECT_TRUE(sink.body.empty()) << start;
+    }
+}
+
 } // namespace Ibisturn
--- a/Tests/LibHTTP/RoutedRequestTest.cpp
+++ b/Tests/LibHTTP/RoutedRequestTest.cpp
@@ -1,6 +1,7 @@
 #include <LibKernel/Asio.h>
 
 #include <LibHTTP/Requests/RequestRunner.h>
+#include <Tests/Support/EndlessServer.h>
 #include <Tests/Support/LoopbackInstance.h>
 #include <Tests/Support/RecordingSink.h>
 #include <Tests/Support/ScriptedServer.h>
@@ -42,14 +43,14 @@
         tables_.configuration.set(configuration());
     }
 
-    void setServers(const std::vector<const ScriptedServer*>& servers)
+    void setServers(const std::vector<Endpoint>& servers)
     {
         std::vector<BackendState> states;
-        for (const auto* server : servers) {
+        for (const auto& endpoint : servers) {
             BackendState state;
-            state.server.id = BackendServerId(fmt::format("s{}", server->endpoint().port));
+            state.server.id = BackendServerId(fmt::format("s{}", endpoint.port));
             state.server.service = bookings;
-            state.server.endpoint = server->endpoint();
+            state.server.endpoint = endpoint;
             state.server.region = khomas;
             state.server.slots = 8;
             states.push_back(state);
@@ -78,6 +79,8 @@
     /// Starts a request; its error, if any, is in failure() once it has ended.
     void start(GatewayRequest request)
     {
+        context_.restart();
+        failure_.reset();
         done_ = Asio::co_spawn(context_, run(std::move(request)), Asio::use_future);
     }
 
@@ -117,7 +120,7 @@
 TEST_F(RoutedRequestTest, IsNotSentToAServerThatLeftWhileTheConnectionWasMade)
 {
     ScriptedServer leaving(context_, { completeAnswer });
-    setServers({ &leaving });
+    setServers({ leaving.endpoint() });
     start(makeRequest());
     // The request has chosen the server and waits for the connection.
     Asio::post(context_, [this] { setServers({}); });
@@ -131,9 +134,9 @@
 {
     ScriptedServer leaving(context_, { completeAnswer });
     ScriptedServer staying(context_, { completeAnswer });
-    setServers({ &leaving });
+    setServers({ leaving.endpoint() });
     start(makeRequest());
-    Asio::post(context_, [&] { setServers({ &staying }); });
+    Asio::post(context_, [&] { setServers({ staying.endpoint() }); });
     await();
     EXPECT_FALSE(failure());
     EXPECT_EQ(sink_.body, "ok");
@@ -146,7 +149,7 @@
 {
     ScriptedServer silent(context_, { "-" });
     silent.onRequest([this] { runner_.cancelAllRequests(); });
-    setServers({ &silent });
+    setServers({ silent.endpoint() });
     start(makeRequest());
     await();
     ASSERT_TRUE(failure());
@@ -162,11 +165,30 @@
         tables_.configuration.set(std::make_shared<const Snapshot>(Revision(2), std::vector<Record>()));
         runner_.reviewAccess();
     });
-    setServers({ &server });
+    setServers({ server.endpoint() });
     start(makeRequest());
     await();
     EXPECT_FALSE(failure());
     EXPECT_EQ(sink_.body, "ok");
 }
 
+// A faulty backend server may send a body without end; the caller's deadline ends it, and the server is left at once.
+TEST_F(RoutedRequestTest, AnEndlessBodyEndsAtTheDeadline)
+{
+    for (const auto* head : { "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" }) {
+        EndlessServer server(context_, head, "8\r\nabcdefgh\r\n");
+        setServers({ server.endpoint() });
+        auto request = makeRequest();
+        request.deadline = SteadyClock().now() + 200ms;
+        request.callerDeadline = request.deadline;
+        start(std::move(request));
+        await();
+        ASSERT_TRUE(failure()) << head;
+        EXPECT_EQ(failure()->code(), ResultCode::DeadlineExceeded) << head;
+        EXPECT_FALSE(sink_.hasEnded) << head;
+        while (!server.isClosedByClient())
+            context_.run_one();
+    }
+}
+
 } // namespace Ibisturn::Testing
--- a/Tests/Platform/DialectsTest.cpp
+++ b/Tests/Platform/DialectsTest.cpp
@@ -165,6 +165,8 @@
     EXPECT_EQ(read(503, { { "X-Ibisturn-Request-Id", "id-1" }, { "X-Ibisturn-Not-Executed", "1" } }).kind, AnswerKind::Refused);
     EXPECT_EQ(read(503, { { "X-Ibisturn-Request-Id", "id-1" } }).kind, AnswerKind::Answer);
     EXPECT_EQ(read(421, { { "X-Ibisturn-Instance-Id", "i-2" } }).kind, AnswerKind::WrongServer);
+    EXPECT_EQ(read(100, {}).kind, AnswerKind::Invalid);
+    EXPECT_EQ(read(103, { { "X-Ibisturn-Request-Id", "id-1" }, { "X-Ibisturn-Server-Seal", "s" } }).kind, AnswerKind::Invalid);
 }
 
 TEST_F(ReplicaDialectTest, ReadsLoadAndIdleTimeout)
--- /dev/null
+++ b/Tests/Platform/LateAnswerTest.cpp
@@ -0,0 +1,98 @@
+#include <LibKernel/Asio.h>
+
+#include <LibCore/Error.h>
+#include <LibCore/SteadyClock.h>
+#include <LibHTTP/Backends/BackendClient.h>
+#include <LibHTTP/Backends/BackendDialectRegistry.h>
+#include <Tests/Support/RecordingSink.h>
+#include <Tests/Support/ScriptedServer.h>
+
+#include <gtest/gtest.h>
+
+namespace Ibisturn::Testing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+std::string answerTo(const std::string& id)
+{
+    return fmt::format("HTTP/1.1 200 OK\r\nX-Ibisturn-Request-Id: {}\r\nX-Ibisturn-Server-Seal: s\r\nKeep-Alive: timeout=30\r\nContent-Length: {}\r\n\r\n{}", id, id.size(), id);
+}
+
+/// A server sends a second copy of an answer, late, on a connection that is in use again. Requests are sent one after the
+/// other on kept connections.
+class LateAnswerTest : public testing::Test {
+protected:
+    std::optional<Error> send(ScriptedServer& server, const std::string& id, RecordingSink& sink)
+    {
+        BackendServer record;
+        record.id = BackendServerId("i-1");
+        record.endpoint = server.endpoint();
+        GatewayRequest request;
+        request.method = "POST";
+        request.target = "/book";
+        request.deadline = SteadyClock().now() + 10s;
+        request.cancellation = std::make_shared<Cancellation>();
+        request.routed.emplace();
+        request.routed->callerId = id;
+        std::optional<Error> failure;
+        auto done = Asio::co_spawn(context_, run(record, request, sink, failure), Asio::use_future);
+        while (done.wait_for(0s) != std::future_status::ready)
+            context_.run_one();
+        return failure;
+    }
+
+    Task<void> run(const BackendServer& record, const GatewayRequest& request, RecordingSink& sink, std::optional<Error>& failure)
+    {
+        try {
+            co_await client_.run(record, request, Repeatability::Idempotent, sink);
+        } catch (const Error& error) {
+            failure = error;
+        }
+    }
+
+    Asio::io_context context_ { 1 };
+    std::unique_ptr<BackendDialect> dialect_ { BackendDialectRegistry::instance().require("backend dialect", "platform") };
+    BackendClient client_ { { 1s, 10s }, *dialect_ };
+};
+
+} // namespace
+
+TEST_F(LateAnswerTest, SecondCopyBeforeTheNextAnswerIsSkipped)
+{
+    ScriptedServer server(context_, { answerTo("one"), answerTo("one") + answerTo("two") });
+    RecordingSink first;
+    EXPECT_FALSE(send(server, "one", first));
+    RecordingSink second;
+    EXPECT_FALSE(send(server, "two", second));
+    EXPECT_EQ(second.body, "two");
+}
+
+TEST_F(LateAnswerTest, SecondCopyRightBehindTheFirstIsNotTakenForTheNextAnswer)
+{
+    ScriptedServer server(context_, { answerTo("one") + answerTo("one"), answerTo("two") });
+    RecordingSink first;
+    EXPECT_FALSE(send(server, "one", first));
+    RecordingSink second;
+    EXPECT_FALSE(send(server, "two", second));
+    EXPECT_EQ(first.body, "one");
+    EXPECT_EQ(second.body, "two");
+}
+
+TEST_F(LateAnswerTest, NoNumberOfCopiesIsTakenForAnotherAnswer)
+{
+    std::string copies;
+    for (int copy = 0; copy < 10; ++copy)
+        copies += answerTo("one");
+    ScriptedServer server(context_, { answerTo("one"), copies });
+    RecordingSink first;
+    EXPECT_FALSE(send(server, "one", first));
+    RecordingSink second;
+    const auto failure = send(server, "two", second);
+    ASSERT_TRUE(failure);
+    EXPECT_EQ(failure->ran(), Ran::Unknown);
+    EXPECT_TRUE(second.body.empty());
+}
+
+} // namespace Ibisturn::Testing
