--- a/Programs/ibisturn/FleetControlPlane.cpp
+++ b/Programs/ibisturn/FleetControlPlane.cpp
@@ -45,7 +45,8 @@
     , incarnation_(generateIncarnation())
     , lease_(store, instancesPrefixOf(tables.settings.storePrefix), self())
     , links_(context, makeHelloMessage(tables.settings.identity), { tables.settings.connectTimeout, writeTimeout, tables.settings.idleTimeout }, *this)
-    , statusExchange_(tables.settings.identity.instance, tables.settings.identity.region, incarnation_, [this](TimePoint now) { return localStatus(now); }, SteadyClock().now())
+    , statusExchange_(
+          tables.settings.identity.instance, tables.settings.identity.region, incarnation_, [this](TimePoint now) { return localStatus(now); }, SteadyClock().now())
     , storeFeed_(SteadyClock().now())
 {
     for (const auto& prefix : fleetState_.prefixes()) {
