StoreFeed: Follow the store from the start only if nobody better can

An instance now lists them, and watches only if it is the first in rank, or if no digest has made its copy current within two seconds.

--- a/Libraries/LibDecision/Dissemination/StoreFeed.h
+++ b/Libraries/LibDecision/Dissemination/StoreFeed.h
@@ -57,7 +57,7 @@
     std::optional<TimePoint> lastConfirmation_;
     std::optional<TimePoint> betterSince_;
     TimePoint nextRequestAt_ {};
-    bool isFollowing_ { true };
+    bool isFollowing_ { false };
 };
 
 } // namespace Ibisturn
--- a/Libraries/LibPlatform/EntryFollower.cpp
+++ b/Libraries/LibPlatform/EntryFollower.cpp
@@ -16,6 +16,8 @@
 /// doubles with each further failure, since each call to a store that is unavailable costs as much as any other.
 constexpr Duration minRetryDelay = std::chrono::milliseconds(200);
 constexpr Duration maxRetryDelay = std::chrono::milliseconds(800);
+/// Time to decide, after a listing, whether to go on.
+constexpr Duration suspensionGrace = std::chrono::milliseconds(150);
 
 /// Ends the watch of a follower that was suspended.
 class FollowerSuspended final : public std::exception {
@@ -81,7 +83,13 @@
 Task<void> EntryFollower::follow()
 {
     const auto known = callbacks_.position();
-    const auto position = mustList_ || !known ? co_await list() : *known;
+    const bool isFirst = mustList_ || !known;
+    const auto position = isFirst ? co_await list() : *known;
+    // Most instances need only the listing.
+    if (isFirst)
+        co_await pause(suspensionGrace);
+    if (isSuspended_)
+        throw FollowerSuspended();
     std::function<void(StoreChanges)> onChanges = [this](const StoreChanges& changes) {
         std::vector<RecordChange> records;
         for (const auto& change : changes.changes)
--- a/Tests/LibDecision/StoreFeedTest.cpp
+++ b/Tests/LibDecision/StoreFeedTest.cpp
@@ -31,21 +31,31 @@
 TEST(StoreFeed, TheFirstInRankFollowsTheStore)
 {
     StoreFeed feed(at(0s));
+    feed.advance(at(0s), 0);
     EXPECT_TRUE(feed.isFollowing());
     run(feed, 0, 0s, 20s, 20s);
     EXPECT_TRUE(feed.isFollowing());
 }
 
-TEST(StoreFeed, OthersStopOnceABetterOneFollows)
+TEST(StoreFeed, OthersDoNotFollowWhileABetterOneDoes)
 {
     StoreFeed feed(at(0s));
-    run(feed, 1, 0s, 500ms, 20s);
-    EXPECT_TRUE(feed.isFollowing());
-    run(feed, 1, 500ms, 5s, 20s);
+    run(feed, 1, 0s, 5s, 20s);
     EXPECT_FALSE(feed.isFollowing());
     EXPECT_TRUE(feed.isCurrent(at(5s)));
 }
 
+TEST(StoreFeed, OthersStopOnceABetterOneFollowsAgain)
+{
+    StoreFeed feed(at(0s));
+    run(feed, 1, 0s, 10s, 2s);
+    EXPECT_TRUE(feed.isFollowing());
+    run(feed, 1, 10s, 10500ms, 20s);
+    EXPECT_TRUE(feed.isFollowing());
+    run(feed, 1, 10500ms, 13s, 20s);
+    EXPECT_FALSE(feed.isFollowing());
+}
+
 TEST(StoreFeed, TheNextInRankTakesOverOneAfterTheOther)
 {
     StoreFeed next(at(0s));
@@ -78,6 +88,7 @@
 TEST(StoreFeed, OnlyAnInstanceThatTheStoreConfirmsCountsAsFollowing)
 {
     StoreFeed cutOff(at(0s));
+    cutOff.advance(at(0s), 0);
     cutOff.onConfirmed(at(0s));
     EXPECT_TRUE(cutOff.status(at(1s), {}).isFollowing);
     cutOff.onStatus(at(4s), second, 1, { true, 100ms, {} });
