--- a/Programs/ibisturn/FleetControlPlane.cpp
+++ b/Programs/ibisturn/FleetControlPlane.cpp
@@ -263,10 +263,11 @@
     const auto status = statusExchange_.status(now);
     tables_.placement.with([&](PlacementTable& table) { table.setOtherLoads(status.receivedAt, status.loads); });
     std::set<DemandSourceId> sources;
-    for (const auto& [digest, acknowledgedAt] : status.regions) {
+    for (const auto& region : status.regions) {
+        const auto& digest = region.digest;
         const DemandSourceId source(digest.region.value());
         sources.insert(source);
-        const auto timeSinceOwnReport = acknowledgedAt ? std::optional(status.receivedAt - *acknowledgedAt) : std::nullopt;
+        const auto timeSinceOwnReport = region.acknowledgedAt ? std::optional(status.receivedAt - *region.acknowledgedAt) : std::nullopt;
         tables_.allowance.onDemandReport(status.receivedAt, source, digest.demands, timeSinceOwnReport, digest.uptime, digest.instances);
         if (digest.region != tables_.settings.identity.region)
             tables_.placement.with([&](PlacementTable& table) { table.onWaitEstimates(status.receivedAt, digest.region, digest.waitEstimates); });
