PlacementTable: Send nothing to cold servers before the membership is settled

Its instances had started together and listed the store while others were still registering, so several took themselves for the only one that may send to the server.

A process sends nothing to cold servers in its first four seconds: an instance that hears from nobody follows the store after 2.5 s. The test failed before (the request went to the cold server).

--- a/Libraries/LibDecision/Placement/PlacementTable.cpp
+++ b/Libraries/LibDecision/Placement/PlacementTable.cpp
@@ -323,7 +323,7 @@
         return false;
     if (now >= server.state.coldUntil || server.coldRate <= 0)
         return true;
-    return server.isColdSender && now >= server.nextColdRequestAt;
+    return isMembershipSettled_ && server.isColdSender && now >= server.nextColdRequestAt;
 }
 
 // A cold backend server can take only a few requests per second from all instances together, so a single instance sends them.
--- a/Libraries/LibDecision/Placement/PlacementTable.h
+++ b/Libraries/LibDecision/Placement/PlacementTable.h
@@ -139,6 +139,10 @@
     /// Sets this instance's id and the live instances of its region, including itself.
     void setInstances(const InstanceId& self, const std::vector<InstanceId>& inRegion);
 
+    /// Sets whether setInstances() is known to name all instances of the region. While it may not, this instance sends
+    /// nothing to cold backend servers, since another one may do so, too.
+    void setMembershipSettled(bool isSettled) { isMembershipSettled_ = isSettled; }
+
     /// Replaces the load that the other instances of the region together put on the backend servers, as of `receivedAt`.
     void setOtherLoads(TimePoint receivedAt, const std::vector<InstanceLoad>& loads);
 
@@ -274,6 +278,7 @@
     PlacementLimits limits_;
     InstanceId self_;
     std::vector<InstanceId> instances_;
+    bool isMembershipSettled_ { true };
     TimePoint otherLoadsReceivedAt_ {};
     std::map<BackendServerId, Server> servers_;
     std::map<ServiceId, std::vector<BackendServerId>> byService_;
--- a/Programs/ibisturn/FleetControlPlane.cpp
+++ b/Programs/ibisturn/FleetControlPlane.cpp
@@ -18,6 +18,9 @@
 /// Minimum time between two writes of the fleet size to the store.
 constexpr Duration fleetSizeWritePeriod = std::chrono::seconds(2);
 constexpr Duration membershipPeriod = std::chrono::milliseconds(250);
+/// A new process may not know all instances that started together with it for this long: it lists the store once, and an
+/// instance that hears from nobody follows the store only after some seconds.
+constexpr Duration membershipSettlingTime = std::chrono::milliseconds(4000);
 /// How often the store confirms a quiet prefix. Operators' changes must be in force within seconds, so a copy of them that is
 /// no longer current must be noticed sooner than one of the others. Entries of instances may be the latest.
 constexpr Duration operatorsConfirmationPeriod = std::chrono::milliseconds(800);
@@ -230,7 +233,11 @@
         if (member.region == own.region && member.state != MemberState::Leaving)
             inRegion.push_back(member.id);
     }
-    tables_.placement.with([&](PlacementTable& table) { table.setInstances(own.id, inRegion); });
+    const bool isSettled = tables_.allowance.uptime(now) >= membershipSettlingTime;
+    tables_.placement.with([&](PlacementTable& table) {
+        table.setInstances(own.id, inRegion);
+        table.setMembershipSettled(isSettled);
+    });
     statusExchange_.setMembers(view);
     const auto size = std::max(view.instances.size(), fleetState_.fleetSize());
     tables_.serviceRetries.setInstances(size);
--- a/Tests/LibDecision/PlacementTableTest.cpp
+++ b/Tests/LibDecision/PlacementTableTest.cpp
@@ -334,4 +334,18 @@
     EXPECT_LT(expectedAt(3s), idle * 2);
 }
 
+// After a loss of a region its instances start together, and each knows only some of the others at first.
+TEST_F(PlacementTableTest, SendsNothingToAColdServerWhileOtherInstancesMayBeUnknown)
+{
+    servers_ = { state("a", model, ownRegion) };
+    servers_.front().coldUntil = at(20s);
+    table_.setServers(servers_, services());
+    auto request = makeQuery();
+    request.canLeaveRegion = false;
+    table_.setMembershipSettled(false);
+    EXPECT_TRUE(std::holds_alternative<RefusePlacement>(table_.place(at(0s), request)));
+    table_.setMembershipSettled(true);
+    EXPECT_EQ(serverOf(table_.place(at(0s), request)), "a");
+}
+
 } // namespace Ibisturn::Testing
