--- a/Tests/Model/ServingSimulation.cpp
+++ b/Tests/Model/ServingSimulation.cpp
@@ -44,6 +44,7 @@
         sum.reservedTokens += load.reservedTokens;
     }
     std::vector<InstanceLoad> summed;
+    summed.reserve(sums.size());
     for (const auto& [server, sum] : sums)
         summed.push_back(sum);
     return summed;
