--- a/Tests/Platform/LateAnswerTest.cpp
+++ b/Tests/Platform/LateAnswerTest.cpp
@@ -69,7 +69,7 @@
     EXPECT_EQ(second.body, "two");
 }
 
-TEST_F(LateAnswerTest, SecondCopyRightBehindTheFirstIsNotTakenForTheNextAnswer)
+TEST_F(LateAnswerTest, SecondCopyAtOnceIsNotTakenForTheNextAnswer)
 {
     ScriptedServer server(context_, { answerTo("one") + answerTo("one"), answerTo("two") });
     RecordingSink first;
