--- a/Tests/LibDecision/StatusExchangeTest.cpp
+++ b/Tests/LibDecision/StatusExchangeTest.cpp
@@ -224,6 +224,16 @@
     EXPECT_LE(sumsAt(fleet, 0).instances, 8U);
 }
 
+TEST(StatusExchange, ThePeriodGrowsWithTheRegionAndStaysWithinTheReportTimeout)
+{
+    StatusFleet small(9, statusOf);
+    StatusFleet large(300, statusOf);
+    EXPECT_LT(small.at(0).period(), large.at(0).period());
+    // An instance reports once per period, and its collector confirms receipt up to one period later, plus a round trip.
+    constexpr Duration roundTrip = 130ms;
+    EXPECT_LT(2 * large.at(0).period() + roundTrip, FleetAllowanceLimits().reportTimeout);
+}
+
 TEST(CollectorChoice, PrefersStrongInstances)
 {
     MembershipView membership;
