FleetState, RequestLog: Log what is believed of backend servers and requests to cold ones

The logs could not tell the hypotheses on the flooded cold server apart: one choice of place in 32 is logged, and nothing said when an instance learned of a backend server, that it is cold, or that it leaves.

Each change of a backend server that routing depends on is now a line with the entry's revision and process and with how current the registry was; so are a removed entry and the end of its grace period. Choices of cold servers are always logged, with the time for which the server is still cold, and counted by a metric. Renewals that change nothing write no line.

--- a/Libraries/LibDecision/Placement/PlacementTable.cpp
+++ b/Libraries/LibDecision/Placement/PlacementTable.cpp
@@ -146,9 +146,12 @@
     if (best.wait > maxWait && best.wait > limits_.timeToFirstToken * 3)
         return refuse(query, ResultCode::DeadlineUnreachable, best.wait - timeToTarget, best.wait);
     if (isLocal) {
-        if (best.server->coldRate > 0 && now < best.server->state.coldUntil)
+        PlaceOnServer place { best.server->state.server.id, best.wait };
+        if (best.server->coldRate > 0 && now < best.server->state.coldUntil) {
+            place.coldLeft = best.server->state.coldUntil - now;
             best.server->nextColdRequestAt = now + milliseconds(1000 / best.server->coldRate);
-        return PlaceOnServer { best.server->state.server.id, best.wait };
+        }
+        return place;
     }
     return PlaceInRegion { *best.region, best.wait };
 }
--- a/Libraries/LibDecision/Placement/PlacementTable.h
+++ b/Libraries/LibDecision/Placement/PlacementTable.h
@@ -22,6 +22,8 @@
     BackendServerId server;
     /// The expected time until the first part of the answer.
     Duration expected {};
+    /// For how much longer the backend server is cold; zero if it is not.
+    Duration coldLeft {};
 };
 
 /// Forward the request to an instance of this region.
--- a/Libraries/LibDecision/Registry/BackendRegistry.cpp
+++ b/Libraries/LibDecision/Registry/BackendRegistry.cpp
@@ -16,7 +16,7 @@
 {
 }
 
-void BackendRegistry::onEntry(TimePoint now, const RegisteredServer& server)
+bool BackendRegistry::onEntry(TimePoint now, const RegisteredServer& server)
 {
     auto& entry = entries_[server.id];
     auto& known = entry.state.server;
@@ -33,8 +33,10 @@
     const auto before = entry.state.coldUntil;
     if (!entry.coldSequence)
         entry.state.coldUntil = coldUntil;
-    if (isChanged || before != entry.state.coldUntil)
-        ++version_;
+    if (!isChanged && before == entry.state.coldUntil)
+        return false;
+    ++version_;
+    return true;
 }
 
 void BackendRegistry::onRemoved(TimePoint now, const BackendServerId& id)
@@ -60,11 +62,18 @@
     evacuated_ = dataCentres;
 }
 
-void BackendRegistry::advance(TimePoint now)
+std::vector<BackendServerId> BackendRegistry::advance(TimePoint now)
 {
-    const auto removed = std::erase_if(entries_, [this, now](const auto& item) { return item.second.removedAt && !removalGracePeriod_.isInGracePeriod(*item.second.removedAt, now); });
-    if (removed > 0)
+    std::vector<BackendServerId> removed;
+    for (const auto& [id, entry] : entries_) {
+        if (entry.removedAt && !removalGracePeriod_.isInGracePeriod(*entry.removedAt, now))
+            removed.push_back(id);
+    }
+    for (const auto& id : removed)
+        entries_.erase(id);
+    if (!removed.empty())
         ++version_;
+    return removed;
 }
 
 std::vector<BackendState> BackendRegistry::usable() const
--- a/Libraries/LibDecision/Registry/BackendRegistry.h
+++ b/Libraries/LibDecision/Registry/BackendRegistry.h
@@ -26,8 +26,9 @@
 
     void setLimits(RemovalLimits limits) { removalGracePeriod_.setLimits(limits); }
 
-    /// A backend server's entry was written. Precondition: entries of one id arrive in the order of their revisions.
-    void onEntry(TimePoint now, const RegisteredServer& server);
+    /// A backend server's entry was written. Returns whether it changed anything that routing depends on.
+    /// Precondition: entries of one id arrive in the order of their revisions.
+    bool onEntry(TimePoint now, const RegisteredServer& server);
 
     /// An entry was removed or became unreadable.
     void onRemoved(TimePoint now, const BackendServerId& id);
@@ -47,8 +48,8 @@
     /// Excludes the backend servers of these data centres.
     void setEvacuated(TimePoint now, const std::set<DataCentreId>& dataCentres);
 
-    /// Removes the backend servers whose grace period has ended.
-    void advance(TimePoint now);
+    /// Removes the backend servers whose grace period has ended, and returns their ids.
+    std::vector<BackendServerId> advance(TimePoint now);
 
     /// The backend servers that requests may be sent to, sorted by id. Precondition: advance() was called for the current
     /// time.
--- a/Libraries/LibHTTP/Requests/RequestLog.h
+++ b/Libraries/LibHTTP/Requests/RequestLog.h
@@ -16,8 +16,9 @@
     /// Precondition: `tables` outlives the log.
     RequestLog(const InstanceTables& tables, const GatewayRequest& request);
 
-    /// A place was chosen; `expected` is the time until the first part of the answer.
-    void logPlace(TimePoint now, const Place& place, Duration expected, std::uint32_t attempt);
+    /// A place was chosen; `expected` is the time until the first part of the answer, `coldLeft` for how much longer the
+    /// backend server is cold. Requests to cold backend servers are always logged.
+    void logPlace(TimePoint now, const Place& place, Duration expected, std::uint32_t attempt, Duration coldLeft = {});
 
     /// No place was found for `query`.
     void logRefusal(TimePoint now, const RefusePlacement& refusal, const PlacementQuery& query);
--- a/Libraries/LibHTTP/Requests/RequestRunner.cpp
+++ b/Libraries/LibHTTP/Requests/RequestRunner.cpp
@@ -415,7 +415,9 @@
         const auto decision = tables_.placement.with([&](PlacementTable& table) { return table.place(now, query); });
         if (const auto* server = std::get_if<PlaceOnServer>(&decision)) {
             const RunHere place { server->server };
-            requestLog.logPlace(now, place, server->expected, lifecycle.attempts() + 1);
+            requestLog.logPlace(now, place, server->expected, lifecycle.attempts() + 1, server->coldLeft);
+            if (server->coldLeft > Duration::zero())
+                tables_.metrics.increment("ibisturn_cold_server_requests_total");
             return place;
         }
         if (const auto* refusal = std::get_if<RefusePlacement>(&decision)) {
--- a/Libraries/LibPlatform/FleetState.cpp
+++ b/Libraries/LibPlatform/FleetState.cpp
@@ -92,7 +92,8 @@
 
 void FleetState::advance(TimePoint now)
 {
-    registry_.advance(now);
+    for (const auto& id : registry_.advance(now))
+        fleetLog.info("Backend server dropped.", { { "server", id } });
     mirror_.discardDeletions(maxDeletions);
     std::erase_if(members_, [this, now](const auto& entry) { return isExpired(entry.second, now); });
 }
@@ -210,10 +211,23 @@
     const auto server = change.value ? reader_.readServer(change.key, *change.value) : std::nullopt;
     if (change.value && !server)
         fleetLog.warning("Registry entry does not describe a backend server.", { { "key", change.key }, { "revision", change.revision } });
-    if (server)
-        registry_.onEntry(now, *server);
-    else
-        registry_.onRemoved(now, reader_.serverIdOf(change.key));
+    if (!server) {
+        const auto id = reader_.serverIdOf(change.key);
+        registry_.onRemoved(now, id);
+        fleetLog.info("Backend server's entry removed.", { { "server", id }, { "revision", change.revision }, { "store", storeState(now) } });
+        return;
+    }
+    if (!registry_.onEntry(now, *server))
+        return;
+    const auto coldLeft = std::chrono::duration_cast<std::chrono::milliseconds>(server->coldLeft).count();
+    fleetLog.info("Backend server's entry changed.", { { "server", server->id }, { "service", server->service }, { "data_centre", server->dataCentre }, { "draining", server->state == RegistrationState::Draining }, { "started", server->started }, { "cold_ms", coldLeft }, { "revision", change.revision }, { "store", storeState(now) } });
+}
+
+std::string FleetState::storeState(TimePoint now) const
+{
+    if (!unavailableSince())
+        return "followed";
+    return fmt::format("away:{}ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - *unavailableSince()).count());
 }
 
 void FleetState::applyInstanceEntry(TimePoint now, const RecordChange& change)
--- a/Libraries/LibPlatform/FleetState.h
+++ b/Libraries/LibPlatform/FleetState.h
@@ -104,6 +104,8 @@
     void applyServerEntry(TimePoint now, const RecordChange& change);
     void applyInstanceEntry(TimePoint now, const RecordChange& change);
     void applyFleetSize(const std::string& value);
+    /// How current the registry is, for log lines.
+    std::string storeState(TimePoint now) const;
 
     const DocumentReader& reader_;
     std::string ownPrefix_;
--- a/Tests/LibDecision/BackendRegistryTest.cpp
+++ b/Tests/LibDecision/BackendRegistryTest.cpp
@@ -45,6 +45,19 @@
     EXPECT_EQ(usableAfter(registry, 1s), 0U);
 }
 
+TEST(BackendRegistry, ReportsOnlyWhatRoutingDependsOn)
+{
+    BackendRegistry registry;
+    EXPECT_TRUE(registry.onEntry(at(0s), server("a")));
+    EXPECT_FALSE(registry.onEntry(at(1s), server("a", 2)));
+    auto leaving = server("a", 3);
+    leaving.state = RegistrationState::Draining;
+    EXPECT_TRUE(registry.onEntry(at(2s), leaving));
+    registry.onRemoved(at(3s), BackendServerId("a"));
+    EXPECT_TRUE(registry.advance(at(3s)).empty());
+    EXPECT_EQ(registry.advance(at(3s) + RemovalLimits().removalGrace), std::vector { BackendServerId("a") });
+}
+
 TEST(BackendRegistry, EntryRewrittenAtOnceStaysUsable)
 {
     BackendRegistry registry;
