ColdServerLocks: Let the store decide which instance sends to a cold backend server

Callers of a cold backend server saw it crash: it takes a few requests per second from all instances together, and got up to 12 in one second where 9.9 are allowed.

Cause: the sender was whoever ranks first by rendezvous hashing among the instances it knows. An instance that drains is on nobody's list, its own included, so it went on as the sender while the others appointed a second and, as instances restarted in turn, a third one. Any difference between the instances' views of the members has the same effect.

An instance now sends to a cold server only while the store holds its lock, a key written under a condition and kept by the instance's own lease. At most one process holds it at a time, whatever the instances believe. What is sent in any second is counted when the request is written, since connections that were waited for may be ready together.

Ruled out: that the instances did not know that the server was cold (each logged the time left), and that a single sender exceeded its rate.

Replaced tests: OneInstanceSendsToAColdServer and SendsNothingToAColdServerWhileOtherInstancesMayBeUnknown checked the ranking and the pause after a start, which are gone.

--- a/Libraries/LibDecision/Placement/PlacementTable.cpp
+++ b/Libraries/LibDecision/Placement/PlacementTable.cpp
@@ -27,6 +27,7 @@
 constexpr Duration memoryPenalty = std::chrono::milliseconds(500);
 constexpr Duration minRetryAfter = std::chrono::milliseconds(100);
 constexpr std::uint32_t urgentPriority = 0;
+constexpr Duration coldWindow = std::chrono::seconds(1);
 
 Duration milliseconds(double count)
 {
@@ -38,6 +39,18 @@
     return std::chrono::duration<double, std::milli>(duration).count();
 }
 
+/// How many requests a cold backend server gets in any second. Whole requests count, so the rate is rounded down.
+std::size_t coldRequestsPerSecond(double rate)
+{
+    return static_cast<std::size_t>(std::max(1.0, std::floor(rate)));
+}
+
+/// The pause between two requests to a cold backend server.
+Duration coldSpacing(double rate)
+{
+    return milliseconds(inMilliseconds(coldWindow) / std::min(rate, static_cast<double>(coldRequestsPerSecond(rate))));
+}
+
 template <typename Load>
 void add(Load& sum, const Load& load)
 {
@@ -79,11 +92,12 @@
         present.insert(state.server.id);
         auto& server = servers_[state.server.id];
         if (server.state.server.started != state.server.started || server.state.server.endpoint != state.server.endpoint) {
+            auto coldSends = std::move(server.coldSends);
             server = Server();
+            server.coldSends = std::move(coldSends);
             std::erase_if(placedRequests_, [&state](const auto& entry) { return entry.second.server == state.server.id; });
         }
         server.state = state;
-        server.isColdSender = isColdSender(state.server.id);
         server.engine = service->engine;
         server.coldRate = service->coldRate;
         server.maxConnections = service->maxConnections;
@@ -97,13 +111,8 @@
 
 void PlacementTable::setInstances(const InstanceId& self, const std::vector<InstanceId>& inRegion)
 {
-    const bool isChanged = self_ != self || instances_ != inRegion;
     self_ = self;
     instances_ = inRegion;
-    if (!isChanged)
-        return;
-    for (auto& [id, server] : servers_)
-        server.isColdSender = isColdSender(id);
 }
 
 void PlacementTable::setOtherLoads(TimePoint receivedAt, const std::vector<InstanceLoad>& loads)
@@ -147,9 +156,9 @@
         return refuse(query, ResultCode::DeadlineUnreachable, best.wait - timeToTarget, best.wait);
     if (isLocal) {
         PlaceOnServer place { best.server->state.server.id, best.wait };
-        if (best.server->coldRate > 0 && now < best.server->state.coldUntil) {
+        if (isCold(now, *best.server)) {
             place.coldLeft = best.server->state.coldUntil - now;
-            best.server->nextColdRequestAt = now + milliseconds(1000 / best.server->coldRate);
+            best.server->nextColdRequestAt = now + coldSpacing(best.server->coldRate);
         }
         return place;
     }
@@ -175,6 +184,34 @@
     return placement;
 }
 
+bool PlacementTable::confirmSend(TimePoint now, const BackendServerId& id)
+{
+    const auto found = servers_.find(id);
+    if (found == servers_.end())
+        return false;
+    auto& server = found->second;
+    if (!isCold(now, server))
+        return true;
+    // Choices are spaced, but connections take different times, so that several requests may be ready at once.
+    auto& sends = server.coldSends;
+    while (!sends.empty() && now - sends.front() >= coldWindow)
+        sends.pop_front();
+    if (!holdsColdServer(now, id) || sends.size() >= coldRequestsPerSecond(server.coldRate))
+        return false;
+    sends.push_back(now);
+    return true;
+}
+
+std::vector<BackendServerId> PlacementTable::coldServers(TimePoint now) const
+{
+    std::vector<BackendServerId> cold;
+    for (const auto& [id, server] : servers_) {
+        if (isCold(now, server))
+            cold.push_back(id);
+    }
+    return cold;
+}
+
 void PlacementTable::recordForward(const RegionId& region, const PlacementQuery& query)
 {
     regions_[region].cache.record(query.prompt);
@@ -324,19 +361,18 @@
 {
     if (now < server.backoffUntil || query.failedServers.contains(server.state.server.id))
         return false;
-    if (now >= server.state.coldUntil || server.coldRate <= 0)
-        return true;
-    return isMembershipSettled_ && server.isColdSender && now >= server.nextColdRequestAt;
+    return !isCold(now, server) || (holdsColdServer(now, server.state.server.id) && now >= server.nextColdRequestAt);
+}
+
+bool PlacementTable::isCold(TimePoint now, const Server& server)
+{
+    return server.coldRate > 0 && now < server.state.coldUntil;
 }
 
-// A cold backend server can take only a few requests per second from all instances together, so a single instance sends them.
-bool PlacementTable::isColdSender(const BackendServerId& server) const
+bool PlacementTable::holdsColdServer(TimePoint now, const BackendServerId& id) const
 {
-    const auto& id = server.value();
-    const auto ownScore = rendezvousScore(id, self_.value());
-    return std::none_of(instances_.begin(), instances_.end(), [&](const InstanceId& other) {
-        return other != self_ && rendezvousScore(id, other.value()) > ownScore;
-    });
+    const auto held = coldServersHeldUntil_.find(id);
+    return held != coldServersHeldUntil_.end() && now < held->second;
 }
 
 PlacementTable::Load PlacementTable::totalLoad(TimePoint now, const Server& server) const
--- a/Libraries/LibDecision/Placement/PlacementTable.h
+++ b/Libraries/LibDecision/Placement/PlacementTable.h
@@ -6,6 +6,7 @@
 #include <LibDecision/Placement/PromptCacheEstimate.h>
 #include <LibDecision/Registry/BackendRegistry.h>
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -141,9 +142,11 @@
     /// Sets this instance's id and the live instances of its region, including itself.
     void setInstances(const InstanceId& self, const std::vector<InstanceId>& inRegion);
 
-    /// Sets whether setInstances() is known to name all instances of the region. While it may not, this instance sends
-    /// nothing to cold backend servers, since another one may do so, too.
-    void setMembershipSettled(bool isSettled) { isMembershipSettled_ = isSettled; }
+    /// Sets the backend servers that this instance may send requests to while they are cold, and until when it may.
+    void setColdServersHeld(std::map<BackendServerId, TimePoint> heldUntil) { coldServersHeldUntil_ = std::move(heldUntil); }
+
+    /// The backend servers of this region that are cold and can take only a limited rate.
+    std::vector<BackendServerId> coldServers(TimePoint now) const;
 
     /// Replaces the load that the other instances of the region together put on the backend servers, as of `receivedAt`.
     void setOtherLoads(TimePoint receivedAt, const std::vector<InstanceLoad>& loads);
@@ -156,6 +159,10 @@
 
     /// Records that a request is sent to a backend server or forwarded to another region.
     PlacementId begin(TimePoint now, const BackendServerId& server, const PlacementQuery& query);
+
+    /// Must be called right before a request is written to a backend server, which may have left or become cold since
+    /// place() chose it. Returns whether the request may be sent, and counts it if the server is cold.
+    bool confirmSend(TimePoint now, const BackendServerId& server);
     void recordForward(const RegionId& region, const PlacementQuery& query);
 
     /// Records that the first part of an answer arrived.
@@ -193,8 +200,6 @@
     struct Server {
         BackendState state;
         std::optional<EngineTraits> engine;
-        /// Whether this instance is the one that may send requests to the server while it is cold.
-        bool isColdSender { false };
         double coldRate { 0 };
         std::uint32_t maxConnections { 0 };
         Load ownLoad;
@@ -206,6 +211,8 @@
         /// Average ratio of the measured to the expected time to the first part.
         double slowness { 1 };
         TimePoint nextColdRequestAt {};
+        /// When requests were sent to it while it was cold, within the last second.
+        std::deque<TimePoint> coldSends;
         /// Running and waiting requests as the server reported them, and this instance's requests there at that time.
         std::uint32_t reportedRequests { 0 };
         std::uint32_t ownRequestsAtReport { 0 };
@@ -259,7 +266,8 @@
 
     bool isAllowedIn(const PlacementQuery& query, const RegionId& region) const;
     bool isUsable(TimePoint now, const Server& server, const PlacementQuery& query) const;
-    bool isColdSender(const BackendServerId& id) const;
+    static bool isCold(TimePoint now, const Server& server);
+    bool holdsColdServer(TimePoint now, const BackendServerId& id) const;
     Load totalLoad(TimePoint now, const Server& server) const;
     void measure(MeasuredTime& time, TimePoint now, Duration sample, Duration initial) const;
     Duration measuredOr(const MeasuredTime& time, TimePoint now, Duration initial) const;
@@ -280,7 +288,7 @@
     PlacementLimits limits_;
     InstanceId self_;
     std::vector<InstanceId> instances_;
-    bool isMembershipSettled_ { true };
+    std::map<BackendServerId, TimePoint> coldServersHeldUntil_;
     TimePoint otherLoadsReceivedAt_ {};
     std::map<BackendServerId, Server> servers_;
     std::map<ServiceId, std::vector<BackendServerId>> byService_;
--- a/Libraries/LibHTTP/Requests/RequestRunner.cpp
+++ b/Libraries/LibHTTP/Requests/RequestRunner.cpp
@@ -524,15 +524,15 @@
     throwIfFailed(lifecycle.handle(ConnectionReady { attempt, decided }, now));
 }
 
-// A backend server may have left since it was chosen, while the connection to it was made.
+// A backend server may have left or become cold since it was chosen, while the connection to it was made.
 void RequestRunner::requireUsableServer(const GatewayRequest& request, const Place& place) const
 {
     const auto* here = std::get_if<RunHere>(&place);
     if (!here || !request.routed)
         return;
-    const bool isUsable = tables_.placement.with([&](PlacementTable& table) { return table.findServer(here->backendServer) != nullptr; });
+    const bool isUsable = tables_.placement.with([&](PlacementTable& table) { return table.confirmSend(SteadyClock().now(), here->backendServer); });
     if (!isUsable)
-        throw NotRunError(ResultCode::NoBackendServer, Ran::No, "The backend server left before the request was sent");
+        throw NotRunError(ResultCode::NoBackendServer, Ran::No, "The backend server left or became cold before the request was sent");
 }
 
 ResultCode RequestRunner::accessOf(const GatewayRequest& request, const RegionId& region) const
--- a/Libraries/LibPlatform/InstanceLease.cpp
+++ b/Libraries/LibPlatform/InstanceLease.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/Error.h>
 #include <LibCore/Log.h>
+#include <LibCore/SteadyClock.h>
 #include <LibKernel/Pause.h>
 
 #include <utility>
@@ -36,7 +37,7 @@
             if (!lease_)
                 co_await writeEntry();
             else
-                co_await store_.renewLease(*lease_);
+                co_await renew();
         } catch (const Error& error) {
             problem = error.what();
             if (error.code() == ResultCode::RecordNotFound)
@@ -67,13 +68,30 @@
     }
 }
 
+std::optional<LockTerm> InstanceLease::term() const
+{
+    if (!lease_ || isLeaving_)
+        return std::nullopt;
+    return LockTerm { LockTermId(lease_->count()), termEnd_ };
+}
+
+// A lease runs from the arrival of the call that grants or renews it, which is not before the call is made.
+Task<void> InstanceLease::renew()
+{
+    const auto calledAt = SteadyClock().now();
+    co_await store_.renewLease(*lease_);
+    termEnd_ = calledAt + leaseTerm;
+}
+
 Task<void> InstanceLease::writeEntry()
 {
+    const auto calledAt = SteadyClock().now();
     const LeaseId lease = co_await store_.grantLease(leaseTerm);
     std::vector<StoreWrite> writes;
     writes.push_back({ key_, formatMember(self_), std::nullopt, lease });
     co_await store_.transact(std::move(writes));
     lease_ = lease;
+    termEnd_ = calledAt + leaseTerm;
     leaseLog.info("Instance entry written.", { { "key", key_ }, { "lease", lease } });
 }
 
--- a/Libraries/LibPlatform/InstanceLease.h
+++ b/Libraries/LibPlatform/InstanceLease.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibDecision/Membership/MembershipView.h>
+#include <LibDecision/Placement/ColdServerLocks.h>
 #include <LibPlatform/StoreClient.h>
 
 #include <optional>
@@ -21,16 +22,19 @@
     /// Removes the entry.
     Task<void> leave();
 
-    /// Whether the entry exists, as far as this instance can tell.
-    bool isRegistered() const { return lease_.has_value(); }
+    /// The lease, and until when the store certainly keeps what is written under it; unset without a lease, and once the
+    /// instance is leaving.
+    std::optional<LockTerm> term() const;
 
 private:
     Task<void> writeEntry();
+    Task<void> renew();
 
     StoreClient& store_;
     std::string key_;
     Member self_;
     std::optional<LeaseId> lease_;
+    TimePoint termEnd_ {};
     bool isLeaving_ { false };
 };
 
--- a/Programs/ibisturn/FleetControlPlane.cpp
+++ b/Programs/ibisturn/FleetControlPlane.cpp
@@ -18,15 +18,21 @@
 /// Minimum time between two writes of the fleet size to the store.
 constexpr Duration fleetSizeWritePeriod = std::chrono::seconds(2);
 constexpr Duration membershipPeriod = std::chrono::milliseconds(250);
-/// A new process may not know all instances that started together with it for this long: it lists the store once, and an
-/// instance that hears from nobody follows the store only after some seconds.
-constexpr Duration membershipSettlingTime = std::chrono::milliseconds(4000);
 /// How often the store confirms a quiet prefix. Operators' changes must be in force within seconds, so a copy of them that is
 /// no longer current must be noticed sooner than one of the others. Entries of instances may be the latest.
 constexpr Duration operatorsConfirmationPeriod = std::chrono::milliseconds(800);
 constexpr Duration registryConfirmationPeriod = std::chrono::milliseconds(3200);
 constexpr Duration instancesConfirmationPeriod = std::chrono::milliseconds(8000);
 
+/// The key of the lock of a cold backend server. It is not below the prefix of the instances' own keys, since nobody has to
+/// follow these locks.
+std::string coldLockKeyOf(std::string_view ownPrefix, const BackendServerId& server)
+{
+    while (ownPrefix.ends_with('/'))
+        ownPrefix.remove_suffix(1);
+    return fmt::format("{}-cold-servers/{}", ownPrefix, server);
+}
+
 RemovalLimits removalLimits(const FleetSettings& fleet)
 {
     // A leaving backend server keeps serving for its drain time. The time that the change needs to arrive, and a request to
@@ -84,6 +90,7 @@
     applyConfiguration();
     applyServers();
     applyMembership(now);
+    lockColdServers(now);
     applyStatus(now);
     for (const auto& message : statusExchange_.advance(now))
         std::visit([this](const auto& action) { send(action); }, message);
@@ -233,11 +240,8 @@
         if (member.region == own.region && member.state != MemberState::Leaving)
             inRegion.push_back(member.id);
     }
-    const bool isSettled = tables_.allowance.uptime(now) >= membershipSettlingTime;
-    tables_.placement.with([&](PlacementTable& table) {
-        table.setInstances(own.id, inRegion);
-        table.setMembershipSettled(isSettled);
-    });
+    tables_.placement.with([&](PlacementTable& table) { table.setInstances(own.id, inRegion); });
+    coldServerLocks_.setInstances(own.id, inRegion);
     statusExchange_.setMembers(view);
     const auto size = std::max(view.instances.size(), fleetState_.fleetSize());
     tables_.serviceRetries.setInstances(size);
@@ -250,6 +254,59 @@
     tables_.membership.set(std::make_shared<const MembershipView>(std::move(view)));
 }
 
+void FleetControlPlane::lockColdServers(TimePoint now)
+{
+    coldServerLocks_.setTerm(lease_.term());
+    const auto cold = tables_.placement.with([&](PlacementTable& table) {
+        table.setColdServersHeld(coldServerLocks_.held());
+        return table.coldServers(now);
+    });
+    for (auto& server : coldServerLocks_.advance(now, cold))
+        Asio::co_spawn(context_, lockColdServer(std::move(server), *coldServerLocks_.term()), Asio::detached);
+    auto stale = coldServerLocks_.takeStale(now);
+    if (!stale.empty())
+        Asio::co_spawn(context_, deleteLocks(std::move(stale)), Asio::detached);
+}
+
+Task<void> FleetControlPlane::lockColdServer(BackendServerId server, LockTermId term)
+{
+    const auto holder = fmt::format("{} {}", tables_.settings.identity.instance, incarnation_);
+    std::vector<StoreWrite> writes;
+    writes.push_back({ coldLockKeyOf(tables_.settings.storePrefix, server), holder, Revision(0), LeaseId(term.count()) });
+    LockAttempt attempt;
+    std::string reason;
+    try {
+        const StoreWriteResult result = co_await store_.transact(std::move(writes));
+        const auto* current = result.current.empty() ? nullptr : &result.current.front();
+        if (result.outcome == WriteOutcome::Written)
+            attempt = { LockOutcome::Held, result.revision };
+        else if (current && current->value == holder) // Written by an earlier attempt whose reply was lost.
+            attempt = { LockOutcome::Held, current->revision };
+        else
+            attempt.outcome = LockOutcome::HeldByOther;
+        if (attempt.outcome == LockOutcome::HeldByOther)
+            reason = current ? "held by " + current->value : "held by another instance";
+    } catch (const std::exception& error) {
+        reason = error.what();
+    }
+    fleetLog.info("Lock of a cold backend server.", { { "server", server }, { "held", attempt.outcome == LockOutcome::Held }, { "lease", term }, { "reason", reason } });
+    coldServerLocks_.onAttempt(SteadyClock().now(), server, term, attempt);
+}
+
+Task<void> FleetControlPlane::deleteLocks(std::vector<StoredLock> locks)
+{
+    std::vector<StoreWrite> writes;
+    writes.reserve(locks.size());
+    for (const auto& lock : locks)
+        writes.push_back({ coldLockKeyOf(tables_.settings.storePrefix, lock.server), std::nullopt, lock.revision, std::nullopt });
+    try {
+        co_await store_.transact(std::move(writes));
+    } catch (const std::exception& error) {
+        // They are deleted with the instance's lease.
+        fleetLog.warning("Locks of backend servers not deleted.", { { "locks", locks.size() }, { "reason", error.what() } });
+    }
+}
+
 void FleetControlPlane::setGauges(TimePoint now, const MembershipView& view)
 {
     const auto isLive = [](const Member& member) { return member.state == MemberState::Live; };
--- a/Programs/ibisturn/FleetControlPlane.h
+++ b/Programs/ibisturn/FleetControlPlane.h
@@ -50,11 +50,14 @@
     void applyConfiguration();
     void applyServers();
     void applyMembership(TimePoint now);
+    void lockColdServers(TimePoint now);
     void applyStatus(TimePoint now);
     void setGauges(TimePoint now, const MembershipView& view);
     void requestStoreUpdates(TimePoint now);
     void send(const PeerAction& action);
     Task<void> storeFleetSize(std::size_t size);
+    Task<void> lockColdServer(BackendServerId server, LockTermId term);
+    Task<void> deleteLocks(std::vector<StoredLock> locks);
     LocalStatus localStatus(TimePoint now) const;
     Member self() const;
 
@@ -64,6 +67,7 @@
     FleetState fleetState_;
     Incarnation incarnation_;
     InstanceLease lease_;
+    ColdServerLocks coldServerLocks_;
     ControlLinks links_;
     std::vector<std::unique_ptr<EntryFollower>> followers_;
     MembershipTracker tracker_;
--- a/Tests/LibDecision/PlacementTableTest.cpp
+++ b/Tests/LibDecision/PlacementTableTest.cpp
@@ -237,24 +237,44 @@
     EXPECT_EQ(serverOf(table_.place(at(1ms), makeQuery())), "a");
 }
 
-TEST_F(PlacementTableTest, OneInstanceSendsToAColdServer)
+TEST_F(PlacementTableTest, ColdServerGetsNothingFromInstancesThatDoNotHoldIt)
 {
     servers_[0].coldUntil = at(10s);
     servers_.erase(servers_.begin() + 1);
-    std::size_t senders = 0;
-    for (const auto* self : { "i1", "i2", "i3" }) {
-        PlacementTable table(ownRegion);
-        table.setInstances(InstanceId(self), { InstanceId("i1"), InstanceId("i2"), InstanceId("i3") });
-        table.setServers(servers_, services());
-        auto request = makeQuery();
-        request.canLeaveRegion = false;
-        std::size_t sent = 0;
-        for (Duration time {}; time < 1s; time += 10ms)
-            sent += serverOf(table.place(at(time), request)).empty() ? 0 : 1;
-        senders += sent > 0 ? 1 : 0;
-        EXPECT_LE(sent, 4U);
-    }
-    EXPECT_EQ(senders, 1U);
+    table_.setServers(servers_, services());
+    EXPECT_EQ(table_.coldServers(at(0s)), std::vector { BackendServerId("a") });
+    auto request = makeQuery();
+    request.canLeaveRegion = false;
+    const auto choices = [&](Duration from, Duration until) {
+        std::size_t count = 0;
+        for (auto time = from; time < until; time += 10ms)
+            count += serverOf(table_.place(at(time), request)).empty() ? 0 : 1;
+        return count;
+    };
+    EXPECT_EQ(choices(0s, 1s), 0U);
+    table_.setColdServersHeld({ { BackendServerId("a"), at(3s) } });
+    EXPECT_EQ(choices(1s, 3s), 8U);
+    EXPECT_EQ(choices(3s, 5s), 0U);
+}
+
+// While a server can't be reached, connections to it wait and are then ready at once.
+TEST_F(PlacementTableTest, ColdServerGetsItsRateAlthoughConnectionsAreReadyTogether)
+{
+    servers_[0].coldUntil = at(10s);
+    table_.setServers(servers_, services());
+    const BackendServerId cold("a");
+    EXPECT_FALSE(table_.confirmSend(at(0s), cold));
+    table_.setColdServersHeld({ { cold, at(5s) } });
+    std::size_t sent = 0;
+    for (int index = 0; index < 20; ++index)
+        sent += table_.confirmSend(at(1s), cold) ? 1 : 0;
+    EXPECT_EQ(sent, 4U);
+    EXPECT_FALSE(table_.confirmSend(at(1900ms), cold));
+    EXPECT_TRUE(table_.confirmSend(at(2s), cold));
+    EXPECT_FALSE(table_.confirmSend(at(6s), cold));
+    EXPECT_TRUE(table_.confirmSend(at(10s), cold));
+    EXPECT_TRUE(table_.confirmSend(at(0s), BackendServerId("b")));
+    EXPECT_FALSE(table_.confirmSend(at(0s), BackendServerId("unknown")));
 }
 
 TEST_F(PlacementTableTest, NewIncarnationOfAServerHasNoRequestsInFlight)
@@ -334,18 +354,4 @@
     EXPECT_LT(expectedAt(3s), idle * 2);
 }
 
-// After a loss of a region its instances start together, and each knows only some of the others at first.
-TEST_F(PlacementTableTest, SendsNothingToAColdServerWhileOtherInstancesMayBeUnknown)
-{
-    servers_ = { state("a", model, ownRegion) };
-    servers_.front().coldUntil = at(20s);
-    table_.setServers(servers_, services());
-    auto request = makeQuery();
-    request.canLeaveRegion = false;
-    table_.setMembershipSettled(false);
-    EXPECT_TRUE(std::holds_alternative<RefusePlacement>(table_.place(at(0s), request)));
-    table_.setMembershipSettled(true);
-    EXPECT_EQ(serverOf(table_.place(at(0s), request)), "a");
-}
-
 } // namespace Ibisturn::Testing
