Log: Give lines on single requests a rate limit of their own

Components that write about single requests now count towards a limit of their own. A line that is over the limit is no longer formatted before it is dropped.

The test on displaced lines fails with one limit for both kinds. The other tests of the writer check what they did, through the two calls that replace one.

--- a/Libraries/LibCore/Log.cpp
+++ b/Libraries/LibCore/Log.cpp
@@ -85,6 +85,8 @@
 {
     if (level < minimumLevel.load())
         return;
+    if (!standardOutput().admit(level >= LogLevel::Warning ? LineKind::Important : kind_))
+        return;
     const auto now = std::chrono::system_clock::now();
     const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count() % 1000;
     const auto seconds = std::chrono::system_clock::to_time_t(now);
@@ -95,7 +97,7 @@
         appendValue(line, field.value);
     }
     line += '\n';
-    standardOutput().write(line, level >= LogLevel::Warning ? LineKind::Important : LineKind::Ordinary);
+    standardOutput().write(line);
 }
 
 } // namespace Ibisturn
--- a/Libraries/LibCore/Log.h
+++ b/Libraries/LibCore/Log.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <string_view>
 
+#include <LibCore/LogWriter.h>
+
 #include <fmt/format.h>
 
 namespace Ibisturn {
@@ -43,9 +45,11 @@
 /// Thread safety: all methods from any thread.
 class Log {
 public:
+    /// `kind` is that of its lines below the level of warnings.
     /// Precondition: `component` outlives the log, usually as a string literal.
-    explicit constexpr Log(std::string_view component)
+    explicit constexpr Log(std::string_view component, LineKind kind = LineKind::Ordinary)
         : component_(component)
+        , kind_(kind)
     {
     }
 
@@ -59,6 +63,7 @@
     void write(LogLevel level, std::string_view message, std::initializer_list<LogField> fields) const;
 
     std::string_view component_;
+    LineKind kind_;
 };
 
 } // namespace Ibisturn
--- a/Libraries/LibCore/LogWriter.cpp
+++ b/Libraries/LibCore/LogWriter.cpp
@@ -15,24 +15,34 @@
 {
 }
 
-void LogWriter::write(std::string_view line, LineKind kind)
+bool LogWriter::admit(LineKind kind)
 {
     const std::scoped_lock lock(mutex_);
     const auto now = std::chrono::steady_clock::now();
     if (now - secondStart_ >= std::chrono::seconds(1)) {
         secondStart_ = now;
-        linesInSecond_ = 0;
+        linesInSecond_ = {};
         reportDroppedLines();
     }
-    const bool isOverRate = kind == LineKind::Ordinary && linesInSecond_ >= limits_.linesPerSecond;
-    if (isOverRate || pending_.size() + line.size() > limits_.maxPendingBytes) {
+    if (kind == LineKind::Important)
+        return true;
+    auto& lines = linesInSecond_.at(static_cast<std::size_t>(kind));
+    if (lines >= limits_.linesPerSecond) {
         ++dropped_;
         flush();
-        return;
+        return false;
     }
-    if (kind == LineKind::Ordinary)
-        ++linesInSecond_;
-    pending_ += line;
+    ++lines;
+    return true;
+}
+
+void LogWriter::write(std::string_view line)
+{
+    const std::scoped_lock lock(mutex_);
+    if (pending_.size() + line.size() > limits_.maxPendingBytes)
+        ++dropped_;
+    else
+        pending_ += line;
     flush();
 }
 
--- a/Libraries/LibCore/LogWriter.h
+++ b/Libraries/LibCore/LogWriter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <mutex>
@@ -10,16 +11,18 @@
 
 /// Rate and buffer limits of a LogWriter.
 struct LogLimits {
-    /// Ordinary lines per second; more of them add little information.
+    /// Lines per second of each kind that is limited; more of them add little information.
     std::uint32_t linesPerSecond { 200 };
     /// Bytes buffered while the reader is slow.
     std::size_t maxPendingBytes { 256UL * 1024 };
 };
 
-/// Whether a line counts towards the rate limit.
+/// Which rate limit a line counts towards.
 enum class LineKind : std::uint8_t {
+    /// Lines on single requests, which must not displace the ordinary ones.
+    Request,
     Ordinary,
-    /// Warnings and errors, which are exempt from the rate limit.
+    /// Warnings and errors, which are exempt from the rate limits.
     Important,
 };
 
@@ -30,8 +33,11 @@
     /// Precondition: `descriptor` stays open for the lifetime of the writer.
     explicit LogWriter(int descriptor, LogLimits limits = {});
 
-    /// Writes `line`, which must end in a newline.
-    void write(std::string_view line, LineKind kind);
+    /// Whether the rate limit admits another line of this kind, which it then counts, or else counts as dropped.
+    bool admit(LineKind kind);
+
+    /// Writes an admitted line, which must end in a newline.
+    void write(std::string_view line);
 
     /// The number of lines dropped so far.
     std::uint64_t dropped() const;
@@ -45,7 +51,8 @@
     mutable std::mutex mutex_;
     std::string pending_;
     std::chrono::steady_clock::time_point secondStart_ {};
-    std::uint32_t linesInSecond_ { 0 };
+    /// By the kind of line.
+    std::array<std::uint32_t, 2> linesInSecond_ {};
     std::uint64_t dropped_ { 0 };
     std::uint64_t reportedDropped_ { 0 };
 };
--- a/Libraries/LibHTTP/Callers/CallerSession.cpp
+++ b/Libraries/LibHTTP/Callers/CallerSession.cpp
@@ -28,7 +28,7 @@
 
 namespace {
 
-constexpr Log callerLog("caller");
+constexpr Log callerLog("caller", LineKind::Request);
 constexpr int httpVersion11 = 11;
 constexpr const char* jsonType = "application/json";
 
--- a/Libraries/LibHTTP/Callers/RoutedSession.cpp
+++ b/Libraries/LibHTTP/Callers/RoutedSession.cpp
@@ -24,7 +24,7 @@
 
 namespace {
 
-constexpr Log callerLog("caller");
+constexpr Log callerLog("caller", LineKind::Request);
 constexpr int httpVersion11 = 11;
 /// An instance that has just started receives its configuration after a few round trips to the store. A request waits at
 /// most this long for it.
--- a/Libraries/LibHTTP/Requests/RequestLog.cpp
+++ b/Libraries/LibHTTP/Requests/RequestLog.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr Log requestLog("request");
+constexpr Log requestLog("request", LineKind::Request);
 /// One in this many successes is logged.
 constexpr std::size_t sampleInterval = 32;
 
--- a/Libraries/LibHTTP/Requests/RequestRunner.cpp
+++ b/Libraries/LibHTTP/Requests/RequestRunner.cpp
@@ -20,7 +20,7 @@
 
 /// Length of the start of the body, which requests with the same system prompt are assumed to share.
 constexpr std::size_t prefixBytes = 512;
-constexpr Log runnerLog("request");
+constexpr Log runnerLog("request", LineKind::Request);
 constexpr std::size_t bytesPerToken = 4;
 /// Idle connections to each instance of another region that receives requests; a new connection there costs two round trips.
 constexpr std::size_t warmConnections = 2;
--- a/Tests/LibCore/LogWriterTest.cpp
+++ b/Tests/LibCore/LogWriterTest.cpp
@@ -40,13 +40,19 @@
     std::array<int, 2> ends_ {};
 };
 
+void writeLine(LogWriter& writer, std::string_view line, LineKind kind)
+{
+    if (writer.admit(kind))
+        writer.write(line);
+}
+
 } // namespace
 
 TEST(LogWriter, WritesLinesAtOnce)
 {
     Pipe pipe;
     LogWriter writer(pipe.writer());
-    writer.write("one\n", LineKind::Ordinary);
+    writeLine(writer, "one\n", LineKind::Ordinary);
     EXPECT_EQ(pipe.read(), "one\n");
 }
 
@@ -59,7 +65,7 @@
     const std::string line(1000, 'x');
     // Exceeds the capacity of the pipe and the buffer together; a blocking writer would never return.
     for (int index = 0; index < 1000; ++index)
-        writer.write(line + "\n", LineKind::Ordinary);
+        writeLine(writer, line + "\n", LineKind::Ordinary);
     EXPECT_GT(writer.dropped(), 300U);
     EXPECT_FALSE(pipe.read().empty());
 }
@@ -69,22 +75,35 @@
     Pipe pipe;
     LogWriter writer(pipe.writer(), { 10, 100'000 });
     for (int index = 0; index < 500; ++index)
-        writer.write("o\n", LineKind::Ordinary);
-    writer.write("important\n", LineKind::Important);
+        writeLine(writer, "o\n", LineKind::Ordinary);
+    writeLine(writer, "important\n", LineKind::Important);
     const auto text = pipe.read();
     EXPECT_LE(std::count(text.begin(), text.end(), 'o'), 22);
     EXPECT_NE(text.find("important"), std::string::npos);
     EXPECT_GE(writer.dropped(), 480U);
 }
 
+// Under heavy load each request writes lines, and those on what the instance believes explain them.
+TEST(LogWriter, LinesOnRequestsDoNotDisplaceOthers)
+{
+    Pipe pipe;
+    LogWriter writer(pipe.writer(), { 10, 100'000 });
+    for (int index = 0; index < 500; ++index)
+        writeLine(writer, "r\n", LineKind::Request);
+    writeLine(writer, "belief\n", LineKind::Ordinary);
+    const auto text = pipe.read();
+    EXPECT_LE(std::count(text.begin(), text.end(), 'r'), 22);
+    EXPECT_NE(text.find("belief"), std::string::npos);
+}
+
 TEST(LogWriter, ReportsNumberOfDroppedLines)
 {
     Pipe pipe;
     LogWriter writer(pipe.writer(), { 1, 100'000 });
     for (int index = 0; index < 5; ++index)
-        writer.write("o\n", LineKind::Ordinary);
+        writeLine(writer, "o\n", LineKind::Ordinary);
     std::this_thread::sleep_for(std::chrono::milliseconds(1050));
-    writer.write("later\n", LineKind::Ordinary);
+    writeLine(writer, "later\n", LineKind::Ordinary);
     EXPECT_NE(pipe.read().find("Lines dropped. lines=4"), std::string::npos);
 }
 
