StoreFeed: Follow the store in time to heed backend servers that leave

Requests reached backend servers up to 3.16 s after these had said that they leave; they serve for 3 s.

Cause: an instance that does not follow the store itself waited until its copy was 2.0 s old, or until it had heard from nobody for 2.5 s, and 0.4 s more for each instance that ranks before it. With two round trips to the store, and one to a peer, that is more than 3 s in unlucky moments: when the follower is killed, frozen or cut off right before a server leaves. In addition, the copy counted as current while the operators' documents were confirmed. The registry is watched by a call of its own, whose silent failure was noticed after 4.7 s.

An instance now takes over as soon as nobody is heard from who follows the store (three periods of reports, 0.6 s at least), or who says that its calls fail. The registry must be confirmed as often as the operators' documents, a quarter of the drain time. What the store confirmed to another instance counts only once this one has the same changes.

In StoreFeedTest the age of the copy is now taken with positions, and a time that was between the old bounds is one between the new ones.

--- a/Libraries/LibDecision/Dissemination/StoreFeed.cpp
+++ b/Libraries/LibDecision/Dissemination/StoreFeed.cpp
@@ -6,13 +6,16 @@
 
 namespace {
 
-/// A copy is current if the store confirmed it this recently. Longer than a watch call, the pause after it, and a period of
-/// reports together.
-constexpr Duration maxAge = std::chrono::milliseconds(2000);
+/// The time that a confirmation needs to reach the other instances: round trips to the store, and a period of reports.
+constexpr Duration confirmationDelay = std::chrono::milliseconds(1000);
+constexpr Duration minSilence = std::chrono::milliseconds(600);
+constexpr std::int64_t silentPeriods = 3;
+/// A follower that reports that its calls fail has usually reached the store again within this time.
+constexpr Duration recoveryTime = std::chrono::milliseconds(300);
+/// The others hear of a new process, and it of them, only once its entry in the store has reached them.
+constexpr Duration startGrace = std::chrono::milliseconds(1900);
 /// Each further instance in rank waits this much longer before it takes over.
 constexpr Duration takeOverStep = std::chrono::milliseconds(400);
-constexpr Duration silenceTimeout = std::chrono::milliseconds(2500);
-constexpr Duration statusTimeout = std::chrono::milliseconds(1200);
 /// How long a better placed instance must follow the store before this one stops.
 constexpr Duration handBackTime = std::chrono::seconds(1);
 constexpr Duration requestSpacing = std::chrono::milliseconds(200);
@@ -28,36 +31,42 @@
 
 } // namespace
 
-StoreFeed::StoreFeed(TimePoint start)
-    : start_(start)
-    , lastStatusAt_(start)
+StoreFeed::StoreFeed(TimePoint start, StoreFeedLimits limits)
+    : limits_(limits)
+    , lastStatusAt_(start + startGrace)
+    , lastFollowerAt_(start + startGrace)
 {
 }
 
-void StoreFeed::onConfirmed(TimePoint now)
+void StoreFeed::onConfirmed(TimePoint now, std::size_t prefix)
 {
-    lastOwnConfirmation_ = now;
-    lastConfirmation_ = now;
+    ownConfirmations_[prefix] = now;
+    confirmedAt_ = std::max(confirmedAt_, ownConfirmation());
 }
 
 void StoreFeed::onStatus(TimePoint now, const InstanceId& from, std::size_t rank, const StoreFeedStatus& status)
 {
-    lastStatusAt_ = now;
-    peers_[from] = { now, rank, status };
-    if (status.age && (!lastConfirmation_ || now - *status.age > *lastConfirmation_))
-        lastConfirmation_ = now - *status.age;
+    lastStatusAt_ = std::max(lastStatusAt_, now);
+    auto& peer = peers_[from];
+    if (status.isFollowing)
+        lastFollowerAt_ = std::max(lastFollowerAt_, now);
+    else if (peer.status.isFollowing)
+        lastFollowerAt_ = std::min(lastFollowerAt_, now - silence() + recoveryTime);
+    peer = { now, rank, status };
 }
 
-void StoreFeed::advance(TimePoint now, std::size_t rank)
+void StoreFeed::advance(TimePoint now, std::size_t rank, const std::vector<Revision>& positions)
 {
-    std::erase_if(peers_, [now](const auto& entry) { return now - entry.second.receivedAt > silenceTimeout; });
+    std::erase_if(peers_, [this, now](const auto& entry) { return now - entry.second.receivedAt > silence(); });
+    takeConfirmations(positions);
     if (rank == 0) {
         isFollowing_ = true;
         return;
     }
     if (!isFollowing_) {
-        const auto copyAge = now - lastConfirmation_.value_or(start_);
-        isFollowing_ = copyAge > patience(rank) || now - lastStatusAt_ > silenceTimeout;
+        const auto lastSign = std::min(lastFollowerAt_ + silence(), confirmedAt_.value_or(lastFollowerAt_) + maxAge());
+        const bool isTurn = now > lastSign + takeOverStep * static_cast<std::int64_t>(rank - 1);
+        isFollowing_ = isTurn || now - lastStatusAt_ > silence();
         return;
     }
     if (!followsBetter(now, rank)) {
@@ -72,19 +81,15 @@
     isFollowing_ = false;
 }
 
-std::optional<Duration> StoreFeed::age(TimePoint now) const
-{
-    return lastConfirmation_ ? std::optional(now - *lastConfirmation_) : std::nullopt;
-}
-
 bool StoreFeed::isCurrent(TimePoint now) const
 {
-    return lastConfirmation_ && now - *lastConfirmation_ <= maxAge;
+    return confirmedAt_ && now - *confirmedAt_ <= maxAge();
 }
 
 StoreFeedStatus StoreFeed::status(TimePoint now, std::vector<Revision> positions) const
 {
-    return { isConfirmedByStore(now), age(now), std::move(positions) };
+    const auto age = confirmedAt_ ? std::optional(now - *confirmedAt_) : std::nullopt;
+    return { isConfirmedByStore(now), age, std::move(positions) };
 }
 
 std::optional<InstanceId> StoreFeed::sourceOf(TimePoint now, const std::vector<Revision>& positions)
@@ -94,7 +99,7 @@
     const InstanceId* best = nullptr;
     const std::vector<Revision>* newest = &positions;
     for (const auto& [id, peer] : peers_) {
-        if (now - peer.receivedAt > statusTimeout || !isAhead(peer.status.positions, *newest))
+        if (now - peer.receivedAt > silence() || !isAhead(peer.status.positions, *newest))
             continue;
         best = &id;
         newest = &peer.status.positions;
@@ -105,23 +110,46 @@
     return *best;
 }
 
+Duration StoreFeed::maxAge() const
+{
+    return limits_.confirmationPeriod + confirmationDelay;
+}
+
+Duration StoreFeed::silence() const
+{
+    return std::max<Duration>(minSilence, reportPeriod_ * silentPeriods);
+}
+
+std::optional<TimePoint> StoreFeed::ownConfirmation() const
+{
+    if (ownConfirmations_.size() < limits_.confirmedPrefixes)
+        return std::nullopt;
+    const auto isEarlier = [](const auto& left, const auto& right) { return left.second < right.second; };
+    return std::min_element(ownConfirmations_.begin(), ownConfirmations_.end(), isEarlier)->second;
+}
+
 bool StoreFeed::isConfirmedByStore(TimePoint now) const
 {
-    return isFollowing_ && lastOwnConfirmation_ && now - *lastOwnConfirmation_ <= maxAge;
+    const auto confirmation = ownConfirmation();
+    return isFollowing_ && confirmation && now - *confirmation <= maxAge();
 }
 
 // Whether an instance with a better rank follows the store successfully.
 bool StoreFeed::followsBetter(TimePoint now, std::size_t rank) const
 {
-    return std::any_of(peers_.begin(), peers_.end(), [now, rank](const auto& entry) {
+    return std::any_of(peers_.begin(), peers_.end(), [this, now, rank](const auto& entry) {
         const auto& peer = entry.second;
-        return now - peer.receivedAt <= statusTimeout && peer.rank < rank && peer.status.isFollowing;
+        return now - peer.receivedAt <= silence() && peer.rank < rank && peer.status.isFollowing;
     });
 }
 
-Duration StoreFeed::patience(std::size_t rank) const
+// What the store confirmed to another instance holds for this one's copy once it has all that the other one has.
+void StoreFeed::takeConfirmations(const std::vector<Revision>& positions)
 {
-    return maxAge + takeOverStep * static_cast<std::int64_t>(rank - 1);
+    for (const auto& [id, peer] : peers_) {
+        if (peer.status.age && !isAhead(peer.status.positions, positions))
+            confirmedAt_ = std::max(confirmedAt_, std::optional(peer.receivedAt - *peer.status.age));
+    }
 }
 
 } // namespace Ibisturn
--- a/Libraries/LibDecision/Dissemination/StoreFeed.h
+++ b/Libraries/LibDecision/Dissemination/StoreFeed.h
@@ -6,31 +6,45 @@
 
 namespace Ibisturn {
 
+/// Parameters of a StoreFeed.
+struct StoreFeedLimits {
+    /// How often the store confirms each prefix that an instance follows.
+    Duration confirmationPeriod { std::chrono::milliseconds(1000) };
+    /// How many prefixes must be confirmed for the copy to be current; numbered from 0.
+    std::size_t confirmedPrefixes { 1 };
+};
+
 /// Decides whether this instance follows the store itself or learns its changes from other instances, so that the number
 /// of calls to the store does not grow with the fleet. The first collector of a region follows the store; the next ones in
-/// rank take over one after the other if no copy in the region is current, and an instance that hears from nobody follows
-/// the store in any case.
+/// rank take over one after the other once they hear from nobody who does, and an instance that hears from nobody at all
+/// follows the store in any case.
 /// Thread safety: one thread at a time.
 class StoreFeed {
 public:
-    explicit StoreFeed(TimePoint start);
+    explicit StoreFeed(TimePoint start, StoreFeedLimits limits = {});
+
+    /// Sets the period of the instances' reports, each of which is answered with a status.
+    void setReportPeriod(Duration period) { reportPeriod_ = period; }
+
+    /// The store confirmed to this instance that it has all changes of a prefix.
+    void onConfirmed(TimePoint now, std::size_t prefix);
 
-    /// The store confirmed to this instance that its copy is current.
-    void onConfirmed(TimePoint now);
+    /// A call of this instance to follow a prefix failed.
+    void onFailed(std::size_t prefix) { ownConfirmations_.erase(prefix); }
 
     /// Another instance of the region, with the rank `rank`, sent the status of its copy.
     void onStatus(TimePoint now, const InstanceId& from, std::size_t rank, const StoreFeedStatus& status);
 
-    /// Decides anew. `rank` is this instance's own.
-    void advance(TimePoint now, std::size_t rank);
+    /// Decides anew. `rank` and `positions` are this instance's own.
+    void advance(TimePoint now, std::size_t rank, const std::vector<Revision>& positions);
 
     /// Whether this instance should follow the store itself.
     bool isFollowing() const { return isFollowing_; }
 
-    /// Time since the store confirmed, to any instance, the copy that this one has or can get; unset if it never has.
-    std::optional<Duration> age(TimePoint now) const;
+    /// When the store last confirmed, to any instance, all changes that this instance has; unset if it never has.
+    const std::optional<TimePoint>& confirmedAt() const { return confirmedAt_; }
 
-    /// Whether `age` is short enough to rely on the copy.
+    /// Whether that was recently enough to rely on the copy.
     bool isCurrent(TimePoint now) const;
 
     /// The status to send to others. `positions` are this instance's.
@@ -46,15 +60,24 @@
         StoreFeedStatus status;
     };
 
+    /// Longer than the time between two confirmations as others learn of them.
+    Duration maxAge() const;
+    /// Without a status for this long, a sender or the link to it has failed.
+    Duration silence() const;
+    std::optional<TimePoint> ownConfirmation() const;
     bool isConfirmedByStore(TimePoint now) const;
     bool followsBetter(TimePoint now, std::size_t rank) const;
-    Duration patience(std::size_t rank) const;
+    void takeConfirmations(const std::vector<Revision>& positions);
 
+    StoreFeedLimits limits_;
+    Duration reportPeriod_ { std::chrono::milliseconds(100) };
     std::map<InstanceId, Peer> peers_;
-    TimePoint start_;
     TimePoint lastStatusAt_;
-    std::optional<TimePoint> lastOwnConfirmation_;
-    std::optional<TimePoint> lastConfirmation_;
+    /// When a status last came from an instance that follows the store.
+    TimePoint lastFollowerAt_;
+    /// By the prefix's number; none after a failed call.
+    std::map<std::size_t, TimePoint> ownConfirmations_;
+    std::optional<TimePoint> confirmedAt_;
     std::optional<TimePoint> betterSince_;
     TimePoint nextRequestAt_ {};
     bool isFollowing_ { false };
--- a/Libraries/LibPlatform/StoreClient.h
+++ b/Libraries/LibPlatform/StoreClient.h
@@ -98,8 +98,8 @@
     virtual Task<void> endLease(LeaseId lease) = 0;
 
     /// Passes on changes below `prefix` starting at revision `from` until the watch breaks; then throws Error, or
-    /// HistoryCompacted. Without changes, `onChanges` is called about once in `confirmationPeriod`, if the store can confirm
-    /// that there are none. An exception from `onChanges` ends the watch.
+    /// HistoryCompacted. Without changes, `onChanges` is called soon after the start and then about once in `confirmationPeriod`,
+    /// if the store can confirm that there are none. An exception from `onChanges` ends the watch.
     virtual Task<void> watch(std::string prefix, Revision from, Duration confirmationPeriod, std::function<void(StoreChanges)> onChanges) = 0;
 };
 
--- a/Programs/ibisturn/FleetControlPlane.cpp
+++ b/Programs/ibisturn/FleetControlPlane.cpp
@@ -18,10 +18,12 @@
 /// Minimum time between two writes of the fleet size to the store.
 constexpr Duration fleetSizeWritePeriod = std::chrono::seconds(2);
 constexpr Duration membershipPeriod = std::chrono::milliseconds(250);
-/// How often the store confirms a quiet prefix. Operators' changes must be in force within seconds, so a copy of them that is
-/// no longer current must be noticed sooner than one of the others. Entries of instances may be the latest.
-constexpr Duration operatorsConfirmationPeriod = std::chrono::milliseconds(800);
-constexpr Duration registryConfirmationPeriod = std::chrono::milliseconds(3200);
+/// How often the store confirms that a quiet prefix is unchanged. Operators' changes and leaving backend servers must take
+/// effect within seconds, so a copy that is no longer current must be noticed in a part of the time for which a leaving backend
+/// server keeps serving. Entries of instances may be later.
+constexpr std::int64_t confirmationsPerDrain = 4;
+constexpr Duration minConfirmationPeriod = std::chrono::milliseconds(500);
+constexpr Duration maxConfirmationPeriod = std::chrono::milliseconds(1200);
 constexpr Duration instancesConfirmationPeriod = std::chrono::milliseconds(8000);
 
 /// The key of the lock of a cold backend server. It is not below the prefix of the instances' own keys, since nobody has to
@@ -33,6 +35,11 @@
     return fmt::format("{}-cold-servers/{}", ownPrefix, server);
 }
 
+Duration confirmationPeriod(const FleetSettings& fleet)
+{
+    return std::clamp<Duration>(fleet.backendDrainPeriod / confirmationsPerDrain, minConfirmationPeriod, maxConfirmationPeriod);
+}
+
 RemovalLimits removalLimits(const FleetSettings& fleet)
 {
     // A leaving backend server keeps serving for its drain time. The time that the change needs to arrive, and a request to
@@ -56,22 +63,28 @@
     , links_(context, makeHelloMessage(tables.settings.identity), { tables.settings.connectTimeout, writeTimeout, tables.settings.idleTimeout }, *this)
     , statusExchange_(
           tables.settings.identity.instance, tables.settings.identity.region, incarnation_, [this](TimePoint now) { return localStatus(now); }, SteadyClock().now())
-    , storeFeed_(SteadyClock().now())
+    , storeFeed_(SteadyClock().now(), { confirmationPeriod(*tables.settings.fleet), 2 })
 {
+    std::size_t confirmedPrefixes = 0;
     for (const auto& prefix : fleetState_.prefixes()) {
-        const bool isOperators = prefix == reader.operatorsPrefix();
+        const bool isConfirmed = prefix == reader.operatorsPrefix() || prefix == reader.registryPrefix();
+        const auto number = isConfirmed ? std::optional(confirmedPrefixes++) : std::nullopt;
         EntryFollower::Callbacks callbacks;
         callbacks.onListing = [this](const EntryFollower::Listing& listing) { fleetState_.onListing(SteadyClock().now(), listing); };
         callbacks.onChanges = [this](const std::vector<RecordChange>& changes) { fleetState_.onChanges(SteadyClock().now(), changes); };
         callbacks.position = [this, prefix] { return fleetState_.positionOf(prefix); };
-        callbacks.onConfirmed = [this, isOperators] {
-            if (isOperators)
-                storeFeed_.onConfirmed(SteadyClock().now());
+        callbacks.onConfirmed = [this, number] {
+            if (number)
+                storeFeed_.onConfirmed(SteadyClock().now(), *number);
+        };
+        callbacks.onUnavailable = [this, number] {
+            fleetState_.onStoreUnavailable(SteadyClock().now());
+            if (number)
+                storeFeed_.onFailed(*number);
         };
-        callbacks.onUnavailable = [this] { fleetState_.onStoreUnavailable(SteadyClock().now()); };
         callbacks.onAvailable = [this] { fleetState_.onStoreAvailable(SteadyClock().now()); };
-        const auto otherPeriod = prefix == reader.registryPrefix() ? registryConfirmationPeriod : instancesConfirmationPeriod;
-        followers_.push_back(std::make_unique<EntryFollower>(store, prefix, isOperators ? operatorsConfirmationPeriod : otherPeriod, std::move(callbacks)));
+        const auto period = isConfirmed ? confirmationPeriod(*tables.settings.fleet) : instancesConfirmationPeriod;
+        followers_.push_back(std::make_unique<EntryFollower>(store, prefix, period, std::move(callbacks)));
     }
 }
 
@@ -183,7 +196,8 @@
 // The first collector of the region follows the store. The others learn of its changes with their digests.
 void FleetControlPlane::followStore(TimePoint now)
 {
-    storeFeed_.advance(now, statusExchange_.rank());
+    storeFeed_.setReportPeriod(statusExchange_.period());
+    storeFeed_.advance(now, statusExchange_.rank(), fleetState_.positions());
     const bool isFollowing = storeFeed_.isFollowing() || !fleetState_.isComplete();
     for (const auto& follower : followers_)
         follower->setSuspended(!isFollowing);
--- a/Tests/LibDecision/StoreFeedTest.cpp
+++ b/Tests/LibDecision/StoreFeedTest.cpp
@@ -22,7 +22,7 @@
     for (auto time = begin; time < end; time += 100ms) {
         if (time < lostAt)
             feed.onStatus(at(time), first, 0, { true, 500ms, { Revision(5) } });
-        feed.advance(at(time), rank);
+        feed.advance(at(time), rank, { Revision(5) });
     }
 }
 
@@ -31,7 +31,7 @@
 TEST(StoreFeed, TheFirstInRankFollowsTheStore)
 {
     StoreFeed feed(at(0s));
-    feed.advance(at(0s), 0);
+    feed.advance(at(0s), 0, {});
     EXPECT_TRUE(feed.isFollowing());
     run(feed, 0, 0s, 20s, 20s);
     EXPECT_TRUE(feed.isFollowing());
@@ -65,9 +65,9 @@
         const bool isLost = time >= 10s;
         for (auto* feed : { &next, &later }) {
             feed->onStatus(at(time), isLost ? witness : first, isLost ? 9 : 0, { !isLost, isLost ? time - 9500ms : 500ms, { Revision(5) } });
-            feed->advance(at(time), feed == &next ? 1 : 5);
+            feed->advance(at(time), feed == &next ? 1 : 5, { Revision(5) });
         }
-        if (time == 11800ms) {
+        if (time == 11s) {
             EXPECT_TRUE(next.isFollowing());
             EXPECT_FALSE(later.isFollowing());
         }
@@ -88,11 +88,11 @@
 TEST(StoreFeed, OnlyAnInstanceThatTheStoreConfirmsCountsAsFollowing)
 {
     StoreFeed cutOff(at(0s));
-    cutOff.advance(at(0s), 0);
-    cutOff.onConfirmed(at(0s));
+    cutOff.advance(at(0s), 0, {});
+    cutOff.onConfirmed(at(0s), 0);
     EXPECT_TRUE(cutOff.status(at(1s), {}).isFollowing);
     cutOff.onStatus(at(4s), second, 1, { true, 100ms, {} });
-    cutOff.advance(at(4s), 0);
+    cutOff.advance(at(4s), 0, {});
     const auto status = cutOff.status(at(4s), {});
     EXPECT_FALSE(status.isFollowing);
     EXPECT_EQ(status.age, 100ms);
