FleetState: Learn from peers of removals that these never saw

An instance could go on using a backend server that had left long ago, or an evacuation or configuration entry that was deleted, after another instance had been restarted.

Cause: an instance that lacks changes asks a peer for those after its own revisions, and takes over the peer's revisions with the answer. A peer that was started after a removal has listed the store without that entry: it never saw the removal, did not send it, and the receiver skipped it for good. And an answer that arrived late could add an entry again whose removal the receiver had learned of by its absence.

A peer now knows from which revision on it knows all removals. If it is asked for earlier changes, it names the keys that exist, and the receiver removes the others. A change of an unknown key at a revision up to which everything is known is obsolete. A peer that has never listed a prefix does not advance the receiver's position.

--- a/Libraries/LibDecision/Dissemination/StatusMessages.h
+++ b/Libraries/LibDecision/Dissemination/StatusMessages.h
@@ -96,6 +96,10 @@
     std::vector<Revision> positions;
     /// How complete the sender's view is; unset in a request.
     std::optional<StoreView> view;
+    /// The numbers of the prefixes of which the sender may not know all removals after the requested revisions, and all keys that
+    /// exist below these.
+    std::vector<std::uint32_t> listedPrefixes;
+    std::vector<std::string> existingKeys;
 };
 
 struct SendReport {
--- a/Libraries/LibDecision/Registry/StoreMirror.cpp
+++ b/Libraries/LibDecision/Registry/StoreMirror.cpp
@@ -52,7 +52,7 @@
     return below;
 }
 
-void StoreMirror::discardDeletions(std::size_t maxCount)
+Revision StoreMirror::discardDeletions(std::size_t maxCount)
 {
     std::vector<Revision> deletions;
     for (const auto& [key, change] : changes_) {
@@ -60,10 +60,11 @@
             deletions.push_back(change.revision);
     }
     if (deletions.size() <= maxCount)
-        return;
+        return {};
     std::sort(deletions.begin(), deletions.end());
-    const auto oldestKept = deletions[deletions.size() - maxCount];
-    std::erase_if(changes_, [oldestKept](const auto& entry) { return !entry.second.value && entry.second.revision < oldestKept; });
+    const auto newestDiscarded = deletions[deletions.size() - maxCount - 1];
+    std::erase_if(changes_, [newestDiscarded](const auto& entry) { return !entry.second.value && entry.second.revision <= newestDiscarded; });
+    return newestDiscarded;
 }
 
 } // namespace Ibisturn
--- a/Libraries/LibDecision/Registry/StoreMirror.h
+++ b/Libraries/LibDecision/Registry/StoreMirror.h
@@ -27,8 +27,9 @@
     /// The newest change of each key below `prefix`, deletions included.
     std::vector<RecordChange> changesBelow(std::string_view prefix) const;
 
-    /// Discards the oldest deletions so that at most `maxCount` are kept.
-    void discardDeletions(std::size_t maxCount);
+    /// Discards the oldest deletions so that at most `maxCount` are kept. Returns the revision of the newest one that was
+    /// discarded; zero if none was.
+    Revision discardDeletions(std::size_t maxCount);
 
 private:
     std::map<std::string, RecordChange, std::less<>> changes_;
--- a/Libraries/LibPeer/ControlMessages.cpp
+++ b/Libraries/LibPeer/ControlMessages.cpp
@@ -175,7 +175,7 @@
 PeerMessage encode(const SendStoreUpdate& action)
 {
     const auto& update = action.update;
-    StoreUpdateMessage message { encode(update.requestAfter), encode(update.changes), encode(update.positions), -1 };
+    StoreUpdateMessage message { encode(update.requestAfter), encode(update.changes), encode(update.positions), -1, update.listedPrefixes, update.existingKeys };
     if (update.view)
         message.view = static_cast<std::int8_t>(*update.view);
     return message;
@@ -225,7 +225,7 @@
 
 ControlEvent decode(const StoreUpdateMessage& message)
 {
-    StoreUpdate update { decode(message.requestAfter), decode(message.changes), decode(message.positions), std::nullopt };
+    StoreUpdate update { decode(message.requestAfter), decode(message.changes), decode(message.positions), std::nullopt, message.listedPrefixes, message.existingKeys };
     if (message.view >= 0)
         update.view = decodeEnum(static_cast<std::uint8_t>(message.view), StoreView::Partial);
     return update;
--- a/Libraries/LibPeer/Frame.h
+++ b/Libraries/LibPeer/Frame.h
@@ -190,7 +190,9 @@
     std::vector<RecordChangeMessage> changes;
     std::vector<std::int64_t> positions;
     std::int8_t view { -1 };
-    MSGPACK_DEFINE(requestAfter, changes, positions, view)
+    std::vector<std::uint32_t> listedPrefixes;
+    std::vector<std::string> existingKeys;
+    MSGPACK_DEFINE(requestAfter, changes, positions, view, listedPrefixes, existingKeys)
 };
 
 /// See InstanceReport; times are nanoseconds, and negative numbers mean that a value is absent.
--- a/Libraries/LibPlatform/FleetState.cpp
+++ b/Libraries/LibPlatform/FleetState.cpp
@@ -41,6 +41,7 @@
     , prefixes_({ reader_.operatorsPrefix(), reader_.registryPrefix(), ownPrefix_ })
     , registry_(limits)
     , positions_(prefixes_.size())
+    , removalsKnownAfter_(prefixes_.size())
 {
 }
 
@@ -51,30 +52,79 @@
 
 void FleetState::onListing(TimePoint now, const EntryFollower::Listing& listing)
 {
+    const auto index = indexOf(listing.prefix);
+    if (!index)
+        return;
     listed_.insert(listing.prefix);
-    advancePosition(listing.prefix, listing.position);
-    for (const auto& change : mirror_.applyListing(listing.prefix, listing.position, listing.entries))
+    auto entries = listing.entries;
+    std::erase_if(entries, [this](const RecordChange& entry) { return isObsolete(entry); });
+    for (const auto& change : mirror_.applyListing(listing.prefix, listing.position, entries))
         apply(now, change);
+    advancePosition(*index, listing.position);
+    removalsKnownAfter_[*index] = std::max(removalsKnownAfter_[*index], std::optional(listing.position));
 }
 
-void FleetState::onPeerChanges(TimePoint now, const std::vector<RecordChange>& changes, StoreView view, const std::vector<Revision>& peerPositions)
+void FleetState::onChanges(TimePoint now, const std::vector<RecordChange>& changes)
 {
-    onChanges(now, changes);
-    for (std::size_t index = 0; index < std::min(positions_.size(), peerPositions.size()); ++index)
-        positions_[index] = std::max(positions_[index], peerPositions[index]);
-    if (view == StoreView::Partial)
-        return;
-    registry_.onPeerReport(now);
+    applyChanges(now, changes);
+    for (const auto& change : changes) {
+        if (const auto index = indexOf(change.key))
+            advancePosition(*index, change.revision);
+    }
 }
 
-void FleetState::onChanges(TimePoint now, const std::vector<RecordChange>& changes)
+void FleetState::onPeerUpdate(TimePoint now, const StoreUpdate& update)
+{
+    applyChanges(now, update.changes);
+    for (std::size_t index = 0; index < std::min(positions_.size(), update.positions.size()); ++index) {
+        const bool isListed = std::find(update.listedPrefixes.begin(), update.listedPrefixes.end(), index) != update.listedPrefixes.end();
+        if (isListed && !applyExistingKeys(now, index, update.positions[index], update.existingKeys))
+            continue;
+        advancePosition(index, update.positions[index]);
+    }
+    if (update.view == StoreView::Complete)
+        registry_.onPeerReport(now);
+}
+
+void FleetState::applyChanges(TimePoint now, const std::vector<RecordChange>& changes)
 {
     for (const auto& change : changes) {
-        if (mirror_.apply(change))
+        if (!isObsolete(change) && mirror_.apply(change))
             apply(now, change);
     }
 }
 
+// Everything up to the position is known, so a key that isn't was removed before. Its earlier change arrives late.
+bool FleetState::isObsolete(const RecordChange& change) const
+{
+    const auto index = indexOf(change.key);
+    return index && change.revision <= positions_[*index] && !mirror_.find(change.key);
+}
+
+// Entries that this instance has and the peer has not were removed before the peer learned of them. Returns false if the peer has
+// entries that this instance lacks, and requests them again.
+bool FleetState::applyExistingKeys(TimePoint now, std::size_t index, Revision position, const std::vector<std::string>& keys)
+{
+    const auto& prefix = prefixes_[index];
+    std::vector<RecordChange> existing;
+    for (const auto& key : keys) {
+        if (!key.starts_with(prefix))
+            continue;
+        const auto* known = mirror_.find(key);
+        if (!known && positions_[index] < position) {
+            fleetLog.warning("Entry of a peer is unknown; requesting all entries again.", { { "key", key }, { "position", positions_[index] } });
+            positions_[index] = Revision();
+            return false;
+        }
+        if (known)
+            existing.push_back(*known);
+    }
+    for (const auto& change : mirror_.applyListing(prefix, position, existing))
+        apply(now, change);
+    removalsKnownAfter_[index] = std::max(removalsKnownAfter_[index], std::optional(position));
+    return true;
+}
+
 void FleetState::onStoreUnavailable(TimePoint now)
 {
     registry_.onStoreUnavailable(now);
@@ -94,7 +144,11 @@
 {
     for (const auto& id : registry_.advance(now))
         fleetLog.info("Backend server dropped.", { { "server", id } });
-    mirror_.discardDeletions(maxDeletions);
+    const auto discarded = mirror_.discardDeletions(maxDeletions);
+    for (auto& removalsKnownAfter : removalsKnownAfter_) {
+        if (removalsKnownAfter)
+            removalsKnownAfter = std::max(*removalsKnownAfter, discarded);
+    }
     std::erase_if(members_, [this, now](const auto& entry) { return isExpired(entry.second, now); });
 }
 
@@ -131,36 +185,44 @@
 
 std::optional<Revision> FleetState::positionOf(const std::string& prefix) const
 {
-    const auto found = std::find(prefixes_.begin(), prefixes_.end(), prefix);
-    if (found == prefixes_.end() || !listed_.contains(prefix))
-        return std::nullopt;
-    return positions_[static_cast<std::size_t>(found - prefixes_.begin())];
+    const auto index = indexOf(prefix);
+    return index && listed_.contains(prefix) ? std::optional(positions_[*index]) : std::nullopt;
+}
+
+std::optional<std::size_t> FleetState::indexOf(std::string_view key) const
+{
+    const auto found = std::find_if(prefixes_.begin(), prefixes_.end(), [key](const std::string& prefix) { return key.starts_with(prefix); });
+    return found == prefixes_.end() ? std::nullopt : std::optional(static_cast<std::size_t>(found - prefixes_.begin()));
 }
 
-std::vector<RecordChange> FleetState::changesAfter(const std::vector<Revision>& positions) const
+StoreUpdate FleetState::updateAfter(TimePoint now, const std::vector<Revision>& positions) const
 {
-    std::vector<RecordChange> changes;
+    StoreUpdate update;
+    update.view = view(now);
     for (std::size_t index = 0; index < prefixes_.size(); ++index) {
         const auto position = index < positions.size() ? positions[index] : Revision();
+        const auto& removalsKnownAfter = removalsKnownAfter_[index];
+        update.positions.push_back(removalsKnownAfter ? positions_[index] : Revision());
+        const bool isListed = removalsKnownAfter && position < *removalsKnownAfter;
+        if (isListed)
+            update.listedPrefixes.push_back(static_cast<std::uint32_t>(index));
         for (auto& change : mirror_.changesBelow(prefixes_[index])) {
+            if (isListed && change.value)
+                update.existingKeys.push_back(change.key);
             if (change.revision > position)
-                changes.push_back(std::move(change));
+                update.changes.push_back(std::move(change));
         }
     }
-    return changes;
+    return update;
 }
 
-void FleetState::advancePosition(std::string_view key, Revision position)
+void FleetState::advancePosition(std::size_t index, Revision position)
 {
-    for (std::size_t index = 0; index < prefixes_.size(); ++index) {
-        if (key.starts_with(prefixes_[index]))
-            positions_[index] = std::max(positions_[index], position);
-    }
+    positions_[index] = std::max(positions_[index], position);
 }
 
 void FleetState::apply(TimePoint now, const RecordChange& change)
 {
-    advancePosition(change.key, change.revision);
     if (change.key.starts_with(reader_.operatorsPrefix()))
         applyOperatorEntry(now, change);
     else if (change.key.starts_with(reader_.registryPrefix()))
--- a/Libraries/LibPlatform/FleetState.h
+++ b/Libraries/LibPlatform/FleetState.h
@@ -35,9 +35,8 @@
     void onListing(TimePoint now, const EntryFollower::Listing& listing);
     void onChanges(TimePoint now, const std::vector<RecordChange>& changes);
 
-    /// Applies a peer's answer to a request for the changes after positions(). `peerPositions` are the peer's; empty if the
-    /// answer may not have all changes up to them.
-    void onPeerChanges(TimePoint now, const std::vector<RecordChange>& changes, StoreView view, const std::vector<Revision>& peerPositions = {});
+    /// Applies a peer's answer to a request for the changes after positions(). Precondition: `update` is an answer.
+    void onPeerUpdate(TimePoint now, const StoreUpdate& update);
 
     /// An instance announced that it accepts requests. If its entry has expired nevertheless, it can't reach the store.
     void onPeerMessage(TimePoint now, const InstanceId& instance);
@@ -86,9 +85,9 @@
     /// The position of one prefix; unset if it has not been listed.
     std::optional<Revision> positionOf(const std::string& prefix) const;
 
-    /// The changes after `positions` that this instance has received from the store or from peers. Missing positions count as
-    /// zero.
-    std::vector<RecordChange> changesAfter(const std::vector<Revision>& positions) const;
+    /// Answers a peer that requests the changes after `positions`: what this instance has received from the store or from other
+    /// peers. Missing positions count as zero.
+    StoreUpdate updateAfter(TimePoint now, const std::vector<Revision>& positions) const;
 
 private:
     struct KnownMember {
@@ -99,7 +98,12 @@
 
     bool isExpired(const KnownMember& known, TimePoint now) const;
     void apply(TimePoint now, const RecordChange& change);
-    void advancePosition(std::string_view key, Revision position);
+    void applyChanges(TimePoint now, const std::vector<RecordChange>& changes);
+    bool applyExistingKeys(TimePoint now, std::size_t index, Revision position, const std::vector<std::string>& keys);
+    bool isObsolete(const RecordChange& change) const;
+    void advancePosition(std::size_t index, Revision position);
+    /// The number of the prefix that `key` is below; unset if none is followed.
+    std::optional<std::size_t> indexOf(std::string_view key) const;
     void applyOperatorEntry(TimePoint now, const RecordChange& change);
     void applyServerEntry(TimePoint now, const RecordChange& change);
     void applyInstanceEntry(TimePoint now, const RecordChange& change);
@@ -121,6 +125,8 @@
     std::size_t fleetSize_ { 0 };
     /// In the order of prefixes_.
     std::vector<Revision> positions_;
+    /// The revision after which all removals are known, in the order of prefixes_; unset if it isn't known which keys exist.
+    std::vector<std::optional<Revision>> removalsKnownAfter_;
 };
 
 } // namespace Ibisturn
--- a/Programs/ibisturn/FleetControlPlane.cpp
+++ b/Programs/ibisturn/FleetControlPlane.cpp
@@ -186,11 +186,11 @@
         const auto newest = std::max_element(update.changes.begin(), update.changes.end(), isOlder);
         if (newest != update.changes.end())
             fleetLog.info("Changes received from a peer.", { { "peer", from }, { "changes", update.changes.size() }, { "newest", newest->revision }, { "settled", *update.view == StoreView::Complete } });
-        fleetState_.onPeerChanges(now, update.changes, *update.view, update.positions);
+        fleetState_.onPeerUpdate(now, update);
     }
     if (update.requestAfter.empty())
         return {};
-    return { SendStoreUpdate { from, { {}, fleetState_.changesAfter(update.requestAfter), fleetState_.positions(), fleetState_.view(now) } } };
+    return { SendStoreUpdate { from, fleetState_.updateAfter(now, update.requestAfter) } };
 }
 
 // The first collector of the region follows the store. The others learn of its changes with their digests.
@@ -372,7 +372,7 @@
     if (ahead && std::find(sources.begin(), sources.end(), *ahead) == sources.end())
         sources.push_back(*ahead);
     for (const auto& source : sources)
-        send(SendStoreUpdate { source, { fleetState_.positions(), {}, {}, std::nullopt } });
+        send(SendStoreUpdate { source, { fleetState_.positions(), {}, {}, std::nullopt, {}, {} } });
 }
 
 void FleetControlPlane::send(const PeerAction& action)
--- a/Tests/LibPeer/ControlMessagesTest.cpp
+++ b/Tests/LibPeer/ControlMessagesTest.cpp
@@ -58,11 +58,15 @@
     sent.changes = { { "gone", std::nullopt, Revision(2) } };
     sent.positions = { Revision(4), Revision(5), Revision(6) };
     sent.view = StoreView::Partial;
+    sent.listedPrefixes = { 1 };
+    sent.existingKeys = { "servers/a", "servers/b" };
     const auto received = std::get<StoreUpdate>(roundTrip(SendStoreUpdate { InstanceId("a"), sent }));
     EXPECT_EQ(received.requestAfter, sent.requestAfter);
     ASSERT_EQ(received.changes.size(), 1U);
     EXPECT_EQ(received.positions, sent.positions);
     EXPECT_EQ(received.view, StoreView::Partial);
+    EXPECT_EQ(received.listedPrefixes, sent.listedPrefixes);
+    EXPECT_EQ(received.existingKeys, sent.existingKeys);
 }
 
 TEST(ControlMessages, StatusMessagesKeepTheirFields)
--- a/Tests/LibPlatform/FleetStateTest.cpp
+++ b/Tests/LibPlatform/FleetStateTest.cpp
@@ -69,13 +69,62 @@
     list(disconnected_, 0s, 5, start);
     disconnected_.onStoreUnavailable(at(1s));
     connected_.onChanges(at(2s), { written("op/config", "new", 7), written("servers/a", "leaving", 8), deleted("servers/b", 9), written("op/evacuate/erongo-a", "", 10) });
-    disconnected_.onPeerChanges(at(3s), connected_.changesAfter(disconnected_.positions()), StoreView::Complete);
+    disconnected_.onPeerUpdate(at(3s), connected_.updateAfter(at(3s), disconnected_.positions()));
     EXPECT_TRUE(disconnected_.snapshot()->findWorkspace(WorkspaceId("new")));
     EXPECT_FALSE(disconnected_.snapshot()->findWorkspace(WorkspaceId("old")));
     EXPECT_TRUE(disconnected_.registry().isEvacuated(DataCentreId("erongo-a")));
     EXPECT_LE(usableAfter(disconnected_, 3s), 1U);
     EXPECT_EQ(disconnected_.positions(), connected_.positions());
-    EXPECT_TRUE(connected_.changesAfter(disconnected_.positions()).empty());
+    EXPECT_TRUE(connected_.updateAfter(at(3s), disconnected_.positions()).changes.empty());
+}
+
+TEST_F(FleetStateTest, PeerThatStartedAfterARemovalTellsOfIt)
+{
+    list(disconnected_, 0s, 5, { written("servers/a", "model", 4), written("servers/b", "model", 5) });
+    // The peer lists the store after servers/b was removed at revision 8, and has never known it.
+    list(connected_, 3s, 9, { written("servers/a", "model", 4), written("servers/c", "model", 9) });
+    const auto update = connected_.updateAfter(at(4s), disconnected_.positions());
+    disconnected_.onPeerUpdate(at(4s), update);
+    ASSERT_EQ(usableAfter(disconnected_, 10s), 2U);
+    EXPECT_EQ(disconnected_.registry().usable().front().server.id, BackendServerId("a"));
+    EXPECT_EQ(disconnected_.registry().usable().back().server.id, BackendServerId("c"));
+    EXPECT_EQ(disconnected_.positions(), connected_.positions());
+    EXPECT_TRUE(connected_.updateAfter(at(4s), disconnected_.positions()).listedPrefixes.empty());
+}
+
+TEST_F(FleetStateTest, PeerThatDiscardedRemovalsTellsWhatExists)
+{
+    list(disconnected_, 0s, 1, { written("servers/a", "model", 1) });
+    list(connected_, 0s, 1, { written("servers/a", "model", 1) });
+    connected_.onChanges(at(1s), { deleted("servers/a", 2) });
+    for (int revision = 3; revision < 1000; ++revision)
+        connected_.onChanges(at(1s), { deleted(fmt::format("servers/x{}", revision), revision) });
+    connected_.advance(at(1s));
+    disconnected_.onPeerUpdate(at(2s), connected_.updateAfter(at(2s), disconnected_.positions()));
+    EXPECT_EQ(usableAfter(disconnected_, 9s), 0U);
+}
+
+TEST_F(FleetStateTest, LateAnswerOfAPeerDoesNotReviveARemovedServer)
+{
+    list(disconnected_, 0s, 5, {});
+    list(connected_, 0s, 5, {});
+    connected_.onChanges(at(1s), { written("servers/b", "model", 6) });
+    const auto late = connected_.updateAfter(at(1s), disconnected_.positions());
+    // Another peer has started since the server was removed at revision 7.
+    FleetState restarted { reader_, "own/", {} };
+    list(restarted, 2s, 8, {});
+    disconnected_.onPeerUpdate(at(3s), restarted.updateAfter(at(3s), disconnected_.positions()));
+    disconnected_.onPeerUpdate(at(3s), late);
+    EXPECT_EQ(usableAfter(disconnected_, 3s), 0U);
+}
+
+TEST_F(FleetStateTest, PeerWithoutAListingDoesNotAdvanceThePosition)
+{
+    list(disconnected_, 0s, 5, {});
+    connected_.onChanges(at(1s), { written("servers/b", "model", 9) });
+    disconnected_.onPeerUpdate(at(2s), connected_.updateAfter(at(2s), disconnected_.positions()));
+    EXPECT_EQ(usableAfter(disconnected_, 2s), 1U);
+    EXPECT_EQ(disconnected_.positionOf("servers/"), Revision(5));
 }
 
 TEST_F(FleetStateTest, OlderChangesAreIgnored)
--- a/Tests/LibPlatform/LeavingServerScheduleTest.cpp
+++ b/Tests/LibPlatform/LeavingServerScheduleTest.cpp
@@ -253,11 +253,8 @@
     {
         const auto positions = instances_[from].process->fleetState.positions();
         post(from, to, [this, from, to, positions] {
-            auto& peer = instances_[to].process->fleetState;
-            const auto changes = peer.changesAfter(positions);
-            post(to, from, [this, from, changes, peerPositions = peer.positions(), view = peer.view(now_)] {
-                instances_[from].process->fleetState.onPeerChanges(now_, changes, view, peerPositions);
-            });
+            const auto update = instances_[to].process->fleetState.updateAfter(now_, positions);
+            post(to, from, [this, from, update] { instances_[from].process->fleetState.onPeerUpdate(now_, update); });
         });
     }
 
--- a/Tests/Model/FleetSimulation.cpp
+++ b/Tests/Model/FleetSimulation.cpp
@@ -247,7 +247,7 @@
         auto positions = instance.fleetState->positions();
         if (mutation_ == FleetMutation::SharedWatchPosition)
             std::fill(positions.begin(), positions.end(), *std::max_element(positions.begin(), positions.end()));
-        instance.fleetState->onPeerChanges(now_, other.fleetState->changesAfter(positions), other.fleetState->view(now_));
+        instance.fleetState->onPeerUpdate(now_, other.fleetState->updateAfter(now_, positions));
     }
 }
 
