BackendRegistry: Count a removal from when it may have happened

Requests reached backend servers up to 3.5 s after their entries had been removed. Such a server serves as long as one that announces that it leaves, 3 s.

Cause: the grace period of a removed entry, 1.5 s, began when the instance learned of the removal, however late that was. And while its copy was not current, the instance took the store for unavailable, during which removals are not believed, and for two seconds after. Its copy is not current, too, when only the follower of the region was killed and the store served everybody.

The store tells each follower up to when there were no changes (the wait of an empty watch call, and the start of another call), digests pass that on, counted from when the report that they answer was sent, and a removed entry is used no longer than the serving time after it. Whether the store is unavailable is now decided by when it last answered anybody: the renewals of the instance's own lease, or a follower. A late call for the entries of instances, which waits for eight seconds, no longer counts as an outage.

--- a/Libraries/LibDecision/Dissemination/StatusExchange.cpp
+++ b/Libraries/LibDecision/Dissemination/StatusExchange.cpp
@@ -199,6 +199,12 @@
     return best;
 }
 
+std::optional<TimePoint> StatusExchange::reportSentAt(const FleetDigest& digest) const
+{
+    const auto sent = std::find_if(sentReports_.begin(), sentReports_.end(), [&digest](const SentReport& report) { return report.number == digest.report; });
+    return sent == sentReports_.end() ? std::nullopt : std::optional(sent->sentAt);
+}
+
 std::size_t StatusExchange::rankOf(const InstanceId& instance) const
 {
     return static_cast<std::size_t>(std::find(ranked_.begin(), ranked_.end(), instance) - ranked_.begin());
--- a/Libraries/LibDecision/Dissemination/StatusExchange.h
+++ b/Libraries/LibDecision/Dissemination/StatusExchange.h
@@ -72,6 +72,10 @@
     /// What is known of the other instances.
     FleetStatus status(TimePoint now);
 
+    /// When this instance sent the report that a digest answers, and before which the digest was not made; unset if the report is
+    /// no longer known.
+    std::optional<TimePoint> reportSentAt(const FleetDigest& digest) const;
+
     /// Changes whenever status() may have changed.
     std::uint64_t version() const { return version_; }
 
--- a/Libraries/LibDecision/Dissemination/StoreFeed.cpp
+++ b/Libraries/LibDecision/Dissemination/StoreFeed.cpp
@@ -38,13 +38,14 @@
 {
 }
 
-void StoreFeed::onConfirmed(TimePoint now, std::size_t prefix)
+void StoreFeed::onConfirmed(TimePoint asOf, std::size_t prefix)
 {
-    ownConfirmations_[prefix] = now;
+    auto& confirmation = ownConfirmations_[prefix];
+    confirmation = std::max(confirmation, asOf);
     confirmedAt_ = std::max(confirmedAt_, ownConfirmation());
 }
 
-void StoreFeed::onStatus(TimePoint now, const InstanceId& from, std::size_t rank, const StoreFeedStatus& status)
+void StoreFeed::onStatus(TimePoint now, TimePoint sentAt, const InstanceId& from, std::size_t rank, const StoreFeedStatus& status)
 {
     lastStatusAt_ = std::max(lastStatusAt_, now);
     auto& peer = peers_[from];
@@ -52,7 +53,7 @@
         lastFollowerAt_ = std::max(lastFollowerAt_, now);
     else if (peer.status.isFollowing)
         lastFollowerAt_ = std::min(lastFollowerAt_, now - silence() + recoveryTime);
-    peer = { now, rank, status };
+    peer = { now, sentAt, rank, status };
 }
 
 void StoreFeed::advance(TimePoint now, std::size_t rank, const std::vector<Revision>& positions)
@@ -81,11 +82,6 @@
     isFollowing_ = false;
 }
 
-bool StoreFeed::isCurrent(TimePoint now) const
-{
-    return confirmedAt_ && now - *confirmedAt_ <= maxAge();
-}
-
 StoreFeedStatus StoreFeed::status(TimePoint now, std::vector<Revision> positions) const
 {
     const auto age = confirmedAt_ ? std::optional(now - *confirmedAt_) : std::nullopt;
@@ -148,7 +144,7 @@
 {
     for (const auto& [id, peer] : peers_) {
         if (peer.status.age && !isAhead(peer.status.positions, positions))
-            confirmedAt_ = std::max(confirmedAt_, std::optional(peer.receivedAt - *peer.status.age));
+            confirmedAt_ = std::max(confirmedAt_, std::optional(peer.sentAt - *peer.status.age));
     }
 }
 
--- a/Libraries/LibDecision/Dissemination/StoreFeed.h
+++ b/Libraries/LibDecision/Dissemination/StoreFeed.h
@@ -26,14 +26,14 @@
     /// Sets the period of the instances' reports, each of which is answered with a status.
     void setReportPeriod(Duration period) { reportPeriod_ = period; }
 
-    /// The store confirmed to this instance that it has all changes of a prefix.
-    void onConfirmed(TimePoint now, std::size_t prefix);
+    /// The store confirmed to this instance that it has all changes of a prefix up to `asOf`.
+    void onConfirmed(TimePoint asOf, std::size_t prefix);
 
     /// A call of this instance to follow a prefix failed.
     void onFailed(std::size_t prefix) { ownConfirmations_.erase(prefix); }
 
-    /// Another instance of the region, with the rank `rank`, sent the status of its copy.
-    void onStatus(TimePoint now, const InstanceId& from, std::size_t rank, const StoreFeedStatus& status);
+    /// Another instance of the region, with the rank `rank`, sent the status of its copy at `sentAt` or later.
+    void onStatus(TimePoint now, TimePoint sentAt, const InstanceId& from, std::size_t rank, const StoreFeedStatus& status);
 
     /// Decides anew. `rank` and `positions` are this instance's own.
     void advance(TimePoint now, std::size_t rank, const std::vector<Revision>& positions);
@@ -44,9 +44,6 @@
     /// When the store last confirmed, to any instance, all changes that this instance has; unset if it never has.
     const std::optional<TimePoint>& confirmedAt() const { return confirmedAt_; }
 
-    /// Whether that was recently enough to rely on the copy.
-    bool isCurrent(TimePoint now) const;
-
     /// The status to send to others. `positions` are this instance's.
     StoreFeedStatus status(TimePoint now, std::vector<Revision> positions) const;
 
@@ -56,6 +53,7 @@
 private:
     struct Peer {
         TimePoint receivedAt;
+        TimePoint sentAt;
         std::size_t rank { 0 };
         StoreFeedStatus status;
     };
--- a/Libraries/LibDecision/Registry/BackendRegistry.cpp
+++ b/Libraries/LibDecision/Registry/BackendRegistry.cpp
@@ -42,8 +42,10 @@
 void BackendRegistry::onRemoved(TimePoint now, const BackendServerId& id)
 {
     const auto found = entries_.find(id);
-    if (found != entries_.end() && !found->second.removedAt)
-        found->second.removedAt = now;
+    if (found == entries_.end() || found->second.removedAt)
+        return;
+    found->second.removedAt = now;
+    found->second.regularGrace = removalGracePeriod_.regularGrace(now, confirmedAt_);
 }
 
 void BackendRegistry::setEvacuated(TimePoint now, const std::set<DataCentreId>& dataCentres)
@@ -66,7 +68,7 @@
 {
     std::vector<BackendServerId> removed;
     for (const auto& [id, entry] : entries_) {
-        if (entry.removedAt && !removalGracePeriod_.isInGracePeriod(*entry.removedAt, now))
+        if (entry.removedAt && !removalGracePeriod_.isInGracePeriod(*entry.removedAt, now, entry.regularGrace))
             removed.push_back(id);
     }
     for (const auto& id : removed)
--- a/Libraries/LibDecision/Registry/BackendRegistry.h
+++ b/Libraries/LibDecision/Registry/BackendRegistry.h
@@ -33,6 +33,9 @@
     /// An entry was removed or became unreadable.
     void onRemoved(TimePoint now, const BackendServerId& id);
 
+    /// The store confirmed at `confirmedAt` that no entry had been removed of which the registry does not know.
+    void setConfirmedAt(const std::optional<TimePoint>& confirmedAt) { confirmedAt_ = confirmedAt; }
+
     /// A peer with a complete view of the store sent all its changes.
     void onPeerReport(TimePoint now) { removalGracePeriod_.onPeerReport(now); }
 
@@ -64,8 +67,10 @@
 private:
     struct Entry {
         BackendState state;
-        /// When the entry was removed; unset while it exists.
+        /// When the removal of the entry became known; unset while it exists.
         std::optional<TimePoint> removedAt;
+        /// How long it is used from then on, while the store is available.
+        Duration regularGrace {};
         /// Set after an evacuation: the server is treated as cold until an entry with a higher sequence number arrives.
         std::optional<std::int64_t> coldSequence;
     };
@@ -73,6 +78,7 @@
     RemovalGracePeriod removalGracePeriod_;
     std::map<BackendServerId, Entry> entries_;
     std::set<DataCentreId> evacuated_;
+    std::optional<TimePoint> confirmedAt_;
     std::uint64_t version_ { 1 };
 };
 
--- a/Libraries/LibDecision/Registry/RemovalGracePeriod.cpp
+++ b/Libraries/LibDecision/Registry/RemovalGracePeriod.cpp
@@ -1,5 +1,7 @@
 #include <LibDecision/Registry/RemovalGracePeriod.h>
 
+#include <algorithm>
+
 namespace Ibisturn {
 
 namespace {
@@ -31,6 +33,13 @@
     unavailableSince_.reset();
 }
 
+Duration RemovalGracePeriod::regularGrace(TimePoint now, const std::optional<TimePoint>& confirmedAt) const
+{
+    if (!confirmedAt)
+        return limits_.removalGrace;
+    return std::clamp<Duration>(*confirmedAt + limits_.servingTime - now, Duration::zero(), limits_.removalGrace);
+}
+
 bool RemovalGracePeriod::isInGracePeriod(TimePoint removedAt, TimePoint now, Duration regularGrace) const
 {
     if (unavailableSince_ && removedAt >= *unavailableSince_ - limits_.recoveryGrace)
--- a/Libraries/LibDecision/Registry/RemovalGracePeriod.h
+++ b/Libraries/LibDecision/Registry/RemovalGracePeriod.h
@@ -12,6 +12,9 @@
     /// Tolerates an entry that is removed and written again at once. Together with the propagation delay of a change, it
     /// must be shorter than the time for which a leaving backend server keeps serving.
     Duration removalGrace { std::chrono::milliseconds(1200) };
+    /// How long a backend server that has left without notice certainly serves, less the time to send a request. The removal
+    /// of its entry may become known late, but it happened after the store last confirmed that the entry existed.
+    Duration servingTime { std::chrono::milliseconds(2700) };
     /// The same after the store was unavailable: by then every running process has written its entry again.
     Duration recoveryGrace { std::chrono::milliseconds(2000) };
 };
@@ -37,8 +40,9 @@
     /// Whether an entry removed at `removedAt` is still in use. `regularGrace` applies while the store is available.
     bool isInGracePeriod(TimePoint removedAt, TimePoint now, Duration regularGrace) const;
 
-    /// As above, for a backend server.
-    bool isInGracePeriod(TimePoint removedAt, TimePoint now) const { return isInGracePeriod(removedAt, now, limits_.removalGrace); }
+    /// The regular grace period of a backend server whose removal became known at `now`, and whose entry the store last
+    /// confirmed at `confirmedAt`; unset if it never has.
+    Duration regularGrace(TimePoint now, const std::optional<TimePoint>& confirmedAt) const;
 
     /// Whether missing entries can be taken as removed: the store has been available for long enough.
     bool isViewComplete(TimePoint now) const;
--- a/Libraries/LibPlatform/EntryFollower.cpp
+++ b/Libraries/LibPlatform/EntryFollower.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/Error.h>
 #include <LibCore/Log.h>
+#include <LibCore/SteadyClock.h>
 #include <LibKernel/Pause.h>
 
 #include <algorithm>
@@ -56,7 +57,7 @@
             retryDelay = minRetryDelay;
         }
         isUnavailable_ = true;
-        callbacks_.onUnavailable();
+        callbacks_.onFailed();
         co_await pause(retryDelay);
         retryDelay = std::min(retryDelay * 2, maxRetryDelay);
     }
@@ -96,7 +97,7 @@
             records.push_back({ change.key, change.value, change.revision });
         if (!records.empty())
             callbacks_.onChanges(records);
-        onAnswer();
+        onAnswer(changes.asOf);
         if (isSuspended_)
             throw FollowerSuspended();
     };
@@ -107,22 +108,22 @@
 Task<Revision> EntryFollower::list()
 {
     auto prefix = prefix_;
+    const auto calledAt = SteadyClock().now();
     const StoreRange range = co_await store_.range(std::move(prefix));
     Listing listing { prefix_, range.revision, {} };
     for (const auto& entry : range.entries)
         listing.entries.push_back({ entry.key, entry.value, entry.revision });
     callbacks_.onListing(listing);
     mustList_ = false;
-    onAnswer();
+    onAnswer(calledAt);
     co_return range.revision;
 }
 
-void EntryFollower::onAnswer()
+void EntryFollower::onAnswer(TimePoint asOf)
 {
     if (std::exchange(isUnavailable_, false))
         followerLog.info("Store regained.", { { "prefix", prefix_ }, { "revision", callbacks_.position().value_or(Revision()) } });
-    callbacks_.onConfirmed();
-    callbacks_.onAvailable();
+    callbacks_.onConfirmed(asOf);
 }
 
 } // namespace Ibisturn
--- a/Libraries/LibPlatform/EntryFollower.h
+++ b/Libraries/LibPlatform/EntryFollower.h
@@ -26,11 +26,10 @@
         std::function<void(const std::vector<RecordChange>&)> onChanges;
         /// The revision up to which all changes are known from any source; unset before the first listing.
         std::function<std::optional<Revision>()> position;
-        /// The store confirmed that all changes have been passed on.
-        std::function<void()> onConfirmed;
-        /// The store became unavailable, or is available again.
-        std::function<void()> onUnavailable;
-        std::function<void()> onAvailable;
+        /// The store confirmed that all changes up to `asOf` have been passed on.
+        std::function<void(TimePoint asOf)> onConfirmed;
+        /// A call failed.
+        std::function<void()> onFailed;
     };
 
     /// The store confirms a quiet prefix about once in `confirmationPeriod`. Precondition: `store` outlives the follower.
@@ -46,7 +45,7 @@
     Task<void> awaitResumption();
     Task<void> follow();
     Task<Revision> list();
-    void onAnswer();
+    void onAnswer(TimePoint asOf);
 
     StoreClient& store_;
     std::string prefix_;
--- a/Libraries/LibPlatform/FleetState.h
+++ b/Libraries/LibPlatform/FleetState.h
@@ -41,6 +41,9 @@
     /// An instance announced that it accepts requests. If its entry has expired nevertheless, it can't reach the store.
     void onPeerMessage(TimePoint now, const InstanceId& instance);
 
+    /// The store confirmed at `confirmedAt` all changes that have been applied; unset if it never has.
+    void setConfirmedAt(const std::optional<TimePoint>& confirmedAt) { registry_.setConfirmedAt(confirmedAt); }
+
     /// The store became unavailable, or is available again, for one prefix.
     void onStoreUnavailable(TimePoint now);
     void onStoreAvailable(TimePoint now);
--- a/Libraries/LibPlatform/InstanceLease.cpp
+++ b/Libraries/LibPlatform/InstanceLease.cpp
@@ -81,6 +81,7 @@
     const auto calledAt = SteadyClock().now();
     co_await store_.renewLease(*lease_);
     termEnd_ = calledAt + leaseTerm;
+    answeredAt_ = SteadyClock().now();
 }
 
 Task<void> InstanceLease::writeEntry()
@@ -92,6 +93,7 @@
     co_await store_.transact(std::move(writes));
     lease_ = lease;
     termEnd_ = calledAt + leaseTerm;
+    answeredAt_ = SteadyClock().now();
     leaseLog.info("Instance entry written.", { { "key", key_ }, { "lease", lease } });
 }
 
--- a/Libraries/LibPlatform/InstanceLease.h
+++ b/Libraries/LibPlatform/InstanceLease.h
@@ -26,6 +26,9 @@
     /// instance is leaving.
     std::optional<LockTerm> term() const;
 
+    /// When the store last answered a call for the lease; unset if it never has.
+    const std::optional<TimePoint>& answeredAt() const { return answeredAt_; }
+
 private:
     Task<void> writeEntry();
     Task<void> renew();
@@ -35,6 +38,7 @@
     Member self_;
     std::optional<LeaseId> lease_;
     TimePoint termEnd_ {};
+    std::optional<TimePoint> answeredAt_;
     bool isLeaving_ { false };
 };
 
--- a/Libraries/LibPlatform/StoreClient.h
+++ b/Libraries/LibPlatform/StoreClient.h
@@ -64,6 +64,9 @@
 struct StoreChanges {
     Revision revision;
     std::vector<StoreChange> changes;
+    /// The store had no later changes at this time, which is earlier than the arrival of its reply. Set by clients of stores that
+    /// confirm that there are no changes.
+    TimePoint asOf {};
 };
 
 /// The store has compacted the changes that a watch was to start with.
--- a/Programs/ibisturn/FleetControlPlane.cpp
+++ b/Programs/ibisturn/FleetControlPlane.cpp
@@ -40,13 +40,17 @@
     return std::clamp<Duration>(fleet.backendDrainPeriod / confirmationsPerDrain, minConfirmationPeriod, maxConfirmationPeriod);
 }
 
+/// Longer than the time between two renewals of the instance's lease, one of them repeated.
+constexpr Duration outageDetectionTime = std::chrono::milliseconds(2000);
+
 RemovalLimits removalLimits(const FleetSettings& fleet)
 {
-    // A leaving backend server keeps serving for its drain time. The time that the change needs to arrive, and a request to
-    // be sent, is subtracted from it: the pause between two calls to the store, a period of status reports, the request for
-    // the changes, and the time until they are applied.
+    // A removal may take effect as late as a confirmation of the store, the pause between two calls to it, a period of status
+    // reports, and the request for the changes need. The rest of the drain time is the grace period.
     constexpr Duration propagationDelay = std::chrono::milliseconds(1500);
+    constexpr Duration sendTime = std::chrono::milliseconds(300);
     RemovalLimits limits;
+    limits.servingTime = std::max<Duration>(fleet.backendDrainPeriod - sendTime, Duration::zero());
     limits.removalGrace = std::clamp<Duration>(fleet.backendDrainPeriod - propagationDelay, Duration::zero(), limits.recoveryGrace);
     return limits;
 }
@@ -63,7 +67,8 @@
     , links_(context, makeHelloMessage(tables.settings.identity), { tables.settings.connectTimeout, writeTimeout, tables.settings.idleTimeout }, *this)
     , statusExchange_(
           tables.settings.identity.instance, tables.settings.identity.region, incarnation_, [this](TimePoint now) { return localStatus(now); }, SteadyClock().now())
-    , storeFeed_(SteadyClock().now(), { confirmationPeriod(*tables.settings.fleet), 2 })
+    , startedAt_(SteadyClock().now())
+    , storeFeed_(startedAt_, { confirmationPeriod(*tables.settings.fleet), 2 })
 {
     std::size_t confirmedPrefixes = 0;
     for (const auto& prefix : fleetState_.prefixes()) {
@@ -73,16 +78,14 @@
         callbacks.onListing = [this](const EntryFollower::Listing& listing) { fleetState_.onListing(SteadyClock().now(), listing); };
         callbacks.onChanges = [this](const std::vector<RecordChange>& changes) { fleetState_.onChanges(SteadyClock().now(), changes); };
         callbacks.position = [this, prefix] { return fleetState_.positionOf(prefix); };
-        callbacks.onConfirmed = [this, number] {
+        callbacks.onConfirmed = [this, number](TimePoint asOf) {
             if (number)
-                storeFeed_.onConfirmed(SteadyClock().now(), *number);
+                storeFeed_.onConfirmed(asOf, *number);
         };
-        callbacks.onUnavailable = [this, number] {
-            fleetState_.onStoreUnavailable(SteadyClock().now());
+        callbacks.onFailed = [this, number] {
             if (number)
                 storeFeed_.onFailed(*number);
         };
-        callbacks.onAvailable = [this] { fleetState_.onStoreAvailable(SteadyClock().now()); };
         const auto period = isConfirmed ? confirmationPeriod(*tables.settings.fleet) : instancesConfirmationPeriod;
         followers_.push_back(std::make_unique<EntryFollower>(store, prefix, period, std::move(callbacks)));
     }
@@ -159,8 +162,9 @@
         answers = statusExchange_.onReport(now, from, *report);
     } else if (const auto* digest = std::get_if<FleetDigest>(&event)) {
         answers = statusExchange_.onDigest(now, from, *digest);
-        if (answers)
-            storeFeed_.onStatus(now, from, statusExchange_.rankOf(from), digest->store);
+        const auto sentAt = statusExchange_.reportSentAt(*digest);
+        if (answers && sentAt)
+            storeFeed_.onStatus(now, *sentAt, from, statusExchange_.rankOf(from), digest->store);
     } else if (const auto* exchange = std::get_if<RegionExchange>(&event)) {
         answers = statusExchange_.onExchange(now, from, *exchange);
     } else {
@@ -198,12 +202,13 @@
 {
     storeFeed_.setReportPeriod(statusExchange_.period());
     storeFeed_.advance(now, statusExchange_.rank(), fleetState_.positions());
+    fleetState_.setConfirmedAt(storeFeed_.confirmedAt());
     const bool isFollowing = storeFeed_.isFollowing() || !fleetState_.isComplete();
     for (const auto& follower : followers_)
         follower->setSuspended(!isFollowing);
-    if (isFollowing)
-        return;
-    if (storeFeed_.isCurrent(now))
+    // The instance may know nothing of the latest changes while the store serves all others, so that no entry expires.
+    const auto answeredAt = std::max(lease_.answeredAt(), storeFeed_.confirmedAt()).value_or(startedAt_);
+    if (now - answeredAt <= outageDetectionTime)
         fleetState_.onStoreAvailable(now);
     else
         fleetState_.onStoreUnavailable(now);
--- a/Programs/ibisturn/FleetControlPlane.h
+++ b/Programs/ibisturn/FleetControlPlane.h
@@ -78,6 +78,7 @@
     PeerUpdateRequests updateRequests_;
     StatusExchange statusExchange_;
     std::uint64_t appliedStatusVersion_ { 0 };
+    TimePoint startedAt_;
     StoreFeed storeFeed_;
 };
 
--- a/Tests/LibDecision/StoreFeedTest.cpp
+++ b/Tests/LibDecision/StoreFeedTest.cpp
@@ -21,7 +21,7 @@
 {
     for (auto time = begin; time < end; time += 100ms) {
         if (time < lostAt)
-            feed.onStatus(at(time), first, 0, { true, 500ms, { Revision(5) } });
+            feed.onStatus(at(time), at(time), first, 0, { true, 500ms, { Revision(5) } });
         feed.advance(at(time), rank, { Revision(5) });
     }
 }
@@ -42,7 +42,7 @@
     StoreFeed feed(at(0s));
     run(feed, 1, 0s, 5s, 20s);
     EXPECT_FALSE(feed.isFollowing());
-    EXPECT_TRUE(feed.isCurrent(at(5s)));
+    EXPECT_EQ(feed.confirmedAt(), at(4400ms));
 }
 
 TEST(StoreFeed, OthersStopOnceABetterOneFollowsAgain)
@@ -64,7 +64,7 @@
     for (auto time = 0ms; time < 20s; time += 100ms) {
         const bool isLost = time >= 10s;
         for (auto* feed : { &next, &later }) {
-            feed->onStatus(at(time), isLost ? witness : first, isLost ? 9 : 0, { !isLost, isLost ? time - 9500ms : 500ms, { Revision(5) } });
+            feed->onStatus(at(time), at(time), isLost ? witness : first, isLost ? 9 : 0, { !isLost, isLost ? time - 9500ms : 500ms, { Revision(5) } });
             feed->advance(at(time), feed == &next ? 1 : 5, { Revision(5) });
         }
         if (time == 11s) {
@@ -91,7 +91,7 @@
     cutOff.advance(at(0s), 0, {});
     cutOff.onConfirmed(at(0s), 0);
     EXPECT_TRUE(cutOff.status(at(1s), {}).isFollowing);
-    cutOff.onStatus(at(4s), second, 1, { true, 100ms, {} });
+    cutOff.onStatus(at(4s), at(4s), second, 1, { true, 100ms, {} });
     cutOff.advance(at(4s), 0, {});
     const auto status = cutOff.status(at(4s), {});
     EXPECT_FALSE(status.isFollowing);
@@ -102,7 +102,7 @@
 {
     StoreFeed feed(at(0s));
     run(feed, 1, 0s, 5s, 20s);
-    feed.onStatus(at(5s), first, 0, { true, 100ms, { Revision(5), Revision(9) } });
+    feed.onStatus(at(5s), at(5s), first, 0, { true, 100ms, { Revision(5), Revision(9) } });
     EXPECT_EQ(feed.sourceOf(at(5s), { Revision(5), Revision(8) }), first);
     EXPECT_FALSE(feed.sourceOf(at(5100ms), { Revision(5), Revision(8) }));
     EXPECT_EQ(feed.sourceOf(at(5300ms), { Revision(5), Revision(8) }), first);
--- a/Tests/LibPlatform/LeavingServerScheduleTest.cpp
+++ b/Tests/LibPlatform/LeavingServerScheduleTest.cpp
@@ -38,6 +38,8 @@
 constexpr Duration watchPause = 400ms;
 constexpr Duration confirmationPeriod = 750ms;
 constexpr Duration otherPeriod = 8s;
+constexpr Duration renewalPeriod = 1400ms;
+constexpr Duration outageDetectionTime = 2s;
 /// How long a backend server that leaves keeps serving, and how long an instance must have run undisturbed and reached the store
 /// to be bound by that.
 constexpr Duration drainTime = 3s;
@@ -45,6 +47,13 @@
 /// The time that a request needs from the check before it is sent until it reaches the backend server.
 constexpr Duration sendTime = 50ms;
 
+enum class Leaving : std::uint8_t {
+    /// The server's entry says that it drains.
+    Announced,
+    /// The server's entry is removed.
+    Removed,
+};
+
 enum class Mutation : std::uint8_t {
     None,
     /// The registry counts as current while the operators' documents are.
@@ -57,8 +66,9 @@
 /// each other or from the store. The store itself is always available.
 class LeavingServerSimulation {
 public:
-    LeavingServerSimulation(std::uint64_t seed, Mutation mutation = Mutation::None)
+    LeavingServerSimulation(std::uint64_t seed, Leaving leaving, Mutation mutation = Mutation::None)
         : random_(seed)
+        , leaving_(leaving)
         , mutation_(mutation)
     {
         store_.put("op/config", "c0");
@@ -138,6 +148,8 @@
         TimePoint frozenUntil {};
         TimePoint storeCutUntil {};
         TimePoint nextTick {};
+        TimePoint nextRenewal {};
+        TimePoint answeredAt {};
         /// Since when it has run undisturbed and reached the store.
         TimePoint stableSince {};
     };
@@ -171,7 +183,7 @@
         instance.process->exchange.setMembers(membership_);
         for (const auto& prefix : instance.process->fleetState.prefixes())
             instance.process->fleetState.onListing(now_, { prefix, store_.revision(), store_.list(prefix, store_.revision()) });
-        instance.stableSince = now_;
+        instance.stableSince = instance.answeredAt = now_;
         instance.nextTick = now_ + randomDuration(tick);
     }
 
@@ -219,7 +231,10 @@
             return;
         }
         leftAt_[key] = now_;
-        store_.put(key, "leaving");
+        if (leaving_ == Leaving::Announced)
+            store_.put(key, "leaving");
+        else
+            store_.remove(key);
     }
 
     void advance(std::size_t index)
@@ -230,10 +245,15 @@
         process.fleetState.advance(now_);
         process.feed.setReportPeriod(mutation_ == Mutation::LateFollowers ? 2s : process.exchange.period());
         process.feed.advance(now_, process.exchange.rank(), process.fleetState.positions());
+        process.fleetState.setConfirmedAt(process.feed.confirmedAt());
         process.isFollowing = process.feed.isFollowing();
-        if (!process.isFollowing && process.feed.isCurrent(now_))
+        if (reachesStore(index) && now_ >= instance.nextRenewal) {
+            instance.nextRenewal = now_ + renewalPeriod;
+            instance.answeredAt = now_;
+        }
+        if (now_ - std::max(instance.answeredAt, process.feed.confirmedAt().value_or(TimePoint {})) <= outageDetectionTime)
             process.fleetState.onStoreAvailable(now_);
-        else if (!process.isFollowing)
+        else
             process.fleetState.onStoreUnavailable(now_);
         send(index, process.exchange.advance(now_));
         std::vector<const Member*> others;
@@ -275,8 +295,9 @@
             answers = process.exchange.onReport(now_, idOf(from), report->report);
         } else if (const auto* digest = std::get_if<SendDigest>(&message)) {
             answers = process.exchange.onDigest(now_, idOf(from), digest->digest);
-            if (answers)
-                process.feed.onStatus(now_, idOf(from), process.exchange.rankOf(idOf(from)), digest->digest.store);
+            const auto sentAt = process.exchange.reportSentAt(digest->digest);
+            if (answers && sentAt)
+                process.feed.onStatus(now_, *sentAt, idOf(from), process.exchange.rankOf(idOf(from)), digest->digest.store);
         }
         if (answers)
             send(to, *answers);
@@ -337,7 +358,6 @@
         if (now_ >= *watch.calledAt + watch.wait + watchMargin) {
             watch = {};
             watch.nextCallAt = now_ + 200ms;
-            process.fleetState.onStoreUnavailable(now_);
             if (isConfirmedPrefix)
                 process.feed.onFailed(prefix);
             return;
@@ -348,8 +368,7 @@
         if (!changes->empty())
             process.fleetState.onChanges(now_, *changes);
         if (isConfirmedPrefix)
-            process.feed.onConfirmed(now_, prefix);
-        process.fleetState.onStoreAvailable(now_);
+            process.feed.onConfirmed(changes->empty() ? *watch.calledAt + watch.wait : *watch.calledAt, prefix);
         const auto pause = changes->empty() ? Duration::zero() : Duration(watchPause);
         watch = {};
         watch.wait = period;
@@ -371,6 +390,7 @@
     }
 
     std::mt19937_64 random_;
+    Leaving leaving_;
     Mutation mutation_;
     RegionId region_ { "r" };
     Model::StubDocumentReader reader_;
@@ -387,7 +407,7 @@
 
 bool isDetected(Mutation mutation)
 {
-    return anyCaseSatisfies([mutation](std::uint64_t seed) { return !LeavingServerSimulation(seed, mutation).run().empty(); }, mutatedSchedules);
+    return anyCaseSatisfies([mutation](std::uint64_t seed) { return !LeavingServerSimulation(seed, Leaving::Announced, mutation).run().empty(); }, mutatedSchedules);
 }
 
 /// Suppresses the log, since each schedule would write thousands of lines.
@@ -401,7 +421,12 @@
 
 TEST_F(LeavingServerSchedule, ServersThatDrainAreNotUsedPastTheirDrainTime)
 {
-    forEachCase([](Random& random) { EXPECT_EQ(LeavingServerSimulation(random()).run(), ""); }, schedules);
+    forEachCase([](Random& random) { EXPECT_EQ(LeavingServerSimulation(random(), Leaving::Announced).run(), ""); }, schedules);
+}
+
+TEST_F(LeavingServerSchedule, RemovedServersAreNotUsedPastTheirDrainTime)
+{
+    forEachCase([](Random& random) { EXPECT_EQ(LeavingServerSimulation(random(), Leaving::Removed).run(), ""); }, schedules);
 }
 
 TEST_F(LeavingServerSchedule, DetectsThatTheRegistryIsNotConfirmed)
