PlacementTable: Send nothing to a backend server that says in an answer that it leaves

A leaving backend server may say so in its answers before its entry in the store changes, or without that. The header was ignored and, as it were, an instance went on sending for as long as the entry looked good.

Both tests failed before: neither the field nor the method existed.

--- a/Libraries/LibDecision/Placement/PlacementTable.cpp
+++ b/Libraries/LibDecision/Placement/PlacementTable.cpp
@@ -28,6 +28,8 @@
 constexpr Duration minRetryAfter = std::chrono::milliseconds(100);
 constexpr std::uint32_t urgentPriority = 0;
 constexpr Duration coldWindow = std::chrono::seconds(1);
+/// A backend server that is leaving has ended after this time.
+constexpr Duration leavingServerLifetime = std::chrono::minutes(10);
 
 Duration milliseconds(double count)
 {
@@ -98,6 +100,8 @@
             std::erase_if(placedRequests_, [&state](const auto& entry) { return entry.second.server == state.server.id; });
         }
         server.state = state;
+        const auto leaving = leavingServers_.find(state.server.id);
+        server.isLeaving = leaving != leavingServers_.end() && leaving->second.started == state.server.started;
         server.engine = service->engine;
         server.coldRate = service->coldRate;
         server.maxConnections = service->maxConnections;
@@ -190,6 +194,8 @@
     if (found == servers_.end())
         return false;
     auto& server = found->second;
+    if (server.isLeaving)
+        return false;
     if (!isCold(now, server))
         return true;
     // Choices are spaced, but connections take different times, so that several requests may be ready at once.
@@ -267,6 +273,17 @@
     server.reportedAt = now;
 }
 
+bool PlacementTable::onServerLeaving(TimePoint now, const BackendServerId& id)
+{
+    const auto found = servers_.find(id);
+    if (found == servers_.end() || found->second.isLeaving)
+        return false;
+    found->second.isLeaving = true;
+    std::erase_if(leavingServers_, [now](const auto& entry) { return now - entry.second.announcedAt > leavingServerLifetime; });
+    leavingServers_[id] = { found->second.state.server.started, now };
+    return true;
+}
+
 void PlacementTable::end(TimePoint now, PlacementId id, PlacementOutcome outcome)
 {
     const auto found = placedRequests_.find(id.count());
@@ -326,7 +343,7 @@
             std::optional<Duration> minWait;
             for (const auto& id : ids) {
                 const auto& server = servers_.at(id);
-                if (now < server.backoffUntil || now < server.state.coldUntil)
+                if (server.isLeaving || now < server.backoffUntil || now < server.state.coldUntil)
                     continue;
                 const auto wait = estimateWait(now, server, query, TokenCount(0));
                 minWait = minWait ? std::min(*minWait, wait) : wait;
@@ -359,7 +376,7 @@
 
 bool PlacementTable::isUsable(TimePoint now, const Server& server, const PlacementQuery& query) const
 {
-    if (now < server.backoffUntil || query.failedServers.contains(server.state.server.id))
+    if (server.isLeaving || now < server.backoffUntil || query.failedServers.contains(server.state.server.id))
         return false;
     return !isCold(now, server) || (holdsColdServer(now, server.state.server.id) && now >= server.nextColdRequestAt);
 }
--- a/Libraries/LibDecision/Placement/PlacementTable.h
+++ b/Libraries/LibDecision/Placement/PlacementTable.h
@@ -174,6 +174,10 @@
     /// Updates the slots and the load that a backend server reports.
     void onServerLoad(TimePoint now, const BackendServerId& server, const ServerLoad& load);
 
+    /// A backend server announced in an answer that it is leaving; its present process gets no further requests. Returns whether that
+    /// is new.
+    bool onServerLeaving(TimePoint now, const BackendServerId& server);
+
     /// Records the end of a request. Unknown ids are ignored.
     void end(TimePoint now, PlacementId id, PlacementOutcome outcome);
 
@@ -207,6 +211,7 @@
         Load otherLoad;
         PromptCacheEstimate cache;
         TimePoint backoffUntil {};
+        bool isLeaving { false };
         std::uint32_t failures { 0 };
         /// Average ratio of the measured to the expected time to the first part.
         double slowness { 1 };
@@ -250,6 +255,12 @@
         MeasuredTime roundTrip;
     };
 
+    /// A process of a backend server that is leaving.
+    struct LeavingServer {
+        StartTime started;
+        TimePoint announcedAt;
+    };
+
     /// A possible choice, its expected time to the first part of the answer, and its total cost.
     struct Candidate {
         Server* server { nullptr };
@@ -289,6 +300,8 @@
     InstanceId self_;
     std::vector<InstanceId> instances_;
     std::map<BackendServerId, TimePoint> coldServersHeldUntil_;
+    /// Kept while a server is not usable for another reason, such as an evacuation.
+    std::map<BackendServerId, LeavingServer> leavingServers_;
     TimePoint otherLoadsReceivedAt_ {};
     std::map<BackendServerId, Server> servers_;
     std::map<ServiceId, std::vector<BackendServerId>> byService_;
--- a/Libraries/LibHTTP/Backends/BackendClient.cpp
+++ b/Libraries/LibHTTP/Backends/BackendClient.cpp
@@ -68,10 +68,10 @@
 
 } // namespace
 
-BackendClient::BackendClient(Limits limits, const BackendDialect& dialect, LoadCallback onLoad)
+BackendClient::BackendClient(Limits limits, const BackendDialect& dialect, HeadCallback onHead)
     : limits_(limits)
     , dialect_(dialect)
-    , onLoad_(std::move(onLoad))
+    , onHead_(std::move(onHead))
 {
 }
 
@@ -144,8 +144,8 @@
         parser.body_limit(unlimitedBody);
         co_await readHead(connection, parser);
         const AnswerHeadInfo headInfo = dialect_.readAnswer(parser.get(), request);
-        if (headInfo.load && onLoad_)
-            onLoad_(server.id, *headInfo.load);
+        if (onHead_)
+            onHead_(server.id, headInfo);
         connection.trustedUntil = SteadyClock().now() + headInfo.idleTimeout.value_or(defaultIdleTimeout) - idleMargin;
         if (headInfo.kind == AnswerKind::Answer) {
             co_await relayAnswer(connection, server, parser, headInfo, sink);
--- a/Libraries/LibHTTP/Backends/BackendClient.h
+++ b/Libraries/LibHTTP/Backends/BackendClient.h
@@ -32,7 +32,7 @@
 /// Thread safety: the worker that owns it.
 class BackendClient {
 public:
-    using LoadCallback = std::function<void(const BackendServerId&, const ServerLoad&)>;
+    using HeadCallback = std::function<void(const BackendServerId&, const AnswerHeadInfo&)>;
 
     struct Limits {
         /// Limits the time to establish a connection.
@@ -41,9 +41,9 @@
         Duration silenceTimeout;
     };
 
-    /// `onLoad` is called with the load that a backend server reports in an answer.
+    /// `onHead` is called with the head of each answer, also of one to another request.
     /// Precondition: `dialect` outlives the client.
-    BackendClient(Limits limits, const BackendDialect& dialect, LoadCallback onLoad = nullptr);
+    BackendClient(Limits limits, const BackendDialect& dialect, HeadCallback onHead = nullptr);
 
     /// Runs `request` on `server` and writes its answer to `sink`. Throws Error, whose ran() says whether the request may have
     /// reached the backend server, NotRunError if the backend server reports that it did not run the request, and
@@ -70,7 +70,7 @@
 
     Limits limits_;
     const BackendDialect& dialect_;
-    LoadCallback onLoad_;
+    HeadCallback onHead_;
     std::map<Endpoint, std::vector<ConnectionPointer>> idle_;
 };
 
--- a/Libraries/LibHTTP/Backends/BackendDialect.h
+++ b/Libraries/LibHTTP/Backends/BackendDialect.h
@@ -32,6 +32,8 @@
     /// Headers for the caller.
     std::vector<HttpHeader> headers;
     std::optional<ServerLoad> load;
+    /// Whether the backend server announces that it is leaving.
+    bool isServerLeaving { false };
     /// How long the connection may stay idle before the backend server closes it.
     std::optional<Duration> idleTimeout;
     /// Whether a stream that ends without its terminal event counts as truncated.
--- a/Libraries/LibHTTP/Requests/RequestRunner.cpp
+++ b/Libraries/LibHTTP/Requests/RequestRunner.cpp
@@ -21,6 +21,7 @@
 /// Length of the start of the body, which requests with the same system prompt are assumed to share.
 constexpr std::size_t prefixBytes = 512;
 constexpr Log runnerLog("request", LineKind::Request);
+constexpr Log serverLog("server");
 constexpr std::size_t bytesPerToken = 4;
 /// A backend server that crashes on a prompt does so when it begins to answer; what it had been answering for longer is harmless.
 constexpr Duration beginningOfAnswer = std::chrono::milliseconds(500);
@@ -136,6 +137,16 @@
     return AttemptFailed { attempt, code, failure.error.ran(), isBackendFailure ? FailedPart::BackendOfPeer : FailedPart::Target, failure.proof };
 }
 
+// Records what the head of an answer says about the backend server.
+void recordServerState(InstanceTables& tables, const BackendServerId& server, const AnswerHeadInfo& headInfo)
+{
+    const auto now = SteadyClock().now();
+    if (headInfo.load)
+        tables.placement.with([&](PlacementTable& table) { table.onServerLoad(now, server, *headInfo.load); });
+    if (headInfo.isServerLeaving && tables.placement.with([&](PlacementTable& table) { return table.onServerLeaving(now, server); }))
+        serverLog.info("Backend server announces that it is leaving.", { { "server", server } });
+}
+
 // Only the time to the first token and timeouts indicate the load of the backend server; other outcomes do not.
 void recordEnd(AdmissionSlot& slot, TimePoint started, const AttemptSink& answer, const std::optional<AttemptFailure>& failure)
 {
@@ -188,9 +199,7 @@
     , strategy_(RoutingStrategyRegistry::instance().require("routing strategy", tables.settings.routingStrategy))
     , backends_(
           { tables.settings.connectTimeout, tables.settings.requestTimeout }, *tables.backendDialect,
-          [&tables](const BackendServerId& server, const ServerLoad& load) {
-              tables.placement.with([&](PlacementTable& table) { table.onServerLoad(SteadyClock().now(), server, load); });
-          })
+          [&tables](const BackendServerId& server, const AnswerHeadInfo& headInfo) { recordServerState(tables, server, headInfo); })
     , peers_(makeHelloMessage(tables.settings.identity),
           { tables.settings.connectTimeout, tables.settings.requestTimeout, tables.settings.bodyLimit + ByteCount(frameOverhead) },
           [&tables](const RegionId& region, Duration roundTrip) {
--- a/Tests/LibDecision/PlacementTableTest.cpp
+++ b/Tests/LibDecision/PlacementTableTest.cpp
@@ -277,6 +277,25 @@
     EXPECT_FALSE(table_.confirmSend(at(0s), BackendServerId("unknown")));
 }
 
+TEST_F(PlacementTableTest, ServerThatAnnouncesItsLeavingGetsNothingMore)
+{
+    servers_.erase(servers_.begin() + 1);
+    table_.setServers(servers_, services());
+    auto request = makeQuery();
+    request.canLeaveRegion = false;
+    EXPECT_TRUE(table_.onServerLeaving(at(0s), BackendServerId("a")));
+    EXPECT_FALSE(table_.onServerLeaving(at(0s), BackendServerId("a")));
+    EXPECT_EQ(serverOf(table_.place(at(1s), request)), "");
+    EXPECT_FALSE(table_.confirmSend(at(1s), BackendServerId("a")));
+    // An evacuation takes it off the list for some time.
+    table_.setServers({}, services());
+    table_.setServers(servers_, services());
+    EXPECT_FALSE(table_.confirmSend(at(2s), BackendServerId("a")));
+    servers_[0].server.started = StartTime(77);
+    table_.setServers(servers_, services());
+    EXPECT_EQ(serverOf(table_.place(at(3s), request)), "a");
+}
+
 TEST_F(PlacementTableTest, NewIncarnationOfAServerHasNoRequestsInFlight)
 {
     const auto id = table_.begin(at(0s), BackendServerId("a"), makeQuery());
--- a/Tests/Platform/DialectsTest.cpp
+++ b/Tests/Platform/DialectsTest.cpp
@@ -169,6 +169,17 @@
     EXPECT_EQ(read(103, { { "X-Ibisturn-Request-Id", "id-1" }, { "X-Ibisturn-Server-Seal", "s" } }).kind, AnswerKind::Invalid);
 }
 
+TEST_F(ReplicaDialectTest, ReadsThatTheServerIsLeaving)
+{
+    const auto leaving = read(200, { { "X-Ibisturn-Request-Id", "id-1" }, { "X-Ibisturn-Server-Seal", "s" }, { "Server-Leaving", "1" } });
+    EXPECT_TRUE(leaving.isServerLeaving);
+    EXPECT_TRUE(read(503, { { "X-Ibisturn-Request-Id", "id-1" }, { "X-Ibisturn-Not-Executed", "1" }, { "Server-Leaving", "1" } }).isServerLeaving);
+    EXPECT_FALSE(read(200, { { "X-Ibisturn-Request-Id", "id-1" }, { "X-Ibisturn-Server-Seal", "s" }, { "Server-Leaving", "0" } }).isServerLeaving);
+    // Another server that has the address now, and an answer to another request, say nothing about the expected one.
+    EXPECT_FALSE(read(421, { { "X-Ibisturn-Request-Id", "id-1" }, { "Server-Leaving", "1" } }).isServerLeaving);
+    EXPECT_FALSE(read(200, { { "X-Ibisturn-Request-Id", "id-2" }, { "X-Ibisturn-Server-Seal", "s" }, { "Server-Leaving", "1" } }).isServerLeaving);
+}
+
 TEST_F(ReplicaDialectTest, ReadsLoadAndIdleTimeout)
 {
     const auto reading = read(200, { { "X-Ibisturn-Request-Id", "id-1" }, { "X-Ibisturn-Server-Seal", "s" }, { "X-Ibisturn-Server-Load", "3,1,8" }, { "Keep-Alive", "timeout=5, max=9" } });
