PlacementTable: Leave a backend server alone for as long as it asks to be

A backend server that turns a request away with 503 may say in Retry-After for how long it wants none from this instance. The header was ignored: after 60 ms the server was chosen again.

Such a server is not chosen, and nothing is written to a connection to it, until that time is over. If no other server can take a request, its caller is told to come back when the first one may be asked again, instead of after 0.1 s.

Both tests failed before: neither the field nor the method existed.

--- a/Libraries/LibDecision/Placement/PlacementTable.cpp
+++ b/Libraries/LibDecision/Placement/PlacementTable.cpp
@@ -149,7 +149,7 @@
     }
     const auto remote = query.canLeaveRegion ? bestRemoteRegion(now, query, preferred) : std::nullopt;
     if (!local && !remote)
-        return refuse(query, ResultCode::NoBackendServer, Duration::zero());
+        return refuse(query, ResultCode::NoBackendServer, shortestPause(now, query.service).value_or(Duration::zero()));
     const bool isLocal = local && (!remote || local->cost <= remote->cost + limits_.regionMargin);
     const auto& best = isLocal ? *local : *remote;
     const auto timeToTarget = query.target - now;
@@ -194,7 +194,7 @@
     if (found == servers_.end())
         return false;
     auto& server = found->second;
-    if (server.isLeaving)
+    if (server.isLeaving || now < server.pausedUntil)
         return false;
     if (!isCold(now, server))
         return true;
@@ -284,6 +284,13 @@
     return true;
 }
 
+void PlacementTable::onRetryAfter(TimePoint now, const BackendServerId& id, Duration pause)
+{
+    const auto found = servers_.find(id);
+    if (found != servers_.end())
+        found->second.pausedUntil = std::max(found->second.pausedUntil, now + pause);
+}
+
 void PlacementTable::end(TimePoint now, PlacementId id, PlacementOutcome outcome)
 {
     const auto found = placedRequests_.find(id.count());
@@ -343,7 +350,7 @@
             std::optional<Duration> minWait;
             for (const auto& id : ids) {
                 const auto& server = servers_.at(id);
-                if (server.isLeaving || now < server.backoffUntil || now < server.state.coldUntil)
+                if (server.isLeaving || now < server.pausedUntil || now < server.backoffUntil || now < server.state.coldUntil)
                     continue;
                 const auto wait = estimateWait(now, server, query, TokenCount(0));
                 minWait = minWait ? std::min(*minWait, wait) : wait;
@@ -376,7 +383,7 @@
 
 bool PlacementTable::isUsable(TimePoint now, const Server& server, const PlacementQuery& query) const
 {
-    if (server.isLeaving || now < server.backoffUntil || query.failedServers.contains(server.state.server.id))
+    if (server.isLeaving || now < server.pausedUntil || now < server.backoffUntil || query.failedServers.contains(server.state.server.id))
         return false;
     return !isCold(now, server) || (holdsColdServer(now, server.state.server.id) && now >= server.nextColdRequestAt);
 }
@@ -503,6 +510,21 @@
     return wait;
 }
 
+// The time until the first backend server of the service that asked for a pause may be sent requests again.
+std::optional<Duration> PlacementTable::shortestPause(TimePoint now, const ServiceId& service) const
+{
+    std::optional<Duration> shortest;
+    const auto ids = byService_.find(service);
+    if (ids == byService_.end())
+        return shortest;
+    for (const auto& id : ids->second) {
+        const auto& server = servers_.at(id);
+        if (!server.isLeaving && now < server.pausedUntil)
+            shortest = std::min(shortest.value_or(Duration::max()), server.pausedUntil - now);
+    }
+    return shortest;
+}
+
 std::optional<PlacementTable::Candidate> PlacementTable::bestLocalServer(TimePoint now, const PlacementQuery& query, const ServerLocation* preferred)
 {
     const auto ids = byService_.find(query.service);
--- a/Libraries/LibDecision/Placement/PlacementTable.h
+++ b/Libraries/LibDecision/Placement/PlacementTable.h
@@ -178,6 +178,9 @@
     /// is new.
     bool onServerLeaving(TimePoint now, const BackendServerId& server);
 
+    /// A backend server that refused a request wants no others from this instance for `pause`.
+    void onRetryAfter(TimePoint now, const BackendServerId& server, Duration pause);
+
     /// Records the end of a request. Unknown ids are ignored.
     void end(TimePoint now, PlacementId id, PlacementOutcome outcome);
 
@@ -211,6 +214,8 @@
         Load otherLoad;
         PromptCacheEstimate cache;
         TimePoint backoffUntil {};
+        /// It asked not to be sent requests until then.
+        TimePoint pausedUntil {};
         bool isLeaving { false };
         std::uint32_t failures { 0 };
         /// Average ratio of the measured to the expected time to the first part.
@@ -291,6 +296,7 @@
     TokenCount uncachedTokens(const Server& server, const PlacementQuery& query, const ServerLocation* preferred) const;
     const ServerLocation* preferredServer(const PlacementQuery& query) const;
     Duration costOf(Duration wait, TokenCount uncachedTokens, double millisecondsPerToken) const;
+    std::optional<Duration> shortestPause(TimePoint now, const ServiceId& service) const;
     std::optional<Candidate> bestLocalServer(TimePoint now, const PlacementQuery& query, const ServerLocation* preferred);
     std::optional<Candidate> bestRemoteRegion(TimePoint now, const PlacementQuery& query, const ServerLocation* preferred);
     RefusePlacement refuse(const PlacementQuery& query, ResultCode code, Duration wait, std::optional<Duration> expected = std::nullopt) const;
--- a/Libraries/LibHTTP/Backends/BackendDialect.h
+++ b/Libraries/LibHTTP/Backends/BackendDialect.h
@@ -34,6 +34,8 @@
     std::optional<ServerLoad> load;
     /// Whether the backend server announces that it is leaving.
     bool isServerLeaving { false };
+    /// For how long a backend server that refused the request wants none from this instance.
+    std::optional<Duration> retryAfter;
     /// How long the connection may stay idle before the backend server closes it.
     std::optional<Duration> idleTimeout;
     /// Whether a stream that ends without its terminal event counts as truncated.
--- a/Libraries/LibHTTP/Requests/RequestRunner.cpp
+++ b/Libraries/LibHTTP/Requests/RequestRunner.cpp
@@ -145,6 +145,10 @@
         tables.placement.with([&](PlacementTable& table) { table.onServerLoad(now, server, *headInfo.load); });
     if (headInfo.isServerLeaving && tables.placement.with([&](PlacementTable& table) { return table.onServerLeaving(now, server); }))
         serverLog.info("Backend server announces that it is leaving.", { { "server", server } });
+    if (!headInfo.retryAfter)
+        return;
+    tables.placement.with([&](PlacementTable& table) { table.onRetryAfter(now, server, *headInfo.retryAfter); });
+    serverLog.info("Backend server asks for a pause.", { { "server", server }, { "retry_after_ms", std::chrono::duration_cast<std::chrono::milliseconds>(*headInfo.retryAfter).count() } });
 }
 
 // Only the time to the first token and timeouts indicate the load of the backend server; other outcomes do not.
--- a/Tests/LibDecision/PlacementTableTest.cpp
+++ b/Tests/LibDecision/PlacementTableTest.cpp
@@ -296,6 +296,22 @@
     EXPECT_EQ(serverOf(table_.place(at(3s), request)), "a");
 }
 
+TEST_F(PlacementTableTest, ServerThatAsksForAPauseGetsNothingUntilItsEnd)
+{
+    servers_.erase(servers_.begin() + 1);
+    table_.setServers(servers_, services());
+    auto request = makeQuery();
+    request.canLeaveRegion = false;
+    table_.onRetryAfter(at(0s), BackendServerId("a"), 2s);
+    table_.onRetryAfter(at(100ms), BackendServerId("a"), 500ms);
+    const auto decision = table_.place(at(1s), request);
+    ASSERT_TRUE(std::holds_alternative<RefusePlacement>(decision));
+    EXPECT_GE(std::get<RefusePlacement>(decision).retryAfter, 1s);
+    EXPECT_FALSE(table_.confirmSend(at(1900ms), BackendServerId("a")));
+    EXPECT_EQ(serverOf(table_.place(at(2s), request)), "a");
+    EXPECT_TRUE(table_.confirmSend(at(2s), BackendServerId("a")));
+}
+
 TEST_F(PlacementTableTest, NewIncarnationOfAServerHasNoRequestsInFlight)
 {
     const auto id = table_.begin(at(0s), BackendServerId("a"), makeQuery());
--- a/Tests/Platform/DialectsTest.cpp
+++ b/Tests/Platform/DialectsTest.cpp
@@ -180,6 +180,18 @@
     EXPECT_FALSE(read(200, { { "X-Ibisturn-Request-Id", "id-2" }, { "X-Ibisturn-Server-Seal", "s" }, { "Server-Leaving", "1" } }).isServerLeaving);
 }
 
+TEST_F(ReplicaDialectTest, ReadsForHowLongTheServerWantsNoRequests)
+{
+    const auto pauseOf = [this](unsigned status, const char* text) { return read(status, { { "X-Ibisturn-Request-Id", "id-1" }, { "X-Ibisturn-Not-Executed", "1" }, { "Retry-After", text } }).retryAfter; };
+    EXPECT_EQ(pauseOf(503, "3"), 3s);
+    EXPECT_EQ(pauseOf(503, "0.25"), 250ms);
+    EXPECT_EQ(pauseOf(503, "1e300"), 10min);
+    EXPECT_FALSE(pauseOf(429, "3"));
+    for (const auto* text : { "", "soon", "-1", "0", "nan", "inf x", "3s" })
+        EXPECT_FALSE(pauseOf(503, text)) << text;
+    EXPECT_FALSE(read(503, { { "X-Ibisturn-Request-Id", "id-1" }, { "Retry-After", "3" } }).retryAfter);
+}
+
 TEST_F(ReplicaDialectTest, ReadsLoadAndIdleTimeout)
 {
     const auto reading = read(200, { { "X-Ibisturn-Request-Id", "id-1" }, { "X-Ibisturn-Server-Seal", "s" }, { "X-Ibisturn-Server-Load", "3,1,8" }, { "Keep-Alive", "timeout=5, max=9" } });
