BackendClient: Do not take a refusal without a request id for that of the present request

Operators of similar systems saw a faulty server write an earlier refusal once more on a kept connection, so that callers were told 'not run' for requests that ran.

A refusal that names another request was skipped already. One that names none was believed on any connection. On a connection that carried an earlier request it may be the second copy of that one's refusal; it now leaves the outcome unknown, and the connection is closed. On a new connection there is no earlier one.

The test failed before: the last of its requests was said not to have run.

--- a/Libraries/LibHTTP/Backends/BackendClient.cpp
+++ b/Libraries/LibHTTP/Backends/BackendClient.cpp
@@ -87,7 +87,7 @@
 Task<BackendClient::ConnectionPointer> BackendClient::connect(Endpoint endpoint, TimePoint deadline)
 {
     const auto executor = co_await Asio::this_coro::executor;
-    auto connection = std::make_unique<Connection>(Connection { boost::beast::tcp_stream(executor), {} });
+    auto connection = std::make_unique<Connection>(Connection { boost::beast::tcp_stream(executor), {}, {}, false });
     connection->stream.expires_after(std::min(limits_.connectTimeout, deadline - SteadyClock().now()));
     const Asio::ip::tcp::endpoint target(Asio::ip::make_address(endpoint.address), endpoint.port);
     boost::system::error_code error;
@@ -124,6 +124,7 @@
     if (!connection->stream.socket().is_open() || hasLeftover || connections.size() >= maxIdlePerServer)
         return;
     connection->stream.expires_never();
+    connection->isReused = true;
     connections.push_back(std::move(connection));
 }
 
@@ -153,6 +154,9 @@
         }
         if (headInfo.kind == AnswerKind::Invalid)
             throw Error(ResultCode::OutcomeUnknown, Ran::Unknown, "The backend server's answer is invalid");
+        const bool isRefusal = headInfo.kind == AnswerKind::Refused || headInfo.kind == AnswerKind::WrongServer;
+        if (isRefusal && connection.isReused && !headInfo.namesRequest)
+            throw Error(ResultCode::OutcomeUnknown, Ran::Unknown, "The backend server's refusal may belong to an earlier request");
         if (headInfo.kind == AnswerKind::Refused)
             throw NotRunError(ResultCode::BackendBusy, Ran::No, "The backend server refused the request");
         if (headInfo.kind == AnswerKind::WrongServer)
--- a/Libraries/LibHTTP/Backends/BackendClient.h
+++ b/Libraries/LibHTTP/Backends/BackendClient.h
@@ -56,6 +56,8 @@
         boost::beast::flat_buffer buffer;
         /// The backend server is not expected to close the connection before this time.
         TimePoint trustedUntil {};
+        /// Whether an earlier request was sent on it.
+        bool isReused { false };
     };
     using ConnectionPointer = std::unique_ptr<Connection>;
 
--- a/Libraries/LibHTTP/Backends/BackendDialect.h
+++ b/Libraries/LibHTTP/Backends/BackendDialect.h
@@ -29,6 +29,8 @@
 /// The information read from the head of an answer.
 struct AnswerHeadInfo {
     AnswerKind kind { AnswerKind::Answer };
+    /// Whether the answer names the request, so that it can't be one to an earlier request on the connection.
+    bool namesRequest { false };
     /// Headers for the caller.
     std::vector<HttpHeader> headers;
     std::optional<ServerLoad> load;
--- a/Tests/Platform/LateAnswerTest.cpp
+++ b/Tests/Platform/LateAnswerTest.cpp
@@ -57,8 +57,39 @@
     BackendClient client_ { { 1s, 10s }, *dialect_ };
 };
 
+std::string refusal(const std::string& headers)
+{
+    return fmt::format("HTTP/1.1 503 Service Unavailable\r\n{}X-Ibisturn-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", headers);
+}
+
 } // namespace
 
+TEST_F(LateAnswerTest, SecondCopyOfARefusalDoesNotSayThatTheNextRequestHasNotRun)
+{
+    ScriptedServer server(context_, { refusal("X-Ibisturn-Request-Id: one\r\n"), answerTo("two"), refusal("X-Ibisturn-Request-Id: one\r\n") + answerTo("three"), refusal("") });
+    RecordingSink sink;
+    const auto refused = send(server, "one", sink);
+    ASSERT_TRUE(refused);
+    EXPECT_EQ(refused->ran(), Ran::No);
+    EXPECT_FALSE(send(server, "two", sink));
+    RecordingSink third;
+    EXPECT_FALSE(send(server, "three", third));
+    EXPECT_EQ(third.body, "three");
+    // This one does not say which request it refuses, on a connection that has been used.
+    const auto unclear = send(server, "four", sink);
+    ASSERT_TRUE(unclear);
+    EXPECT_EQ(unclear->ran(), Ran::Unknown);
+}
+
+TEST_F(LateAnswerTest, RefusalOnANewConnectionNeedNotNameTheRequest)
+{
+    ScriptedServer server(context_, { refusal("") });
+    RecordingSink sink;
+    const auto refused = send(server, "one", sink);
+    ASSERT_TRUE(refused);
+    EXPECT_EQ(refused->ran(), Ran::No);
+}
+
 TEST_F(LateAnswerTest, SecondCopyBeforeTheNextAnswerIsSkipped)
 {
     ScriptedServer server(context_, { answerTo("one"), answerTo("one") + answerTo("two") });
