AnswerCompleteness: Take a stream that ends within an event for broken off

An answer may come with neither a length nor chunks and end with its connection, a stream too. Such a stream was ended as complete wherever the connection ended; of a resumable stream the incomplete event was dropped silently.

A stream is now complete only if it ends between two events. Otherwise it goes on at another server, where that is permitted, or its caller sees that it was cut. Streams of engines with a terminal event are judged by that, as before.

The test failed before: the stream counted as complete, with and without a length.

--- a/Libraries/LibHTTP/Backends/AnswerCompleteness.cpp
+++ b/Libraries/LibHTTP/Backends/AnswerCompleteness.cpp
@@ -10,8 +10,9 @@
 
 } // namespace
 
-AnswerCompleteness::AnswerCompleteness(std::string_view contentType)
+AnswerCompleteness::AnswerCompleteness(std::string_view contentType, LastEvent lastEvent)
     : isEventStream_(contentType.starts_with("text/event-stream"))
+    , lastEvent_(lastEvent)
 {
 }
 
@@ -28,6 +29,13 @@
 {
     if (!isEventStream_)
         return true;
+    if (lastEvent_ == LastEvent::Terminal)
+        return endsAfterTerminalEvent();
+    return tail_.empty() || tail_.ends_with("\n\n") || tail_.ends_with("\r\n\r\n") || tail_.ends_with("\r\r");
+}
+
+bool AnswerCompleteness::endsAfterTerminalEvent() const
+{
     const auto last = tail_.find_last_not_of("\r\n");
     if (last == std::string::npos || last + 1 == tail_.size())
         return false;
--- a/Libraries/LibHTTP/Backends/AnswerCompleteness.h
+++ b/Libraries/LibHTTP/Backends/AnswerCompleteness.h
@@ -1,17 +1,23 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
 namespace Ibisturn {
 
-/// Determines whether an answer that ended is complete. An engine's event stream is complete only after its
-/// terminal event, even if the connection was closed cleanly.
+/// Determines whether an answer that ended is complete, even if the connection was closed cleanly. An event stream must not end
+/// within an event, and that of an engine is complete only after its terminal event.
 /// Thread safety: one thread at a time.
 class AnswerCompleteness {
 public:
-    /// Starts an answer of this content type.
-    explicit AnswerCompleteness(std::string_view contentType);
+    enum class LastEvent : std::uint8_t {
+        Any,
+        Terminal,
+    };
+
+    /// Starts an answer of this content type, whose stream may end after `lastEvent`.
+    explicit AnswerCompleteness(std::string_view contentType, LastEvent lastEvent = LastEvent::Terminal);
 
     /// Appends the next part of the answer.
     void add(std::string_view part);
@@ -23,7 +29,10 @@
     bool isComplete() const;
 
 private:
+    bool endsAfterTerminalEvent() const;
+
     bool isEventStream_;
+    LastEvent lastEvent_;
     /// The last bytes of the answer, enough for the terminal event.
     std::string tail_;
 };
--- a/Libraries/LibHTTP/Backends/BackendClient.cpp
+++ b/Libraries/LibHTTP/Backends/BackendClient.cpp
@@ -188,15 +188,15 @@
     head.headers = headInfo.headers;
     if (const auto length = parser.content_length())
         head.contentLength = *length;
-    const AnswerCompleteness eventStream(head.contentType);
-    AnswerCompleteness completeness(headInfo.needsTerminalEvent ? head.contentType : "");
-    if (eventStream.isEventStream())
+    using LastEvent = AnswerCompleteness::LastEvent;
+    AnswerCompleteness completeness(head.contentType, headInfo.needsTerminalEvent ? LastEvent::Terminal : LastEvent::Any);
+    if (completeness.isEventStream())
         head.resume = server.resume;
     head.isServerDraining = parser.get().result() == Http::status::service_unavailable && !parser.keep_alive();
     co_await sink.writeHead(head);
     co_await relayBody(connection.stream, connection.buffer, parser, limits_.silenceTimeout, sink, completeness);
     if (!completeness.isComplete())
-        throw Error(ResultCode::AnswerCut, Ran::Yes, "The backend server's stream ended before its last event");
+        throw Error(ResultCode::AnswerCut, Ran::Yes, "The backend server's stream ended before its end");
     if (!parser.keep_alive())
         connection.stream.close();
     co_await sink.writeEnd();
--- a/Tests/Platform/LateAnswerTest.cpp
+++ b/Tests/Platform/LateAnswerTest.cpp
@@ -62,6 +62,11 @@
     return fmt::format("HTTP/1.1 503 Service Unavailable\r\n{}X-Ibisturn-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", headers);
 }
 
+std::string stream(const std::string& id, const std::string& headers, const std::string& events)
+{
+    return fmt::format("HTTP/1.1 200 OK\r\nX-Ibisturn-Request-Id: {}\r\nX-Ibisturn-Server-Seal: s\r\nContent-Type: text/event-stream\r\n{}\r\n{}", id, headers, events);
+}
+
 } // namespace
 
 TEST_F(LateAnswerTest, SecondCopyOfARefusalDoesNotSayThatTheNextRequestHasNotRun)
@@ -90,6 +95,28 @@
     EXPECT_EQ(refused->ran(), Ran::No);
 }
 
+TEST_F(LateAnswerTest, StreamWithoutLengthThatEndsBetweenEventsIsComplete)
+{
+    ScriptedServer server(context_, { stream("one", "", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n") }, ScriptedServer::AfterAnswers::Close);
+    RecordingSink sink;
+    EXPECT_FALSE(send(server, "one", sink));
+    EXPECT_TRUE(sink.hasEnded);
+    EXPECT_EQ(sink.body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
+TEST_F(LateAnswerTest, StreamThatEndsWithinAnEventIsBrokenOff)
+{
+    const std::string events = "id: 1\ndata: a\n\nid: 2\ndata: b\n";
+    for (const auto& headers : { std::string(), fmt::format("Content-Length: {}\r\n", events.size()) }) {
+        ScriptedServer server(context_, { stream("one", headers, events) }, ScriptedServer::AfterAnswers::Close);
+        RecordingSink sink;
+        const auto failure = send(server, "one", sink);
+        ASSERT_TRUE(failure) << headers;
+        EXPECT_EQ(failure->code(), ResultCode::AnswerCut) << headers;
+        EXPECT_FALSE(sink.hasEnded) << headers;
+    }
+}
+
 TEST_F(LateAnswerTest, SecondCopyBeforeTheNextAnswerIsSkipped)
 {
     ScriptedServer server(context_, { answerTo("one"), answerTo("one") + answerTo("two") });
--- a/Tests/Support/ScriptedServer.h
+++ b/Tests/Support/ScriptedServer.h
@@ -14,9 +14,16 @@
 /// Thread safety: the thread that runs the event loop.
 class ScriptedServer {
 public:
-    ScriptedServer(Asio::io_context& context, std::vector<std::string> answers)
+    enum class AfterAnswers : std::uint8_t {
+        KeepOpen,
+        /// The connection ends with each answer.
+        Close,
+    };
+
+    ScriptedServer(Asio::io_context& context, std::vector<std::string> answers, AfterAnswers afterAnswers = AfterAnswers::KeepOpen)
         : acceptor_(context, Asio::ip::tcp::endpoint(Asio::ip::address_v4::loopback(), 0))
         , answers_(std::move(answers))
+        , afterAnswers_(afterAnswers)
     {
         Asio::co_spawn(context, acceptAll(), Asio::detached);
     }
@@ -58,11 +65,14 @@
             // The text "-" means no answer; the client keeps waiting.
             if (answer != "-")
                 co_await Asio::async_write(socket, Asio::buffer(answer), Asio::redirect_error(Asio::use_awaitable, error));
+            if (afterAnswers_ == AfterAnswers::Close)
+                co_return;
         }
     }
 
     Asio::ip::tcp::acceptor acceptor_;
     std::vector<std::string> answers_;
+    AfterAnswers afterAnswers_;
     std::function<void()> onRequest_;
     std::size_t requests_ { 0 };
     std::size_t closedByClient_ { 0 };
