FleetState, document reader: Take odd entries of the registry for what they are

Operators of similar systems saw machines end, or stop following the registry, when another writer had left one entry that was very deeply nested, had a number too large, or a port out of range.

Deep nesting, ports and addresses were rejected already, which a test now shows. And an exception of another kind than the reader's own would have been taken for an outage of the store: the follower would have asked again, and met the same entry, for ever.

--- a/Libraries/LibPlatform/FleetState.cpp
+++ b/Libraries/LibPlatform/FleetState.cpp
@@ -285,17 +285,29 @@
         snapshot_ = std::make_shared<const Snapshot>(change.revision, document.records);
         callerLimits_ = document.callers;
         fleetLog.info("Configuration in force.", { { "revision", change.revision }, { "version", document.version }, { "records", document.records.size() } });
-    } catch (const Error& error) {
+    } catch (const std::exception& error) {
         // The previous configuration stays in force.
         fleetLog.error("Configuration is invalid.", { { "revision", change.revision }, { "reason", error.what() } });
     }
 }
 
+// An entry that can't be read must not keep the others from being applied.
+std::optional<RegisteredServer> FleetState::readServer(const RecordChange& change) const
+{
+    std::string reason = "it does not describe a backend server";
+    try {
+        if (auto server = reader_.readServer(change.key, *change.value))
+            return server;
+    } catch (const std::exception& error) {
+        reason = error.what();
+    }
+    fleetLog.warning("Registry entry is invalid.", { { "key", change.key }, { "revision", change.revision }, { "reason", reason } });
+    return std::nullopt;
+}
+
 void FleetState::applyServerEntry(TimePoint now, const RecordChange& change)
 {
-    const auto server = change.value ? reader_.readServer(change.key, *change.value) : std::nullopt;
-    if (change.value && !server)
-        fleetLog.warning("Registry entry does not describe a backend server.", { { "key", change.key }, { "revision", change.revision } });
+    const auto server = change.value ? readServer(change) : std::nullopt;
     if (!server) {
         const auto id = reader_.serverIdOf(change.key);
         registry_.onRemoved(now, id);
--- a/Libraries/LibPlatform/FleetState.h
+++ b/Libraries/LibPlatform/FleetState.h
@@ -121,6 +121,7 @@
     /// The number of the prefix that `key` is below; unset if none is followed.
     std::optional<std::size_t> indexOf(std::string_view key) const;
     void applyOperatorEntry(TimePoint now, const RecordChange& change);
+    std::optional<RegisteredServer> readServer(const RecordChange& change) const;
     void applyServerEntry(TimePoint now, const RecordChange& change);
     void applyInstanceEntry(TimePoint now, const RecordChange& change);
     void applyFleetSize(const std::string& value);
--- a/Tests/LibPlatform/FleetStateTest.cpp
+++ b/Tests/LibPlatform/FleetStateTest.cpp
@@ -127,6 +127,33 @@
     EXPECT_EQ(disconnected_.positionOf("servers/"), Revision(5));
 }
 
+TEST_F(FleetStateTest, EntryThatCannotBeReadDoesNotHideTheOthers)
+{
+    class FailingReader final : public Model::StubDocumentReader {
+    public:
+        std::optional<RegisteredServer> readServer(std::string_view key, std::string_view value) const override
+        {
+            if (value == "fails")
+                throw std::length_error("too long");
+            return StubDocumentReader::readServer(key, value);
+        }
+        ConfigurationDocument readConfiguration(std::string_view value, Revision revision) const override
+        {
+            if (value == "fails")
+                throw std::length_error("too long");
+            return StubDocumentReader::readConfiguration(value, revision);
+        }
+    };
+    const FailingReader reader;
+    FleetState state { reader, "own/", {} };
+    list(state, 0s, 5, { written("op/config", "c1", 1), written("servers/a", "fails", 2), written("servers/b", "model", 3) });
+    EXPECT_EQ(usableAfter(state, 0s), 1U);
+    state.onChanges(at(1s), { written("op/config", "fails", 6), written("servers/c", "model", 7) });
+    EXPECT_EQ(usableAfter(state, 1s), 2U);
+    EXPECT_EQ(state.snapshot()->revision(), Revision(1));
+    EXPECT_EQ(state.positionOf("servers/"), Revision(7));
+}
+
 TEST_F(FleetStateTest, QuarantinesComeFromTheStore)
 {
     const ServicePart part { ServiceId("model"), 0x12ab };
--- a/Tests/Model/StubDocumentReader.h
+++ b/Tests/Model/StubDocumentReader.h
@@ -9,7 +9,7 @@
 
 /// Reads documents that consist of one name: a configuration is the name of its only workspace, a registry entry that of its
 /// service; the value "broken" is invalid, and the value "leaving" makes a server draining.
-class StubDocumentReader final : public DocumentReader {
+class StubDocumentReader : public DocumentReader {
 public:
     std::string operatorsPrefix() const override { return "op/"; }
     std::string registryPrefix() const override { return "servers/"; }
--- a/Tests/Platform/DocumentsTest.cpp
+++ b/Tests/Platform/DocumentsTest.cpp
@@ -135,6 +135,31 @@
     EXPECT_FALSE(server(entryWithout("128", "-1")));
 }
 
+// Another writer may leave an entry that no backend server would write.
+TEST_F(DocumentsTest, OddRegistryEntriesAreRejected)
+{
+    constexpr std::size_t depth = 500'000;
+    EXPECT_FALSE(server(std::string(depth, '[') + std::string(depth, ']')));
+    EXPECT_FALSE(server(std::string(depth, '[')));
+    std::string nestedObjects;
+    for (std::size_t level = 0; level < depth / 10; ++level)
+        nestedObjects += "{\"a\":";
+    EXPECT_FALSE(server(nestedObjects));
+    EXPECT_TRUE(server(entryWithout("128", "128,\"Extra\":" + std::string(depth, '[') + std::string(depth, ']'))));
+    for (const auto* number : { "1e999", "-1e999", "1e300", "99999999999999999999999999", "4294967296", "128.5e400" })
+        EXPECT_FALSE(server(entryWithout("128", number))) << number;
+    for (const auto* number : { "1e300", "-1e300", "9.9e18", "1.5", "18446744073709551616" })
+        EXPECT_FALSE(server(entryWithout("1700000000123", number))) << number;
+    for (const auto* address : { "10.1.0.9:65536", "10.1.0.9:-1", "10.1.0.9:0", "10.1.0.9:99999999999999999999", "10.1.0.9:80a", "10.1.0.9:", ":80", "10.1.0.999:80", "replica.example:80" })
+        EXPECT_FALSE(server(entryWithout("10.1.0.9:8080", address))) << address;
+}
+
+TEST_F(DocumentsTest, ConfigurationWithAnImpossibleNumberIsRejected)
+{
+    for (const auto* number : { "1e300", "1e999", "-1e19" })
+        EXPECT_THROW(reader_->readConfiguration(std::string("{\"Version\":") + number + "}", Revision(1)), Error) << number;
+}
+
 TEST_F(DocumentsTest, RandomBytesAreParsedOrRejected)
 {
     forEachCase([this](Random& random) {
