Tests: Play a stream that breaks off and a next server that answers with an error

Operators of similar systems saw the error's text in the middle of a stream, or the stream end as if it were complete. It can't happen here: a stream that has begun goes on only with a stream that can be resumed, and only with whole events after the last one sent. The test plays an error, a plain answer, bytes that are no answer, and a closed connection.

--- a/Tests/LibHTTP/RoutedRequestTest.cpp
+++ b/Tests/LibHTTP/RoutedRequestTest.cpp
@@ -157,6 +157,31 @@
     EXPECT_EQ(failure()->ran(), Ran::Unknown);
 }
 
+// A stream that has begun may only go on with events of the same stream.
+TEST_F(RoutedRequestTest, ErrorOfTheNextServerDoesNotGetIntoAStreamThatHasBegun)
+{
+    const std::string begin = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 0\ndata: a\n\nid: 1\nda";
+    const std::string error = "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\nContent-Length: 7\r\n\r\nfailed\n";
+    const std::string plain = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 7\r\n\r\nfailed\n";
+    const std::string garbage = "failed\r\n\r\n";
+    for (const auto& next : { error, plain, garbage, std::string() }) {
+        ScriptedServer first(context_, { begin, begin }, ScriptedServer::AfterAnswers::Close);
+        ScriptedServer second(context_, { next, next }, ScriptedServer::AfterAnswers::Close);
+        setServers({ first.endpoint() });
+        // The server that breaks off leaves, so that the other one is next.
+        first.onRequest([&] { setServers({ second.endpoint() }); });
+        sink_ = {};
+        auto request = makeRequest();
+        request.routed->resume = ResumeSupport::Supported;
+        start(std::move(request));
+        await();
+        ASSERT_TRUE(failure()) << next;
+        EXPECT_EQ(sink_.body, "id: 0\ndata: a\n\n") << next;
+        EXPECT_FALSE(sink_.hasEnded) << next;
+        EXPECT_GE(second.requests(), 1U) << next;
+    }
+}
+
 TEST_F(RoutedRequestTest, PromptOnWhichServersCrashedIsRefusedBeforeItIsSent)
 {
     ScriptedServer server(context_, { completeAnswer });
