Review: a replica that starts again is flooded while it is cold

The instances send at the full rate until the entry reaches them (rule FAILBACK). The stand-in's heartbeat now ends with its process.

--- a/review/harness.py
+++ b/review/harness.py
@@ -280,10 +280,12 @@
             "State": "draining" if self.isLeaving else "ready", "ColdLeftMs": cold, "Seq": self.sequence_, "born": self.born_})
 
     def beat_(self):
-        while not self.isStopped:
+        born = self.born_
+        while True:
             time.sleep(HEARTBEAT_S)
-            if not self.isStopped:
-                self.register_()
+            if self.isStopped or self.born_ != born:
+                return
+            self.register_()
 
     def drain(self):
         """Reports that it is leaving. It goes on serving until leave()."""
