BackendClient: Limit the received bytes that wait to be parsed

Cause: Beast limits the head and the data of a body. The line before a chunk, its extension and the trailer are neither; the parser asks for more until they are complete, and the connection's buffer had no largest size. Ruled out: parts that pile up behind a slow caller (written one at a time, before the next read), and the filter of resumable streams (an event has a limit); a test of the client alone, without both, shows the fault.

The fix works for all of them since each waits for its line end in the same buffer: it can't grow beyond head limit + 64 KiB, and the overflow ends the answer as cut.

--- a/Libraries/LibHTTP/Backends/BackendClient.cpp
+++ b/Libraries/LibHTTP/Backends/BackendClient.cpp
@@ -56,6 +56,8 @@
         co_await Http::async_read_some(stream, buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
         if (isConnectionLost(error))
             throw ConnectionLostError(ResultCode::AnswerCut, Ran::Yes, "The backend server closed the connection within its answer");
+        if (error == Http::error::buffer_overflow)
+            throw Error(ResultCode::AnswerCut, Ran::Yes, "A chunk header or the trailer of the backend server's answer exceeds the limit");
         if (error && error != Http::error::need_buffer)
             throw Error(ResultCode::AnswerCut, Ran::Yes, "The backend server's answer was truncated");
         const std::string_view bytes(part.data(), part.size() - parser.get().body().size);
@@ -87,7 +89,8 @@
 Task<BackendClient::ConnectionPointer> BackendClient::connect(Endpoint endpoint, TimePoint deadline)
 {
     const auto executor = co_await Asio::this_coro::executor;
-    auto connection = std::make_unique<Connection>(Connection { boost::beast::tcp_stream(executor), {}, {}, false });
+    auto connection = std::make_unique<Connection>(
+        Connection { boost::beast::tcp_stream(executor), boost::beast::flat_buffer(receiveBufferLimit(answerHeadLimit)), {}, false });
     connection->stream.expires_after(std::min(limits_.connectTimeout, deadline - SteadyClock().now()));
     const Asio::ip::tcp::endpoint target(Asio::ip::make_address(endpoint.address), endpoint.port);
     boost::system::error_code error;
--- a/Tests/LibHTTP/BackendClientTest.cpp
+++ b/Tests/LibHTTP/BackendClientTest.cpp
@@ -126,4 +126,30 @@
     }
 }
 
+// Guards against an instance that runs out of memory on a chunk header, an extension or a trailer without end: these are no part of
+// the body, and grow in the connection's buffer.
+TEST_F(BackendClientTest, ClosesTheConnectionOfAnEndlessChunkHeaderOrTrailer)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::vector<std::pair<std::string, std::string>> bodies {
+        { head, std::string(4096, 'a') },
+        { head + "2;", std::string(4096, 'a') },
+        { head + "2\r\nok\r\n", std::string(4096, 'a') },
+        { head + "2\r\nok\r\n0\r\n", std::string(4096, 'a') },
+        { head + "2\r\nok\r\n0\r\n", "X-Filling: " + std::string(4096, 'a') + "\r\n" },
+    };
+    for (const auto& [start, filling] : bodies) {
+        EndlessServer server(context_, start, filling);
+        RecordingSink sink;
+        const auto failure = send(server, sink);
+        ASSERT_TRUE(failure) << start;
+        EXPECT_EQ(failure->code(), ResultCode::AnswerCut) << start;
+        EXPECT_EQ(failure->ran(), Ran::Yes) << start;
+        EXPECT_FALSE(sink.hasEnded) << start;
+        while (!server.isClosedByClient())
+            context_.run_one();
+        EXPECT_FALSE(server.isExhausted()) << start;
+    }
+}
+
 } // namespace Ibisturn
