HttpClient: Limit replies and lines of control calls

An engine's load report, which comes from a backend server that may be in trouble, could have 256 MiB; it is limited to 64 KiB.

Tests HttpClient.*: with the buffer's limit taken out, the chunk header and trailer cases took 64 MiB and ended by the timeout; with it all pass.

--- a/Libraries/LibKernel/HttpClient.cpp
+++ b/Libraries/LibKernel/HttpClient.cpp
@@ -17,7 +17,6 @@
 namespace {
 
 constexpr int httpVersion11 = 11;
-constexpr std::size_t maxReplyBytes = 256UL * 1024 * 1024;
 constexpr std::size_t lineReadBytes = 16UL * 1024;
 
 Http::request<Http::string_body> makeRequest(const HttpCall& call)
@@ -59,9 +58,9 @@
     const auto executor = co_await Asio::this_coro::executor;
     Beast::tcp_stream stream(executor);
     co_await connectAndSend(stream, call);
-    Beast::flat_buffer buffer;
+    Beast::flat_buffer buffer(maxUnparsedBytes);
     Http::response_parser<Http::string_body> parser;
-    parser.body_limit(maxReplyBytes);
+    parser.body_limit(call.replyLimit.count());
     co_await Http::async_read(stream, buffer, parser, Asio::use_awaitable);
     co_return HttpReply { parser.get().result_int(), std::move(parser.get().body()) };
 }
@@ -71,7 +70,7 @@
     const auto executor = co_await Asio::this_coro::executor;
     Beast::tcp_stream stream(executor);
     co_await connectAndSend(stream, call);
-    Beast::flat_buffer buffer;
+    Beast::flat_buffer buffer(maxUnparsedBytes);
     Http::response_parser<Http::buffer_body> parser;
     parser.body_limit(unlimitedBody);
     co_await Http::async_read_header(stream, buffer, parser, Asio::use_awaitable);
@@ -87,6 +86,8 @@
             throw boost::system::system_error(error);
         pending.append(part.data(), part.size() - parser.get().body().size);
         deliverLines(pending, onLine);
+        if (pending.size() > call.replyLimit.count())
+            throw boost::system::system_error(make_error_code(Http::error::body_limit));
     }
 }
 
--- a/Libraries/LibPlatform/EngineLoadClient.cpp
+++ b/Libraries/LibPlatform/EngineLoadClient.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 
+constexpr ByteCount maxReportSize(64UL * 1024);
 constexpr Duration loadTimeout = std::chrono::milliseconds(400);
 constexpr std::uint32_t maxRequests = 1'000'000;
 
@@ -29,6 +30,7 @@
     call.endpoint = std::move(endpoint);
     call.target = "/load";
     call.timeout = loadTimeout;
+    call.replyLimit = maxReportSize;
     const auto requestedAt = SteadyClock().now();
     const HttpReply reply = co_await exchangeHttp(std::move(call));
     co_return parseEngineLoad(reply.body, requestedAt);
