--- a/Libraries/LibHTTP/Callers/CallerSession.cpp
+++ b/Libraries/LibHTTP/Callers/CallerSession.cpp
@@ -43,6 +43,7 @@
         : stream_(std::move(stream))
         , tables_(tables)
         , runner_(runner)
+        , buffer_(receiveBufferLimit(tables.settings.headLimit.count()))
     {
     }
 
--- a/Libraries/LibHTTP/Callers/RoutedSession.cpp
+++ b/Libraries/LibHTTP/Callers/RoutedSession.cpp
@@ -58,6 +58,8 @@
         CallerParser parser;
         parser.header_limit(static_cast<std::uint32_t>(limits().head.count()));
         parser.body_limit(limits().body.count());
+        // The configuration may lower the limit while a pipelined request waits in the buffer.
+        buffer_.max_size(std::max(buffer_.size(), receiveBufferLimit(limits().head.count())));
         boost::system::error_code error;
         {
             const IdleConnections::Scope idle(runner_.idleConnections(), stream_.socket());
--- a/Libraries/LibHTTP/Operators/BufferedRequests.cpp
+++ b/Libraries/LibHTTP/Operators/BufferedRequests.cpp
@@ -1,5 +1,7 @@
 #include <LibHTTP/Operators/BufferedRequests.h>
 
+#include <LibKernel/HttpLimits.h>
+
 #include <utility>
 
 #include <boost/beast/core.hpp>
@@ -18,7 +20,7 @@
 Task<void> serveBufferedRequests(Asio::ip::tcp::socket socket, BufferedRequestLimits limits, std::function<Task<BufferedReply>(const BufferedRequest&)> answer)
 {
     Beast::tcp_stream stream(std::move(socket));
-    Beast::flat_buffer buffer;
+    Beast::flat_buffer buffer(receiveBufferLimit(limits.head));
     for (bool isOpen = true; isOpen;) {
         Http::request_parser<Http::string_body> parser;
         parser.header_limit(limits.head);
--- a/Tests/LibHTTP/MalformedInputTest.cpp
+++ b/Tests/LibHTTP/MalformedInputTest.cpp
@@ -256,6 +256,19 @@
     }
 }
 
+// Guards against callers who fill the instance's memory with a chunk header, an extension or a trailer without end.
+TEST_F(MalformedInput, AChunkHeaderOrTrailerWithoutEndIsRefusedWhileItArrives)
+{
+    constexpr std::size_t length = 4UL * 1024 * 1024;
+    const auto head = replaceFirst(headOf("POST /v1/chat/completions HTTP/1.1", 0), "Content-Length: 0", "Transfer-Encoding: chunked");
+    for (const auto* start : { "", "2;", "2\r\n{}\r\n", "2\r\n{}\r\n0\r\n" }) {
+        auto socket = connect(instance_.member().callers);
+        const auto response = exchange(socket, head + start + std::string(length, 'a'), false);
+        ASSERT_TRUE(response) << start;
+        EXPECT_EQ(codeOf(*response), ResultCode::MalformedRequest) << start << response->body();
+    }
+}
+
 TEST_F(MalformedInput, MalformedRequestsGetResultCodesAndAffectNoOtherConnection)
 {
     const auto malformed = malformedRequests();
--- /dev/null
+++ b/Tests/Platform/RoutedCallerTest.cpp
@@ -0,0 +1,198 @@
+#include <LibKernel/Asio.h>
+
+#include <LibHTTP/Backends/BackendDialectRegistry.h>
+#include <LibHTTP/Callers/CallerDialectRegistry.h>
+#include <LibHTTP/Callers/RoutedSession.h>
+#include <Tests/Support/LoopbackInstance.h>
+#include <Tests/Support/ScriptedServer.h>
+
+#include <gtest/gtest.h>
+
+namespace Ibisturn::Testing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const ServiceId bookings("bookings");
+const RegionId khomas("khomas");
+const std::string host = "barn.example";
+
+SnapshotPointer configuration(Repeatability repeatability, AnswerForm form)
+{
+    Service service;
+    service.id = bookings;
+    Route route;
+    route.id = RouteId("book");
+    route.pathPrefix = "/book/";
+    route.kind = BackendKind::Service;
+    route.access = RouteAccess::OpenToAll;
+    route.repeatability = repeatability;
+    route.policy = RoutePolicy();
+    route.policy->host = host;
+    route.policy->form = form;
+    route.policy->services = { { bookings, 1 } };
+    route.policy->targetLatency = 1s;
+    route.policy->maxAttempts = 2;
+    return std::make_shared<const Snapshot>(Revision(1), std::vector<Record> { { "services", "bookings", Revision(1), service }, { "routes", "book", Revision(1), route } });
+}
+
+std::string requestHead(const std::string& headers)
+{
+    return fmt::format("POST /book/1 HTTP/1.1\r\nHost: {}\r\nX-Ibisturn-Request-Id: r1\r\nX-Ibisturn-Deadline-Ms: 5000\r\n{}\r\n", host, headers);
+}
+
+const std::string request = requestHead("Connection: close\r\nContent-Length: 2\r\n") + "ok";
+
+/// Serves a caller's connection as an instance of a fleet does, in one event loop with the backend servers.
+class RoutedCallerTest : public testing::Test {
+protected:
+    RoutedCallerTest()
+        : tables_(settingsIn("khomas"), nullptr)
+        , claims_(tables_.settings, store_, context_.get_executor())
+        , runner_((tables_.backendDialect = backendDialect_.get(), tables_), claims_)
+        , listener_(context_, Asio::ip::tcp::endpoint(Asio::ip::address_v4::loopback(), 0))
+    {
+        configure(Repeatability::NonIdempotent, AnswerForm::Whole);
+        Asio::co_spawn(context_, acceptCallers(), Asio::detached);
+    }
+
+    void configure(Repeatability repeatability, AnswerForm form) { tables_.configuration.set(configuration(repeatability, form)); }
+
+    void setServers(const std::vector<Endpoint>& servers)
+    {
+        std::vector<BackendState> states;
+        for (const auto& endpoint : servers) {
+            BackendState state;
+            state.server.id = BackendServerId(fmt::format("s{}", endpoint.port));
+            state.server.service = bookings;
+            state.server.endpoint = endpoint;
+            state.server.region = khomas;
+            state.server.slots = 8;
+            states.push_back(state);
+        }
+        const auto snapshot = tables_.configuration.get();
+        tables_.placement.with([&](PlacementTable& table) {
+            table.setInstances(tables_.settings.identity.instance, { tables_.settings.identity.instance });
+            table.setServers(states, *snapshot);
+        });
+    }
+
+    /// Sends `first`, and `second` after `between`, and returns all that the instance sends until it closes the connection or sends
+    /// nothing for a while.
+    std::string exchange(std::string first, std::string second = {}, std::function<void()> between = nullptr)
+    {
+        std::string received;
+        context_.restart();
+        auto done = Asio::co_spawn(context_, call(std::move(first), std::move(second), std::move(between), received), Asio::use_future);
+        while (done.wait_for(0s) != std::future_status::ready)
+            context_.run_one();
+        return received;
+    }
+
+    Asio::io_context context_ { 1 };
+    std::unique_ptr<CallerDialect> callerDialect_ { CallerDialectRegistry::instance().require("caller dialect", "platform") };
+    std::unique_ptr<BackendDialect> backendDialect_ { BackendDialectRegistry::instance().require("backend dialect", "platform") };
+    InstanceTables tables_;
+    UnreachableStore store_;
+    ClaimService claims_;
+    RequestRunner runner_;
+
+private:
+    /// How long an instance may take to read what has arrived; a later part of a request is sent after this time.
+    static constexpr auto readingTime = 50ms;
+    /// An answer is taken for complete if nothing arrived for this long.
+    static constexpr auto silence = 300ms;
+
+    Task<void> acceptCallers()
+    {
+        for (;;) {
+            auto socket = co_await listener_.async_accept(Asio::use_awaitable);
+            Asio::co_spawn(context_, serveRoutedCaller(std::move(socket), tables_, runner_, *callerDialect_), Asio::detached);
+        }
+    }
+
+    Task<void> call(std::string first, std::string second, std::function<void()> between, std::string& received)
+    {
+        boost::beast::tcp_stream stream(context_);
+        const auto endpoint = listener_.local_endpoint();
+        co_await stream.async_connect(endpoint, Asio::use_awaitable);
+        boost::system::error_code error;
+        co_await Asio::async_write(stream, Asio::buffer(first), Asio::redirect_error(Asio::use_awaitable, error));
+        if (between) {
+            Asio::steady_timer timer(context_, readingTime);
+            co_await timer.async_wait(Asio::use_awaitable);
+            between();
+        }
+        co_await Asio::async_write(stream, Asio::buffer(second), Asio::redirect_error(Asio::use_awaitable, error));
+        std::array<char, 4096> part {};
+        for (;;) {
+            stream.expires_after(received.empty() ? Duration(10s) : Duration(silence));
+            const auto size = co_await stream.async_read_some(Asio::buffer(part), Asio::redirect_error(Asio::use_awaitable, error));
+            received.append(part.data(), size);
+            if (error)
+                co_return;
+        }
+    }
+
+    Asio::ip::tcp::acceptor listener_;
+};
+
+/// What a replica sends of an answer, without the body's bytes after the head.
+std::string answerHead(const std::string& headers)
+{
+    return "HTTP/1.1 200 OK\r\nX-Ibisturn-Request-Id: r1\r\nX-Ibisturn-Server-Seal: s\r\n" + headers + "\r\n";
+}
+
+bool isSuccess(const std::string& answer)
+{
+    return answer.starts_with("HTTP/1.1 200");
+}
+
+} // namespace
+
+TEST_F(RoutedCallerTest, RelaysAWholeAnswer)
+{
+    ScriptedServer server(context_, { answerHead("Content-Length: 2\r\n") + "ok" });
+    setServers({ server.endpoint() });
+    const auto answer = exchange(request);
+    EXPECT_TRUE(isSuccess(answer)) << answer;
+    EXPECT_TRUE(answer.ends_with("\r\n\r\nok")) << answer;
+}
+
+// Guards against an instance that relays a head which its backend server has not completed, as a success with a short body.
+TEST_F(RoutedCallerTest, AnAnswerThatEndsWithinItsHeadIsNoSuccess)
+{
+    const std::vector<std::string> heads {
+        answerHead("Content-Length: 2\r\n"),
+        answerHead("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"),
+        answerHead("Content-Type: text/event-stream\r\n"),
+    };
+    for (const auto repeatability : { Repeatability::NonIdempotent, Repeatability::Idempotent }) {
+        configure(repeatability, AnswerForm::Whole);
+        for (const auto& head : heads) {
+            for (std::size_t size = 1; size < head.size(); ++size) {
+                const auto part = head.substr(0, size);
+                ScriptedServer first(context_, { part, part }, ScriptedServer::AfterAnswers::Close);
+                ScriptedServer second(context_, { part, part }, ScriptedServer::AfterAnswers::Close);
+                setServers({ first.endpoint(), second.endpoint() });
+                const auto answer = exchange(request);
+                EXPECT_FALSE(answer.empty()) << part;
+                EXPECT_EQ(answer.find("HTTP/1.1 200"), std::string::npos) << part << "\n-> " << answer;
+                EXPECT_EQ(answer.find("HTTP/1.1 503"), std::string::npos) << part << "\n-> " << answer;
+            }
+        }
+    }
+}
+
+// Guards against callers who fill the instance's memory with a chunk header, an extension or a trailer without end.
+TEST_F(RoutedCallerTest, AChunkHeaderOrTrailerWithoutEndIsRefused)
+{
+    constexpr std::size_t length = 4UL * 1024 * 1024;
+    for (const auto* start : { "", "2;", "2\r\nok\r\n", "2\r\nok\r\n0\r\n" }) {
+        const auto answer = exchange(requestHead("Transfer-Encoding: chunked\r\n") + start + std::string(length, 'a'));
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 400")) << start << "\n-> " << answer;
+    }
+}
+
+} // namespace Ibisturn::Testing
