Shutdown: Refuse requests whose bodies arrive too late

Cause: whether requests are still accepted was checked at the head. A body that is complete seconds later was passed on; after the abort of the remaining requests nothing aborted it, and the process ended under it. Besides, the times to accept and to abort were constants, too long for a short grace. Ruled out: requests on kept or new connections that arrive whole (refused from 2.5 s on), and those of peers (refused at once).

RoutedCallerTest.ABodyThatIsCompleteTooLateInAShutdownIsRefused and Process.Fleet, before: failed (the server ran the request, 200 instead of 503). After: passed.

--- a/Libraries/LibHTTP/Callers/CallerSession.cpp
+++ b/Libraries/LibHTTP/Callers/CallerSession.cpp
@@ -142,6 +142,9 @@
         if (!isRoutableMethod(toView(parser.get().method_string())))
             throw Error(ResultCode::MethodNotAllowed, Ran::No, "The path does not allow this method");
         co_await readBody(parser);
+        // Reading the body may have taken until the end of the shutdown, when the request would be cut.
+        if (tables_.isRefusing)
+            throw Error(ResultCode::Draining, Ran::No, "The instance is shutting down");
         request.workspace = verdict.workspace;
         request.method = std::string(parser.get().method_string());
         request.contentType = std::string(parser.get()[Http::field::content_type]);
--- a/Libraries/LibHTTP/Callers/RoutedSession.cpp
+++ b/Libraries/LibHTTP/Callers/RoutedSession.cpp
@@ -127,8 +127,7 @@
         target_ = std::string(parser.get().target().data(), parser.get().target().size());
         if (!snapshot)
             throw notReadyError();
-        if (tables_.isRefusing)
-            throw Error(ResultCode::Draining, Ran::No, "The instance is shutting down");
+        refuseDuringShutdown();
         GatewayRequest request;
         request.target = target_;
         request.method = std::string(parser.get().method_string().data(), parser.get().method_string().size());
@@ -143,6 +142,8 @@
         request.key = head.key;
         setDeadline(request, *route, head, arrived);
         co_await readBody(parser, request.deadline);
+        // Reading the body may have taken until the end of the shutdown, when the request would be cut.
+        refuseDuringShutdown();
         request.body = std::move(parser.get().body());
         const WorkspaceId workspace = request.workspace;
         const auto tokens = takeAllowance(*snapshot, request, head.promptTokens.has_value());
@@ -176,6 +177,13 @@
         throw error;
     }
 
+    /// Throws if the instance accepts no more requests.
+    void refuseDuringShutdown() const
+    {
+        if (tables_.isRefusing)
+            throw Error(ResultCode::Draining, Ran::No, "The instance is shutting down");
+    }
+
     static Error notReadyError()
     {
         Error error(ResultCode::ConfigurationNotReady, Ran::No, "The instance has no configuration yet");
--- a/Libraries/LibHTTP/Requests/InstanceTables.h
+++ b/Libraries/LibHTTP/Requests/InstanceTables.h
@@ -71,7 +71,8 @@
     std::optional<TimePoint> storeUnavailableSince;
     /// Set once the instance refuses new requests.
     std::atomic<bool> isDraining { false };
-    /// Set once a draining instance refuses further requests on the connections that callers keep open.
+    /// Set once a draining instance refuses further requests on the connections that callers keep open, also those whose bodies it
+    /// was still reading.
     std::atomic<bool> isRefusing { false };
     /// Requests from callers and peers that are in flight.
     std::atomic<std::uint64_t> requestsInFlight { 0 };
--- a/Programs/ibisturn/FleetInstance.cpp
+++ b/Programs/ibisturn/FleetInstance.cpp
@@ -1,6 +1,7 @@
 #include "FleetInstance.h"
 
 #include <LibCore/SteadyClock.h>
+#include <LibDecision/Requests/ShutdownSchedule.h>
 #include <LibHTTP/Backends/BackendDialectRegistry.h>
 #include <LibHTTP/Callers/RoutedSession.h>
 #include <LibHTTP/Operators/EntrySession.h>
@@ -24,10 +25,6 @@
 /// How often the pools of connections to other regions are refilled.
 constexpr Duration peerConnectionPeriod = std::chrono::milliseconds(300);
 constexpr Duration drainPoll = std::chrono::milliseconds(20);
-/// Minimum time that the instance keeps accepting requests after SIGTERM, for callers with a cached answer of the directory.
-constexpr Duration minDrainTime = std::chrono::milliseconds(2500);
-/// Part of the shutdown grace that is reserved for aborting the remaining requests.
-constexpr Duration abortReserve = std::chrono::milliseconds(900);
 constexpr Duration closingGrace = std::chrono::milliseconds(300);
 
 std::string readFile(const std::string& path)
@@ -117,17 +114,18 @@
     const auto executor = co_await Asio::this_coro::executor;
     Asio::signal_set signals(executor, SIGTERM, SIGINT);
     co_await signals.async_wait(Asio::use_awaitable);
-    const auto drainStart = SteadyClock().now();
+    const ShutdownSchedule schedule(SteadyClock().now(), tables_.settings.fleet->shutdownGracePeriod);
     instanceLog.info("Draining.", { { "requests", tables_.requestsInFlight.load() } });
     tables_.isDraining = true;
     runner_.idleConnections().close();
-    co_await controlPlane_.leave();
-    const auto deadline = drainStart + tables_.settings.fleet->shutdownGracePeriod - abortReserve;
-    for (auto now = drainStart; now < deadline && (tables_.requestsInFlight > 0 || now < drainStart + minDrainTime); now = SteadyClock().now()) {
-        // A request that arrives later might not finish within the grace.
-        tables_.isRefusing = now >= drainStart + minDrainTime;
+    // The store may answer late, and the times of the schedule do not wait for it.
+    Asio::co_spawn(executor, controlPlane_.leave(), Asio::detached);
+    for (auto now = SteadyClock().now(); schedule.mustServe(now, tables_.requestsInFlight); now = SteadyClock().now()) {
+        if (schedule.mustRefuse(now) && !tables_.isRefusing.exchange(true))
+            instanceLog.info("Refusing further requests.", { { "requests", tables_.requestsInFlight.load() } });
         co_await pause(drainPoll);
     }
+    instanceLog.info("Closing.", { { "requests", tables_.requestsInFlight.load() } });
     tables_.isRefusing = true;
     runner_.idleConnections().close();
     runner_.cancelAllRequests();
--- a/Programs/ibisturn/Instance.cpp
+++ b/Programs/ibisturn/Instance.cpp
@@ -133,6 +133,7 @@
     const auto deadline = SteadyClock().now() + tables_.settings.drainTimeout;
     while (tables_.requestsInFlight > 0 && SteadyClock().now() < deadline)
         co_await pause(drainPoll);
+    tables_.isRefusing = true;
     for (std::size_t worker = 0; worker < workers_.size(); ++worker)
         Asio::post(workers_.context(worker), [this, worker] { runners_.at(worker)->cancelAllRequests(); });
     // Requests that arrived meanwhile are refused as not run instead of being aborted.
--- a/Tests/Platform/RoutedCallerTest.cpp
+++ b/Tests/Platform/RoutedCallerTest.cpp
@@ -195,4 +195,28 @@
     }
 }
 
+// Guards against a request whose body is complete only when the instance stops: it was sent to a backend server and cut.
+TEST_F(RoutedCallerTest, ABodyThatIsCompleteTooLateInAShutdownIsRefused)
+{
+    ScriptedServer server(context_, { answerHead("Content-Length: 2\r\n") + "ok" });
+    setServers({ server.endpoint() });
+    const auto answer = exchange(requestHead("Content-Length: 2\r\n") + "o", "k", [this] {
+        tables_.isDraining = true;
+        tables_.isRefusing = true;
+    });
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 503")) << answer;
+    EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
+    EXPECT_EQ(server.requests(), 0U);
+}
+
+// Callers with a cached answer of the directory still reach an instance that has begun to stop.
+TEST_F(RoutedCallerTest, ABodyThatIsCompleteSoonAfterTheBeginOfAShutdownIsServed)
+{
+    ScriptedServer server(context_, { answerHead("Content-Length: 2\r\n") + "ok" });
+    setServers({ server.endpoint() });
+    const auto answer = exchange(requestHead("Content-Length: 2\r\n") + "o", "k", [this] { tables_.isDraining = true; });
+    EXPECT_TRUE(isSuccess(answer)) << answer;
+    EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
+}
+
 } // namespace Ibisturn::Testing
--- a/Tests/Process/FleetTest.sh
+++ b/Tests/Process/FleetTest.sh
@@ -109,6 +109,23 @@
 directory_omits() { ! resolve_names "$khomas_directory" omaheke | grep -q "$1"; }
 # Status 200 and 500 both show that the request reached a server; the stand-in fails the first requests that it runs.
 reaches_application() { send_request "$1" /book/0 "known-$RANDOM" | tail -1 | grep -qE "200|500"; }
+
+# Sends a booking whose body is complete only after the given seconds, and prints the status line of the answer.
+send_slow_booking() {
+    local callers=${1}_callers
+    python3 - "${!callers}" "$2" "$3" <<'PYTHON'
+import socket, sys, time
+address, request, seconds = sys.argv[1:]
+host, port = address.split(":")
+connection = socket.create_connection((host, int(port)), timeout=5)
+connection.sendall(("POST /book/slow HTTP/1.1\r\nHost: barn.example\r\nX-Ibisturn-Request-Id: %s\r\nX-Ibisturn-Deadline-Ms: 5000\r\n"
+    "Authorization: Bearer guide-key\r\nContent-Length: 11\r\n\r\ntwo co" % request).encode())
+time.sleep(float(seconds))
+connection.sendall(b"aches")
+print(connection.recv(4096).decode().split("\r\n")[0])
+PYTHON
+}
+
 answers() { send_request "$1" "$2" "$3" | tail -1 | grep -q "$4"; }
 
 start_stand_in STORE store platform-store
@@ -188,9 +205,18 @@
 send_request omaheke /stream/9 drained-1 -d prompt >"$WORK/drained" &
 drained=$!
 kill -TERM "$omaheke_pid"
+# Callers with a cached answer of the directory still send bookings: one is complete in time, the other when the instance refuses.
+(sleep 0.3 && send_slow_booking omaheke early-1 0.5) >"$WORK/early" &
+early=$!
+(sleep 1.2 && send_slow_booking omaheke late-1 1.7) >"$WORK/late" &
+late=$!
 await "the directory still lists a draining instance" directory_omits "$omaheke_callers"
 wait "$drained"
 grep -q '^200$' "$WORK/drained" || fail "a draining instance truncated an answer: $(cat "$WORK/drained")"
+wait "$early" "$late"
+expect "a booking early in the shutdown" '^HTTP/1.1 200' "$(cat "$WORK/early")"
+expect "a booking that is complete late in the shutdown" '^HTTP/1.1 503' "$(cat "$WORK/late")"
+runs_of "$APP" | grep -q '"late-1"' && fail "a booking that was refused ran"
 
 "$BIN/ibisturn" explain seat-1 "$WORK/khomas.log" "$WORK/omaheke.log" | grep -q 'Attempt failed.*next=retry' || fail "seat-1 is not explained"
 "$BIN/ibisturn" explain nobody "$WORK/khomas.log" 2>"$WORK/explain" && fail "a request that was never sent is explained"
