Tests: Play answers cut within their heads on used connections, and slow streams

For reports of other operators: a head that breaks off on a connection that has carried an answer gives 502; a stream of one byte each 20 ms is relayed to its end; one that goes on so after its deadline is cut there and its connection closed.

--- a/Tests/Platform/RoutedCallerTest.cpp
+++ b/Tests/Platform/RoutedCallerTest.cpp
@@ -5,6 +5,7 @@
 #include <LibHTTP/Callers/RoutedSession.h>
 #include <Tests/Support/LoopbackInstance.h>
 #include <Tests/Support/ScriptedServer.h>
+#include <Tests/Support/SlowServer.h>
 
 #include <gtest/gtest.h>
 
@@ -37,9 +38,9 @@
     return std::make_shared<const Snapshot>(Revision(1), std::vector<Record> { { "services", "bookings", Revision(1), service }, { "routes", "book", Revision(1), route } });
 }
 
-std::string requestHead(const std::string& headers)
+std::string requestHead(const std::string& headers, std::chrono::milliseconds timeout = 5s)
 {
-    return fmt::format("POST /book/1 HTTP/1.1\r\nHost: {}\r\nX-Ibisturn-Request-Id: r1\r\nX-Ibisturn-Deadline-Ms: 5000\r\n{}\r\n", host, headers);
+    return fmt::format("POST /book/1 HTTP/1.1\r\nHost: {}\r\nX-Ibisturn-Request-Id: r1\r\nX-Ibisturn-Deadline-Ms: {}\r\n{}\r\n", host, timeout.count(), headers);
 }
 
 const std::string request = requestHead("Connection: close\r\nContent-Length: 2\r\n") + "ok";
@@ -185,6 +186,45 @@
     }
 }
 
+TEST_F(RoutedCallerTest, AnAnswerThatEndsWithinItsHeadOnAUsedConnectionIsNoSuccess)
+{
+    const auto whole = answerHead("Keep-Alive: timeout=30\r\nContent-Length: 2\r\n") + "ok";
+    for (std::size_t size = 1; size < whole.size() - 2; ++size) {
+        const auto part = whole.substr(0, size);
+        ScriptedServer server(context_, { whole, part }, ScriptedServer::AfterAnswers::CloseAfterLast);
+        setServers({ server.endpoint() });
+        ASSERT_TRUE(isSuccess(exchange(request)));
+        const auto answer = exchange(request);
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 502")) << part << "\n-> " << answer;
+        EXPECT_EQ(server.requests(), 2U) << part;
+        EXPECT_EQ(server.connections(), 1U) << part;
+    }
+}
+
+// Guards against streams that are cut although they only are slow, and against stalled ones that go on for ever since a byte comes now and then.
+TEST_F(RoutedCallerTest, OnlyTheDeadlineEndsASlowStream)
+{
+    configure(Repeatability::NonIdempotent, AnswerForm::EventStream);
+    const auto head = answerHead("Content-Type: text/event-stream\r\n");
+    const std::string event = "id: 1\ndata: a\n\n";
+    SlowServer sound(context_, head, event + "id: 2\ndata: b\n\n", 20ms);
+    setServers({ sound.endpoint() });
+    const auto whole = exchange(request);
+    EXPECT_TRUE(isSuccess(whole)) << whole;
+    EXPECT_TRUE(whole.ends_with("0\r\n\r\n")) << whole;
+
+    SlowServer stalled(context_, head, event + std::string(1000, ':'), 20ms);
+    setServers({ stalled.endpoint() });
+    const auto cut = exchange(requestHead("Connection: close\r\nContent-Length: 0\r\n", 600ms));
+    EXPECT_TRUE(isSuccess(cut)) << cut;
+    EXPECT_FALSE(cut.ends_with("0\r\n\r\n")) << cut;
+    // The server notices it with its next byte.
+    const auto noticedBy = SteadyClock().now() + 2s;
+    while (!stalled.isClosedByClient() && SteadyClock().now() < noticedBy)
+        context_.run_one_for(20ms);
+    EXPECT_TRUE(stalled.isClosedByClient());
+}
+
 // Guards against callers who fill the instance's memory with a chunk header, an extension or a trailer without end.
 TEST_F(RoutedCallerTest, AChunkHeaderOrTrailerWithoutEndIsRefused)
 {
--- a/Tests/Support/ScriptedServer.h
+++ b/Tests/Support/ScriptedServer.h
@@ -18,6 +18,8 @@
         KeepOpen,
         /// The connection ends with each answer.
         Close,
+        /// The connection ends with the last answer.
+        CloseAfterLast,
     };
 
     ScriptedServer(Asio::io_context& context, std::vector<std::string> answers, AfterAnswers afterAnswers = AfterAnswers::KeepOpen)
@@ -30,6 +32,7 @@
 
     Endpoint endpoint() const { return { "127.0.0.1", acceptor_.local_endpoint().port() }; }
     std::size_t requests() const { return requests_; }
+    std::size_t connections() const { return connections_; }
     std::size_t closedByClient() const { return closedByClient_; }
     void onRequest(std::function<void()> callback) { onRequest_ = std::move(callback); }
 
@@ -42,6 +45,7 @@
             co_await acceptor_.async_accept(socket, Asio::redirect_error(Asio::use_awaitable, error));
             if (error)
                 co_return;
+            ++connections_;
             Asio::co_spawn(acceptor_.get_executor(), serve(std::move(socket)), Asio::detached);
         }
     }
@@ -65,7 +69,8 @@
             // The text "-" means no answer; the client keeps waiting.
             if (answer != "-")
                 co_await Asio::async_write(socket, Asio::buffer(answer), Asio::redirect_error(Asio::use_awaitable, error));
-            if (afterAnswers_ == AfterAnswers::Close)
+            const bool isLast = requests_ == answers_.size();
+            if (afterAnswers_ == AfterAnswers::Close || (afterAnswers_ == AfterAnswers::CloseAfterLast && isLast))
                 co_return;
         }
     }
@@ -75,6 +80,7 @@
     AfterAnswers afterAnswers_;
     std::function<void()> onRequest_;
     std::size_t requests_ { 0 };
+    std::size_t connections_ { 0 };
     std::size_t closedByClient_ { 0 };
 };
 
