Tests: Show that small parts of one long event cost too much time

A faulty server's bytes that hold no end of an event are searched from their start for each part, up to the limit of 256 KB of an event. 240,000 parts of a byte take sixteen times as long as 60,000 (three runs), in proportion would be four times.

--- a/Tests/LibHTTP/EventStreamFilterTest.cpp
+++ b/Tests/LibHTTP/EventStreamFilterTest.cpp
@@ -1,6 +1,8 @@
 #include <LibCore/Error.h>
 #include <LibHTTP/Backends/EventStreamFilter.h>
 
+#include <ctime>
+
 #include <gtest/gtest.h>
 
 namespace Ibisturn {
@@ -30,4 +32,20 @@
     EXPECT_THROW(filter.take(std::string(300UL * 1024, 'x')), Error);
 }
 
+// Guards against a server that occupies an instance's processor with an event in very small parts.
+TEST(EventStreamFilter, TakesTimeInProportionToTheSizeOfAnEvent)
+{
+    const auto processorTime = [](std::size_t parts) {
+        EventStreamFilter filter;
+        const auto start = std::clock();
+        for (std::size_t part = 0; part < parts; ++part)
+            filter.take("x");
+        return static_cast<double>(std::clock() - start);
+    };
+    constexpr std::size_t parts = 60'000;
+    constexpr double times = 4;
+    // In proportion means four times as long; the square of it would be sixteen times.
+    EXPECT_LT(processorTime(static_cast<std::size_t>(times) * parts), 2 * times * processorTime(parts));
+}
+
 } // namespace Ibisturn
