Settings: Read the memory and descriptors that the platform gives the process

Nothing in the product knew these limits (Limits.MemoryMb, Limits.MaxFds of the deployment), so no part could keep within them.

Tests: SettingsTemplate.UsualValuesAreTakenAsTheyAre checks the values of the template, and LimitsOfTheProcessThatAreNotStatedAreUnknown empty, zero, fractional, huge and negative ones.

--- a/Libraries/LibConfiguration/Settings.cpp
+++ b/Libraries/LibConfiguration/Settings.cpp
@@ -19,6 +19,9 @@
 constexpr std::uint32_t maxAllowanceSlack = 1'000'000'000;
 constexpr std::uint32_t maxRetryReserve = 1'000'000;
 constexpr double maxCores = 4096;
+constexpr std::uint64_t bytesPerMegabyte = 1000UL * 1000;
+constexpr std::uint32_t maxProcessMegabytes = 1024U * 1024;
+constexpr std::uint32_t maxProcessDescriptors = 16U * 1024 * 1024;
 constexpr ByteCount maxHeadSize { 1024UL * 1024 };
 constexpr ByteCount maxBodySize { 1024UL * 1024 * 1024 };
 
@@ -107,6 +110,14 @@
     auto processor = section.section("processor");
     fleet.processorShare = processor.suppliedDecimal("share", 1, maxCores) * processor.suppliedDecimal("speed", 1, maxCores);
     processor.rejectUnknownKeys();
+    auto process = section.section("process");
+    const auto memory = process.suppliedNumber("memory_mb", 0, maxProcessMegabytes);
+    if (memory > 0)
+        fleet.processMemory = ByteCount(memory * bytesPerMegabyte);
+    const auto descriptors = process.suppliedNumber("descriptors", 0, maxProcessDescriptors);
+    if (descriptors > 0)
+        fleet.processDescriptors = descriptors;
+    process.rejectUnknownKeys();
     readFleetBounds(section, fleet);
     section.rejectUnknownKeys();
     settings.fleet = std::move(fleet);
--- a/Libraries/LibConfiguration/Settings.h
+++ b/Libraries/LibConfiguration/Settings.h
@@ -68,6 +68,9 @@
     std::uint32_t allowanceSlack { 0 };
     /// Cores that the instance may use, which may be a fraction.
     double processorShare { 1 };
+    /// Memory and file descriptors that the platform gives the process; empty if it does not say.
+    std::optional<ByteCount> processMemory;
+    std::optional<std::uint32_t> processDescriptors;
     /// How long a backend server continues to serve after it has reported that it is shutting down.
     Duration backendDrainPeriod { std::chrono::seconds(3) };
     /// Time between SIGTERM and the kill of the process.
--- a/Tests/Platform/SettingsTemplateTest.cpp
+++ b/Tests/Platform/SettingsTemplateTest.cpp
@@ -30,6 +30,8 @@
     { "Platform.Addr", "10.200.1.7:8225" },
     { "Limits.CpuShare", "0.25" },
     { "Limits.Cores", "2" },
+    { "Limits.MemoryMb", "260" },
+    { "Limits.MaxFds", "4100" },
     { "Bounds.RetryBudgetRatio", "0.2" },
     { "Bounds.BudgetExtra", "58" },
     { "Bounds.BudgetWindowS", "10" },
@@ -71,6 +73,8 @@
 {
     const auto settings = parseSettings(fillTemplate({}), "s.yaml");
     EXPECT_EQ(settings.fleet->processorShare, 0.5);
+    EXPECT_EQ(settings.fleet->processMemory, ByteCount(260'000'000));
+    EXPECT_EQ(settings.fleet->processDescriptors, 4100U);
     EXPECT_EQ(settings.fleet->retryReserve, 58U);
     EXPECT_EQ(settings.fleet->shutdownGracePeriod, 8s);
     EXPECT_TRUE(settings.adjustments.empty());
@@ -120,6 +124,18 @@
     EXPECT_EQ(fleet.allowanceWindow, FleetSettings().allowanceWindow);
 }
 
+TEST(SettingsTemplate, LimitsOfTheProcessThatAreNotStatedAreUnknown)
+{
+    for (const auto* absent : { "", "0" }) {
+        const auto fleet = fleetWith({ { "Limits.MemoryMb", absent }, { "Limits.MaxFds", absent } });
+        EXPECT_FALSE(fleet.processMemory);
+        EXPECT_FALSE(fleet.processDescriptors);
+    }
+    EXPECT_EQ(fleetWith({ { "Limits.MemoryMb", "160.5" } }).processMemory, ByteCount(160'000'000));
+    EXPECT_EQ(fleetWith({ { "Limits.MaxFds", "1e18" } }).processDescriptors, 16U * 1024 * 1024);
+    EXPECT_THROW(fleetWith({ { "Limits.MemoryMb", "-1" } }), SettingsError);
+}
+
 TEST(SettingsTemplate, VeryLargeValuesAreLimited)
 {
     const auto fleet = fleetWith({ { "Bounds.RetryBudgetRatio", "3" }, { "Bounds.BudgetExtra", "1e18" }, { "Bounds.QuotaSlack", "99999999999999" }, { "Bounds.QuotaOver", "12" }, { "Bounds.GraceS", "1e300" }, { "Bounds.QuotaWindowS", "100000000" } });
