LibHTTP: Search a stream for the end of an event from the last byte seen

The search now begins at the last byte that was searched, since only that one can be the first of an event's end.

Ruled out: the limit of an event's size (256 KiB) was checked already and stays.

--- a/Libraries/LibHTTP/Backends/EventStreamFilter.cpp
+++ b/Libraries/LibHTTP/Backends/EventStreamFilter.cpp
@@ -34,10 +34,12 @@
 
 std::string EventStreamFilter::take(std::string_view bytes)
 {
+    // The bytes before hold no end of an event, but their last one may begin it.
+    const auto searched = buffer_.empty() ? 0 : buffer_.size() - 1;
     buffer_ += bytes;
     std::string passed;
     std::size_t begin = 0;
-    for (auto end = buffer_.find(eventEnd); end != std::string::npos; end = buffer_.find(eventEnd, begin)) {
+    for (auto end = buffer_.find(eventEnd, searched); end != std::string::npos; end = buffer_.find(eventEnd, begin)) {
         const auto event = std::string_view(buffer_).substr(begin, end + eventEnd.size() - begin);
         if (shouldPass(event))
             passed += event;
