LibHTTP: Bound and order the frames of a peer's answer

A peer's frames of other requests were skipped without end, each with a new silence timeout, so that a faulty instance held the caller until the deadline. Parts beyond the length that the head announced, a second head, and parts or an end before the head were passed on to the caller. A frame over the limit, or one that cannot be read, which came after the request had been sent, was reported as ran=no, so that the request could be sent once more although it may have run.

The head now comes first and once, parts keep to the announced length, and at most 16 frames of other requests are skipped. An answer frame that is over the limit or not readable leaves it open whether the request ran. Bounds that are exceeded are logged and counted like those of backend servers.

Not changed: an answer that is shorter than announced, since a resumed stream is filtered; the limit of a frame, which is still that of a request (bodyLimit + 64 KiB).

--- a/Libraries/LibHTTP/Peers/PeerClient.cpp
+++ b/Libraries/LibHTTP/Peers/PeerClient.cpp
@@ -1,6 +1,7 @@
 #include <LibHTTP/Peers/PeerClient.h>
 
 #include <LibCore/SteadyClock.h>
+#include <LibHTTP/Backends/AnswerBoundError.h>
 #include <LibHTTP/Callers/SocketWatch.h>
 #include <LibHTTP/Peers/ForwardedRequest.h>
 
@@ -12,6 +13,8 @@
 namespace {
 
 constexpr Log peerLog("peer");
+/// Late frames of earlier requests that are skipped before the end of an answer.
+constexpr std::size_t maxOtherFrames = 16;
 
 Error errorOf(const FailureMessage& failure)
 {
@@ -22,6 +25,19 @@
     return { code, ran, failure.text };
 }
 
+/// Reads a frame after a request was sent: one that is not readable may be the answer, so it is unknown whether the request ran.
+Task<Frame> readAnswerFrame(PeerConnection& connection, Duration timeout)
+{
+    try {
+        Frame frame = co_await connection.read(timeout);
+        co_return frame;
+    } catch (const Error& error) {
+        if (error.code() == ResultCode::FrameTooLarge)
+            throw AnswerBoundError(error.code(), Ran::Unknown, error.what());
+        throw Error(error.code(), Ran::Unknown, error.what());
+    }
+}
+
 AnswerHead readHead(const AnswerHeadMessage& message)
 {
     constexpr std::uint32_t minStatus = 200;
@@ -126,25 +142,40 @@
 
 Task<void> PeerClient::relayAnswer(PeerConnection& connection, RequestId request, AnswerSink& sink)
 {
+    std::size_t otherFrames = 0;
+    bool hasHead = false;
+    std::optional<std::uint64_t> remaining;
     for (;;) {
-        const Frame frame = co_await connection.read(limits_.silenceTimeout);
+        const Frame frame = co_await readAnswerFrame(connection, limits_.silenceTimeout);
         // Ignore a late frame of an earlier request on this connection.
-        if (frame.request != request)
+        if (frame.request != request) {
+            if (++otherFrames > maxOtherFrames)
+                throw AnswerBoundError(ResultCode::OutcomeUnknown, Ran::Unknown, "The peer sent too many frames of other requests");
             continue;
+        }
         if (const auto* failure = std::get_if<FailureMessage>(&frame.message))
             throw errorOf(*failure);
+        const auto* head = std::get_if<AnswerHeadMessage>(&frame.message);
+        // The head comes first, and once.
+        if (hasHead == (head != nullptr))
+            throw Error(ResultCode::MalformedFrame, Ran::Unknown, "The peer sent a frame that does not belong at this place of an answer");
         if (std::holds_alternative<AnswerEndMessage>(frame.message)) {
             co_await sink.writeEnd();
             co_return;
         }
         if (const auto* part = std::get_if<AnswerPartMessage>(&frame.message)) {
+            if (remaining && part->part.size() > *remaining)
+                throw AnswerBoundError(ResultCode::AnswerCut, Ran::Unknown, "The peer's answer is longer than its head says");
+            if (remaining)
+                *remaining -= part->part.size();
             co_await sink.writePart(part->part);
             continue;
         }
-        const auto* head = std::get_if<AnswerHeadMessage>(&frame.message);
         if (!head)
             throw Error(ResultCode::MalformedFrame, Ran::Unknown, "The peer sent a frame that does not belong to an answer");
         const AnswerHead answerHead = readHead(*head);
+        hasHead = true;
+        remaining = answerHead.contentLength;
         co_await sink.writeHead(answerHead);
     }
 }
