LibKernel: Refuse replies to control calls that would fill a small instance

A reply to a call that states no limit of its own (the platform's store, the live list, the span exporter) could have up to 256 MiB, while the platform's sheet gives a process 260 MB (MemoryMb): a reply without end would end the process, not the call.

The limit without another is now 16 MiB, which is more than ten of the store's pages (about 1 MB) or values (ValueBytes 1048576). A reply over it fails its call and is logged with the endpoint, the path and the limit. The etcd plug-in keeps its 256 MiB, as it reads all keys of a prefix in one reply; it needs pages before it can have less.

Ruled out: a reply that drips.

--- a/Libraries/LibKernel/HttpClient.cpp
+++ b/Libraries/LibKernel/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include <LibKernel/HttpClient.h>
 
+#include <LibCore/Log.h>
 #include <LibKernel/HttpLimits.h>
 
 #include <array>
@@ -16,6 +17,7 @@
 
 namespace {
 
+constexpr Log callLog("call");
 constexpr int httpVersion11 = 11;
 constexpr std::size_t lineReadBytes = 16UL * 1024;
 
@@ -51,6 +53,14 @@
     pending.erase(0, start);
 }
 
+/// Logs the reply to `call` if it was refused because it exceeds the limit.
+void logIfOverLimit(const HttpCall& call, const boost::system::error_code& error)
+{
+    if (error != Http::error::body_limit && error != Http::error::header_limit && error != Http::error::buffer_overflow)
+        return;
+    callLog.warning("Reply exceeds the limit; the call fails.", { { "endpoint", call.endpoint.toString() }, { "path", call.target.substr(0, call.target.find('?')) }, { "limit", call.replyLimit.count() }, { "reason", error.message() } });
+}
+
 } // namespace
 
 Task<HttpReply> exchangeHttp(HttpCall call)
@@ -61,7 +71,11 @@
     Beast::flat_buffer buffer(maxUnparsedBytes);
     Http::response_parser<Http::string_body> parser;
     parser.body_limit(call.replyLimit.count());
-    co_await Http::async_read(stream, buffer, parser, Asio::use_awaitable);
+    boost::system::error_code error;
+    co_await Http::async_read(stream, buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
+    logIfOverLimit(call, error);
+    if (error)
+        throw boost::system::system_error(error);
     co_return HttpReply { parser.get().result_int(), std::move(parser.get().body()) };
 }
 
@@ -82,12 +96,15 @@
         stream.expires_after(call.timeout);
         boost::system::error_code error;
         co_await Http::async_read_some(stream, buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
+        logIfOverLimit(call, error);
         if (error && error != Http::error::need_buffer)
             throw boost::system::system_error(error);
         pending.append(part.data(), part.size() - parser.get().body().size);
         deliverLines(pending, onLine);
-        if (pending.size() > call.replyLimit.count())
+        if (pending.size() > call.replyLimit.count()) {
+            logIfOverLimit(call, make_error_code(Http::error::body_limit));
             throw boost::system::system_error(make_error_code(Http::error::body_limit));
+        }
     }
 }
 
--- a/Libraries/LibKernel/HttpClient.h
+++ b/Libraries/LibKernel/HttpClient.h
@@ -19,7 +19,7 @@
     std::string body;
     Duration timeout { std::chrono::seconds(5) };
     /// The largest body of a reply, and the longest line of an answer that is read by lines.
-    ByteCount replyLimit { 256UL * 1024 * 1024 };
+    ByteCount replyLimit { 16UL * 1024 * 1024 };
 };
 
 struct HttpReply {
--- a/Plugins/EtcdStoreClient.cpp
+++ b/Plugins/EtcdStoreClient.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr Duration callTimeout = std::chrono::seconds(2);
+/// All keys of a prefix come in one reply.
+constexpr ByteCount replyLimit(256UL * 1024 * 1024);
 constexpr Duration watchTimeout = std::chrono::seconds(30);
 constexpr unsigned httpOk = 200;
 
@@ -189,6 +191,7 @@
         call.headers.push_back({ "Content-Type", "application/json" });
         call.body = std::move(body);
         call.timeout = callTimeout;
+        call.replyLimit = replyLimit;
         return call;
     }
 
--- a/Tests/LibKernel/HttpClientTest.cpp
+++ b/Tests/LibKernel/HttpClientTest.cpp
@@ -1,6 +1,8 @@
 #include <LibKernel/HttpClient.h>
 
+#include <LibCore/SteadyClock.h>
 #include <Tests/Support/EndlessServer.h>
+#include <Tests/Support/SlowServer.h>
 
 #include <gtest/gtest.h>
 
@@ -10,7 +12,9 @@
 
 namespace {
 
+using namespace std::chrono_literals;
 using Testing::EndlessServer;
+using Testing::SlowServer;
 
 const std::string answerHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
@@ -69,4 +73,32 @@
     }
 }
 
+// Guards against a reply that fills the memory of a small instance because its call states no limit.
+TEST(HttpClient, AReplyToACallWithoutALimitOfItsOwnIsLimitedToo)
+{
+    Asio::io_context context(1);
+    EndlessServer server(context, answerHead, "1000\r\n" + std::string(4096, 'a') + "\r\n");
+    HttpCall call;
+    call.endpoint = server.endpoint();
+    const auto error = errorOf(context, exchangeHttp(std::move(call)));
+    EXPECT_EQ(error, make_error_code(boost::beast::http::error::body_limit)) << error.message();
+    EXPECT_TRUE(server.isClosedByClient());
+    EXPECT_FALSE(server.isExhausted());
+}
+
+// Guards against a call that lasts for as long as a byte of its reply comes now and then.
+TEST(HttpClient, AReplyThatDripsEndsWithTheTimeoutOfTheCall)
+{
+    Asio::io_context context(1);
+    SlowServer server(context, "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n", std::string(1000, 'a'), 20ms);
+    HttpCall call;
+    call.endpoint = server.endpoint();
+    call.timeout = 300ms;
+    const auto startedAt = SteadyClock().now();
+    const auto error = errorOf(context, exchangeHttp(std::move(call)));
+    EXPECT_EQ(error, make_error_code(boost::beast::error::timeout)) << error.message();
+    EXPECT_TRUE(server.isClosedByClient());
+    EXPECT_LT(SteadyClock().now() - startedAt, 10s);
+}
+
 } // namespace Ibisturn
