LibKernel: Let listeners bind the ports of our outgoing connections

What callers saw: an instance that started on a machine where many processes run ended with status 1 ("bind: Address already in use"), at each start, while the port of one of its listeners was the local port of an outgoing connection of another instance, or had been a minute ago (TIME_WAIT).

Cause: Linux lets a listener with SO_REUSEADDR bind a port only if all other sockets that use it have the option too. Ours for outgoing connections (to the store, backend servers and peers) did not.

Ruled out: a missing SO_REUSEADDR of the listener, which Asio sets. Connections of other programs still hold a port; this change is not about them.

OutgoingPort tests, before: 2 of 2 failed, "it throws ... bind: Address already in use", for an established connection and for one in TIME_WAIT. After: 2 of 2 passed.

--- a/Libraries/LibHTTP/Backends/BackendClient.cpp
+++ b/Libraries/LibHTTP/Backends/BackendClient.cpp
@@ -93,6 +93,7 @@
         Connection { boost::beast::tcp_stream(executor), boost::beast::flat_buffer(receiveBufferLimit(answerHeadLimit)), {}, false });
     connection->stream.expires_after(std::min(limits_.connectTimeout, deadline - SteadyClock().now()));
     const Asio::ip::tcp::endpoint target(Asio::ip::make_address(endpoint.address), endpoint.port);
+    openOutgoingSocket(connection->stream.socket(), target);
     boost::system::error_code error;
     co_await connection->stream.async_connect(target, Asio::redirect_error(Asio::use_awaitable, error));
     if (error)
--- a/Libraries/LibKernel/HttpClient.cpp
+++ b/Libraries/LibKernel/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include <LibKernel/HttpClient.h>
 
 #include <LibKernel/HttpLimits.h>
+#include <LibKernel/SocketOptions.h>
 
 #include <array>
 #include <limits>
@@ -35,6 +36,7 @@
 {
     stream.expires_after(call.timeout);
     const Asio::ip::tcp::endpoint target(Asio::ip::make_address(call.endpoint.address), call.endpoint.port);
+    openOutgoingSocket(stream.socket(), target);
     co_await stream.async_connect(target, Asio::use_awaitable);
     const auto request = makeRequest(call);
     co_await Http::async_write(stream, request, Asio::use_awaitable);
--- a/Libraries/LibKernel/SocketOptions.cpp
+++ b/Libraries/LibKernel/SocketOptions.cpp
@@ -34,4 +34,13 @@
     setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, userTimeoutMilliseconds);
 }
 
+// Linux lets a listener with SO_REUSEADDR bind a port only if all other sockets that use it have the option too.
+void openOutgoingSocket(Asio::ip::tcp::socket& socket, const Asio::ip::tcp::endpoint& target)
+{
+    boost::system::error_code error;
+    socket.open(target.protocol(), error);
+    if (!error)
+        setOption(socket.native_handle(), SOL_SOCKET, SO_REUSEADDR, 1);
+}
+
 } // namespace Ibisturn
--- a/Libraries/LibPeer/PeerConnection.cpp
+++ b/Libraries/LibPeer/PeerConnection.cpp
@@ -30,6 +30,7 @@
     boost::beast::tcp_stream stream(executor);
     stream.expires_after(timeout);
     const Asio::ip::tcp::endpoint target(Asio::ip::make_address(endpoint.address), endpoint.port);
+    openOutgoingSocket(stream.socket(), target);
     boost::system::error_code error;
     co_await stream.async_connect(target, Asio::redirect_error(Asio::use_awaitable, error));
     if (error)
--- /dev/null
+++ b/Tests/LibKernel/SocketOptionsTest.cpp
@@ -0,0 +1,66 @@
+#include <LibKernel/Asio.h>
+
+#include <LibKernel/HttpClient.h>
+#include <LibKernel/Listen.h>
+
+#include <array>
+#include <string_view>
+
+#include <gtest/gtest.h>
+
+namespace Ibisturn::Testing {
+
+namespace {
+
+using Asio::ip::tcp;
+
+/// Accepts one HTTP call and holds its connection.
+class OutgoingPort : public ::testing::Test {
+protected:
+    OutgoingPort()
+    {
+        server_.async_accept(accepted_, [this](const boost::system::error_code& error) { wasAccepted_ = !error; });
+        HttpCall call;
+        call.method = "GET";
+        call.endpoint = { "127.0.0.1", server_.local_endpoint().port() };
+        call.target = "/";
+        call.timeout = std::chrono::seconds(5);
+        Asio::co_spawn(context_, exchangeHttp(std::move(call)), [this](const std::exception_ptr&, const HttpReply&) { isAnswered_ = true; });
+        while (!wasAccepted_)
+            context_.run_one();
+    }
+
+    void answer()
+    {
+        Asio::write(accepted_, Asio::buffer(std::string_view("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")));
+        while (!isAnswered_)
+            context_.run_one();
+        std::array<char, 1024> rest {};
+        boost::system::error_code error;
+        while (!error)
+            accepted_.read_some(Asio::buffer(rest), error);
+        accepted_.close();
+    }
+
+    Asio::io_context context_;
+    tcp::acceptor server_ { listenOn(context_, { "127.0.0.1", 0 }) };
+    tcp::socket accepted_ { context_ };
+    bool wasAccepted_ { false };
+    bool isAnswered_ { false };
+};
+
+} // namespace
+
+TEST_F(OutgoingPort, AnEstablishedConnectionDoesNotKeepAListenerFromItsLocalPort)
+{
+    EXPECT_NO_THROW(listenOn(context_, { "127.0.0.1", accepted_.remote_endpoint().port() }));
+}
+
+TEST_F(OutgoingPort, AConnectionInTimeWaitDoesNotKeepAListenerFromItsLocalPort)
+{
+    const auto port = accepted_.remote_endpoint().port();
+    answer();
+    EXPECT_NO_THROW(listenOn(context_, { "127.0.0.1", port }));
+}
+
+} // namespace Ibisturn::Testing
