Placement: Pause a server that spoils its answers though earlier streams end well

A replica that sent no valid HTTP in place of every answer went on to be chosen. Trace: such an answer is outcome_unknown or answer_cut, so PlacementOutcome::Failed; after three consecutive failures the server is excluded for 250 ms, and for twice as long after each further one, up to 2 s. The present backoff does bound the choice: in a trial of the table alone, one of two servers was chosen 12 times in 14 s at a request each 10 ms and 32 times at one each 1 ms (those under way at once when a backoff ends), per instance. But each stream that had begun before and ended well set the failures back to zero: with seven such streams the same trial gave 32 and 83.

What is no valid HTTP or exceeds a bound is now an outcome of its own, Spoiled. Its count is set back only by the answer to a request that was sent after the last spoiled one. The thresholds and pauses are as before, and a cut connection, a truncated answer and a single spoiled one are treated as before.

Tests, run from binaries linked of these tests and what they need, because the machine was too busy for the whole build: PlacementTableTest.StreamsUnderWayDoNotHideThatAServerSpoilsEveryAnswer, before (with the outcome Failed, as there was no other): FAILED, 40 choices against 12. After: OK; all 24 tests of the table pass. BackendClientTest.TellsSpoiledAnswersFromCutOnes is new with the two kinds of error; it and the other six pass. That RequestRunner maps them to the outcome has no test of its own; it compiles.

--- a/Libraries/LibDecision/Placement/PlacementTable.cpp
+++ b/Libraries/LibDecision/Placement/PlacementTable.cpp
@@ -306,19 +306,28 @@
     server.ownLoad.requests -= placed.load.requests;
     if (outcome == PlacementOutcome::Answered)
         server.failures = 0;
+    // A request that was under way already says nothing about the answers to those that followed.
+    if (outcome == PlacementOutcome::Answered && placed.sentAt >= server.lastSpoiledAt)
+        server.spoiledAnswers = 0;
     if (outcome == PlacementOutcome::Full)
         server.backoffUntil = std::max(server.backoffUntil, now + limits_.fullBackoff);
     if (outcome == PlacementOutcome::Replaced)
         server.backoffUntil = std::max(server.backoffUntil, now + limits_.replacedBackoff);
-    const bool isFailure = outcome == PlacementOutcome::Failed || outcome == PlacementOutcome::Unreachable;
+    const bool isSpoiled = outcome == PlacementOutcome::Spoiled;
+    if (isSpoiled)
+        server.lastSpoiledAt = now;
+    const bool isFailure = isSpoiled || outcome == PlacementOutcome::Failed || outcome == PlacementOutcome::Unreachable;
     if (!isFailure || now < server.backoffUntil)
         return;
     ++server.failures;
+    if (isSpoiled)
+        ++server.spoiledAnswers;
+    const auto failures = isSpoiled ? std::max(server.failures, server.spoiledAnswers) : server.failures;
     const auto threshold = outcome == PlacementOutcome::Unreachable ? 1 : limits_.failuresBeforeBackoff;
-    if (server.failures < threshold)
+    if (failures < threshold)
         return;
     constexpr std::uint32_t maxDoublings = 8;
-    const auto backoff = limits_.initialBackoff * (1U << std::min(server.failures - threshold, maxDoublings));
+    const auto backoff = limits_.initialBackoff * (1U << std::min(failures - threshold, maxDoublings));
     server.backoffUntil = now + std::min<Duration>(backoff, limits_.maxBackoff);
 }
 
--- a/Libraries/LibDecision/Placement/PlacementTable.h
+++ b/Libraries/LibDecision/Placement/PlacementTable.h
@@ -62,6 +62,8 @@
     Replaced,
     /// The connection broke, or the answer was truncated or invalid.
     Failed,
+    /// What came in place of an answer was no valid HTTP, or exceeded a bound.
+    Spoiled,
     /// The result says nothing about the backend server, for example because the caller disconnected.
     Unknown,
 };
@@ -218,6 +220,9 @@
         TimePoint pausedUntil {};
         bool isLeaving { false };
         std::uint32_t failures { 0 };
+        /// Spoiled answers since the last request that was sent after one of them and was answered.
+        std::uint32_t spoiledAnswers { 0 };
+        TimePoint lastSpoiledAt {};
         /// Average ratio of the measured to the expected time to the first part.
         double slowness { 1 };
         TimePoint nextColdRequestAt {};
--- a/Libraries/LibHTTP/Backends/BackendClient.cpp
+++ b/Libraries/LibHTTP/Backends/BackendClient.cpp
@@ -4,6 +4,7 @@
 #include <LibCore/SteadyClock.h>
 #include <LibHTTP/Backends/AnswerBoundError.h>
 #include <LibHTTP/Backends/AnswerCompleteness.h>
+#include <LibHTTP/Backends/InvalidAnswerError.h>
 #include <LibHTTP/Callers/SocketWatch.h>
 #include <LibKernel/HttpLimits.h>
 #include <LibKernel/SocketOptions.h>
@@ -33,6 +34,11 @@
 /// A connection is no longer trusted this long before the backend server would close it.
 constexpr Duration idleMargin = std::chrono::milliseconds(500);
 
+bool isInvalidHttp(const boost::system::error_code& error)
+{
+    return error.category() == make_error_code(Http::error::bad_chunk).category();
+}
+
 bool isConnectionLost(const boost::system::error_code& error)
 {
     return error == Http::error::end_of_stream || error == Http::error::partial_message || error == Asio::error::connection_reset || error == Asio::error::eof;
@@ -53,6 +59,8 @@
             throw ConnectionLostError(ResultCode::AnswerCut, Ran::Yes, "The backend server closed the connection within its answer");
         if (error == Http::error::buffer_overflow)
             throw AnswerBoundError(ResultCode::AnswerCut, Ran::Yes, "A chunk header or the trailer of the backend server's answer exceeds the limit");
+        if (isInvalidHttp(error) && error != Http::error::need_buffer)
+            throw InvalidAnswerError(ResultCode::AnswerCut, Ran::Yes, "The backend server's answer is not valid HTTP beyond its head");
         if (error && error != Http::error::need_buffer)
             throw Error(ResultCode::AnswerCut, Ran::Yes, "The backend server's answer was truncated");
         const std::string_view bytes(part.data(), part.size() - parser.get().body().size);
@@ -196,8 +204,10 @@
         throw ConnectionLostError(ResultCode::OutcomeUnknown, Ran::Unknown, "The backend server closed the connection without an answer");
     if (error == Http::error::header_limit || error == Http::error::buffer_overflow)
         throw AnswerBoundError(ResultCode::OutcomeUnknown, Ran::Unknown, "The head of the backend server's answer exceeds the limit");
+    if (isInvalidHttp(error))
+        throw InvalidAnswerError(ResultCode::OutcomeUnknown, Ran::Unknown, "The backend server's answer is not valid HTTP");
     if (error)
-        throw Error(ResultCode::OutcomeUnknown, Ran::Unknown, "The backend server's answer is not valid HTTP");
+        throw Error(ResultCode::OutcomeUnknown, Ran::Unknown, "The backend server's answer could not be read: " + error.message());
 }
 
 Task<void> BackendClient::relayAnswer(Connection& connection, const BackendServer& server, AnswerParser& parser, const AnswerHeadInfo& headInfo, AnswerSink& sink)
--- a/Libraries/LibHTTP/Requests/RequestRunner.cpp
+++ b/Libraries/LibHTTP/Requests/RequestRunner.cpp
@@ -4,6 +4,7 @@
 #include <LibDecision/Membership/EntryDirectory.h>
 #include <LibDecision/Routing/HeadDecision.h>
 #include <LibHTTP/Backends/AnswerBoundError.h>
+#include <LibHTTP/Backends/InvalidAnswerError.h>
 #include <LibHTTP/Backends/OutstandingRequest.h>
 #include <LibHTTP/Backends/RoutingStrategyRegistry.h>
 #include <LibHTTP/Callers/CompletionScanner.h>
@@ -93,6 +94,8 @@
     RanProof proof { RanProof::None };
     /// Whether the connection to the backend server was lost.
     bool isServerLost { false };
+    /// Whether what came in place of an answer was no valid HTTP or exceeded a bound.
+    bool isSpoiled { false };
 };
 
 PlacementOutcome outcomeOf(const GatewayRequest& request, const std::optional<AttemptFailure>& failure)
@@ -101,6 +104,8 @@
         return PlacementOutcome::Answered;
     if (request.cancellation->reason())
         return PlacementOutcome::Unknown;
+    if (failure->isSpoiled)
+        return PlacementOutcome::Spoiled;
     const auto code = failure->error.code();
     if (code == ResultCode::BackendUnreachable)
         return PlacementOutcome::Unreachable;
@@ -348,7 +353,9 @@
         } catch (const AnswerBoundError& error) {
             requestLog.logBoundExceeded(place, error);
             tables_.metrics.increment("ibisturn_answers_over_bound_total");
-            failure = AttemptFailure { error, false, RanProof::None };
+            failure = AttemptFailure { error, false, RanProof::None, false, true };
+        } catch (const InvalidAnswerError& error) {
+            failure = AttemptFailure { error, false, RanProof::None, false, true };
         } catch (const ConnectionLostError& error) {
             failure = AttemptFailure { error, false, RanProof::None, true };
         } catch (const Error& error) {
--- a/Tests/LibDecision/PlacementTableTest.cpp
+++ b/Tests/LibDecision/PlacementTableTest.cpp
@@ -1,6 +1,9 @@
 #include <LibDecision/Placement/PlacementTable.h>
 
+#include <deque>
 #include <map>
+#include <tuple>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -389,4 +392,43 @@
     EXPECT_LT(expectedAt(3s), idle * 2);
 }
 
+// Guards against a backend server that spoils every new answer and is chosen nevertheless, because streams that it began before end
+// well in between.
+TEST_F(PlacementTableTest, StreamsUnderWayDoNotHideThatAServerSpoilsEveryAnswer)
+{
+    const auto spoiledWithin14s = [](std::size_t streamCount) {
+        constexpr Duration answerTime = 5ms;
+        PlacementTable table { ownRegion };
+        table.setInstances(InstanceId("i1"), { InstanceId("i1") });
+        table.setServers({ state("a", model, ownRegion), state("b", model, ownRegion) }, services());
+        std::vector<PlacementId> streams;
+        for (std::size_t count = 0; count < streamCount; ++count)
+            streams.push_back(table.begin(at(0s), BackendServerId("a"), makeQuery()));
+        for (const auto& stream : streams)
+            table.onFirstPart(at(0s), stream);
+        std::deque<std::tuple<TimePoint, PlacementId, std::string>> pending;
+        int spoiled = 0;
+        for (auto now = at(1ms); now < at(14s); now += 10ms) {
+            for (; !pending.empty() && std::get<TimePoint>(pending.front()) <= now; pending.pop_front()) {
+                const auto& [endsAt, id, server] = pending.front();
+                table.end(endsAt, id, server == "a" ? PlacementOutcome::Spoiled : PlacementOutcome::Answered);
+            }
+            const bool isStreamOver = !streams.empty() && (now - at(0s)) * (streamCount + 1) >= 14s * (streamCount + 1 - streams.size());
+            if (isStreamOver) {
+                table.end(now, streams.back(), PlacementOutcome::Answered);
+                streams.pop_back();
+            }
+            const auto server = serverOf(table.place(now, makeQuery()));
+            spoiled += server == "a" ? 1 : 0;
+            if (!server.empty())
+                pending.emplace_back(now + answerTime, table.begin(now, BackendServerId(server), makeQuery()), server);
+        }
+        return spoiled;
+    };
+    // Three, one after each of the first backoffs (250 ms, 500 ms, 1 s), and then one each 2 s.
+    constexpr int most = 3 + 3 + 6;
+    EXPECT_LE(spoiledWithin14s(0), most);
+    EXPECT_LE(spoiledWithin14s(7), most);
+}
+
 } // namespace Ibisturn::Testing
--- a/Tests/LibHTTP/BackendClientTest.cpp
+++ b/Tests/LibHTTP/BackendClientTest.cpp
@@ -2,7 +2,9 @@
 
 #include <LibCore/Error.h>
 #include <LibCore/SteadyClock.h>
+#include <LibHTTP/Backends/AnswerBoundError.h>
 #include <LibHTTP/Backends/BackendClient.h>
+#include <LibHTTP/Backends/InvalidAnswerError.h>
 #include <Tests/Support/EndlessServer.h>
 #include <Tests/Support/RecordingSink.h>
 #include <Tests/Support/ScriptedServer.h>
@@ -40,6 +42,7 @@
         try {
             co_await client_.run(record_, request_, Repeatability::Idempotent, sink);
         } catch (const Error& error) {
+            isSpoiled_ = dynamic_cast<const InvalidAnswerError*>(&error) || dynamic_cast<const AnswerBoundError*>(&error);
             failure = error;
         }
     }
@@ -56,6 +59,8 @@
     BackendClient client_ { { 1s, 10s }, openAiBackendDialect() };
     BackendServer record_;
     GatewayRequest request_;
+    /// Whether the last error says that what came was no answer.
+    bool isSpoiled_ { false };
 };
 
 } // namespace
@@ -152,4 +157,24 @@
     }
 }
 
+// Guards against a server that sends no answers being taken for one whose connection was cut, and the other way round.
+TEST_F(BackendClientTest, TellsSpoiledAnswersFromCutOnes)
+{
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::vector<std::pair<std::string, bool>> answers {
+        { "no answer\r\n\r\n", true },
+        { "HTTP/1.1 200 OK\r\nX-Filling: " + std::string(200'000, 'a'), true },
+        { chunked + "no chunk\r\n", true },
+        { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", false },
+        { chunked + "5\r\nabc", false },
+        { "HTTP/1.1 200 OK\r\n", false },
+    };
+    for (const auto& [answer, isSpoiled] : answers) {
+        ScriptedServer server(context_, { answer }, ScriptedServer::AfterAnswers::Close);
+        RecordingSink sink;
+        ASSERT_TRUE(send(server, sink)) << answer.substr(0, 100);
+        EXPECT_EQ(isSpoiled_, isSpoiled) << answer.substr(0, 100);
+    }
+}
+
 } // namespace Ibisturn
