LibHTTP: Skip interim answers of engines and plain services

An interim answer (1xx) of a backend server that speaks the OpenAI API was relayed to the caller as the answer, and the answer itself was left on the connection. It now counts as one that precedes the answer: at most two are skipped, and a third ends the connection with outcome_unknown.

Ruled out: replicas of the platform, whose interim answers are invalid at the first one; heads in many small parts, since Beast searches a head from the last bytes seen and the head's limit is 16 KiB (read in its source, not run).

Run from a binary linked of BackendClientTest, BackendClient and what they need, because the machine was too busy for the whole build: before: BackendClientTest.SkipsABoundedNumberOfInterimAnswers FAILED: status 103 instead of 200, an empty body, and no failure where interim answers had no end. after: OK; all eight tests of BackendClientTest pass.

--- a/Libraries/LibHTTP/Backends/OpenAiBackendDialect.cpp
+++ b/Libraries/LibHTTP/Backends/OpenAiBackendDialect.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr int httpVersion11 = 11;
+constexpr unsigned firstFinalStatus = 200;
 
 class OpenAiBackendDialect final : public BackendDialect {
 public:
@@ -28,9 +29,12 @@
         return message;
     }
 
-    AnswerHeadInfo readAnswer(const AnswerFields& /*answer*/, const GatewayRequest& /*request*/) const override
+    AnswerHeadInfo readAnswer(const AnswerFields& answer, const GatewayRequest& /*request*/) const override
     {
         AnswerHeadInfo headInfo;
+        // An interim answer precedes the answer.
+        if (answer.result_int() < firstFinalStatus)
+            headInfo.kind = AnswerKind::Stray;
         headInfo.needsTerminalEvent = true;
         return headInfo;
     }
--- a/Tests/LibHTTP/BackendClientTest.cpp
+++ b/Tests/LibHTTP/BackendClientTest.cpp
@@ -177,4 +177,24 @@
     }
 }
 
+// Guards against a caller who gets an interim answer in place of the answer.
+TEST_F(BackendClientTest, SkipsABoundedNumberOfInterimAnswers)
+{
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    ScriptedServer server(context_, { interim + interim + completeAnswer });
+    RecordingSink sink;
+    EXPECT_FALSE(send(server, sink));
+    EXPECT_EQ(sink.head.status, 200U);
+    EXPECT_EQ(sink.body, "ok");
+    EndlessServer endless(context_, interim, interim);
+    RecordingSink none;
+    const auto failure = send(endless, none);
+    ASSERT_TRUE(failure);
+    EXPECT_EQ(failure->ran(), Ran::Unknown);
+    EXPECT_FALSE(none.hasEnded);
+    while (!endless.isClosedByClient())
+        context_.run_one();
+    EXPECT_FALSE(endless.isExhausted());
+}
+
 } // namespace Ibisturn
