--- a/Tests/LibHTTP/BackendClientTest.cpp
+++ b/Tests/LibHTTP/BackendClientTest.cpp
@@ -2,7 +2,9 @@
 
 #include <LibCore/Error.h>
 #include <LibCore/SteadyClock.h>
+#include <LibHTTP/Backends/AnswerBoundError.h>
 #include <LibHTTP/Backends/BackendClient.h>
+#include <LibHTTP/Backends/InvalidAnswerError.h>
 #include <Tests/Support/EndlessServer.h>
 #include <Tests/Support/RecordingSink.h>
 #include <Tests/Support/ScriptedServer.h>
@@ -40,6 +42,7 @@
         try {
             co_await client_.run(record_, request_, Repeatability::Idempotent, sink);
         } catch (const Error& error) {
+            isSpoiled_ = dynamic_cast<const InvalidAnswerError*>(&error) || dynamic_cast<const AnswerBoundError*>(&error);
             failure = error;
         }
     }
@@ -56,6 +59,8 @@
     BackendClient client_ { { 1s, 10s }, openAiBackendDialect() };
     BackendServer record_;
     GatewayRequest request_;
+    /// Whether the last error says that what came was no answer.
+    bool isSpoiled_ { false };
 };
 
 } // namespace
@@ -152,4 +157,44 @@
     }
 }
 
+// Guards against a server that sends no answers being taken for one whose connection was cut, and the other way round.
+TEST_F(BackendClientTest, TellsSpoiledAnswersFromCutOnes)
+{
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::vector<std::pair<std::string, bool>> answers {
+        { "no answer\r\n\r\n", true },
+        { "HTTP/1.1 200 OK\r\nX-Filling: " + std::string(200'000, 'a'), true },
+        { chunked + "no chunk\r\n", true },
+        { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", false },
+        { chunked + "5\r\nabc", false },
+        { "HTTP/1.1 200 OK\r\n", false },
+    };
+    for (const auto& [answer, isSpoiled] : answers) {
+        ScriptedServer server(context_, { answer }, ScriptedServer::AfterAnswers::Close);
+        RecordingSink sink;
+        ASSERT_TRUE(send(server, sink)) << answer.substr(0, 100);
+        EXPECT_EQ(isSpoiled_, isSpoiled) << answer.substr(0, 100);
+    }
+}
+
+// Guards against a caller who gets an interim answer in place of the answer.
+TEST_F(BackendClientTest, SkipsABoundedNumberOfInterimAnswers)
+{
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    ScriptedServer server(context_, { interim + interim + completeAnswer });
+    RecordingSink sink;
+    EXPECT_FALSE(send(server, sink));
+    EXPECT_EQ(sink.head.status, 200U);
+    EXPECT_EQ(sink.body, "ok");
+    EndlessServer endless(context_, interim, interim);
+    RecordingSink none;
+    const auto failure = send(endless, none);
+    ASSERT_TRUE(failure);
+    EXPECT_EQ(failure->ran(), Ran::Unknown);
+    EXPECT_FALSE(none.hasEnded);
+    while (!endless.isClosedByClient())
+        context_.run_one();
+    EXPECT_FALSE(endless.isExhausted());
+}
+
 } // namespace Ibisturn
