Soak: Send SIGHUP to a process as soon as it can decide what the signal does

A process whose parent ignored a signal would have ignored it as well, and a kill came seldom before the start that gets the SIGHUP. A FAULT is one line, with log lines of that start only.

--- a/Tests/Soak/instance.py
+++ b/Tests/Soak/instance.py
@@ -72,6 +72,13 @@
     return total
 
 
+def prepare_process():
+    """Gives a process the descriptors of a front machine, and signals as the platform leaves them. Runs in the child."""
+    resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_FDS, MAX_FDS))
+    for number in (signal.SIGHUP, signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, signal.SIG_DFL)
+
+
 class Instance:
     def __init__(self, name, zone, program, template, ports, store, folder, report, values=None):
         self.name, self.program_, self.folder_, self.report_ = name, program, folder, report
@@ -107,8 +114,9 @@
         with self.lock_:
             self.endings_ = set()
             self.starts += 1
+            self.logStart_ = os.path.getsize(self.logPath)
             self.process_ = subprocess.Popen([self.program_, "serve", "--settings", self.settings_], env=environment, stdin=subprocess.DEVNULL, stdout=self.log_,
-                stderr=self.log_, preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_FDS, MAX_FDS)))
+                stderr=self.log_, preexec_fn=prepare_process)
 
     def signal(self, number):
         """Sends a signal of the schedule. An end within it is no fault if it is a TERM or KILL."""
@@ -121,6 +129,14 @@
             self.process_.send_signal(number)
             return True
 
+    def hasEventLoop(self):
+        """Whether the process has come so far that it decides itself what a signal does."""
+        folder = "/proc/%d/fd" % self.process_.pid
+        try:
+            return any(os.readlink(os.path.join(folder, each)) == "anon_inode:[eventpoll]" for each in os.listdir(folder))
+        except OSError:
+            return False
+
     def memory_(self):
         try:
             with open("/proc/%d/status" % self.process_.pid, encoding="utf-8") as file:
@@ -156,7 +172,7 @@
             isPlanned = not isOver and ((signal.SIGTERM in self.endings_ and status in (0, -signal.SIGTERM)) or (signal.SIGKILL in self.endings_ and status == -signal.SIGKILL))
             if not isPlanned:
                 self.faults.append(time.monotonic())
-                self.report_("FAULT", "%s ended with status %d%s, peak %.0f MB; last log lines:\n%s" % (self.name, status,
+                self.report_("FAULT", "%s ended with status %d%s, peak %.0f MB; last log lines: %s" % (self.name, status,
                     " (memory)" if isOver else "", self.peakMb, self.lastLines_()))
             isOver = False
             time.sleep(RESTART_S)
@@ -165,8 +181,8 @@
 
     def lastLines_(self):
         with open(self.logPath, "rb") as file:
-            file.seek(max(0, os.path.getsize(self.logPath) - 1500))
-            return "\n".join("    " + line[:300] for line in file.read().decode("utf-8", "replace").splitlines()[-4:])
+            file.seek(max(self.logStart_, os.path.getsize(self.logPath) - 1500))
+            return " | ".join(line[:200] for line in file.read().decode("utf-8", "replace").splitlines()[-3:])
 
     def isReady(self):
         try:
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -244,18 +244,23 @@
             instance.signal(signal.SIGCONT)
 
 
-def play_hups(run, end):
-    """SIGHUP at any time, and at every early moment of a start."""
-    for step, _ in enumerate(each_step(run, end, 0.3, 1.0)):
+def play_hups(run, end, isAtExec=False):
+    """SIGHUP at any time, and as soon as a process that starts has its event loop, or (isAtExec) within its first milliseconds."""
+    for step, _ in enumerate(each_step(run, end, 0.3, 0.8)):
         instance = run.random.choice(run.instances)
         instance.signal(signal.SIGHUP)
         starts = instance.starts
-        if step % 3 == 2 and instance.signal(signal.SIGKILL):
-            limit = time.monotonic() + 2
-            while instance.starts == starts and time.monotonic() < limit:
-                time.sleep(0.001)
-            time.sleep(run.random.choice([0.0, 0.002, 0.01, 0.03, 0.1]))
-            instance.signal(signal.SIGHUP)
+        if step % 2 == 0 or not instance.signal(signal.SIGKILL):
+            continue
+        limit = time.monotonic() + 3
+        while time.monotonic() < limit and (instance.starts == starts or not (isAtExec or instance.hasEventLoop())):
+            time.sleep(0.0005)
+        time.sleep(run.random.choice([0.0, 0.002, 0.01, 0.03]))
+        instance.signal(signal.SIGHUP)
+
+
+def play_hups_at_exec(run, end):
+    play_hups(run, end, isAtExec=True)
 
 
 def play_releases(run, end):
@@ -302,6 +307,7 @@
     "kills": Scenario((), False, False, play_kills),
     "pauses": Scenario((), False, False, play_pauses),
     "hups": Scenario((), False, False, play_hups),
+    "hups-at-exec": Scenario((), False, False, play_hups_at_exec),
     "releases": Scenario((), False, False, play_releases),
     "large-bodies": Scenario((), False, True, None),
     "port-in-use": Scenario((), False, False, play_port_in_use),
