--- a/Tests/Soak/instance.py
+++ b/Tests/Soak/instance.py
@@ -150,7 +150,7 @@
                     continue
                 if target.startswith("socket:["):
                     inodes.add(target[8:-1])
-            return (int(found.group(1)) / 1024 if found else 0.0), unread_bytes(inodes, set(self.ports.values())) / 1e6
+            return (int(found.group(1)) / 1024 if found else 0.0), unread_bytes(inodes, set(self.ports.values())) / 1048576
         except OSError:
             return 0.0, 0.0
 
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -29,6 +29,8 @@
 STABLE_S = 5.0
 GRACE_S = BOUNDS["GraceS"]
 MOST_LOST = 3
+CALLERS = 16
+LARGE_CALLERS = 40
 START_S = 15
 APPLY_S = 3
 
@@ -67,9 +69,9 @@
         self.problems = []
         self.lock_ = threading.Lock()
 
-    def report(self, kind, text):
+    def report(self, kind, text, when=None):
         with self.lock_:
-            print("%s %s seed=%s t=%.2f %s" % (kind, self.name, self.options_.seed, time.monotonic() - self.start_, text), flush=True)
+            print("%s %s seed=%s t=%.2f %s" % (kind, self.name, self.options_.seed, (when or time.monotonic()) - self.start_, text), flush=True)
 
     def problem(self, text):
         self.problems.append(text)
@@ -141,8 +143,10 @@
         end = time.monotonic() + self.seconds_
         callers = []
         for instance in list(self.instances):
-            words = {"name": instance.name, "port": instance.ports["front"], "seed": self.options_.seed, "callers": 16, "silent": self.scenario_.silent,
-                "large": 12 if self.scenario_.large else 0, "end": end, "out": os.path.join(self.folder, instance.name + ".requests")}
+            # The burst comes to one instance, beside the usual callers.
+            large = LARGE_CALLERS if self.scenario_.large and not callers else 0
+            words = {"name": instance.name, "port": instance.ports["front"], "seed": self.options_.seed, "callers": CALLERS + large, "silent": self.scenario_.silent,
+                "large": large, "end": end, "out": os.path.join(self.folder, instance.name + ".requests")}
             callers.append(self.startProcess_("callers-" + instance.name, [sys.executable, "callers.py", json.dumps(words)]))
         if self.scenario_.schedule:
             self.scenario_.schedule(self, end)
@@ -180,8 +184,8 @@
                 ok += record["complete"] and record["status"] == 200
                 if record["id"] in soundRuns and self.isLost_(record, instance):
                     lost += 1
-                    self.report("LOST", "%s of %s sent t=%.2f ended t=%.2f kept=%s status=%d %s" % (record["id"], instance.name, record["sent"] - self.start_,
-                        record["end"] - self.start_, record["kept"], record["status"], record["how"]))
+                    self.report("LOST", "%s of %s sent t=%.2f kept=%s status=%d %s" % (record["id"], instance.name, record["sent"] - self.start_, record["kept"],
+                        record["status"], record["how"]), record["end"])
         faults = sum(len(instance.faults) for instance in self.instances) + len(self.problems)
         peak = max((instance.peakMb for instance in self.instances), default=0)
         unread = max((instance.peakUnreadMb for instance in self.instances), default=0)
