ibisturn: Wait for listen addresses in use instead of ending

What callers saw: an instance whose listen address was in use at its start, for example as the local port of another program's outgoing connection, ended with status 1 after "bind: Address already in use", at each start: a system that does not start.

Cause: the listeners of a fleet's instance were opened once, by its constructor, and any failure ended the process.

An instance now opens its listeners before anything else, callers' last. While an address is in use it tries again every 100 ms, logs at most one line in ten seconds with the listener and the address, and counts the attempts. Until all listen, the control plane does not run, so that there is no lease, no entry in the directory and no readiness. SIGTERM ends the wait with status 0. Other failures still end the process with status 1; the message now names the listener and the address.

Instances outside a fleet still end; they are not changed here.

--- a/Libraries/LibKernel/Listen.cpp
+++ b/Libraries/LibKernel/Listen.cpp
@@ -1,7 +1,10 @@
 #include <LibKernel/Listen.h>
 
+#include <LibCore/Log.h>
 #include <LibKernel/Pause.h>
 
+#include <utility>
+
 namespace Ibisturn {
 
 namespace {
@@ -10,6 +13,28 @@
 constexpr Duration retryDelay = std::chrono::milliseconds(20);
 /// Connections accepted in one pass of the event loop. One in each pass would be too few while a pass takes long.
 constexpr std::size_t maxAcceptsPerPass = 32;
+/// Delay between attempts to listen on an address that another socket uses.
+constexpr Duration listenRetryDelay = std::chrono::milliseconds(100);
+constexpr std::uint64_t attemptsPerLogLine = 100;
+constexpr Log listenLog("listen");
+
+boost::system::error_code tryListen(Asio::ip::tcp::acceptor& acceptor, const Endpoint& endpoint)
+{
+    const Asio::ip::tcp::endpoint local(Asio::ip::make_address(endpoint.address), endpoint.port);
+    boost::system::error_code error;
+    acceptor.open(local.protocol(), error);
+    if (!error)
+        acceptor.set_option(Asio::socket_base::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(local, error);
+    if (!error)
+        acceptor.listen(Asio::socket_base::max_listen_connections, error);
+    if (error) {
+        boost::system::error_code ignored;
+        acceptor.close(ignored);
+    }
+    return error;
+}
 
 } // namespace
 
@@ -18,6 +43,23 @@
     return { context, Asio::ip::tcp::endpoint(Asio::ip::make_address(endpoint.address), endpoint.port) };
 }
 
+Task<void> listenWhenFree(Asio::ip::tcp::acceptor& acceptor, ListenAddress address, std::function<void()> onRetry)
+{
+    for (std::uint64_t attempt = 0;; ++attempt) {
+        const auto error = tryListen(acceptor, address.endpoint);
+        if (!error && attempt > 0)
+            listenLog.info("The address is free again.", { { "listener", address.listener }, { "address", address.endpoint.toString() } });
+        if (!error)
+            co_return;
+        if (error != Asio::error::address_in_use)
+            throw boost::system::system_error(error, fmt::format("Cannot listen for {} on {}", address.listener, address.endpoint.toString()));
+        if (attempt % attemptsPerLogLine == 0)
+            listenLog.warning("The address is in use; trying again.", { { "listener", address.listener }, { "address", address.endpoint.toString() } });
+        onRetry();
+        co_await pause(listenRetryDelay);
+    }
+}
+
 Task<void> acceptConnections(Asio::ip::tcp::acceptor& acceptor, WorkerPool& workers, std::function<void(Asio::ip::tcp::socket, std::size_t)> serve)
 {
     acceptor.non_blocking(true);
--- a/Programs/ibisturn/FleetInstance.cpp
+++ b/Programs/ibisturn/FleetInstance.cpp
@@ -6,7 +6,6 @@
 #include <LibHTTP/Callers/RoutedSession.h>
 #include <LibHTTP/Operators/EntrySession.h>
 #include <LibHTTP/Peers/PeerServer.h>
-#include <LibKernel/Listen.h>
 #include <LibKernel/Pause.h>
 
 #include <csignal>
@@ -56,13 +55,14 @@
     , claims_(tables_.settings, *store_, workers_.context(0).get_executor())
     , runner_((tables_.backendDialect = backendDialect_.get(), tables_), claims_)
     , controlPlane_(workers_.context(0), tables_, *store_, *documentReader_)
-    , callersAcceptor_(listenOn(workers_.context(0), settings.callersListen))
-    , peersAcceptor_(listenOn(workers_.context(0), settings.peersListen))
-    , readinessAcceptor_(listenOn(workers_.context(0), settings.fleet->readinessListen))
-    , directoryAcceptor_(listenOn(workers_.context(0), settings.fleet->directoryListen))
+    , callersAcceptor_(workers_.context(0))
+    , peersAcceptor_(workers_.context(0))
+    , readinessAcceptor_(workers_.context(0))
+    , directoryAcceptor_(workers_.context(0))
+    , metricsAcceptor_(workers_.context(0))
+    , shutdownSignals_(workers_.context(0), SIGTERM, SIGINT)
+    , reloadSignals_(workers_.context(0), SIGHUP)
 {
-    if (settings.fleet->metricsListen)
-        metricsAcceptor_.emplace(listenOn(workers_.context(0), *settings.fleet->metricsListen));
     entrySource_.isReady = [this] { return controlPlane_.isReady(); };
     entrySource_.entries = [this](std::string_view host, const CallerLocation& caller) { return controlPlane_.entries(host, caller); };
     entrySource_.metrics = [this] {
@@ -72,25 +72,62 @@
     entrySource_.lifetime = settings.fleet->directoryLifetime;
 }
 
-void FleetInstance::run()
+int FleetInstance::run()
+{
+    auto& context = workers_.context(0);
+    Asio::co_spawn(context, awaitReloadSignal(), Asio::detached);
+    Asio::co_spawn(context, awaitShutdown(), Asio::detached);
+    Asio::co_spawn(context, start(), [this](const std::exception_ptr& failure) { onStartEnded(failure); });
+    workers_.run();
+    return exitStatus_;
+}
+
+// Callers come last: the instance takes none before it can do everything that it is needed for.
+std::vector<FleetInstance::Listener> FleetInstance::listeners()
 {
+    const auto& settings = tables_.settings;
+    std::vector<Listener> listeners {
+        { { "readiness", settings.fleet->readinessListen }, &readinessAcceptor_, &FleetInstance::serveEntriesOn },
+        { { "directory", settings.fleet->directoryListen }, &directoryAcceptor_, &FleetInstance::serveEntriesOn },
+        { { "peers", settings.peersListen }, &peersAcceptor_, &FleetInstance::servePeerOn },
+        { { "callers", settings.callersListen }, &callersAcceptor_, &FleetInstance::serveCallerOn },
+    };
+    if (settings.fleet->metricsListen)
+        listeners.insert(listeners.begin(), { { "metrics", *settings.fleet->metricsListen }, &metricsAcceptor_, &FleetInstance::serveEntriesOn });
+    return listeners;
+}
+
+Task<void> FleetInstance::start()
+{
+    const auto all = listeners();
+    for (const auto& listener : all) {
+        ListenAddress address = listener.address;
+        std::function<void()> onRetry = [this, metric = fmt::format("ibisturn_listen_retries_total{{listener=\"{}\"}}", address.listener)] { tables_.metrics.increment(metric); };
+        co_await listenWhenFree(*listener.acceptor, std::move(address), std::move(onRetry));
+        acceptOn(*listener.acceptor, listener.serve);
+    }
+    const auto& settings = tables_.settings;
+    auto& context = workers_.context(0);
     timers_.subscribe(SteadyClock().now(), controlPlanePeriod, [this](TimePoint now) { controlPlane_.tick(now); });
     timers_.subscribe(SteadyClock().now(), peerConnectionPeriod, [this](TimePoint) { runner_.keepPeersWarm(workers_.context(0).get_executor()); });
     timers_.subscribe(SteadyClock().now(), settingsPoll, [this](TimePoint) { reloadIfChanged(); });
-    auto& context = workers_.context(0);
+    isStarted_ = true;
     controlPlane_.start();
-    Asio::co_spawn(context, awaitReloadSignal(), Asio::detached);
     Asio::co_spawn(context, driveTimers(), Asio::detached);
-    Asio::co_spawn(context, awaitShutdown(), Asio::detached);
-    acceptOn(callersAcceptor_, &FleetInstance::serveCallerOn);
-    acceptOn(peersAcceptor_, &FleetInstance::servePeerOn);
-    acceptOn(readinessAcceptor_, &FleetInstance::serveEntriesOn);
-    acceptOn(directoryAcceptor_, &FleetInstance::serveEntriesOn);
-    if (metricsAcceptor_)
-        acceptOn(*metricsAcceptor_, &FleetInstance::serveEntriesOn);
-    instanceLog.info("Listening.", { { "instance", tables_.settings.identity.instance }, { "callers", tables_.settings.callersListen.toString() }, { "peers", tables_.settings.peersListen.toString() } });
-    logAdjustments(tables_.settings);
-    workers_.run();
+    instanceLog.info("Listening.", { { "instance", settings.identity.instance }, { "callers", settings.callersListen.toString() }, { "peers", settings.peersListen.toString() } });
+    logAdjustments(settings);
+}
+
+void FleetInstance::onStartEnded(const std::exception_ptr& failure)
+{
+    try {
+        if (failure)
+            std::rethrow_exception(failure);
+    } catch (const std::exception& error) {
+        instanceLog.error("The instance cannot start.", { { "reason", error.what() } });
+        exitStatus_ = 1;
+        workers_.stop();
+    }
 }
 
 void FleetInstance::acceptOn(Acceptor& acceptor, Serve serve)
@@ -112,8 +149,12 @@
 Task<void> FleetInstance::awaitShutdown()
 {
     const auto executor = co_await Asio::this_coro::executor;
-    Asio::signal_set signals(executor, SIGTERM, SIGINT);
-    co_await signals.async_wait(Asio::use_awaitable);
+    co_await shutdownSignals_.async_wait(Asio::use_awaitable);
+    if (!isStarted_) {
+        instanceLog.info("Stopped before all listeners were open.");
+        workers_.stop();
+        co_return;
+    }
     const ShutdownSchedule schedule(SteadyClock().now(), tables_.settings.fleet->shutdownGracePeriod);
     instanceLog.info("Draining.", { { "requests", tables_.requestsInFlight.load() } });
     tables_.isDraining = true;
@@ -142,10 +183,8 @@
 
 Task<void> FleetInstance::awaitReloadSignal()
 {
-    const auto executor = co_await Asio::this_coro::executor;
-    Asio::signal_set signals(executor, SIGHUP);
     for (;;) {
-        co_await signals.async_wait(Asio::use_awaitable);
+        co_await reloadSignals_.async_wait(Asio::use_awaitable);
         reload();
     }
 }
--- a/Programs/ibisturn/FleetInstance.h
+++ b/Programs/ibisturn/FleetInstance.h
@@ -4,11 +4,13 @@
 #include <LibHTTP/Callers/CallerDialectRegistry.h>
 #include <LibHTTP/Operators/EntryDialect.h>
 #include <LibHTTP/Requests/RequestRunner.h>
+#include <LibKernel/Listen.h>
 #include <LibKernel/WorkerPool.h>
 
 #include "FleetControlPlane.h"
 
 #include <memory>
+#include <vector>
 
 namespace Ibisturn {
 
@@ -16,18 +18,28 @@
 /// Thread safety: one thread, except where its members say otherwise.
 class FleetInstance {
 public:
-    /// Opens the listeners. The settings file is reloaded when it changes. Throws Error or boost::system::system_error; no
-    /// listener is left open in that case.
+    /// Handles signals from here on. The settings file is reloaded when it changes. Throws Error.
     /// Precondition: the settings have a fleet.
     FleetInstance(const Settings& settings, std::string settingsFile);
 
-    /// Serves until SIGTERM or SIGINT, then until the requests in flight are finished or the shutdown grace is nearly over.
-    void run();
+    /// Opens the listeners and waits for addresses in use, then serves until SIGTERM or SIGINT, and until the requests in
+    /// flight are finished or the shutdown grace is nearly over. Returns the exit status of the process: not 0 if a listener
+    /// could not be opened.
+    int run();
 
 private:
     using Acceptor = Asio::ip::tcp::acceptor;
     using Serve = void (FleetInstance::*)(Asio::ip::tcp::socket, std::size_t);
 
+    struct Listener {
+        ListenAddress address;
+        Acceptor* acceptor;
+        Serve serve;
+    };
+
+    std::vector<Listener> listeners();
+    Task<void> start();
+    void onStartEnded(const std::exception_ptr& failure);
     void acceptOn(Acceptor& acceptor, Serve serve);
     Task<void> driveTimers();
     Task<void> awaitShutdown();
@@ -56,7 +68,11 @@
     Acceptor peersAcceptor_;
     Acceptor readinessAcceptor_;
     Acceptor directoryAcceptor_;
-    std::optional<Acceptor> metricsAcceptor_;
+    Acceptor metricsAcceptor_;
+    Asio::signal_set shutdownSignals_;
+    Asio::signal_set reloadSignals_;
+    bool isStarted_ { false };
+    int exitStatus_ { 0 };
 };
 
 } // namespace Ibisturn
--- a/Programs/ibisturn/Main.cpp
+++ b/Programs/ibisturn/Main.cpp
@@ -34,8 +34,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     if (settings.fleet) {
         FleetInstance instance(settings, path);
-        instance.run();
-        std::_Exit(0);
+        std::_Exit(instance.run());
     }
     Instance instance(settings);
     instance.run();
