ibisturn: Hold signals back until their handling is installed

What callers saw: a SIGHUP (the settings were replaced) or a SIGTERM that arrived while a process started ended it by the signal.

Cause: until the event loop ran, both signals had their default action. They are now blocked as the first thing in the program, before the command line is read, and delivered when the instance has installed its handling: SIGHUP reloads, SIGTERM ends the instance in order. Other commands release them before they run. An instance outside a fleet reads its settings only once and ignores SIGHUP. Signals before main() still have their default action.

Ruled out: further signals during the shutdown; signals_while_ending passed before and after.

Before: hang_up_while_starting failed, "the process ended with status -1 before it logged Listening."; terminate_while_starting failed, "the process ended with status -15 instead of 0". After: both passed.

--- a/Programs/ibisturn/Instance.cpp
+++ b/Programs/ibisturn/Instance.cpp
@@ -41,6 +41,7 @@
     , callersAcceptor_(listenOn(workers_.context(0), tables_.settings.callersListen))
     , peersAcceptor_(listenOn(workers_.context(0), tables_.settings.peersListen))
     , operatorsAcceptor_(listenOn(workers_.context(0), tables_.settings.operatorsListen))
+    , shutdownSignals_(workers_.context(0), SIGTERM, SIGINT)
 {
     for (std::size_t index = 0; index < workers_.size(); ++index)
         runners_.push_back(std::make_unique<RequestRunner>(tables_, claims_));
@@ -123,9 +124,7 @@
 
 Task<void> Instance::awaitShutdown()
 {
-    const auto executor = co_await Asio::this_coro::executor;
-    Asio::signal_set signals(executor, SIGTERM, SIGINT);
-    co_await signals.async_wait(Asio::use_awaitable);
+    co_await shutdownSignals_.async_wait(Asio::use_awaitable);
     instanceLog.info("Draining.", { { "requests", tables_.requestsInFlight.load() } });
     tables_.isDraining = true;
     closeIdleConnections();
--- a/Programs/ibisturn/Instance.h
+++ b/Programs/ibisturn/Instance.h
@@ -61,6 +61,7 @@
     Acceptor callersAcceptor_;
     Acceptor peersAcceptor_;
     Acceptor operatorsAcceptor_;
+    Asio::signal_set shutdownSignals_;
 };
 
 } // namespace Ibisturn
--- a/Programs/ibisturn/Main.cpp
+++ b/Programs/ibisturn/Main.cpp
@@ -5,6 +5,7 @@
 
 #include <LibConfiguration/SettingsError.h>
 #include <LibCore/Digest.h>
+#include <LibKernel/HeldSignals.h>
 
 #include <csignal>
 #include <cstdlib>
@@ -27,16 +28,20 @@
     return 0;
 }
 
-int serve(const std::string& path)
+int serve(const std::string& path, HeldSignals& signals)
 {
     const auto settings = loadSettings(path);
     setLogLevel(settings.logLevel);
     std::signal(SIGPIPE, SIG_IGN);
     if (settings.fleet) {
         FleetInstance instance(settings, path);
+        signals.release();
         std::_Exit(instance.run());
     }
+    // Its settings are read only at the start, so there is nothing to reload.
+    std::signal(SIGHUP, SIG_IGN);
     Instance instance(settings);
+    signals.release();
     instance.run();
     // Suspended coroutines refer to members of the instance, and these members hold timers of the event loops, so no
     // order of destruction is safe. No output is pending.
@@ -63,6 +68,7 @@
 
 /// The command line parser and the parsed values.
 struct CommandLine {
+    HeldSignals signals;
     CLI::App app { "ibisturn: a multi-region inference gateway" };
     std::string settingsFile;
     std::string request;
@@ -84,7 +90,7 @@
     {
         auto* serveCommand = app.add_subcommand("serve", "Run one instance");
         serveCommand->add_option("--settings", settingsFile, "Settings file (YAML)")->required();
-        serveCommand->callback([this] { action = [this] { return serve(settingsFile); }; });
+        serveCommand->callback([this] { action = [this] { return serve(settingsFile, signals); }; });
         auto* checkCommand = app.add_subcommand("check", "Check a settings file without starting an instance");
         checkCommand->add_option("file", settingsFile, "Settings file (YAML)")->required();
         checkCommand->callback([this] { action = [this] { return check(settingsFile); }; });
@@ -144,6 +150,8 @@
         const int code = commandLine.app.exit(error);
         return code == 0 ? 0 : exitInvalidSettings;
     }
+    if (!commandLine.app.got_subcommand("serve"))
+        commandLine.signals.release();
     commandLine.control.format = commandLine.json ? OutputFormat::Json : OutputFormat::Text;
     try {
         return commandLine.action();
