LibKernel: Log exceptions of tasks and go on

What callers saw: nothing yet; found by reading. An exception that left a handler of the event loop left WorkerPool::run() and ended the process with status 1. One that left a detached coroutine ended only that coroutine, without a log line: after an exception of a timer's callback the control plane stood still for good, and after one of the function that serves a new connection none was accepted any more, while the instance said that it was ready.

A worker now logs an exception that leaves a handler and goes on. Accepting connections and driving timers survive the failure of one round, with a log line, and a metric for timers. spawnDetached() logs the name of a task that fails; the programs use it for all their tasks.

Looked at, and not changed: EntryFollower::run, InstanceLease::run and ControlLinks catch and log or retry the failures of their rounds. The tasks of ClaimService, RequestRunner, ConfigurationFeed, SpanExporter and ControlLinks are still detached without a log line.

The survival of driveTimers has no test.

--- a/Libraries/LibKernel/Listen.cpp
+++ b/Libraries/LibKernel/Listen.cpp
@@ -81,7 +81,11 @@
             continue;
         }
         ++acceptsInPass;
-        serve(std::move(socket), worker);
+        try {
+            serve(std::move(socket), worker);
+        } catch (const std::exception& failure) {
+            listenLog.error("A connection could not be served.", { { "reason", failure.what() } });
+        }
     }
 }
 
--- a/Libraries/LibKernel/WorkerPool.h
+++ b/Libraries/LibKernel/WorkerPool.h
@@ -29,7 +29,8 @@
     /// The index of the worker for the next connection, in round-robin order. Thread safety: any thread.
     std::size_t nextIndex() { return next_++ % contexts_.size(); }
 
-    /// Runs all workers, the first on the calling thread, until stop(). Thread safety: call once, from one thread.
+    /// Runs all workers, the first on the calling thread, until stop(). An exception that leaves a handler is
+    /// logged, and the worker goes on. Thread safety: call once, from one thread.
     void run();
 
     /// Makes run() return. Thread safety: any thread.
--- a/Programs/ibisturn/ControlPlane.cpp
+++ b/Programs/ibisturn/ControlPlane.cpp
@@ -1,6 +1,7 @@
 #include "ControlPlane.h"
 
 #include <LibCore/SteadyClock.h>
+#include <LibKernel/SpawnDetached.h>
 #include <LibPeer/Hello.h>
 
 #include <utility>
@@ -26,7 +27,7 @@
 
 void ControlPlane::start()
 {
-    Asio::co_spawn(context_, feed_.run(), Asio::detached);
+    spawnDetached(context_, feed_.run(), "configuration feed");
 }
 
 void ControlPlane::setLiveList(MembershipView list)
--- a/Programs/ibisturn/FleetControlPlane.cpp
+++ b/Programs/ibisturn/FleetControlPlane.cpp
@@ -3,6 +3,7 @@
 #include <LibCore/RandomIdentity.h>
 #include <LibCore/SteadyClock.h>
 #include <LibDecision/Routing/HeadDecision.h>
+#include <LibKernel/SpawnDetached.h>
 #include <LibPeer/Hello.h>
 
 #include <algorithm>
@@ -94,8 +95,8 @@
 void FleetControlPlane::start()
 {
     for (const auto& follower : followers_)
-        Asio::co_spawn(context_, follower->run(), Asio::detached);
-    Asio::co_spawn(context_, lease_.run(), Asio::detached);
+        spawnDetached(context_, follower->run(), "store follower");
+    spawnDetached(context_, lease_.run(), "lease");
 }
 
 void FleetControlPlane::tick(TimePoint now)
@@ -268,7 +269,7 @@
     tables_.allowance.setInstanceCount(size);
     if (view.instances.size() > fleetState_.fleetSize() && view.instances.front().id == own.id && now >= nextFleetSizeWrite_) {
         nextFleetSizeWrite_ = now + fleetSizeWritePeriod;
-        Asio::co_spawn(context_, storeFleetSize(size), Asio::detached);
+        spawnDetached(context_, storeFleetSize(size), "fleet size");
     }
     setGauges(now, view);
     tables_.membership.set(std::make_shared<const MembershipView>(std::move(view)));
@@ -282,10 +283,10 @@
         return table.coldServers(now);
     });
     for (auto& server : coldServerLocks_.advance(now, cold))
-        Asio::co_spawn(context_, lockColdServer(std::move(server), *coldServerLocks_.term()), Asio::detached);
+        spawnDetached(context_, lockColdServer(std::move(server), *coldServerLocks_.term()), "cold server lock");
     auto stale = coldServerLocks_.takeStale(now);
     if (!stale.empty())
-        Asio::co_spawn(context_, deleteLocks(std::move(stale)), Asio::detached);
+        spawnDetached(context_, deleteLocks(std::move(stale)), "lock deletion");
 }
 
 Task<void> FleetControlPlane::lockColdServer(BackendServerId server, LockTermId term)
@@ -343,7 +344,7 @@
     if (statusExchange_.rank() >= CollectorChoice::collectorsPerRegion)
         return;
     for (auto& part : quarantine.takeDueWrites(now))
-        Asio::co_spawn(context_, storeQuarantine(std::move(part)), Asio::detached);
+        spawnDetached(context_, storeQuarantine(std::move(part)), "quarantine");
 }
 
 Task<void> FleetControlPlane::storeQuarantine(ServicePart part)
--- a/Programs/ibisturn/FleetInstance.cpp
+++ b/Programs/ibisturn/FleetInstance.cpp
@@ -7,6 +7,7 @@
 #include <LibHTTP/Operators/EntrySession.h>
 #include <LibHTTP/Peers/PeerServer.h>
 #include <LibKernel/Pause.h>
+#include <LibKernel/SpawnDetached.h>
 
 #include <csignal>
 #include <fstream>
@@ -75,8 +76,8 @@
 int FleetInstance::run()
 {
     auto& context = workers_.context(0);
-    Asio::co_spawn(context, awaitReloadSignal(), Asio::detached);
-    Asio::co_spawn(context, awaitShutdown(), Asio::detached);
+    spawnDetached(context, awaitReloadSignal(), "reload signals");
+    spawnDetached(context, awaitShutdown(), "shutdown");
     Asio::co_spawn(context, start(), [this](const std::exception_ptr& failure) { onStartEnded(failure); });
     workers_.run();
     return exitStatus_;
@@ -113,7 +114,7 @@
     timers_.subscribe(SteadyClock().now(), settingsPoll, [this](TimePoint) { reloadIfChanged(); });
     isStarted_ = true;
     controlPlane_.start();
-    Asio::co_spawn(context, driveTimers(), Asio::detached);
+    spawnDetached(context, driveTimers(), "timers");
     instanceLog.info("Listening.", { { "instance", settings.identity.instance }, { "callers", settings.callersListen.toString() }, { "peers", settings.peersListen.toString() } });
     logAdjustments(settings);
 }
@@ -133,14 +134,19 @@
 void FleetInstance::acceptOn(Acceptor& acceptor, Serve serve)
 {
     auto handle = [this, serve](Asio::ip::tcp::socket socket, std::size_t worker) { (this->*serve)(std::move(socket), worker); };
-    Asio::co_spawn(workers_.context(0), acceptConnections(acceptor, workers_, std::move(handle)), Asio::detached);
+    spawnDetached(workers_.context(0), acceptConnections(acceptor, workers_, std::move(handle)), "accepting connections");
 }
 
 Task<void> FleetInstance::driveTimers()
 {
     for (;;) {
         const auto now = SteadyClock().now();
-        timers_.advance(now);
+        try {
+            timers_.advance(now);
+        } catch (const std::exception& error) {
+            tables_.metrics.increment("ibisturn_timer_failures_total");
+            instanceLog.error("A timer failed.", { { "reason", error.what() } });
+        }
         const auto due = timers_.nextDue().value_or(now + controlPlanePeriod);
         co_await pause(std::max<Duration>(due - SteadyClock().now(), std::chrono::milliseconds(1)));
     }
@@ -160,7 +166,7 @@
     tables_.isDraining = true;
     runner_.idleConnections().close();
     // The store may answer late, and the times of the schedule do not wait for it.
-    Asio::co_spawn(executor, controlPlane_.leave(), Asio::detached);
+    spawnDetached(executor, controlPlane_.leave(), "leaving");
     for (auto now = SteadyClock().now(); schedule.mustServe(now, tables_.requestsInFlight); now = SteadyClock().now()) {
         if (schedule.mustRefuse(now) && !tables_.isRefusing.exchange(true))
             instanceLog.info("Refusing further requests.", { { "requests", tables_.requestsInFlight.load() } });
@@ -217,17 +223,17 @@
 
 void FleetInstance::serveCallerOn(Asio::ip::tcp::socket socket, std::size_t /*worker*/)
 {
-    Asio::co_spawn(workers_.context(0), serveRoutedCaller(std::move(socket), tables_, runner_, *callerDialect_), Asio::detached);
+    spawnDetached(workers_.context(0), serveRoutedCaller(std::move(socket), tables_, runner_, *callerDialect_), "caller session");
 }
 
 void FleetInstance::servePeerOn(Asio::ip::tcp::socket socket, std::size_t /*worker*/)
 {
-    Asio::co_spawn(workers_.context(0), servePeer(std::move(socket), tables_, runner_, controlPlane_), Asio::detached);
+    spawnDetached(workers_.context(0), servePeer(std::move(socket), tables_, runner_, controlPlane_), "peer session");
 }
 
 void FleetInstance::serveEntriesOn(Asio::ip::tcp::socket socket, std::size_t /*worker*/)
 {
-    Asio::co_spawn(workers_.context(0), serveEntries(std::move(socket), *entryDialect_, entrySource_), Asio::detached);
+    spawnDetached(workers_.context(0), serveEntries(std::move(socket), *entryDialect_, entrySource_), "entries session");
 }
 
 } // namespace Ibisturn
--- a/Programs/ibisturn/Instance.cpp
+++ b/Programs/ibisturn/Instance.cpp
@@ -3,6 +3,7 @@
 #include <LibHTTP/Peers/PeerServer.h>
 #include <LibKernel/Listen.h>
 #include <LibKernel/Pause.h>
+#include <LibKernel/SpawnDetached.h>
 #include <LibPlatform/EngineLoadClient.h>
 #include <LibPlatform/LiveListClient.h>
 
@@ -61,11 +62,11 @@
     timers_.subscribe(SteadyClock().now(), admissionPeriod, [this](TimePoint now) { tables_.admission.advance(now); });
     timers_.subscribe(SteadyClock().now(), accessReviewPeriod, [this](TimePoint) { reviewAccess(); });
     auto& context = workers_.context(0);
-    Asio::co_spawn(context, claims_.runTimer(), Asio::detached);
+    spawnDetached(context, claims_.runTimer(), "claims");
     controlPlane_.start();
-    Asio::co_spawn(context, followLiveList(), Asio::detached);
-    Asio::co_spawn(context, driveTimers(), Asio::detached);
-    Asio::co_spawn(context, awaitShutdown(), Asio::detached);
+    spawnDetached(context, followLiveList(), "live list");
+    spawnDetached(context, driveTimers(), "timers");
+    spawnDetached(context, awaitShutdown(), "shutdown");
     acceptOn(callersAcceptor_, &Instance::serveCallerOn);
     acceptOn(peersAcceptor_, &Instance::servePeerOn);
     acceptOn(operatorsAcceptor_, &Instance::serveOperatorOn);
@@ -97,7 +98,7 @@
 void Instance::acceptOn(Acceptor& acceptor, Serve serve)
 {
     auto handle = [this, serve](Asio::ip::tcp::socket socket, std::size_t worker) { (this->*serve)(std::move(socket), worker); };
-    Asio::co_spawn(workers_.context(0), acceptConnections(acceptor, workers_, std::move(handle)), Asio::detached);
+    spawnDetached(workers_.context(0), acceptConnections(acceptor, workers_, std::move(handle)), "accepting connections");
 }
 
 Task<void> Instance::followLiveList()
@@ -117,7 +118,12 @@
 Task<void> Instance::driveTimers()
 {
     for (;;) {
-        timers_.advance(SteadyClock().now());
+        try {
+            timers_.advance(SteadyClock().now());
+        } catch (const std::exception& error) {
+            tables_.metrics.increment("ibisturn_timer_failures_total");
+            instanceLog.error("A timer failed.", { { "reason", error.what() } });
+        }
         co_await pause(timerGranularity);
     }
 }
@@ -160,7 +166,7 @@
             const bool isLocalEngine = server && server->kind == BackendKind::Engine && server->dataCentre == tables_.settings.identity.dataCentre;
             // An engine that serves several routes is queried once per round.
             if (isLocalEngine && server->routes.front() == route.id)
-                Asio::co_spawn(workers_.context(0), requestEngineLoad(id, server->endpoint), Asio::detached);
+                spawnDetached(workers_.context(0), requestEngineLoad(id, server->endpoint), "engine load");
         }
     }
 }
@@ -193,18 +199,18 @@
 void Instance::serveCallerOn(Asio::ip::tcp::socket socket, std::size_t worker)
 {
     const auto tls = callersTls_ ? callersTls_->context() : nullptr;
-    Asio::co_spawn(workers_.context(worker), serveCaller(std::move(socket), tls, tables_, *runners_.at(worker)), Asio::detached);
+    spawnDetached(workers_.context(worker), serveCaller(std::move(socket), tls, tables_, *runners_.at(worker)), "caller session");
 }
 
 void Instance::servePeerOn(Asio::ip::tcp::socket socket, std::size_t worker)
 {
-    Asio::co_spawn(workers_.context(worker), servePeer(std::move(socket), tables_, *runners_.at(worker), controlPlane_), Asio::detached);
+    spawnDetached(workers_.context(worker), servePeer(std::move(socket), tables_, *runners_.at(worker), controlPlane_), "peer session");
 }
 
 void Instance::serveOperatorOn(Asio::ip::tcp::socket socket, std::size_t /*worker*/)
 {
     // The store client belongs to the first worker, so operator sessions run there.
-    Asio::co_spawn(workers_.context(0), serveOperator(std::move(socket), operatorInterface_), Asio::detached);
+    spawnDetached(workers_.context(0), serveOperator(std::move(socket), operatorInterface_), "operator session");
 }
 
 } // namespace Ibisturn
--- a/Tests/LibKernel/ListenTest.cpp
+++ b/Tests/LibKernel/ListenTest.cpp
@@ -2,6 +2,7 @@
 
 #include <LibKernel/Listen.h>
 
+#include <stdexcept>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -39,4 +40,23 @@
     EXPECT_EQ(accepted.size(), connectionCount);
 }
 
+TEST(Listen, GoesOnAcceptingAfterAConnectionThatCouldNotBeServed)
+{
+    WorkerPool workers(1);
+    auto& context = workers.context(0);
+    auto acceptor = listenOn(context, { "127.0.0.1", 0 });
+    std::size_t served = 0;
+    const auto serve = [&served](const Asio::ip::tcp::socket& /*socket*/, std::size_t /*worker*/) {
+        if (++served == 1)
+            throw std::runtime_error("not served");
+    };
+    Asio::co_spawn(context, acceptConnections(acceptor, workers, serve), Asio::detached);
+    Asio::ip::tcp::socket first(context);
+    first.connect(acceptor.local_endpoint());
+    Asio::ip::tcp::socket second(context);
+    second.connect(acceptor.local_endpoint());
+    context.run_for(std::chrono::milliseconds(200));
+    EXPECT_EQ(served, 2U);
+}
+
 } // namespace Ibisturn::Testing
