--- a/Programs/ibisturn/Instance.cpp
+++ b/Programs/ibisturn/Instance.cpp
@@ -3,6 +3,7 @@
 #include <LibHTTP/Peers/PeerServer.h>
 #include <LibKernel/Listen.h>
 #include <LibKernel/Pause.h>
+#include <LibKernel/SpawnDetached.h>
 #include <LibPlatform/EngineLoadClient.h>
 #include <LibPlatform/LiveListClient.h>
 
@@ -41,6 +42,7 @@
     , callersAcceptor_(listenOn(workers_.context(0), tables_.settings.callersListen))
     , peersAcceptor_(listenOn(workers_.context(0), tables_.settings.peersListen))
     , operatorsAcceptor_(listenOn(workers_.context(0), tables_.settings.operatorsListen))
+    , shutdownSignals_(workers_.context(0), SIGTERM, SIGINT)
 {
     for (std::size_t index = 0; index < workers_.size(); ++index)
         runners_.push_back(std::make_unique<RequestRunner>(tables_, claims_));
@@ -60,11 +62,11 @@
     timers_.subscribe(SteadyClock().now(), admissionPeriod, [this](TimePoint now) { tables_.admission.advance(now); });
     timers_.subscribe(SteadyClock().now(), accessReviewPeriod, [this](TimePoint) { reviewAccess(); });
     auto& context = workers_.context(0);
-    Asio::co_spawn(context, claims_.runTimer(), Asio::detached);
+    spawnDetached(context, claims_.runTimer(), "claims");
     controlPlane_.start();
-    Asio::co_spawn(context, followLiveList(), Asio::detached);
-    Asio::co_spawn(context, driveTimers(), Asio::detached);
-    Asio::co_spawn(context, awaitShutdown(), Asio::detached);
+    spawnDetached(context, followLiveList(), "live list");
+    spawnDetached(context, driveTimers(), "timers");
+    spawnDetached(context, awaitShutdown(), "shutdown");
     acceptOn(callersAcceptor_, &Instance::serveCallerOn);
     acceptOn(peersAcceptor_, &Instance::servePeerOn);
     acceptOn(operatorsAcceptor_, &Instance::serveOperatorOn);
@@ -96,7 +98,7 @@
 void Instance::acceptOn(Acceptor& acceptor, Serve serve)
 {
     auto handle = [this, serve](Asio::ip::tcp::socket socket, std::size_t worker) { (this->*serve)(std::move(socket), worker); };
-    Asio::co_spawn(workers_.context(0), acceptConnections(acceptor, workers_, std::move(handle)), Asio::detached);
+    spawnDetached(workers_.context(0), acceptConnections(acceptor, workers_, std::move(handle)), "accepting connections");
 }
 
 Task<void> Instance::followLiveList()
@@ -116,16 +118,19 @@
 Task<void> Instance::driveTimers()
 {
     for (;;) {
-        timers_.advance(SteadyClock().now());
+        try {
+            timers_.advance(SteadyClock().now());
+        } catch (const std::exception& error) {
+            tables_.metrics.increment("ibisturn_timer_failures_total");
+            instanceLog.error("A timer failed.", { { "reason", error.what() } });
+        }
         co_await pause(timerGranularity);
     }
 }
 
 Task<void> Instance::awaitShutdown()
 {
-    const auto executor = co_await Asio::this_coro::executor;
-    Asio::signal_set signals(executor, SIGTERM, SIGINT);
-    co_await signals.async_wait(Asio::use_awaitable);
+    co_await shutdownSignals_.async_wait(Asio::use_awaitable);
     instanceLog.info("Draining.", { { "requests", tables_.requestsInFlight.load() } });
     tables_.isDraining = true;
     closeIdleConnections();
@@ -161,7 +166,7 @@
             const bool isLocalEngine = server && server->kind == BackendKind::Engine && server->dataCentre == tables_.settings.identity.dataCentre;
             // An engine that serves several routes is queried once per round.
             if (isLocalEngine && server->routes.front() == route.id)
-                Asio::co_spawn(workers_.context(0), requestEngineLoad(id, server->endpoint), Asio::detached);
+                spawnDetached(workers_.context(0), requestEngineLoad(id, server->endpoint), "engine load");
         }
     }
 }
@@ -194,18 +199,18 @@
 void Instance::serveCallerOn(Asio::ip::tcp::socket socket, std::size_t worker)
 {
     const auto tls = callersTls_ ? callersTls_->context() : nullptr;
-    Asio::co_spawn(workers_.context(worker), serveCaller(std::move(socket), tls, tables_, *runners_.at(worker)), Asio::detached);
+    spawnDetached(workers_.context(worker), serveCaller(std::move(socket), tls, tables_, *runners_.at(worker)), "caller session");
 }
 
 void Instance::servePeerOn(Asio::ip::tcp::socket socket, std::size_t worker)
 {
-    Asio::co_spawn(workers_.context(worker), servePeer(std::move(socket), tables_, *runners_.at(worker), controlPlane_), Asio::detached);
+    spawnDetached(workers_.context(worker), servePeer(std::move(socket), tables_, *runners_.at(worker), controlPlane_), "peer session");
 }
 
 void Instance::serveOperatorOn(Asio::ip::tcp::socket socket, std::size_t /*worker*/)
 {
     // The store client belongs to the first worker, so operator sessions run there.
-    Asio::co_spawn(workers_.context(0), serveOperator(std::move(socket), operatorInterface_), Asio::detached);
+    spawnDetached(workers_.context(0), serveOperator(std::move(socket), operatorInterface_), "operator session");
 }
 
 } // namespace Ibisturn
