Admission: Bound the bytes that an instance holds for requests

MemoryBudget (pure) bounds what callers and peers may hold, from the memory and descriptors that the platform gives the process. A caller's request reserves at its head, before `100 Continue`; a chunked body before each part; a forwarded request before its frame is read. Without room it is refused as not run: 503 memory_used_up with Retry-After, to peers a failure on a connection that stays usable. Small requests have an eighth for themselves. The body is now written to backend servers from the request (span_body), and encodeFrame makes one copy less. A refused body is read and discarded in small parts, so that a caller that sends before it reads still receives the answer.

Ruled out: preallocation; a limit by the number of requests, since sizes differ by 10^6.

ReplicaDialectTest reads the body as a span, as strictly as before.

--- a/Libraries/LibCore/OrderedMutex.h
+++ b/Libraries/LibCore/OrderedMutex.h
@@ -15,6 +15,7 @@
     Load = 60,
     Connections = 70,
     Traces = 80,
+    Memory = 90,
 };
 
 /// A mutex of a shared table with a lock level. With IBISTURN_CHECK_LOCK_ORDER, acquiring out of order aborts the process.
--- a/Libraries/LibCore/ResultCode.h
+++ b/Libraries/LibCore/ResultCode.h
@@ -37,6 +37,7 @@
     ConfigurationNotReady = 3006,
     ConfigurationBehind = 3007,
     PromptQuarantined = 3008,
+    MemoryUsedUp = 3009,
     BackendUnreachable = 4001,
     OutcomeUnknown = 4002,
     AnswerCut = 4003,
--- a/Libraries/LibHTTP/Backends/BackendDialect.h
+++ b/Libraries/LibHTTP/Backends/BackendDialect.h
@@ -8,7 +8,7 @@
 
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/span_body.hpp>
 
 namespace Ibisturn {
 
@@ -48,12 +48,12 @@
 /// Thread safety: all methods from any thread.
 class BackendDialect {
 public:
-    using Request = boost::beast::http::request<boost::beast::http::string_body>;
+    using Request = boost::beast::http::request<boost::beast::http::span_body<const char>>;
     using AnswerFields = boost::beast::http::response_header<>;
 
     virtual ~BackendDialect() = default;
 
-    /// Makes the HTTP message that carries `request` to `server`.
+    /// Makes the HTTP message that carries `request` to `server`. Its body refers to that of `request`, which must outlive it.
     virtual Request makeRequest(const BackendServer& server, const GatewayRequest& request, TimePoint now) const = 0;
 
     /// Reads the head of an answer on a connection to which `request` was written.
--- a/Libraries/LibHTTP/Backends/OpenAiBackendDialect.cpp
+++ b/Libraries/LibHTTP/Backends/OpenAiBackendDialect.cpp
@@ -23,7 +23,7 @@
             message.set("Last-Event-ID", std::to_string(*request.resumeAfter));
         if (request.parent)
             message.set("traceparent", formatTraceparent(*request.parent));
-        message.body() = request.body;
+        message.body() = { request.body.data(), request.body.size() };
         message.prepare_payload();
         return message;
     }
--- a/Libraries/LibHTTP/Callers/BodyReading.h
+++ b/Libraries/LibHTTP/Callers/BodyReading.h
@@ -3,6 +3,9 @@
 #include <LibCore/Error.h>
 #include <LibKernel/Asio.h>
 
+#include <functional>
+#include <utility>
+
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -18,9 +21,9 @@
 
 /// Reads the body of a request whose head was read, up to the parser's limit. Sends `100 Continue` first if the caller
 /// expects it. Throws Error if the body is too large, late or malformed. Precondition: the stream's timeout is set.
-/// Thread safety: the worker of the stream.
+/// Calls `beforePart` before each read; what it throws ends the reading. Thread safety: the worker of the stream.
 template <typename Stream>
-Task<void> readRequestBody(Stream& stream, boost::beast::flat_buffer& buffer, CallerParser& parser)
+Task<void> readRequestBody(Stream& stream, boost::beast::flat_buffer& buffer, CallerParser& parser, std::function<void(CallerParser&)> beforePart = nullptr)
 {
     namespace Http = boost::beast::http;
     constexpr int httpVersion11 = 11;
@@ -29,7 +32,12 @@
         const Http::response<Http::empty_body> proceed(Http::status::continue_, httpVersion11);
         co_await Http::async_write(stream, proceed, Asio::redirect_error(Asio::use_awaitable, error));
     }
-    co_await Http::async_read(stream, buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
+    parser.eager(true);
+    while (!parser.is_done() && !error) {
+        if (beforePart)
+            beforePart(parser);
+        co_await Http::async_read_some(stream, buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
+    }
     if (error == Http::error::body_limit)
         throw Error(ResultCode::BodyTooLarge, Ran::No, "The request's body exceeds the limit");
     if (error == boost::beast::error::timeout)
--- a/Libraries/LibHTTP/Callers/RoutedSession.cpp
+++ b/Libraries/LibHTTP/Callers/RoutedSession.cpp
@@ -55,6 +55,8 @@
     {
         callerId_.clear();
         target_.clear();
+        // Outlives the parser, which holds the body while it is read.
+        auto memory = tables_.requestMemory.open();
         CallerParser parser;
         parser.header_limit(static_cast<std::uint32_t>(limits().head.count()));
         parser.body_limit(limits().body.count());
@@ -76,7 +78,7 @@
         std::optional<Error> failure;
         auto after = AfterRequest::Close;
         try {
-            after = co_await serveRequest(parser);
+            after = co_await serveRequest(parser, memory);
         } catch (const Error& caught) {
             failure = caught;
         } catch (const std::exception& caught) {
@@ -116,7 +118,7 @@
         co_return co_await write(refusal, AfterRequest::Close);
     }
 
-    Task<AfterRequest> serveRequest(CallerParser& parser)
+    Task<AfterRequest> serveRequest(CallerParser& parser, MemoryBudget::Reservation& memory)
     {
         const auto arrived = SteadyClock().now();
         auto snapshot = tables_.configuration.get();
@@ -141,7 +143,7 @@
         request.resumeAfter = head.lastEventId;
         request.key = head.key;
         setDeadline(request, *route, head, arrived);
-        co_await readBody(parser, request.deadline);
+        co_await readBody(parser, request.deadline, memory);
         // Reading the body may have taken until the end of the shutdown, when the request would be cut.
         refuseDuringShutdown();
         request.body = std::move(parser.get().body());
@@ -228,17 +230,42 @@
         request.callerDeadline = request.deadline;
     }
 
-    // Throws RequestReadTimeout if the body is not complete at the request's deadline.
-    Task<void> readBody(CallerParser& parser, TimePoint deadline)
+    // Throws MemoryUsedUp if there is no memory for the body, and RequestReadTimeout if it is not complete at the request's deadline.
+    Task<void> readBody(CallerParser& parser, TimePoint deadline, MemoryBudget::Reservation& memory)
     {
         stream_.expires_after(std::min<Duration>(limits().headTimeout + limits().idleTimeout, deadline - SteadyClock().now()));
         if (parser.is_done())
             co_return;
+        // A caller that sends the whole body before it reads must still receive a refusal.
         pendingInput_ = PendingInput::Discard;
-        co_await readRequestBody(stream_, buffer_, parser);
+        if (const auto length = parser.content_length())
+            reserve(memory, *length);
+        std::function<void(CallerParser&)> beforePart = [this, &memory](CallerParser& reading) { reserveNextPart(reading, memory); };
+        co_await readRequestBody(stream_, buffer_, parser, std::move(beforePart));
         pendingInput_ = PendingInput::LeaveUnread;
     }
 
+    void reserve(MemoryBudget::Reservation& memory, std::uint64_t bodySize)
+    {
+        const auto cost = costOfBody(bodySize);
+        if (!memory.growTo(cost))
+            throw memoryUsedUpError(tables_.requestMemory, cost, SteadyClock().now());
+    }
+
+    // The size of a chunked body is not known in advance. It grows here only, not while a part is read.
+    void reserveNextPart(CallerParser& parser, MemoryBudget::Reservation& memory)
+    {
+        if (parser.content_length())
+            return;
+        auto& body = parser.get().body();
+        const auto needed = body.size() + buffer_.max_size();
+        if (costOfBody(needed) <= memory.size())
+            return;
+        const auto capacity = std::max<std::size_t>(needed, std::min<std::size_t>(2 * body.size(), limits().body.count()));
+        reserve(memory, capacity);
+        body.reserve(capacity);
+    }
+
     Task<AfterRequest> runRequest(GatewayRequest request, bool keepAlive)
     {
         CallerSink<Beast::tcp_stream> sink(stream_, tables_.settings.idleTimeout, tables_.isDraining);
@@ -266,6 +293,9 @@
 
     Task<AfterRequest> refuse(Error failure, const CallerParser& parser)
     {
+        // Peers don't say when to return.
+        if (failure.code() == ResultCode::MemoryUsedUp && !failure.retryAfter())
+            failure.setRetryAfter(tables_.requestMemory.estimateWait(SteadyClock().now(), ByteCount(0)));
         recordFailure(failure);
         if (failure.code() == ResultCode::CallerGone)
             co_return AfterRequest::Close;
--- a/Libraries/LibHTTP/Peers/PeerServer.cpp
+++ b/Libraries/LibHTTP/Peers/PeerServer.cpp
@@ -109,12 +109,33 @@
     }
 }
 
+Task<void> refuseForMemory(PeerConnection& connection, RequestId request, InstanceTables& tables)
+{
+    const Error error(ResultCode::MemoryUsedUp, Ran::No, "The instance holds as many bytes of requests as its memory allows");
+    peerLog.info("Request refused.", { { "code", resultCodeEntry(error.code()).name }, { "reason", error.what() } });
+    PeerMessage message(FailureMessage { static_cast<std::uint16_t>(error.code()), static_cast<std::uint8_t>(error.ran()), error.what() });
+    co_await connection.write(request, std::move(message), tables.settings.connectTimeout);
+}
+
 Task<void> serveFrames(PeerConnection& connection, InstanceTables& tables, RequestRunner& runner, ControlReceiver& control)
 {
     HelloMessage hello = makeHelloMessage(tables.settings.identity);
     const HelloMessage other = co_await connection.handshake(std::move(hello), tables.settings.connectTimeout);
     for (;;) {
-        Frame frame = co_await connection.read(tables.settings.idleTimeout);
+        // Released once the request has ended.
+        auto memory = tables.requestMemory.open();
+        std::function<bool(ByteCount)> admit = [&memory](ByteCount size) { return memory.growTo(costOfBody(size.count())); };
+        auto received = co_await connection.readOrDiscard(tables.settings.idleTimeout, std::move(admit));
+        if (const auto* discarded = std::get_if<RequestId>(&received)) {
+            co_await refuseForMemory(connection, *discarded, tables);
+            continue;
+        }
+        auto& frame = std::get<Frame>(received);
+        const auto* forwarded = std::get_if<ForwardMessage>(&frame.message);
+        if (forwarded && !memory.growTo(costOfBody(forwarded->body.size()))) {
+            co_await refuseForMemory(connection, frame.request, tables);
+            continue;
+        }
         std::optional<ControlEvent> event = toControlEvent(frame.message);
         if (!event) {
             co_await serveRequest(connection, std::move(frame), tables, runner);
--- a/Libraries/LibHTTP/Requests/InstanceTables.h
+++ b/Libraries/LibHTTP/Requests/InstanceTables.h
@@ -16,6 +16,7 @@
 #include <LibHTTP/Backends/SharedPlacementTable.h>
 #include <LibHTTP/Operators/Tracer.h>
 #include <LibHTTP/Peers/PeerReachabilityTable.h>
+#include <LibHTTP/Requests/RequestMemory.h>
 
 #include <atomic>
 
@@ -44,6 +45,7 @@
         , placement(settings.identity.region)
         , serviceRetries(settings.fleet ? retryLimitsOf(*settings.fleet) : FleetRetryLimits {})
         , allowance(settings.fleet ? allowanceLimitsOf(*settings.fleet) : FleetAllowanceLimits {}, SteadyClock().now(), std::hash<std::string> {}(settings.identity.instance.value()))
+        , requestMemory(requestMemoryOf(settings), std::hash<std::string> {}(settings.identity.instance.value()))
         , tracer(settings.identity.instance.value(), std::move(spans))
     {
     }
@@ -64,6 +66,8 @@
     SharedHealthTable health;
     PeerReachabilityTable peerReachability;
     Metrics metrics;
+    /// For the bodies of callers on routes with a policy, and of forwarded requests.
+    MemoryBudget requestMemory;
     Tracer tracer;
     /// For callers on routes with a policy. Used by one worker.
     CallerLimits callerLimits;
--- /dev/null
+++ b/Libraries/LibHTTP/Requests/RequestMemory.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <LibConfiguration/Settings.h>
+#include <LibCore/Clock.h>
+#include <LibCore/Error.h>
+#include <LibDecision/Admission/MemoryBudget.h>
+
+namespace Ibisturn {
+
+/// How many bytes the instance may hold for requests; empty if it has no stated memory and is no part of a fleet.
+/// docs/CAPACITY.md has the arithmetic. Thread safety: any thread.
+std::optional<ByteCount> requestMemoryOf(const Settings& settings);
+
+/// The memory that a request with a body of `size` bytes needs: the body, and a second time while it is written to a
+/// backend server or a peer. Thread safety: any thread.
+ByteCount costOfBody(std::uint64_t size);
+
+/// The refusal of a request that needs `cost` bytes. Thread safety: any thread.
+Error memoryUsedUpError(const MemoryBudget& budget, ByteCount cost, TimePoint now);
+
+} // namespace Ibisturn
--- a/Libraries/LibPeer/Frame.cpp
+++ b/Libraries/LibPeer/Frame.cpp
@@ -19,6 +19,12 @@
     MSGPACK_DEFINE(version, type, incarnation, request)
 };
 
+/// Receives what msgpack packs, without a further copy.
+struct StringBuffer {
+    std::string bytes;
+    void write(const char* data, std::size_t size) { bytes.append(data, size); }
+};
+
 // Each element's size is bounded by the frame length, which has already been checked.
 msgpack::unpack_limit limitFor(std::size_t length)
 {
@@ -71,13 +77,12 @@
 
 std::string encodeFrame(const Frame& frame)
 {
-    msgpack::sbuffer buffer;
-    const std::string placeholder(frameLengthBytes, '\0');
-    buffer.write(placeholder.data(), placeholder.size());
+    StringBuffer buffer;
+    buffer.bytes.assign(frameLengthBytes, '\0');
     const auto type = static_cast<std::uint8_t>(frame.message.index());
     msgpack::pack(buffer, FrameHeader { frameVersion, type, frame.incarnation.count(), frame.request.count() });
     std::visit([&buffer](const auto& message) { msgpack::pack(buffer, message); }, frame.message);
-    std::string bytes(buffer.data(), buffer.size());
+    std::string bytes = std::move(buffer.bytes);
     const auto length = bytes.size() - frameLengthBytes;
     for (std::size_t index = 0; index < frameLengthBytes; ++index)
         bytes[index] = static_cast<char>((length >> (8 * (frameLengthBytes - 1 - index))) & 0xff);
@@ -94,6 +99,20 @@
     return length;
 }
 
+FrameStart decodeFrameStart(std::string_view bytes)
+{
+    static const auto forwardType = PeerMessage(ForwardMessage {}).index();
+    try {
+        std::size_t offset = 0;
+        const auto header = unpackHeader(bytes, offset);
+        return { Incarnation(header.incarnation), RequestId(header.request), header.type == forwardType };
+    } catch (const msgpack::unpack_error&) {
+        throw Error(ResultCode::MalformedFrame, Ran::No, "A frame is not valid msgpack");
+    } catch (const msgpack::type_error&) {
+        throw Error(ResultCode::MalformedFrame, Ran::No, "A frame's header has fields of the wrong type");
+    }
+}
+
 Frame decodeFrame(std::string_view bytes)
 {
     try {
--- a/Libraries/LibPeer/Frame.h
+++ b/Libraries/LibPeer/Frame.h
@@ -295,6 +295,19 @@
 /// Precondition: `bytes` has at least frameLengthBytes bytes. Thread safety: any thread.
 std::size_t decodeFrameLength(std::string_view bytes, std::size_t limit);
 
+/// Which message of which request a frame carries.
+struct FrameStart {
+    Incarnation incarnation;
+    RequestId request;
+    bool isForward { false };
+};
+
+/// The first bytes of a frame, after its length, that decodeFrameStart() needs at most.
+constexpr std::size_t frameStartBytes = 32;
+
+/// Decodes the start of a frame. Throws Error with MalformedFrame or FrameVersionUnknown. Thread safety: any thread.
+FrameStart decodeFrameStart(std::string_view bytes);
+
 /// Decodes a frame without its length prefix. Throws Error with MalformedFrame or FrameVersionUnknown.
 /// Thread safety: any thread.
 Frame decodeFrame(std::string_view bytes);
--- a/Libraries/LibPeer/PeerConnection.cpp
+++ b/Libraries/LibPeer/PeerConnection.cpp
@@ -69,8 +69,24 @@
 Task<Frame> PeerConnection::read(Duration timeout)
 {
     Frame frame = co_await readNextFrame(timeout);
-    if (frame.incarnation != peerIncarnation_)
-        throw Error(ResultCode::MalformedFrame, Ran::Unknown, "A frame belongs to another incarnation of the connection");
+    requireIncarnation(frame.incarnation);
+    co_return frame;
+}
+
+Task<std::variant<Frame, RequestId>> PeerConnection::readOrDiscard(Duration timeout, std::function<bool(ByteCount)> admit)
+{
+    const auto length = co_await readLength(timeout);
+    if (length > maxRetainedBytes) {
+        const auto startBytes = co_await readAtLeast(frameStartBytes);
+        const auto start = decodeFrameStart(startBytes);
+        requireIncarnation(start.incarnation);
+        if (start.isForward && !admit(ByteCount(length))) {
+            co_await discard(length);
+            co_return start.request;
+        }
+    }
+    Frame frame = co_await readFrame(length);
+    requireIncarnation(frame.incarnation);
     co_return frame;
 }
 
@@ -87,11 +103,22 @@
 }
 
 Task<Frame> PeerConnection::readNextFrame(Duration timeout)
+{
+    const auto length = co_await readLength(timeout);
+    co_return co_await readFrame(length);
+}
+
+Task<std::size_t> PeerConnection::readLength(Duration timeout)
 {
     stream_.expires_after(timeout);
     const auto lengthBytes = co_await readAtLeast(frameLengthBytes);
     const auto length = decodeFrameLength(lengthBytes, frameLimit_);
     received_.consume(frameLengthBytes);
+    co_return length;
+}
+
+Task<Frame> PeerConnection::readFrame(std::size_t length)
+{
     const auto bytes = co_await readAtLeast(length);
     Frame frame = decodeFrame(bytes);
     received_.consume(length);
@@ -101,6 +128,22 @@
     co_return frame;
 }
 
+Task<void> PeerConnection::discard(std::size_t length)
+{
+    while (length > 0) {
+        co_await readAtLeast(1);
+        const auto part = std::min(length, received_.size());
+        received_.consume(part);
+        length -= part;
+    }
+}
+
+void PeerConnection::requireIncarnation(Incarnation incarnation) const
+{
+    if (incarnation != peerIncarnation_)
+        throw Error(ResultCode::MalformedFrame, Ran::Unknown, "A frame belongs to another incarnation of the connection");
+}
+
 // Reads until the buffer has at least `length` bytes. The bytes stay in the buffer until the caller consumes them.
 Task<std::string_view> PeerConnection::readAtLeast(std::size_t length)
 {
--- a/Libraries/LibPeer/PeerConnection.h
+++ b/Libraries/LibPeer/PeerConnection.h
@@ -4,6 +4,9 @@
 #include <LibKernel/Asio.h>
 #include <LibPeer/Frame.h>
 
+#include <functional>
+#include <variant>
+
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
@@ -36,6 +39,10 @@
     /// frame is malformed or belongs to another incarnation of the connection.
     Task<Frame> read(Duration timeout);
 
+    /// Like read(), but asks `admit` with the frame's length before the body of a large forwarded request is read. If it returns
+    /// false, the frame is discarded as it arrives, and the request that it carries is returned.
+    Task<std::variant<Frame, RequestId>> readOrDiscard(Duration timeout, std::function<bool(ByteCount)> admit);
+
     /// The socket, for waiting on or inspecting it. Precondition: the caller does not read from it or write to it.
     Asio::ip::tcp::socket& socket() { return stream_.socket(); }
     /// Sends the reason to the peer and closes the connection. Precondition: no request is in flight.
@@ -46,6 +53,10 @@
 
 private:
     Task<Frame> readNextFrame(Duration timeout);
+    Task<std::size_t> readLength(Duration timeout);
+    Task<Frame> readFrame(std::size_t length);
+    Task<void> discard(std::size_t length);
+    void requireIncarnation(Incarnation incarnation) const;
     Task<std::string_view> readAtLeast(std::size_t length);
 
     boost::beast::tcp_stream stream_;
--- a/Tests/Platform/DialectsTest.cpp
+++ b/Tests/Platform/DialectsTest.cpp
@@ -151,7 +151,7 @@
     EXPECT_EQ(message["X-Ibisturn-Request-Priority"], "9");
     EXPECT_EQ(message["X-Ibisturn-Model"], "m");
     EXPECT_EQ(message["Last-Event-Id"], "12");
-    EXPECT_EQ(message.body(), "prompt");
+    EXPECT_EQ(std::string_view(message.body().data(), message.body().size()), "prompt");
 }
 
 TEST_F(ReplicaDialectTest, ClassifiesAnswers)
--- a/Tests/Platform/RoutedCallerTest.cpp
+++ b/Tests/Platform/RoutedCallerTest.cpp
@@ -45,11 +45,20 @@
 
 const std::string request = requestHead("Connection: close\r\nContent-Length: 2\r\n") + "ok";
 
+Settings settingsOfSmallInstance()
+{
+    Settings settings = settingsIn("khomas");
+    settings.fleet.emplace();
+    settings.fleet->processMemory = ByteCount(160'000'000);
+    settings.fleet->processDescriptors = 4096;
+    return settings;
+}
+
 /// Serves a caller's connection as an instance of a fleet does, in one event loop with the backend servers.
 class RoutedCallerTest : public testing::Test {
 protected:
     RoutedCallerTest()
-        : tables_(settingsIn("khomas"), nullptr)
+        : tables_(settingsOfSmallInstance(), nullptr)
         , claims_(tables_.settings, store_, context_.get_executor())
         , runner_((tables_.backendDialect = backendDialect_.get(), tables_), claims_)
         , listener_(context_, Asio::ip::tcp::endpoint(Asio::ip::address_v4::loopback(), 0))
@@ -91,6 +100,25 @@
         return received;
     }
 
+    /// A caller that sends `part` and then neither sends nor reads until it is destroyed. Returns once the instance read the part.
+    Asio::ip::tcp::socket startSending(const std::string& part)
+    {
+        Asio::ip::tcp::socket socket(context_);
+        socket.connect(listener_.local_endpoint());
+        socket.non_blocking(true);
+        send(socket, part);
+        return socket;
+    }
+
+    void send(Asio::ip::tcp::socket& socket, const std::string& part)
+    {
+        boost::system::error_code error;
+        context_.restart();
+        for (std::size_t sent = 0; sent < part.size() && (!error || error == Asio::error::would_block); context_.poll())
+            sent += socket.write_some(Asio::buffer(part.data() + sent, part.size() - sent), error);
+        context_.run_for(readingTime);
+    }
+
     Asio::io_context context_ { 1 };
     std::unique_ptr<CallerDialect> callerDialect_ { CallerDialectRegistry::instance().require("caller dialect", "platform") };
     std::unique_ptr<BackendDialect> backendDialect_ { BackendDialectRegistry::instance().require("backend dialect", "platform") };
@@ -101,7 +129,7 @@
 
 private:
     /// How long an instance may take to read what has arrived; a later part of a request is sent after this time.
-    static constexpr auto readingTime = 50ms;
+    static constexpr auto readingTime = std::chrono::milliseconds(50);
     /// An answer is taken for complete if nothing arrived for this long.
     static constexpr auto silence = 300ms;
 
@@ -259,4 +287,54 @@
     EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
 }
 
+// Guards against callers whose bodies together exceed the memory of the process, which is then killed.
+TEST_F(RoutedCallerTest, BodiesForWhichThereIsNoMemoryAreRefusedWhileSmallOnesAreServed)
+{
+    constexpr std::size_t bodySize = 4'000'000;
+    ScriptedServer server(context_, { answerHead("Content-Length: 2\r\n") + "ok", answerHead("Content-Length: 2\r\n") + "ok" });
+    setServers({ server.endpoint() });
+    const auto start = requestHead(fmt::format("Connection: close\r\nContent-Length: {}\r\n", bodySize)) + "p";
+    const auto capacity = requestMemoryOf(tables_.settings)->count();
+    std::vector<Asio::ip::tcp::socket> callers;
+    while (tables_.requestMemory.held().count() + 2 * bodySize <= capacity - capacity / 8 && callers.size() < 100)
+        callers.push_back(startSending(start));
+    ASSERT_LT(callers.size(), 100U);
+    const std::vector<std::string> refused {
+        start,
+        requestHead(fmt::format("Expect: 100-continue\r\nContent-Length: {}\r\n", bodySize)),
+        requestHead("Transfer-Encoding: chunked\r\n") + fmt::format("{:x}\r\n", bodySize) + std::string(bodySize, 'p'),
+    };
+    for (const auto& large : refused) {
+        const auto answer = exchange(large);
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 503")) << answer.substr(0, 1000);
+        EXPECT_NE(answer.find("memory_used_up"), std::string::npos) << answer.substr(0, 1000);
+        EXPECT_NE(answer.find("\"ran\":\"no\""), std::string::npos) << answer.substr(0, 1000);
+        EXPECT_NE(answer.find("Retry-After: "), std::string::npos) << answer.substr(0, 1000);
+        EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer.substr(0, 1000);
+    }
+    EXPECT_TRUE(isSuccess(exchange(request)));
+    callers.clear();
+    context_.restart();
+    context_.run_for(200ms);
+    EXPECT_EQ(tables_.requestMemory.held(), ByteCount(0));
+    EXPECT_TRUE(isSuccess(exchange(requestHead(fmt::format("Connection: close\r\nContent-Length: {}\r\n", bodySize)) + std::string(bodySize, 'p'))));
+    EXPECT_EQ(server.requests(), 2U);
+}
+
+TEST_F(RoutedCallerTest, AChunkedBodyHoldsMemoryAsItGrows)
+{
+    constexpr std::size_t part = 500'000;
+    auto caller = startSending(requestHead("Transfer-Encoding: chunked\r\n") + "3d0900\r\nok");
+    const auto before = tables_.requestMemory.held();
+    EXPECT_GT(before, ByteCount(0));
+    EXPECT_LT(before, ByteCount(part));
+    send(caller, std::string(part, 'p'));
+    EXPECT_GE(tables_.requestMemory.held(), costOfBody(part));
+    EXPECT_LE(tables_.requestMemory.held(), costOfBody(4 * part));
+    caller.close();
+    context_.restart();
+    context_.run_for(200ms);
+    EXPECT_EQ(tables_.requestMemory.held(), ByteCount(0));
+}
+
 } // namespace Ibisturn::Testing
