Admission: Call refused callers back one after another

Callers refused together for want of memory were told the same short wait and could come back at once for the same piece of memory: the estimate counted one request's share of the releases. MemoryBudget now keeps the end of a virtual queue of the callers that it has told to wait, at most 2 s long.

Before: MemoryBudget.CallersThatAreRefusedTogetherReturnOneAfterAnother "Expected: (last) >= (1500ms), actual: 150ms".

--- a/Libraries/LibDecision/Admission/MemoryBudget.cpp
+++ b/Libraries/LibDecision/Admission/MemoryBudget.cpp
@@ -40,6 +40,8 @@
     std::uint64_t released { 0 };
     std::uint64_t releasedBefore { 0 };
     std::optional<TimePoint> periodStart;
+    /// When the callers that were told to wait will have been served.
+    TimePoint queueEnd {};
 };
 
 MemoryBudget::Reservation::Reservation(std::shared_ptr<State> state)
@@ -132,7 +134,14 @@
     const auto rate = static_cast<double>(state_->released + state_->releasedBefore) / seconds;
     const auto maxSeconds = std::chrono::duration<double>(maxWait).count();
     const auto minSeconds = std::chrono::duration<double>(minWait).count();
-    const auto wanted = rate > 0 ? std::clamp(missing / rate, minSeconds, maxSeconds) : maxSeconds;
+    // Refused requests come back one after another, as if they stood in a queue.
+    state_->queueEnd = std::max(state_->queueEnd, now);
+    if (rate > 0) {
+        const auto served = std::min((missing + static_cast<double>(size.count())) / rate, maxSeconds);
+        state_->queueEnd = std::min(state_->queueEnd + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(served)), now + maxWait);
+    }
+    const auto queued = std::chrono::duration<double>(state_->queueEnd - now).count();
+    const auto wanted = rate > 0 ? std::clamp(queued, minSeconds, maxSeconds) : maxSeconds;
     const auto wait = isRateKnown ? wanted : std::chrono::duration<double>(waitAtUnknownRate).count();
     const auto spread = 1 + maxWaitSpread * std::generate_canonical<double, 32>(state_->random);
     return std::chrono::ceil<std::chrono::milliseconds>(std::chrono::duration<double>(std::min(wait * spread, maxSeconds)));
--- a/Tests/LibDecision/MemoryBudgetTest.cpp
+++ b/Tests/LibDecision/MemoryBudgetTest.cpp
@@ -84,6 +84,24 @@
     EXPECT_EQ(budget.estimateWait(start + 3100ms, large), MemoryBudget::maxWait);
 }
 
+// Guards against waits that call all refused callers back for the same piece of memory.
+TEST(MemoryBudget, CallersThatAreRefusedTogetherReturnOneAfterAnother)
+{
+    const MemoryBudget budget(capacity);
+    const TimePoint start(10s);
+    static_cast<void>(budget.estimateWait(start, large));
+    for (int count = 0; count < 10; ++count)
+        EXPECT_TRUE(budget.reserve(large));
+    const auto held = budget.reserve(ByteCount(56 * mebibyte));
+    ASSERT_TRUE(held);
+    const auto first = budget.estimateWait(start + 1s, large);
+    auto last = first;
+    for (int count = 0; count < 7; ++count)
+        last = budget.estimateWait(start + 1s, large);
+    EXPECT_LE(first, 1s);
+    EXPECT_GE(last, 1500ms);
+}
+
 RC_GTEST_PROP(MemoryBudget, HoldsExactlyWhatIsReservedAndNeverMoreThanItsCapacity, ())
 {
     const MemoryBudget budget(capacity);
