--- a/Tests/Soak/replica.py
+++ b/Tests/Soak/replica.py
@@ -129,9 +129,8 @@
             connection.sendall(head([("X-Ibisturn-Instance-Id", self.options_.id), ("X-Ibisturn-Request-Id", request), ("Content-Length", "0")]).replace(b"200 OK", b"421 Other"))
             return True
         fault = self.chooseFault_(PLAIN_FAULTS)
+        self.record_(request, fault or "sound")
         with self.lock_:
-            self.runs_.write("%.3f %s %s\n" % (time.monotonic(), request, fault or "sound"))
-            self.runs_.flush()
             self.running_ += 1
         try:
             time.sleep(self.options_.serve_ms / 1000)
@@ -145,8 +144,14 @@
         with self.lock_:
             return self.random_.choice(faults) if faults and self.random_.random() < self.options_.share else None
 
+    def record_(self, request, how):
+        with self.lock_:
+            self.runs_.write("%.3f %s %s\n" % (time.monotonic(), request, how))
+            self.runs_.flush()
+
     def answerControl_(self, connection, name, body, headers):
         if self.chooseFault_([name]):
+            self.record_("-", name)
             how = self.random_.choice(["garbage-head", "endless-head", "chunk-line", "length-body", "chunks"])
             return self.spoil_(connection, how, headers, "")
         connection.sendall(head(headers + [("Content-Length", len(body))]) + body)
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -163,11 +163,13 @@
 
     def judge(self):
         runs = {True: set(), False: set()}
+        spoiled = 0
         try:
             with open(os.path.join(self.folder, "runs"), encoding="utf-8") as file:
                 for line in file:
                     _, request, how = line.split()
                     runs[how == "sound"].add(request)
+                    spoiled += how != "sound"
         except FileNotFoundError:
             pass
         soundRuns = runs[True] - runs[False]
@@ -190,8 +192,11 @@
         peak = max((instance.peakMb for instance in self.instances), default=0)
         unread = max((instance.peakUnreadMb for instance in self.instances), default=0)
         starts = sum(instance.starts for instance in self.instances)
-        print("RESULT scenario=%s seed=%s FAULT=%d LOST=%d complete=%d ok=%d of=%d peak_mb=%.0f unread_mb=%.0f starts=%d" % (self.name, self.options_.seed, faults, lost,
-            complete, ok, total, peak, unread, starts), flush=True)
+        print("RESULT scenario=%s seed=%s FAULT=%d LOST=%d complete=%d ok=%d of=%d peak_mb=%.0f unread_mb=%.0f starts=%d spoiled=%d" % (self.name, self.options_.seed, faults, lost,
+            complete, ok, total, peak, unread, starts, spoiled), flush=True)
+        if self.scenario_.faults and spoiled == 0:
+            self.report("UNPLAYED", "the faulty replicas were never asked")
+            return False
         return faults == 0 and lost <= MOST_LOST and total > 0
 
     def isLost_(self, record, instance):
