LibHTTP: Close idle connections that are of no more use

Cause: BackendClient kept idle connections by address and looked at them only when the same address was used again. Those to replaced replicas stayed for good, also after the replica had closed its end, and bytes that a replica sent on one piled up in the kernel.

IdleConnectionPool now owns them. It waits for each: any byte or the end closes it at once. All together take at most a quarter of the descriptors that the settings give, or else of RLIMIT_NOFILE; at the limit the longest idle one is closed. A connection is removed from the pool and its wait cancelled before it is used, and its socket is looked at once more, so that none is handed out whose end was not yet handled. Idle connections to peers are closed when the peer is no longer a member, and at most 64 are kept to each.

Not covered: unread bytes on idle connections to peers; a backend server with a new id at the address of another.

BackendClientTest.ClosesAnIdleConnectionWhoseServerHasEnded and ...WhoseServerSendsBytesThatNobodyReads, before: both failed (not closed within a second). After: all 8 tests of BackendClientTest and all 8 of IdleConnectionPoolTest passed, linked by themselves; the rest of TestLibHTTP and TestPlatform was not built on this change.

--- a/Libraries/LibHTTP/Backends/BackendClient.cpp
+++ b/Libraries/LibHTTP/Backends/BackendClient.cpp
@@ -3,7 +3,6 @@
 #include <LibCore/Error.h>
 #include <LibCore/SteadyClock.h>
 #include <LibHTTP/Backends/AnswerCompleteness.h>
-#include <LibHTTP/Callers/SocketWatch.h>
 #include <LibKernel/HttpLimits.h>
 #include <LibKernel/SocketOptions.h>
 
@@ -21,6 +20,8 @@
 namespace {
 
 constexpr std::size_t maxIdlePerServer = 32;
+/// How long an idle connection is kept if the backend server does not announce that it keeps it longer.
+constexpr Duration maxIdleTime = std::chrono::seconds(30);
 constexpr std::size_t partBytes = 16UL * 1024;
 constexpr std::uint32_t answerHeadLimit = 16U * 1024;
 /// Stray answers of other requests that are skipped before the expected one.
@@ -74,16 +75,20 @@
     : limits_(limits)
     , dialect_(dialect)
     , onHead_(std::move(onHead))
+    , idle_({ maxIdlePerServer, limits.idleConnections, maxIdleTime })
 {
 }
 
 Task<void> BackendClient::run(const BackendServer& server, const GatewayRequest& request, Repeatability repeatability, AnswerSink& sink)
 {
-    ConnectionPointer connection = takeIdle(server.endpoint, repeatability);
+    // The backend server may close a reused connection while we write, which leaves it unknown whether the request ran.
+    // So a connection that may be closed soon is used only for idempotent requests.
+    ConnectionPointer connection = idle_.take(SteadyClock().now(), server.endpoint, repeatability != Repeatability::Idempotent);
     if (!connection)
         connection = co_await connect(server.endpoint, request.deadline);
     co_await exchange(*connection, server, request, sink);
-    keepIdle(server.endpoint, std::move(connection));
+    connection->isReused = true;
+    idle_.keep(SteadyClock().now(), server.endpoint, std::move(connection));
 }
 
 Task<BackendClient::ConnectionPointer> BackendClient::connect(Endpoint endpoint, TimePoint deadline)
@@ -102,36 +107,6 @@
     co_return connection;
 }
 
-// The backend server may close a reused connection while we write, which leaves it unknown whether the request ran.
-// So a connection that may be closed soon is used only for idempotent requests.
-BackendClient::ConnectionPointer BackendClient::takeIdle(const Endpoint& endpoint, Repeatability repeatability)
-{
-    const auto found = idle_.find(endpoint);
-    if (found == idle_.end())
-        return nullptr;
-    const auto now = SteadyClock().now();
-    while (!found->second.empty()) {
-        auto connection = std::move(found->second.back());
-        found->second.pop_back();
-        // Drop connections that the backend server has closed or on which unexpected bytes have arrived.
-        const bool isTrusted = repeatability == Repeatability::Idempotent || now < connection->trustedUntil;
-        if (isTrusted && probeSocket(connection->stream.socket()) == SocketState::Idle)
-            return connection;
-    }
-    return nullptr;
-}
-
-void BackendClient::keepIdle(const Endpoint& endpoint, ConnectionPointer connection)
-{
-    auto& connections = idle_[endpoint];
-    const bool hasLeftover = connection->buffer.size() > 0;
-    if (!connection->stream.socket().is_open() || hasLeftover || connections.size() >= maxIdlePerServer)
-        return;
-    connection->stream.expires_never();
-    connection->isReused = true;
-    connections.push_back(std::move(connection));
-}
-
 Task<void> BackendClient::exchange(Connection& connection, const BackendServer& server, const GatewayRequest& request, AnswerSink& sink)
 {
     const Cancellation::Scope closing(request.cancellation, [&connection] { connection.stream.close(); });
--- a/Libraries/LibHTTP/Backends/BackendClient.h
+++ b/Libraries/LibHTTP/Backends/BackendClient.h
@@ -2,15 +2,12 @@
 
 #include <LibConfiguration/Records.h>
 #include <LibHTTP/Backends/BackendDialect.h>
+#include <LibHTTP/Backends/IdleConnectionPool.h>
 #include <LibHTTP/Requests/GatewayRequest.h>
 #include <LibKernel/AnswerSink.h>
 
-#include <map>
-#include <memory>
-#include <vector>
+#include <functional>
 
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 
@@ -39,6 +36,8 @@
         Duration connectTimeout;
         /// Limits the wait for the next part of an answer.
         Duration silenceTimeout;
+        /// Limits the connections that are kept while they have no request in flight.
+        std::size_t idleConnections { 1024 };
     };
 
     /// `onHead` is called with the head of each answer, also of one to another request.
@@ -50,20 +49,14 @@
     /// ConnectionLostError.
     Task<void> run(const BackendServer& server, const GatewayRequest& request, Repeatability repeatability, AnswerSink& sink);
 
+    /// Closes idle connections that were not used for long, and those to addresses that are no backend server's any more.
+    void sweepIdle(TimePoint now, const std::function<bool(const Endpoint&)>& isUsed) { idle_.sweep(now, isUsed); }
+
 private:
-    struct Connection {
-        boost::beast::tcp_stream stream;
-        boost::beast::flat_buffer buffer;
-        /// The backend server is not expected to close the connection before this time.
-        TimePoint trustedUntil {};
-        /// Whether an earlier request was sent on it.
-        bool isReused { false };
-    };
-    using ConnectionPointer = std::unique_ptr<Connection>;
+    using Connection = BackendConnection;
+    using ConnectionPointer = BackendConnectionPointer;
 
     Task<ConnectionPointer> connect(Endpoint endpoint, TimePoint deadline);
-    ConnectionPointer takeIdle(const Endpoint& endpoint, Repeatability repeatability);
-    void keepIdle(const Endpoint& endpoint, ConnectionPointer connection);
     using AnswerParser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
     Task<void> exchange(Connection& connection, const BackendServer& server, const GatewayRequest& request, AnswerSink& sink);
@@ -73,7 +66,7 @@
     Limits limits_;
     const BackendDialect& dialect_;
     HeadCallback onHead_;
-    std::map<Endpoint, std::vector<ConnectionPointer>> idle_;
+    IdleConnectionPool idle_;
 };
 
 } // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibHTTP/Backends/BackendConnection.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+#include <LibKernel/Asio.h>
+
+#include <memory>
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+namespace Ibisturn {
+
+/// A connection to a backend server. Thread safety: the worker that owns it.
+struct BackendConnection {
+    boost::beast::tcp_stream stream;
+    boost::beast::flat_buffer buffer;
+    /// The backend server is not expected to close the connection before this time.
+    TimePoint trustedUntil {};
+    /// Whether an earlier request was sent on it.
+    bool isReused { false };
+};
+
+using BackendConnectionPointer = std::unique_ptr<BackendConnection>;
+
+} // namespace Ibisturn
--- a/Libraries/LibHTTP/Peers/PeerClient.cpp
+++ b/Libraries/LibHTTP/Peers/PeerClient.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr Log peerLog("peer");
+constexpr std::size_t maxIdlePerPeer = 64;
 
 Error errorOf(const FailureMessage& failure)
 {
@@ -70,7 +71,7 @@
     // The frame may have arrived, so only the receiver can report that the request did not run.
     if (!problem.empty())
         throw PeerConnectionError(ResultCode::OutcomeUnknown, Ran::Unknown, "The connection to the peer failed: " + problem);
-    idle_[endpoint].push_back(std::move(connection));
+    keepIdle(endpoint, std::move(connection));
 }
 
 Task<PeerClient::ConnectionPointer> PeerClient::acquireConnection(const Member& peer, TimePoint deadline)
@@ -124,6 +125,23 @@
     warming_.erase(endpoint);
 }
 
+void PeerClient::keepIdle(const Endpoint& endpoint, ConnectionPointer connection)
+{
+    auto& idle = idle_[endpoint];
+    if (idle.size() < maxIdlePerPeer)
+        idle.push_back(std::move(connection));
+}
+
+void PeerClient::sweepIdle(const MembershipView& membership)
+{
+    std::set<Endpoint> used;
+    for (const auto& member : membership.instances)
+        used.insert(member.peers);
+    std::erase_if(idle_, [&used](const auto& entry) { return !used.contains(entry.first); });
+    for (auto& [endpoint, connections] : idle_)
+        std::erase_if(connections, [](const ConnectionPointer& connection) { return probeSocket(connection->socket()) == SocketState::Closed; });
+}
+
 Task<void> PeerClient::relayAnswer(PeerConnection& connection, RequestId request, AnswerSink& sink)
 {
     for (;;) {
--- a/Libraries/LibHTTP/Peers/PeerClient.h
+++ b/Libraries/LibHTTP/Peers/PeerClient.h
@@ -43,11 +43,15 @@
     /// is being opened at a time.
     Task<void> keepWarm(Member peer, std::size_t count);
 
+    /// Closes the idle connections to instances that are no members any more, and those that have been closed.
+    void sweepIdle(const MembershipView& membership);
+
 private:
     using ConnectionPointer = std::unique_ptr<PeerConnection>;
 
     Task<ConnectionPointer> acquireConnection(const Member& peer, TimePoint deadline);
     Task<ConnectionPointer> openConnection(Endpoint endpoint, RegionId region, TimePoint deadline);
+    void keepIdle(const Endpoint& endpoint, ConnectionPointer connection);
     Task<void> relayAnswer(PeerConnection& connection, RequestId request, AnswerSink& sink);
 
     HelloMessage self_;
--- a/Libraries/LibHTTP/Requests/RequestRunner.cpp
+++ b/Libraries/LibHTTP/Requests/RequestRunner.cpp
@@ -14,6 +14,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <sys/resource.h>
+
 namespace Ibisturn {
 
 namespace {
@@ -195,6 +197,19 @@
     AttemptEvidence evidence_ { AttemptEvidence::Nothing };
 };
 
+/// Idle connections may use a quarter of the descriptors; the workers share them.
+std::size_t idleConnectionsOf(const Settings& settings)
+{
+    constexpr std::size_t idleShare = 4;
+    std::size_t descriptors = 0;
+    rlimit limit {};
+    if (settings.fleet && settings.fleet->processDescriptors)
+        descriptors = *settings.fleet->processDescriptors;
+    else if (::getrlimit(RLIMIT_NOFILE, &limit) == 0)
+        descriptors = limit.rlim_cur;
+    return descriptors / idleShare / std::max<std::size_t>(settings.workers, 1);
+}
+
 } // namespace
 
 RequestRunner::RequestRunner(InstanceTables& tables, ClaimService& claims)
@@ -202,7 +217,7 @@
     , claims_(claims)
     , strategy_(RoutingStrategyRegistry::instance().require("routing strategy", tables.settings.routingStrategy))
     , backends_(
-          { tables.settings.connectTimeout, tables.settings.requestTimeout }, *tables.backendDialect,
+          { tables.settings.connectTimeout, tables.settings.requestTimeout, idleConnectionsOf(tables.settings) }, *tables.backendDialect,
           [&tables](const BackendServerId& server, const AnswerHeadInfo& headInfo) { recordServerState(tables, server, headInfo); })
     , peers_(makeHelloMessage(tables.settings.identity),
           { tables.settings.connectTimeout, tables.settings.requestTimeout, tables.settings.bodyLimit + ByteCount(frameOverhead) },
@@ -469,6 +484,23 @@
     }
 }
 
+void RequestRunner::sweepIdleConnections(TimePoint now)
+{
+    const auto snapshot = tables_.configuration.get();
+    if (!snapshot)
+        return;
+    std::set<Endpoint> used;
+    for (const auto& route : snapshot->routes()) {
+        for (const auto& id : snapshot->backendServersOf(route.id)) {
+            if (const auto* server = snapshot->findBackendServer(id))
+                used.insert(server->endpoint);
+        }
+    }
+    backends_.sweepIdle(now, [&used](const Endpoint& endpoint) { return used.contains(endpoint); });
+    if (const auto membership = tables_.membership.get())
+        peers_.sweepIdle(*membership);
+}
+
 void RequestRunner::keepPeersWarm(const Asio::any_io_executor& executor)
 {
     const auto membership = tables_.membership.get();
--- a/Libraries/LibHTTP/Requests/RequestRunner.h
+++ b/Libraries/LibHTTP/Requests/RequestRunner.h
@@ -33,6 +33,9 @@
     /// Checks all requests that wait or run against the current configuration. Must be called frequently.
     void reviewAccess();
 
+    /// Closes the idle connections that no request is likely to use any more. Must be called about once a second.
+    void sweepIdleConnections(TimePoint now);
+
     /// Keeps idle connections to the instances of other regions open, so that forwarded requests need not wait for a
     /// handshake. `executor` is the worker's.
     void keepPeersWarm(const Asio::any_io_executor& executor);
--- a/Programs/ibisturn/FleetInstance.cpp
+++ b/Programs/ibisturn/FleetInstance.cpp
@@ -24,6 +24,7 @@
 constexpr Duration settingsPoll = std::chrono::seconds(1);
 /// How often the pools of connections to other regions are refilled.
 constexpr Duration peerConnectionPeriod = std::chrono::milliseconds(300);
+constexpr Duration idleSweepPeriod = std::chrono::seconds(1);
 constexpr Duration drainPoll = std::chrono::milliseconds(20);
 constexpr Duration closingGrace = std::chrono::milliseconds(300);
 
@@ -111,6 +112,7 @@
     auto& context = workers_.context(0);
     timers_.subscribe(SteadyClock().now(), controlPlanePeriod, [this](TimePoint now) { controlPlane_.tick(now); });
     timers_.subscribe(SteadyClock().now(), peerConnectionPeriod, [this](TimePoint) { runner_.keepPeersWarm(workers_.context(0).get_executor()); });
+    timers_.subscribe(SteadyClock().now(), idleSweepPeriod, [this](TimePoint now) { runner_.sweepIdleConnections(now); });
     timers_.subscribe(SteadyClock().now(), settingsPoll, [this](TimePoint) { reloadIfChanged(); });
     isStarted_ = true;
     controlPlane_.start();
--- a/Programs/ibisturn/Instance.cpp
+++ b/Programs/ibisturn/Instance.cpp
@@ -21,6 +21,7 @@
 constexpr Duration closingGrace = std::chrono::milliseconds(500);
 constexpr Duration loadReportPeriod = std::chrono::milliseconds(500);
 constexpr Duration admissionPeriod = std::chrono::milliseconds(50);
+constexpr Duration idleSweepPeriod = std::chrono::seconds(1);
 constexpr Duration drainPoll = std::chrono::milliseconds(20);
 constexpr Duration claimDrainTimeout = std::chrono::seconds(3);
 
@@ -61,6 +62,7 @@
     timers_.subscribe(SteadyClock().now(), loadReportPeriod, [this](TimePoint) { requestEngineLoads(); });
     timers_.subscribe(SteadyClock().now(), admissionPeriod, [this](TimePoint now) { tables_.admission.advance(now); });
     timers_.subscribe(SteadyClock().now(), accessReviewPeriod, [this](TimePoint) { reviewAccess(); });
+    timers_.subscribe(SteadyClock().now(), idleSweepPeriod, [this](TimePoint now) { sweepIdleConnections(now); });
     auto& context = workers_.context(0);
     spawnDetached(context, claims_.runTimer(), "claims");
     controlPlane_.start();
@@ -190,6 +192,12 @@
         Asio::post(workers_.context(worker), [this, worker] { runners_.at(worker)->reviewAccess(); });
 }
 
+void Instance::sweepIdleConnections(TimePoint now)
+{
+    for (std::size_t worker = 0; worker < workers_.size(); ++worker)
+        Asio::post(workers_.context(worker), [this, worker, now] { runners_.at(worker)->sweepIdleConnections(now); });
+}
+
 void Instance::closeIdleConnections()
 {
     for (std::size_t worker = 0; worker < workers_.size(); ++worker)
--- a/Programs/ibisturn/Instance.h
+++ b/Programs/ibisturn/Instance.h
@@ -43,6 +43,7 @@
     void requestEngineLoads();
     Task<void> requestEngineLoad(BackendServerId server, Endpoint endpoint);
     void reviewAccess();
+    void sweepIdleConnections(TimePoint now);
     void closeIdleConnections();
     void serveCallerOn(Asio::ip::tcp::socket socket, std::size_t worker);
     void servePeerOn(Asio::ip::tcp::socket socket, std::size_t worker);
--- a/Tests/LibHTTP/BackendClientTest.cpp
+++ b/Tests/LibHTTP/BackendClientTest.cpp
@@ -7,6 +7,8 @@
 #include <Tests/Support/RecordingSink.h>
 #include <Tests/Support/ScriptedServer.h>
 
+#include <array>
+
 #include <gtest/gtest.h>
 
 namespace Ibisturn {
@@ -20,6 +22,45 @@
 
 const std::string completeAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
+/// Answers one request, and then sends `rest` or, if that is empty, ends its side of the connection. Tells whether the client
+/// closed the connection after that.
+class OneAnswerServer {
+public:
+    OneAnswerServer(Asio::io_context& context, std::string rest)
+        : acceptor_(context, Asio::ip::tcp::endpoint(Asio::ip::address_v4::loopback(), 0))
+        , rest_(std::move(rest))
+    {
+        Asio::co_spawn(context, serve(), Asio::detached);
+    }
+
+    Endpoint endpoint() const { return { "127.0.0.1", acceptor_.local_endpoint().port() }; }
+    bool wasClosed() const { return wasClosed_; }
+
+private:
+    Task<void> serve()
+    {
+        Asio::ip::tcp::socket socket = co_await acceptor_.async_accept(Asio::use_awaitable);
+        std::string request;
+        co_await Asio::async_read_until(socket, Asio::dynamic_buffer(request), "\r\n\r\n", Asio::use_awaitable);
+        co_await Asio::async_write(socket, Asio::buffer(completeAnswer), Asio::use_awaitable);
+        Asio::steady_timer timer(acceptor_.get_executor(), 50ms);
+        co_await timer.async_wait(Asio::use_awaitable);
+        boost::system::error_code error;
+        if (rest_.empty())
+            socket.shutdown(Asio::ip::tcp::socket::shutdown_send, error);
+        else
+            co_await Asio::async_write(socket, Asio::buffer(rest_), Asio::redirect_error(Asio::use_awaitable, error));
+        std::array<char, 1024> bytes {};
+        while (!error)
+            co_await socket.async_read_some(Asio::buffer(bytes), Asio::redirect_error(Asio::use_awaitable, error));
+        wasClosed_ = true;
+    }
+
+    Asio::ip::tcp::acceptor acceptor_;
+    std::string rest_;
+    bool wasClosed_ { false };
+};
+
 class BackendClientTest : public testing::Test {
 protected:
     /// Sends one request and returns its error, if it failed.
@@ -74,6 +115,24 @@
     EXPECT_EQ(server.requests(), 2U);
 }
 
+TEST_F(BackendClientTest, ClosesAnIdleConnectionWhoseServerHasEnded)
+{
+    OneAnswerServer server(context_, "");
+    RecordingSink sink;
+    EXPECT_FALSE(send(server, sink));
+    context_.run_for(1s);
+    EXPECT_TRUE(server.wasClosed());
+}
+
+TEST_F(BackendClientTest, ClosesAnIdleConnectionWhoseServerSendsBytesThatNobodyReads)
+{
+    OneAnswerServer server(context_, "no answer");
+    RecordingSink sink;
+    EXPECT_FALSE(send(server, sink));
+    context_.run_for(1s);
+    EXPECT_TRUE(server.wasClosed());
+}
+
 TEST_F(BackendClientTest, ReportsADrainingServer)
 {
     ScriptedServer server(context_, { "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n" });
