--- a/Libraries/LibDecision/Placement/PlacementTable.cpp
+++ b/Libraries/LibDecision/Placement/PlacementTable.cpp
@@ -337,6 +337,14 @@
     return found == servers_.end() ? nullptr : &found->second.state;
 }
 
+std::set<Endpoint> PlacementTable::endpoints() const
+{
+    std::set<Endpoint> endpoints;
+    for (const auto& [id, server] : servers_)
+        endpoints.insert(server.state.server.endpoint);
+    return endpoints;
+}
+
 std::vector<InstanceLoad> PlacementTable::ownLoads() const
 {
     std::vector<InstanceLoad> loads;
--- a/Libraries/LibDecision/Placement/PlacementTable.h
+++ b/Libraries/LibDecision/Placement/PlacementTable.h
@@ -189,6 +189,9 @@
     /// The usable backend server of this region with this id, or null.
     const BackendState* findServer(const BackendServerId& id) const;
 
+    /// The addresses of the usable backend servers of this region.
+    std::set<Endpoint> endpoints() const;
+
     /// The load of this instance's in-flight requests.
     std::vector<InstanceLoad> ownLoads() const;
 
--- a/Libraries/LibHTTP/Peers/PeerClient.cpp
+++ b/Libraries/LibHTTP/Peers/PeerClient.cpp
@@ -15,6 +15,7 @@
 constexpr Log peerLog("peer");
 /// Late frames of earlier requests that are skipped before the end of an answer.
 constexpr std::size_t maxOtherFrames = 16;
+constexpr std::size_t maxIdlePerPeer = 64;
 
 Error errorOf(const FailureMessage& failure)
 {
@@ -86,7 +87,7 @@
     // The frame may have arrived, so only the receiver can report that the request did not run.
     if (!problem.empty())
         throw PeerConnectionError(ResultCode::OutcomeUnknown, Ran::Unknown, "The connection to the peer failed: " + problem);
-    idle_[endpoint].push_back(std::move(connection));
+    keepIdle(endpoint, std::move(connection));
 }
 
 Task<PeerClient::ConnectionPointer> PeerClient::acquireConnection(const Member& peer, TimePoint deadline)
@@ -140,6 +141,23 @@
     warming_.erase(endpoint);
 }
 
+void PeerClient::keepIdle(const Endpoint& endpoint, ConnectionPointer connection)
+{
+    auto& idle = idle_[endpoint];
+    if (idle.size() < maxIdlePerPeer)
+        idle.push_back(std::move(connection));
+}
+
+void PeerClient::sweepIdle(const MembershipView& membership)
+{
+    std::set<Endpoint> used;
+    for (const auto& member : membership.instances)
+        used.insert(member.peers);
+    std::erase_if(idle_, [&used](const auto& entry) { return !used.contains(entry.first); });
+    for (auto& [endpoint, connections] : idle_)
+        std::erase_if(connections, [](const ConnectionPointer& connection) { return probeSocket(connection->socket()) == SocketState::Closed; });
+}
+
 Task<void> PeerClient::relayAnswer(PeerConnection& connection, RequestId request, AnswerSink& sink)
 {
     std::size_t otherFrames = 0;
--- a/Tests/Platform/RoutedCallerTest.cpp
+++ b/Tests/Platform/RoutedCallerTest.cpp
@@ -287,6 +287,23 @@
     EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
 }
 
+// Guards against an instance that opens a connection for each request, because it closes idle ones to servers that still serve.
+TEST_F(RoutedCallerTest, IdleConnectionsAreKeptUntilTheirServerLeavesTheRegistry)
+{
+    const auto whole = answerHead("Keep-Alive: timeout=60\r\nContent-Length: 2\r\n") + "ok";
+    ScriptedServer server(context_, { whole, whole, whole });
+    setServers({ server.endpoint() });
+    ASSERT_TRUE(isSuccess(exchange(request)));
+    runner_.sweepIdleConnections(SteadyClock().now());
+    ASSERT_TRUE(isSuccess(exchange(request)));
+    EXPECT_EQ(server.connections(), 1U);
+    EXPECT_EQ(server.closedByClient(), 0U);
+    setServers({});
+    runner_.sweepIdleConnections(SteadyClock().now());
+    context_.run_for(50ms);
+    EXPECT_EQ(server.closedByClient(), 1U);
+}
+
 // Guards against callers whose bodies together exceed the memory of the process, which is then killed.
 TEST_F(RoutedCallerTest, BodiesForWhichThereIsNoMemoryAreRefusedWhileSmallOnesAreServed)
 {
