--- a/Libraries/LibKernel/HeldSignals.cpp
+++ b/Libraries/LibKernel/HeldSignals.cpp
@@ -1,6 +1,7 @@
 #include <LibKernel/HeldSignals.h>
 
 #include <csignal>
+#include <initializer_list>
 
 namespace Ibisturn {
 
