Admission: Let a chunked body hold what it needs only

Callers with small chunked bodies would have been refused (memory_used_up) while bodies took a few kB: each reserved the largest size of the connection's buffer, 164 kB, which counts as large, until its answer ended.

The next part is now reserved by what the buffer can take at once, and what is not needed is released when the body is complete.

RoutedCallerTest.ASmallChunkedBodyHoldsNoMoreThanASmallRequestMay passes; it was not run without the change.

--- a/Libraries/LibDecision/Admission/MemoryBudget.cpp
+++ b/Libraries/LibDecision/Admission/MemoryBudget.cpp
@@ -59,7 +59,7 @@
 {
     if (this == &other)
         return *this;
-    release();
+    shrinkTo(ByteCount(0));
     state_ = std::move(other.state_);
     size_ = std::exchange(other.size_, {});
     return *this;
@@ -67,7 +67,7 @@
 
 MemoryBudget::Reservation::~Reservation()
 {
-    release();
+    shrinkTo(ByteCount(0));
 }
 
 bool MemoryBudget::Reservation::growTo(ByteCount size)
@@ -88,14 +88,15 @@
     return true;
 }
 
-void MemoryBudget::Reservation::release()
+void MemoryBudget::Reservation::shrinkTo(ByteCount size)
 {
-    if (!state_ || size_ == ByteCount(0))
+    if (!state_ || size_ <= size)
         return;
     const std::lock_guard lock(state_->mutex);
-    state_->held -= size_.count();
-    state_->released += size_.count();
-    size_ = {};
+    const auto excess = size_.count() - size.count();
+    state_->held -= excess;
+    state_->released += excess;
+    size_ = size;
 }
 
 MemoryBudget::MemoryBudget(std::optional<ByteCount> capacity, std::uint64_t seed)
--- a/Libraries/LibDecision/Admission/MemoryBudget.h
+++ b/Libraries/LibDecision/Admission/MemoryBudget.h
@@ -31,13 +31,14 @@
         /// Extends the reservation to `size` bytes in all; returns false, and leaves it as it is, if the budget is used up.
         bool growTo(ByteCount size);
 
+        /// Releases what the reservation has beyond `size` bytes.
+        void shrinkTo(ByteCount size);
+
         ByteCount size() const { return size_; }
 
     private:
         friend class MemoryBudget;
         explicit Reservation(std::shared_ptr<State> state);
-        void release();
-
         std::shared_ptr<State> state_;
         ByteCount size_;
     };
--- a/Libraries/LibHTTP/Callers/RoutedSession.cpp
+++ b/Libraries/LibHTTP/Callers/RoutedSession.cpp
@@ -243,6 +243,8 @@
         std::function<void(CallerParser&)> beforePart = [this, &memory](CallerParser& reading) { reserveNextPart(reading, memory); };
         co_await readRequestBody(stream_, buffer_, parser, std::move(beforePart));
         pendingInput_ = PendingInput::LeaveUnread;
+        parser.get().body().shrink_to_fit();
+        memory.shrinkTo(costOfBody(parser.get().body().capacity()));
     }
 
     void reserve(MemoryBudget::Reservation& memory, std::uint64_t bodySize)
@@ -258,7 +260,9 @@
         if (parser.content_length())
             return;
         auto& body = parser.get().body();
-        const auto needed = body.size() + buffer_.max_size();
+        // Beast reads as much as fits into the buffer, and at least this.
+        constexpr std::size_t minReadSize = 512;
+        const auto needed = body.size() + std::max(buffer_.capacity(), buffer_.size() + minReadSize);
         if (costOfBody(needed) <= memory.size())
             return;
         const auto capacity = std::max<std::size_t>(needed, std::min<std::size_t>(2 * body.size(), limits().body.count()));
--- a/Tests/Platform/RoutedCallerTest.cpp
+++ b/Tests/Platform/RoutedCallerTest.cpp
@@ -338,6 +338,18 @@
     EXPECT_EQ(server.requests(), 2U);
 }
 
+TEST_F(RoutedCallerTest, ASmallChunkedBodyHoldsNoMoreThanASmallRequestMay)
+{
+    ScriptedServer server(context_, { "-" });
+    setServers({ server.endpoint() });
+    auto caller = startSending(requestHead("Transfer-Encoding: chunked\r\n") + "2\r\no");
+    EXPECT_LE(tables_.requestMemory.held(), MemoryBudget::smallReservation);
+    send(caller, "k\r\n0\r\n\r\n");
+    EXPECT_EQ(server.requests(), 1U);
+    EXPECT_GT(tables_.requestMemory.held(), ByteCount(0));
+    EXPECT_LE(tables_.requestMemory.held(), ByteCount(1024));
+}
+
 TEST_F(RoutedCallerTest, AChunkedBodyHoldsMemoryAsItGrows)
 {
     constexpr std::size_t part = 500'000;
