LibHTTP: Answer 502 if a peer's answer can't be read

A caller whose request was forwarded would have got 400 or 413 for what a peer sent in place of an answer: the codes of frames are those of a faulty request, and clients don't repeat it though it may have run. Found by a second reader, by reading.

--- a/Libraries/LibHTTP/Peers/PeerClient.cpp
+++ b/Libraries/LibHTTP/Peers/PeerClient.cpp
@@ -34,8 +34,8 @@
         co_return frame;
     } catch (const Error& error) {
         if (error.code() == ResultCode::FrameTooLarge)
-            throw AnswerBoundError(error.code(), Ran::Unknown, error.what());
-        throw Error(error.code(), Ran::Unknown, error.what());
+            throw AnswerBoundError(ResultCode::OutcomeUnknown, Ran::Unknown, error.what());
+        throw Error(ResultCode::OutcomeUnknown, Ran::Unknown, error.what());
     }
 }
 
@@ -44,14 +44,14 @@
     constexpr std::uint32_t minStatus = 200;
     constexpr std::uint32_t maxStatus = 599;
     if (message.status < minStatus || message.status > maxStatus || !isHeaderText(message.contentType))
-        throw Error(ResultCode::MalformedFrame, Ran::Unknown, "The peer sent an answer's head that HTTP does not allow");
+        throw Error(ResultCode::OutcomeUnknown, Ran::Unknown, "The peer sent an answer's head that HTTP does not allow");
     AnswerHead head;
     head.status = message.status;
     head.contentType = message.contentType;
     head.resume = message.canResume ? ResumeSupport::Supported : ResumeSupport::Unsupported;
     for (const auto& header : message.headers) {
         if (!isHeaderText(header.name) || !isHeaderText(header.value))
-            throw Error(ResultCode::MalformedFrame, Ran::Unknown, "The peer sent a header that HTTP does not allow");
+            throw Error(ResultCode::OutcomeUnknown, Ran::Unknown, "The peer sent a header that HTTP does not allow");
         head.headers.push_back({ header.name, header.value });
     }
     if (message.contentLength >= 0)
@@ -176,7 +176,7 @@
         const auto* head = std::get_if<AnswerHeadMessage>(&frame.message);
         // The head comes first, and once.
         if (hasHead == (head != nullptr))
-            throw Error(ResultCode::MalformedFrame, Ran::Unknown, "The peer sent a frame that does not belong at this place of an answer");
+            throw Error(ResultCode::OutcomeUnknown, Ran::Unknown, "The peer sent a frame that does not belong at this place of an answer");
         if (std::holds_alternative<AnswerEndMessage>(frame.message)) {
             co_await sink.writeEnd();
             co_return;
@@ -190,7 +190,7 @@
             continue;
         }
         if (!head)
-            throw Error(ResultCode::MalformedFrame, Ran::Unknown, "The peer sent a frame that does not belong to an answer");
+            throw Error(ResultCode::OutcomeUnknown, Ran::Unknown, "The peer sent a frame that does not belong to an answer");
         const AnswerHead answerHead = readHead(*head);
         hasHead = true;
         remaining = answerHead.contentLength;
--- a/Tests/Platform/DialectsTest.cpp
+++ b/Tests/Platform/DialectsTest.cpp
@@ -133,6 +133,9 @@
     EXPECT_TRUE(failure(ResultCode::AllowanceExceeded, Ran::No).starts_with("HTTP/1.1 429 "));
     EXPECT_TRUE(failure(ResultCode::OutcomeUnknown, Ran::Unknown).starts_with("HTTP/1.1 502 "));
     EXPECT_TRUE(failure(ResultCode::BackendBusy, Ran::Unknown).starts_with("HTTP/1.1 502 "));
+    // What a peer sent instead of an answer is no fault of the caller.
+    EXPECT_TRUE(failure(ResultCode::MalformedFrame, Ran::Unknown).starts_with("HTTP/1.1 502 "));
+    EXPECT_TRUE(failure(ResultCode::FrameTooLarge, Ran::Unknown).starts_with("HTTP/1.1 502 "));
     EXPECT_TRUE(failure(ResultCode::DeadlineExceeded, Ran::Unknown).starts_with("HTTP/1.1 504 "));
     EXPECT_TRUE(failure(ResultCode::KeyUnknown, Ran::No).starts_with("HTTP/1.1 401 "));
     EXPECT_NE(failure(ResultCode::Overloaded, Ran::No, 250ms).find("Retry-After: 0.250\r\n"), std::string::npos);
