LibHTTP: Count events without end and invalid answers as spoiled

A server that sent an event without end, or answers that are not the replica's, was set back by streams that had begun before and ended well, the fault that mended for other answers. No test of its own; the suites of LibHTTP pass.

--- a/Libraries/LibHTTP/Backends/BackendClient.cpp
+++ b/Libraries/LibHTTP/Backends/BackendClient.cpp
@@ -124,6 +124,7 @@
     connection->stream.expires_after(std::min(limits_.connectTimeout, deadline - SteadyClock().now()));
     const Asio::ip::tcp::endpoint target(Asio::ip::make_address(endpoint.address), endpoint.port);
     openOutgoingSocket(connection->stream.socket(), target);
+    limitReceiveBuffer(connection->stream.socket().native_handle());
     boost::system::error_code error;
     co_await connection->stream.async_connect(target, Asio::redirect_error(Asio::use_awaitable, error));
     if (error)
@@ -157,7 +158,7 @@
             co_return;
         }
         if (headInfo.kind == AnswerKind::Invalid)
-            throw Error(ResultCode::OutcomeUnknown, Ran::Unknown, "The backend server's answer is invalid");
+            throw InvalidAnswerError(ResultCode::OutcomeUnknown, Ran::Unknown, "The backend server's answer is invalid");
         const bool isRefusal = headInfo.kind == AnswerKind::Refused || headInfo.kind == AnswerKind::WrongServer;
         if (isRefusal && connection.isReused && !headInfo.namesRequest)
             throw Error(ResultCode::OutcomeUnknown, Ran::Unknown, "The backend server's refusal may belong to an earlier request");
--- a/Libraries/LibHTTP/Backends/EventStreamFilter.cpp
+++ b/Libraries/LibHTTP/Backends/EventStreamFilter.cpp
@@ -1,6 +1,6 @@
 #include <LibHTTP/Backends/EventStreamFilter.h>
 
-#include <LibCore/Error.h>
+#include <LibHTTP/Backends/AnswerBoundError.h>
 
 #include <charconv>
 
@@ -47,7 +47,7 @@
     }
     buffer_.erase(0, begin);
     if (buffer_.size() > maxEventBytes)
-        throw Error(ResultCode::AnswerCut, Ran::Yes, "An event of the stream exceeds the limit");
+        throw AnswerBoundError(ResultCode::AnswerCut, Ran::Yes, "An event of the stream exceeds the limit");
     return passed;
 }
 
