LibKernel: Limit unread bytes, and go on accepting after any failure

ReceiveBuffer.HoldsABoundedNumberOfUnreadBytes passes; not run without the change.

Accepting connections now also survives an exception of the accept itself (by reading; no test of its own).

--- a/Libraries/LibKernel/Listen.cpp
+++ b/Libraries/LibKernel/Listen.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/Log.h>
 #include <LibKernel/Pause.h>
+#include <LibKernel/SocketOptions.h>
 
 #include <utility>
 
@@ -18,13 +19,15 @@
 constexpr std::uint64_t attemptsPerLogLine = 100;
 constexpr Log listenLog("listen");
 
-boost::system::error_code tryListen(Asio::ip::tcp::acceptor& acceptor, const Endpoint& endpoint)
+boost::system::error_code tryListen(Asio::ip::tcp::acceptor& acceptor, const ListenAddress& address)
 {
-    const Asio::ip::tcp::endpoint local(Asio::ip::make_address(endpoint.address), endpoint.port);
+    const Asio::ip::tcp::endpoint local(Asio::ip::make_address(address.endpoint.address), address.endpoint.port);
     boost::system::error_code error;
     acceptor.open(local.protocol(), error);
     if (!error)
         acceptor.set_option(Asio::socket_base::reuse_address(true), error);
+    if (!error && address.receiveBuffer == ReceiveBuffer::Limited)
+        limitReceiveBuffer(acceptor.native_handle());
     if (!error)
         acceptor.bind(local, error);
     if (!error)
@@ -46,7 +49,7 @@
 Task<void> listenWhenFree(Asio::ip::tcp::acceptor& acceptor, ListenAddress address, std::function<void()> onRetry)
 {
     for (std::uint64_t attempt = 0;; ++attempt) {
-        const auto error = tryListen(acceptor, address.endpoint);
+        const auto error = tryListen(acceptor, address);
         if (!error && attempt > 0)
             listenLog.info("The address is free again.", { { "listener", address.listener }, { "address", address.endpoint.toString() } });
         if (!error)
@@ -65,27 +68,27 @@
     acceptor.non_blocking(true);
     std::size_t acceptsInPass = 0;
     for (;;) {
-        const auto worker = workers.nextIndex();
-        Asio::ip::tcp::socket socket(workers.context(worker));
         boost::system::error_code error = Asio::error::would_block;
-        if (acceptsInPass > 0 && acceptsInPass < maxAcceptsPerPass)
-            acceptor.accept(socket, error);
-        if (error == Asio::error::would_block) {
-            acceptsInPass = 0;
-            co_await acceptor.async_accept(socket, Asio::redirect_error(Asio::use_awaitable, error));
-        }
-        if (error == Asio::error::operation_aborted || !acceptor.is_open())
-            co_return;
-        if (error) {
-            co_await pause(retryDelay);
-            continue;
-        }
-        ++acceptsInPass;
         try {
-            serve(std::move(socket), worker);
+            const auto worker = workers.nextIndex();
+            Asio::ip::tcp::socket socket(workers.context(worker));
+            if (acceptsInPass > 0 && acceptsInPass < maxAcceptsPerPass)
+                acceptor.accept(socket, error);
+            if (error == Asio::error::would_block) {
+                acceptsInPass = 0;
+                co_await acceptor.async_accept(socket, Asio::redirect_error(Asio::use_awaitable, error));
+            }
+            if (error == Asio::error::operation_aborted || !acceptor.is_open())
+                co_return;
+            if (!error) {
+                ++acceptsInPass;
+                serve(std::move(socket), worker);
+            }
         } catch (const std::exception& failure) {
             listenLog.error("A connection could not be served.", { { "reason", failure.what() } });
         }
+        if (error)
+            co_await pause(retryDelay);
     }
 }
 
--- a/Libraries/LibKernel/Listen.h
+++ b/Libraries/LibKernel/Listen.h
@@ -13,10 +13,19 @@
 /// Thread safety: the thread that runs `context`, or none yet.
 Asio::ip::tcp::acceptor listenOn(Asio::io_context& context, const Endpoint& endpoint);
 
+enum class ReceiveBuffer : std::uint8_t {
+    /// See receiveBufferBytes.
+    Limited,
+    /// As large as the system lets it grow, for large messages over long distances.
+    System,
+};
+
 /// The address of a listener and the name by which log lines and errors call it.
 struct ListenAddress {
     std::string listener;
     Endpoint endpoint;
+    /// For the connections that the listener accepts.
+    ReceiveBuffer receiveBuffer { ReceiveBuffer::Limited };
 };
 
 /// Opens `acceptor` on `address`. While another socket uses the address, it tries again until that one is gone, calls
--- a/Libraries/LibKernel/SocketOptions.cpp
+++ b/Libraries/LibKernel/SocketOptions.cpp
@@ -43,4 +43,9 @@
         setOption(socket.native_handle(), SOL_SOCKET, SO_REUSEADDR, 1);
 }
 
+void limitReceiveBuffer(Asio::ip::tcp::socket::native_handle_type socket)
+{
+    setOption(socket, SOL_SOCKET, SO_RCVBUF, receiveBufferBytes);
+}
+
 } // namespace Ibisturn
--- a/Tests/LibKernel/SocketOptionsTest.cpp
+++ b/Tests/LibKernel/SocketOptionsTest.cpp
@@ -2,9 +2,13 @@
 
 #include <LibKernel/HttpClient.h>
 #include <LibKernel/Listen.h>
+#include <LibKernel/SocketOptions.h>
 
 #include <array>
+#include <chrono>
+#include <string>
 #include <string_view>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -86,4 +90,32 @@
     EXPECT_TRUE(canListen);
 }
 
+// Guards against bytes that a connection keeps in the memory of the machine after its reader stopped.
+TEST(ReceiveBuffer, HoldsABoundedNumberOfUnreadBytes)
+{
+    Asio::io_context context;
+    tcp::acceptor listener(context);
+    Asio::co_spawn(context, listenWhenFree(listener, { "test", { "127.0.0.1", 0 } }, [] {}), Asio::detached);
+    context.run();
+    tcp::socket client(context);
+    client.connect(listener.local_endpoint());
+    tcp::socket server = listener.accept();
+    client.non_blocking(true);
+    server.non_blocking(true);
+    // The kernel enlarges the buffer of a reader that keeps up.
+    constexpr std::size_t total = 16UL * 1024 * 1024;
+    const std::string part(64UL * 1024, 'p');
+    std::vector<char> received(part.size());
+    boost::system::error_code error;
+    for (std::size_t read = 0; read < total;) {
+        client.write_some(Asio::buffer(part), error);
+        read += server.read_some(Asio::buffer(received), error);
+    }
+    const auto fillUntil = std::chrono::steady_clock::now() + std::chrono::seconds(1);
+    while (std::chrono::steady_clock::now() < fillUntil)
+        client.write_some(Asio::buffer(part), error);
+    // Linux reserves twice the requested size, for its own administration too.
+    EXPECT_LE(server.available(), 2UL * receiveBufferBytes);
+}
+
 } // namespace Ibisturn::Testing
