ibisturn: Start without the metrics listener, and log every failed task

An address in use of the metrics listener alone kept an instance from starting. It is opened beside the start now; Process.Start.each_address_in_use requires this for metrics and the old behaviour for the four others. With the binary of before the change the new requirement failed ("the instance does not start without its metrics"), with it all cases pass. The remaining detached tasks use spawnDetached, so that a failure has a log line. Soak: port-in-use names the sockets that hold a port when an instance is not ready.

--- a/Libraries/LibHTTP/Operators/SpanExporter.cpp
+++ b/Libraries/LibHTTP/Operators/SpanExporter.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/Log.h>
 #include <LibKernel/HttpClient.h>
+#include <LibKernel/SpawnDetached.h>
 
 #include <utility>
 
@@ -49,7 +50,7 @@
     if (isDraining_)
         return;
     isDraining_ = true;
-    Asio::co_spawn(context_, drain(), Asio::detached);
+    spawnDetached(context_, drain(), "span exporter");
 }
 
 Task<void> SpanExporter::drain()
--- a/Libraries/LibHTTP/Requests/ClaimService.cpp
+++ b/Libraries/LibHTTP/Requests/ClaimService.cpp
@@ -4,6 +4,7 @@
 #include <LibCore/RandomIdentity.h>
 #include <LibCore/SteadyClock.h>
 #include <LibKernel/Pause.h>
+#include <LibKernel/SpawnDetached.h>
 
 #include <utility>
 
@@ -112,7 +113,7 @@
 
 void ClaimService::apply(WriteClaims action)
 {
-    Asio::co_spawn(storeExecutor_, sendBatch(std::move(action)), Asio::detached);
+    spawnDetached(storeExecutor_, sendBatch(std::move(action)), "claim batch");
 }
 
 void ClaimService::apply(DispatchAttempt action)
--- a/Libraries/LibHTTP/Requests/RequestRunner.cpp
+++ b/Libraries/LibHTTP/Requests/RequestRunner.cpp
@@ -11,6 +11,7 @@
 #include <LibHTTP/Operators/ScopedSpan.h>
 #include <LibHTTP/Peers/ForwardedRequest.h>
 #include <LibHTTP/Requests/DeadlineTimer.h>
+#include <LibKernel/SpawnDetached.h>
 #include <LibPeer/Hello.h>
 
 #include <algorithm>
@@ -527,7 +528,7 @@
     for (const auto& region : regions) {
         for (const auto* member : forwardingEntries(*membership, identity.instance, region)) {
             if (member->state == MemberState::Live)
-                Asio::co_spawn(executor, peers_.keepWarm(*member, warmConnections), Asio::detached);
+                spawnDetached(executor, peers_.keepWarm(*member, warmConnections), "warm peer connections");
         }
     }
 }
--- a/Libraries/LibPeer/ControlLinks.cpp
+++ b/Libraries/LibPeer/ControlLinks.cpp
@@ -1,6 +1,7 @@
 #include <LibPeer/ControlLinks.h>
 
 #include <LibCore/Log.h>
+#include <LibKernel/SpawnDetached.h>
 
 #include <utility>
 
@@ -38,7 +39,7 @@
     if (!link || hasAddressChanged) {
         link = std::make_shared<Link>(context_, peer);
         links_[peer.id] = link;
-        Asio::co_spawn(context_, run(link), Asio::detached);
+        spawnDetached(context_, run(link), "control link");
     }
     enqueue(*link, std::move(message));
 }
@@ -55,7 +56,7 @@
 {
     try {
         co_await open(link);
-        Asio::co_spawn(context_, read(link), Asio::detached);
+        spawnDetached(context_, read(link), "control link reader");
         co_await write(link);
     } catch (const std::exception& error) {
         controlLog.debug("Control connection failed.", { { "peer", link->peer.id }, { "reason", error.what() } });
--- a/Libraries/LibPlatform/ConfigurationFeed.cpp
+++ b/Libraries/LibPlatform/ConfigurationFeed.cpp
@@ -5,6 +5,7 @@
 #include <LibCore/Log.h>
 #include <LibCore/RandomIdentity.h>
 #include <LibCore/SteadyClock.h>
+#include <LibKernel/SpawnDetached.h>
 
 #include <utility>
 
@@ -136,23 +137,23 @@
     for (const auto& action : actions.peers)
         onPeerAction_(action);
     for (const auto& withdrawal : actions.withdrawals)
-        Asio::co_spawn(executor_, write(withdrawal), Asio::detached);
+        spawnDetached(executor_, write(withdrawal), "withdrawal");
 }
 
 void ConfigurationFeed::call(const ReadStore& action)
 {
-    Asio::co_spawn(executor_, read(action.call), Asio::detached);
+    spawnDetached(executor_, read(action.call), "configuration reader");
 }
 
 void ConfigurationFeed::call(const ReadHead& action)
 {
-    Asio::co_spawn(executor_, readHead(action.call), Asio::detached);
+    spawnDetached(executor_, readHead(action.call), "configuration head reader");
 }
 
 void ConfigurationFeed::call(const WatchStore& action)
 {
     watch_ = action.call;
-    Asio::co_spawn(executor_, watch(action), Asio::detached);
+    spawnDetached(executor_, watch(action), "configuration watch");
 }
 
 void ConfigurationFeed::call(const StopWatch& /*action*/)
--- a/Programs/ibisturn/FleetInstance.cpp
+++ b/Programs/ibisturn/FleetInstance.cpp
@@ -91,24 +91,33 @@
     std::vector<Listener> listeners {
         { { "readiness", settings.fleet->readinessListen }, &readinessAcceptor_, &FleetInstance::serveEntriesOn },
         { { "directory", settings.fleet->directoryListen }, &directoryAcceptor_, &FleetInstance::serveEntriesOn },
-        { { "peers", settings.peersListen }, &peersAcceptor_, &FleetInstance::servePeerOn },
+        { { "peers", settings.peersListen, ReceiveBuffer::System }, &peersAcceptor_, &FleetInstance::servePeerOn },
         { { "callers", settings.callersListen }, &callersAcceptor_, &FleetInstance::serveCallerOn },
     };
-    if (settings.fleet->metricsListen)
-        listeners.insert(listeners.begin(), { { "metrics", *settings.fleet->metricsListen }, &metricsAcceptor_, &FleetInstance::serveEntriesOn });
     return listeners;
 }
 
+Task<void> FleetInstance::open(Listener listener)
+{
+    ListenAddress address = listener.address;
+    std::function<void()> onRetry = [this, metric = fmt::format("ibisturn_listen_retries_total{{listener=\"{}\"}}", address.listener)] { tables_.metrics.increment(metric); };
+    co_await listenWhenFree(*listener.acceptor, std::move(address), std::move(onRetry));
+    acceptOn(*listener.acceptor, listener.serve);
+}
+
 Task<void> FleetInstance::start()
 {
+    const auto& settings = tables_.settings;
+    // Nobody who is served needs the metrics, so the start does not wait for their address.
+    if (settings.fleet->metricsListen) {
+        Listener metrics { { "metrics", *settings.fleet->metricsListen }, &metricsAcceptor_, &FleetInstance::serveEntriesOn };
+        spawnDetached(workers_.context(0), open(std::move(metrics)), "metrics listener");
+    }
     const auto all = listeners();
     for (const auto& listener : all) {
-        ListenAddress address = listener.address;
-        std::function<void()> onRetry = [this, metric = fmt::format("ibisturn_listen_retries_total{{listener=\"{}\"}}", address.listener)] { tables_.metrics.increment(metric); };
-        co_await listenWhenFree(*listener.acceptor, std::move(address), std::move(onRetry));
-        acceptOn(*listener.acceptor, listener.serve);
+        Listener opening = listener;
+        co_await open(std::move(opening));
     }
-    const auto& settings = tables_.settings;
     auto& context = workers_.context(0);
     timers_.subscribe(SteadyClock().now(), controlPlanePeriod, [this](TimePoint now) { controlPlane_.tick(now); });
     timers_.subscribe(SteadyClock().now(), peerConnectionPeriod, [this](TimePoint) { runner_.keepPeersWarm(workers_.context(0).get_executor()); });
--- a/Programs/ibisturn/FleetInstance.h
+++ b/Programs/ibisturn/FleetInstance.h
@@ -38,6 +38,7 @@
     };
 
     std::vector<Listener> listeners();
+    Task<void> open(Listener listener);
     Task<void> start();
     void onStartEnded(const std::exception_ptr& failure);
     void acceptOn(Acceptor& acceptor, Serve serve);
--- a/Tests/Process/StartTest.py
+++ b/Tests/Process/StartTest.py
@@ -140,6 +140,14 @@
         return False
 
 
+def is_listening(port):
+    try:
+        socket.create_connection(("127.0.0.1", port), timeout=1).close()
+        return True
+    except OSError:
+        return False
+
+
 def metrics_of(fixture):
     with urllib.request.urlopen(f"http://127.0.0.1:{fixture.ports['metrics']}/metrics", timeout=5) as answer:
         return answer.read().decode()
@@ -153,11 +161,15 @@
     fixture.await_log(address)
     time.sleep(0.5)
     require(fixture.is_running(), f"the process ended with status {fixture.process.poll()}")
-    require(fixture.store.connections == 0 and not is_ready(fixture), "the instance started without its listener")
+    if name == "metrics":
+        require("Listening." in fixture.log() and fixture.store.connections > 0, "the instance does not start without its metrics")
+    else:
+        require(fixture.store.connections == 0 and not is_ready(fixture), "the instance started without its listener")
     require(fixture.log().count(address) == 1, "the log has a line for each attempt")
     release()
     fixture.await_log("Listening.")
     await_that(lambda: fixture.store.connections > 0, "the instance does not follow the store")
+    await_that(lambda: is_listening(fixture.ports["metrics"]), "the metrics are not served")
     require(f'ibisturn_listen_retries_total{{listener="{name}"}}' in metrics_of(fixture), "no metric counts the attempts")
     fixture.process.terminate()
     fixture.require_status(0)
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -286,6 +286,13 @@
         thread.join()
 
 
+def sockets_of(port):
+    """The remote address and the state of each socket with this local port, as /proc/net/tcp writes them."""
+    with open("/proc/net/tcp", encoding="utf-8") as file:
+        rows = [line.split() for line in list(file)[1:]]
+    return ["%s %s" % (row[2], row[3]) for row in rows if int(row[1].split(":")[1], 16) == port]
+
+
 def play_port_in_use(run, end):
     """Instances start whose listen port is the local port of somebody's open connection, which closes after three seconds."""
     parts = ["front", "ready", "directory", "peers", "metrics"]
@@ -303,7 +310,7 @@
         connection.close()
         server.close()
         if not late.awaitReady(8):
-            run.problem("%s is not ready 8 s after its %s port became free" % (late.name, part))
+            run.problem("%s is not ready 8 s after its %s port became free; sockets with the port: %s" % (late.name, part, sockets_of(late.ports[part])))
         late.stop()
 
 
