LibDecision: Let every belief about a server's speed age and be corrected

The fourth number of a load report was dropped. Ruled out: a lock in the store for each server that may have restarted, as every instance of a region would call the store for every lost connection. Change: ServerRate keeps lasting speed, present slowdown and what the server reports apart, each with an age; samples compare with the average rates of the service, which are kept for each service. A request that would be refused only because of a belief is sent as a trial, one at a time. RestartSuspicion limits an instance to its even share of the cold rate after a lost or refused connection, until an answer, an entry or time settles it. Reported slots are bounded by the registered ones.

--- a/Libraries/LibDecision/Placement/PlacementTable.cpp
+++ b/Libraries/LibDecision/Placement/PlacementTable.cpp
@@ -9,11 +9,10 @@
 
 namespace {
 
-/// Weights of the newest sample in the averages over all engines and of one backend server.
+/// Weight of the newest sample in the average over all engines.
 constexpr double rateGain = 0.02;
-constexpr double slownessGain = 0.2;
-constexpr double minSlowness = 0.5;
-constexpr double maxSlowness = 8;
+/// Weight of the newest sample in the average ratio over all backend servers of a service.
+constexpr double serviceRatioGain = 0.05;
 /// Shorter prompts give too noisy a measurement of the time per token.
 constexpr std::int64_t minMeasuredTokens = 3000;
 constexpr double minMillisecondsPerToken = 0.001;
@@ -21,6 +20,11 @@
 /// The share of a session's earlier prompt parts that is assumed to be cached on the session's preferred backend server.
 constexpr double preferredServerCachedShare = 0.7;
 constexpr std::int64_t timeGainDivisor = 8;
+constexpr std::int64_t risingTimeGainDivisor = 32;
+/// Slower backend servers say nothing about the time of an idle one.
+constexpr double maxSlownessOfIdleTime = 1.25;
+/// Reports of more slots than this multiple of the registered ones are not credible.
+constexpr std::uint32_t maxSlotsOverRegistered = 4;
 /// Measured times stay within these multiples of the assumed one.
 constexpr std::int64_t maxTimeFactor = 8;
 /// Added to the wait if the engine's memory share would be exceeded or all its slots are taken.
@@ -67,7 +71,6 @@
 PlacementTable::PlacementTable(RegionId ownRegion, PlacementLimits limits)
     : ownRegion_(std::move(ownRegion))
     , limits_(limits)
-    , millisecondsPerToken_(limits.millisecondsPerToken)
 {
 }
 
@@ -104,6 +107,8 @@
         server.isLeaving = leaving != leavingServers_.end() && leaving->second.started == state.server.started;
         server.engine = service->engine;
         server.coldRate = service->coldRate;
+        server.coldPeriod = service->coldPeriod;
+        server.registeredSlots = state.server.slots;
         server.maxConnections = service->maxConnections;
         if (server.engine)
             server.cache.setCapacity(TokenCount(static_cast<std::int64_t>(static_cast<double>(server.engine->memory.count()) * limits_.cacheShare)));
@@ -156,10 +161,18 @@
     const auto timeLeft = query.deadline - now;
     const auto maxWaitForTarget = timeToTarget + milliseconds(inMilliseconds(timeToTarget) * limits_.allowedLateness);
     const auto maxWait = query.wasPlaced ? timeLeft : std::min(std::max(maxWaitForTarget, Duration::zero()), timeLeft);
-    if (best.wait > maxWait && best.wait > limits_.timeToFirstToken * 3)
+    const bool isTooLate = best.wait > maxWait && best.wait > limits_.timeToFirstToken * 3;
+    const auto trial = isTooLate ? findTrial(now, query, preferred, maxWait) : std::nullopt;
+    if (isTooLate && !trial)
         return refuse(query, ResultCode::DeadlineUnreachable, best.wait - timeToTarget, best.wait);
+    if (trial) {
+        trial->server->rate.onTrial(now);
+        return PlaceOnServer { trial->server->state.server.id, trial->wait, {}, true };
+    }
     if (isLocal) {
         PlaceOnServer place { best.server->state.server.id, best.wait };
+        if (!isCold(now, *best.server) && best.server->coldRate > 0 && best.server->restart.isSuspected(now))
+            best.server->nextColdRequestAt = now + RestartSuspicion::spacing(best.server->coldRate, instances_.size());
         if (isCold(now, *best.server)) {
             place.coldLeft = best.server->state.coldUntil - now;
             best.server->nextColdRequestAt = now + coldSpacing(best.server->coldRate);
@@ -169,6 +182,30 @@
     return PlaceInRegion { *best.region, best.wait };
 }
 
+// A backend server that is only believed to be too slow: it has no requests, or would be quick enough at the average rates of its
+// service. Without a trial, nothing would correct the belief while all requests are refused because of it.
+std::optional<PlacementTable::Candidate> PlacementTable::findTrial(TimePoint now, const PlacementQuery& query, const ServerLocation* preferred, Duration maxWait)
+{
+    const auto ids = byService_.find(query.service);
+    if (ids == byService_.end() || !isAllowedIn(query, ownRegion_))
+        return std::nullopt;
+    std::optional<Candidate> best;
+    for (const auto& id : ids->second) {
+        auto& server = servers_.at(id);
+        // One at a time: an earlier request that still waits for its answer is a trial, too.
+        if (!server.rate.mayTry(now) || !server.awaitedFirstParts.empty() || isCold(now, server) || !isUsable(now, server, query))
+            continue;
+        const auto tokens = uncachedTokens(server, query, preferred);
+        const auto base = baseTime(now, server, query, tokens);
+        const bool isOnlyBelieved = totalLoad(now, server).requests == 0 || base <= maxWait;
+        if (!isOnlyBelieved || query.deadline - now < base * 2)
+            continue;
+        if (!best || base < best->cost)
+            best = Candidate { &server, nullptr, estimateWait(now, server, query, tokens), base };
+    }
+    return best;
+}
+
 PlacementId PlacementTable::begin(TimePoint now, const BackendServerId& id, const PlacementQuery& query)
 {
     const PlacementId placement(++lastPlacementId_);
@@ -179,7 +216,7 @@
     const auto tokens = uncachedTokens(server, query, preferredServer(query));
     const auto ahead = totalLoad(now, server);
     const bool isFirstInLine = ahead.backlog == TokenCount(0) && ahead.requests < std::max<std::uint32_t>(1, server.engine ? server.engine->slots : server.state.server.slots);
-    PlacedRequest placed { id, {}, false, now, estimateWait(now, server, query, tokens), tokens, isFirstInLine };
+    PlacedRequest placed { id, {}, false, now, estimateWait(now, server, query, tokens), baseTime(now, server, query, tokens), tokens, isFirstInLine };
     placed.load = { query.priority <= urgentPriority ? placed.uncachedTokens : TokenCount(0), placed.uncachedTokens, query.promptTokens + query.maxAnswerTokens, 1 };
     add(server.ownLoad, placed.load);
     server.cache.record(query.prompt);
@@ -196,8 +233,16 @@
     auto& server = found->second;
     if (server.isLeaving || now < server.pausedUntil)
         return false;
-    if (!isCold(now, server))
+    if (!isCold(now, server)) {
+        if (isHeldBack(now, server))
+            return false;
+        if (server.restart.isSuspected(now)) {
+            server.restart.onSend(now);
+            // Counts as well if the server turns out to be cold.
+            server.coldSends.push_back(now);
+        }
         return true;
+    }
     // Choices are spaced, but connections take different times, so that several requests may be ready at once.
     auto& sends = server.coldSends;
     while (!sends.empty() && now - sends.front() >= coldWindow)
@@ -218,6 +263,11 @@
     return cold;
 }
 
+std::size_t PlacementTable::suspectedRestarts(TimePoint now) const
+{
+    return static_cast<std::size_t>(std::count_if(servers_.begin(), servers_.end(), [now](const auto& entry) { return entry.second.coldRate > 0 && entry.second.restart.isSuspected(now); }));
+}
+
 void PlacementTable::recordForward(const RegionId& region, const PlacementQuery& query)
 {
     regions_[region].cache.record(query.prompt);
@@ -236,23 +286,44 @@
     server.ownLoad.backlog -= placed.load.backlog;
     placed.load.urgentBacklog = TokenCount(0);
     placed.load.backlog = TokenCount(0);
+    server.restart.onAnswerPart(now, placed.sentAt);
     const auto measured = inMilliseconds(now - placed.sentAt);
-    const auto expected = std::max(1.0, inMilliseconds(placed.expected));
-    const auto ratio = std::clamp(measured / expected * server.slowness, minSlowness, maxSlowness);
-    server.slowness += (ratio - server.slowness) * slownessGain;
+    const auto base = std::max(1.0, inMilliseconds(placed.base));
+    const auto slownessBefore = std::max(1.0, server.rate.slowness(now));
+    const auto pace = server.rate.pace(now);
+    recordRatio(now, server, measured / base);
+    const auto& service = server.state.server.service;
+    const auto perToken = millisecondsPerToken(now, service);
     const auto idle = inMilliseconds(idleTime(now, server));
-    const bool isPrefillNegligible = !server.engine || static_cast<double>(placed.uncachedTokens.count()) * millisecondsPerToken_ < idle;
-    if (placed.isFirstInLine && isPrefillNegligible) {
-        const auto prefillTime = server.engine ? static_cast<double>(placed.uncachedTokens.count()) * millisecondsPerToken_ : 0;
-        const auto sample = milliseconds(measured - prefillTime);
-        measure(idleTimes_[server.state.server.service], now, sample, server.engine ? limits_.timeToFirstToken : limits_.plainServiceTime);
+    const bool isPrefillNegligible = !server.engine || static_cast<double>(placed.uncachedTokens.count()) * perToken < idle;
+    if (placed.isFirstInLine && isPrefillNegligible && slownessBefore <= maxSlownessOfIdleTime) {
+        const auto prefillTime = server.engine ? static_cast<double>(placed.uncachedTokens.count()) * perToken : 0;
+        measureIdleTime(now, server, milliseconds((measured - prefillTime) / pace));
     }
     if (!server.engine || placed.uncachedTokens.count() < minMeasuredTokens)
         return;
-    const auto prefillTime = std::max(0.0, measured - idle);
-    const auto tokensAhead = std::max(1.0, (expected / server.slowness - idle) / millisecondsPerToken_);
-    const auto perToken = std::clamp(prefillTime / tokensAhead, minMillisecondsPerToken, maxMillisecondsPerToken);
-    millisecondsPerToken_ += (perToken - millisecondsPerToken_) * rateGain;
+    // What is known of this backend server is taken out, so that a slowdown does not become the rate of the whole service.
+    const auto prefillTime = std::max(0.0, measured / (slownessBefore * pace * server.rate.lastingFactor(now)) - idle);
+    const auto tokensAhead = std::max(1.0, (base - idle) / perToken);
+    const auto sample = std::clamp(prefillTime / tokensAhead, minMillisecondsPerToken, maxMillisecondsPerToken);
+    millisecondsPerToken_[service] = { perToken + (sample - perToken) * rateGain, now };
+}
+
+void PlacementTable::recordRatio(TimePoint now, Server& server, double ratio)
+{
+    const auto& service = server.state.server.service;
+    const auto average = serviceRatio(now, service);
+    server.rate.onSample(now, ratio, average);
+    const auto limited = std::clamp(ratio / server.rate.pace(now), ServerRate::minFactor, ServerRate::maxFactor);
+    serviceRatios_[service] = { average + (limited - average) * serviceRatioGain, now };
+}
+
+// The average ages like the lasting factors that it keeps at 1 on average.
+double PlacementTable::serviceRatio(TimePoint now, const ServiceId& service) const
+{
+    const auto found = serviceRatios_.find(service);
+    const bool isCurrent = found != serviceRatios_.end() && now - found->second.measuredAt <= ServerRate::lastingHalfLife;
+    return isCurrent ? found->second.value : 1;
 }
 
 void PlacementTable::onRoundTrip(TimePoint now, const RegionId& region, Duration roundTrip)
@@ -267,7 +338,9 @@
     if (found == servers_.end() || load.slots == 0)
         return;
     auto& server = found->second;
-    server.state.server.slots = load.slots;
+    // A wrong number of slots would make the server look free for good.
+    server.state.server.slots = server.registeredSlots == 0 ? load.slots : std::min(load.slots, server.registeredSlots * maxSlotsOverRegistered);
+    server.rate.onPace(now, load.pacePercent);
     server.reportedRequests = load.running + load.waiting;
     server.ownRequestsAtReport = server.ownLoad.requests;
     server.reportedAt = now;
@@ -306,6 +379,10 @@
     server.ownLoad.requests -= placed.load.requests;
     if (outcome == PlacementOutcome::Answered)
         server.failures = 0;
+    // A server may close an idle connection just as it is used again; that shows at once and is no sign of a restart.
+    const bool isProcessLost = outcome == PlacementOutcome::Lost && now - placed.sentAt >= RestartSuspicion::livenessMargin;
+    if (isProcessLost || outcome == PlacementOutcome::Unreachable)
+        server.restart.onConnectionLost(now, server.coldPeriod);
     // A request that was under way already says nothing about the answers to those that followed.
     if (outcome == PlacementOutcome::Answered && placed.sentAt >= server.lastSpoiledAt)
         server.spoiledAnswers = 0;
@@ -316,7 +393,7 @@
     const bool isSpoiled = outcome == PlacementOutcome::Spoiled;
     if (isSpoiled)
         server.lastSpoiledAt = now;
-    const bool isFailure = isSpoiled || outcome == PlacementOutcome::Failed || outcome == PlacementOutcome::Unreachable;
+    const bool isFailure = isSpoiled || outcome == PlacementOutcome::Failed || outcome == PlacementOutcome::Lost || outcome == PlacementOutcome::Unreachable;
     if (!isFailure || now < server.backoffUntil)
         return;
     ++server.failures;
@@ -375,7 +452,7 @@
             if (!minWait)
                 continue;
             if (!best)
-                best = RegionWaitEstimate { service, *minWait, *minWait, millisecondsPerToken_ };
+                best = RegionWaitEstimate { service, *minWait, *minWait, millisecondsPerToken(now, service) };
             best->wait = *minWait;
         }
         if (best)
@@ -402,6 +479,8 @@
 {
     if (server.isLeaving || now < server.pausedUntil || now < server.backoffUntil || query.failedServers.contains(server.state.server.id))
         return false;
+    if (!isCold(now, server) && server.restart.isSuspected(now) && (isHeldBack(now, server) || now < server.nextColdRequestAt))
+        return false;
     return !isCold(now, server) || (holdsColdServer(now, server.state.server.id) && now >= server.nextColdRequestAt);
 }
 
@@ -410,6 +489,17 @@
     return server.coldRate > 0 && now < server.state.coldUntil;
 }
 
+bool PlacementTable::isHeldBack(TimePoint now, const Server& server) const
+{
+    return server.coldRate > 0 && server.restart.isSuspected(now) && !server.restart.maySend(now, server.coldRate, ownRank(), instances_.size());
+}
+
+std::size_t PlacementTable::ownRank() const
+{
+    const auto found = std::find(instances_.begin(), instances_.end(), self_);
+    return found == instances_.end() ? 0 : static_cast<std::size_t>(found - instances_.begin());
+}
+
 bool PlacementTable::holdsColdServer(TimePoint now, const BackendServerId& id) const
 {
     const auto held = coldServersHeldUntil_.find(id);
@@ -441,6 +531,23 @@
     return time.measuredAt != TimePoint {} && now - time.measuredAt <= limits_.measurementLifetime ? time.value : initial;
 }
 
+// Rises slowly and falls quickly: a slowdown of all servers must not become the time of an idle one.
+void PlacementTable::measureIdleTime(TimePoint now, const Server& server, Duration sample)
+{
+    auto& time = idleTimes_[server.state.server.service];
+    const auto initial = server.engine ? limits_.timeToFirstToken : limits_.plainServiceTime;
+    const auto before = idleTime(now, server);
+    const auto limited = std::clamp(sample, initial / maxTimeFactor, std::min(initial * maxTimeFactor, before * 2));
+    time = { before + (limited - before) / (limited > before ? risingTimeGainDivisor : timeGainDivisor), now };
+}
+
+double PlacementTable::millisecondsPerToken(TimePoint now, const ServiceId& service) const
+{
+    const auto found = millisecondsPerToken_.find(service);
+    const bool isCurrent = found != millisecondsPerToken_.end() && now - found->second.measuredAt <= limits_.measurementLifetime;
+    return isCurrent ? found->second.value : limits_.millisecondsPerToken;
+}
+
 Duration PlacementTable::idleTime(TimePoint now, const Server& server) const
 {
     const auto initial = server.engine ? limits_.timeToFirstToken : limits_.plainServiceTime;
@@ -509,17 +616,26 @@
     return now - mostOverdue->first;
 }
 
-Duration PlacementTable::estimateWait(TimePoint now, const Server& server, const PlacementQuery& query, TokenCount uncachedTokens) const
+// The time to the first part at the average rates of the service, with the present load.
+Duration PlacementTable::baseTime(TimePoint now, const Server& server, const PlacementQuery& query, TokenCount uncachedTokens) const
 {
     const auto total = totalLoad(now, server);
+    const auto idle = inMilliseconds(idleTime(now, server));
     if (!server.engine) {
         const auto slots = std::max<std::uint32_t>(1, server.state.server.slots);
-        const auto overdue = overdueTime(now, server);
-        return overdue + milliseconds(inMilliseconds(idleTime(now, server)) * server.slowness * (1 + static_cast<double>(total.requests) / slots));
+        return milliseconds(idle * (1 + static_cast<double>(total.requests) / slots));
     }
     const auto tokensAhead = query.priority <= urgentPriority ? total.urgentBacklog : total.backlog;
     const auto tokens = static_cast<double>((tokensAhead + uncachedTokens).count());
-    auto wait = milliseconds((inMilliseconds(idleTime(now, server)) + tokens * millisecondsPerToken_) * server.slowness);
+    return milliseconds(idle + tokens * millisecondsPerToken(now, server.state.server.service));
+}
+
+Duration PlacementTable::estimateWait(TimePoint now, const Server& server, const PlacementQuery& query, TokenCount uncachedTokens) const
+{
+    const auto total = totalLoad(now, server);
+    if (!server.engine)
+        return overdueTime(now, server) + milliseconds(inMilliseconds(baseTime(now, server, query, uncachedTokens)) * server.rate.factor(now));
+    auto wait = milliseconds(inMilliseconds(baseTime(now, server, query, uncachedTokens)) * server.rate.factor(now));
     wait += overdueTime(now, server);
     const auto reserved = (total.reservedTokens + query.promptTokens + query.maxAnswerTokens).count();
     if (static_cast<double>(reserved) > static_cast<double>(server.engine->memory.count()) * limits_.memoryShare || total.requests >= server.engine->slots)
@@ -554,7 +670,7 @@
             continue;
         const auto tokens = uncachedTokens(server, query, preferred);
         const auto wait = estimateWait(now, server, query, tokens);
-        const auto cost = costOf(wait, tokens, millisecondsPerToken_);
+        const auto cost = costOf(wait, tokens, millisecondsPerToken(now, query.service));
         if (!best || cost < best->cost)
             best = Candidate { &server, nullptr, wait, cost };
     }
@@ -572,7 +688,7 @@
         const auto roundTrip = measuredOr(region.roundTrip, now, limits_.regionRoundTrip);
         auto wait = roundTrip * 3;
         const auto tokens = uncachedTokens(region.cache, preferred && preferred->region == id, query);
-        auto perToken = millisecondsPerToken_;
+        auto perToken = millisecondsPerToken(now, query.service);
         const auto found = region.waitEstimates.find(query.service);
         if (found != region.waitEstimates.end() && now - found->second.receivedAt <= limits_.reportLifetime) {
             const auto& estimate = found->second.estimate;
--- a/Libraries/LibDecision/Placement/PlacementTable.h
+++ b/Libraries/LibDecision/Placement/PlacementTable.h
@@ -5,6 +5,8 @@
 #include <LibDecision/Placement/PlacementQuery.h>
 #include <LibDecision/Placement/PromptCacheEstimate.h>
 #include <LibDecision/Registry/BackendRegistry.h>
+#include <LibDecision/ServerRates/RestartSuspicion.h>
+#include <LibDecision/ServerRates/ServerRate.h>
 
 #include <deque>
 #include <map>
@@ -25,6 +27,8 @@
     Duration expected {};
     /// For how much longer the backend server is cold; zero if it is not.
     Duration coldLeft {};
+    /// Whether the request also finds out if the backend server is still as slow as believed.
+    bool isTrial { false };
 };
 
 /// Forward the request to an instance of this region.
@@ -49,6 +53,8 @@
     std::uint32_t running { 0 };
     std::uint32_t waiting { 0 };
     std::uint32_t slots { 0 };
+    /// How long work takes on its machine at this moment, in percent of what is usual; zero if it does not say.
+    std::uint32_t pacePercent { 0 };
 };
 
 /// How a request on a backend server ended.
@@ -60,8 +66,10 @@
     Unreachable,
     /// Another backend server now uses its address.
     Replaced,
-    /// The connection broke, or the answer was truncated or invalid.
+    /// The answer was truncated or invalid, or did not come in time.
     Failed,
+    /// The connection broke before the answer was complete; the backend server's process may have ended.
+    Lost,
     /// What came in place of an answer was no valid HTTP, or exceeded a bound.
     Spoiled,
     /// The result says nothing about the backend server, for example because the caller disconnected.
@@ -150,6 +158,9 @@
     /// The backend servers of this region that are cold and can take only a limited rate.
     std::vector<BackendServerId> coldServers(TimePoint now) const;
 
+    /// The number of backend servers of this region where a new, cold process may run; see RestartSuspicion.
+    std::size_t suspectedRestarts(TimePoint now) const;
+
     /// Replaces the load that the other instances of the region together put on the backend servers, as of `receivedAt`.
     void setOtherLoads(TimePoint receivedAt, const std::vector<InstanceLoad>& loads);
 
@@ -213,6 +224,7 @@
         BackendState state;
         std::optional<EngineTraits> engine;
         double coldRate { 0 };
+        Duration coldPeriod {};
         std::uint32_t maxConnections { 0 };
         Load ownLoad;
         /// Of the other instances.
@@ -226,8 +238,10 @@
         /// Spoiled answers since the last request that was sent after one of them and was answered.
         std::uint32_t spoiledAnswers { 0 };
         TimePoint lastSpoiledAt {};
-        /// Average ratio of the measured to the expected time to the first part.
-        double slowness { 1 };
+        ServerRate rate;
+        RestartSuspicion restart;
+        /// As the registry has them; reports may differ.
+        std::uint32_t registeredSlots { 0 };
         TimePoint nextColdRequestAt {};
         /// When requests were sent to it while it was cold, within the last second.
         std::deque<TimePoint> coldSends;
@@ -245,6 +259,8 @@
         bool hasStarted { false };
         TimePoint sentAt;
         Duration expected {};
+        /// `expected` at the average rates of the service, without what was known of this backend server.
+        Duration base {};
         TokenCount uncachedTokens;
         /// Whether nothing was ahead of it, so that the time to its first part is that of an idle server.
         bool isFirstInLine { false };
@@ -256,6 +272,11 @@
         TimePoint measuredAt {};
     };
 
+    struct MeasuredFactor {
+        double value { 1 };
+        TimePoint measuredAt {};
+    };
+
     struct TimedWaitEstimate {
         TimePoint receivedAt;
         RegionWaitEstimate estimate;
@@ -291,14 +312,21 @@
     bool isAllowedIn(const PlacementQuery& query, const RegionId& region) const;
     bool isUsable(TimePoint now, const Server& server, const PlacementQuery& query) const;
     static bool isCold(TimePoint now, const Server& server);
+    /// Whether a new, cold process may run there and this instance has used up its share of what such a process sustains.
+    bool isHeldBack(TimePoint now, const Server& server) const;
+    std::size_t ownRank() const;
     bool holdsColdServer(TimePoint now, const BackendServerId& id) const;
     Load totalLoad(TimePoint now, const Server& server) const;
     void measure(MeasuredTime& time, TimePoint now, Duration sample, Duration initial) const;
+    void measureIdleTime(TimePoint now, const Server& server, Duration sample);
+    double millisecondsPerToken(TimePoint now, const ServiceId& service) const;
     Duration measuredOr(const MeasuredTime& time, TimePoint now, Duration initial) const;
     /// The time to the first part of an answer of an idle server of a service, without prefill.
     Duration idleTime(TimePoint now, const Server& server) const;
     static void stopAwaiting(Server& server, std::uint64_t id, const PlacedRequest& placed);
     Duration overdueTime(TimePoint now, const Server& server) const;
+    void recordRatio(TimePoint now, Server& server, double ratio);
+    double serviceRatio(TimePoint now, const ServiceId& service) const;
     Duration estimateWait(TimePoint now, const Server& server, const PlacementQuery& query, TokenCount uncachedTokens) const;
     TokenCount uncachedTokens(const PromptCacheEstimate& cache, bool isPreferred, const PlacementQuery& query) const;
     TokenCount uncachedTokens(const Server& server, const PlacementQuery& query, const ServerLocation* preferred) const;
@@ -307,6 +335,8 @@
     std::optional<Duration> shortestPause(TimePoint now, const ServiceId& service) const;
     std::optional<Candidate> bestLocalServer(TimePoint now, const PlacementQuery& query, const ServerLocation* preferred);
     std::optional<Candidate> bestRemoteRegion(TimePoint now, const PlacementQuery& query, const ServerLocation* preferred);
+    Duration baseTime(TimePoint now, const Server& server, const PlacementQuery& query, TokenCount uncachedTokens) const;
+    std::optional<Candidate> findTrial(TimePoint now, const PlacementQuery& query, const ServerLocation* preferred, Duration maxWait);
     RefusePlacement refuse(const PlacementQuery& query, ResultCode code, Duration wait, std::optional<Duration> expected = std::nullopt) const;
 
     RegionId ownRegion_;
@@ -323,10 +353,12 @@
     std::map<ServiceId, std::vector<ServerLocation>> serverLocations_;
     std::map<RegionId, RegionState> regions_;
     std::map<ServiceId, MeasuredTime> idleTimes_;
+    /// Average ratio of the measured to the expected time to the first part, over all backend servers of a service.
+    std::map<ServiceId, MeasuredFactor> serviceRatios_;
     std::unordered_map<std::uint64_t, PlacedRequest> placedRequests_;
     std::uint64_t lastPlacementId_ { 0 };
     /// Measured engine time per prompt token.
-    double millisecondsPerToken_;
+    std::map<ServiceId, MeasuredFactor> millisecondsPerToken_;
 };
 
 } // namespace Ibisturn
--- a/Libraries/LibHTTP/Requests/RequestRunner.cpp
+++ b/Libraries/LibHTTP/Requests/RequestRunner.cpp
@@ -109,6 +109,8 @@
         return PlacementOutcome::Unknown;
     if (failure->isSpoiled)
         return PlacementOutcome::Spoiled;
+    if (failure->isServerLost)
+        return PlacementOutcome::Lost;
     const auto code = failure->error.code();
     if (code == ResultCode::BackendUnreachable)
         return PlacementOutcome::Unreachable;
@@ -474,6 +476,8 @@
         if (const auto* server = std::get_if<PlaceOnServer>(&decision)) {
             const RunHere place { server->server };
             requestLog.logPlace(now, place, server->expected, lifecycle.attempts() + 1, server->coldLeft);
+            if (server->isTrial)
+                tables_.metrics.increment("ibisturn_server_trials_total");
             if (server->coldLeft > Duration::zero())
                 tables_.metrics.increment("ibisturn_cold_server_requests_total");
             return place;
--- a/Programs/ibisturn/FleetControlPlane.cpp
+++ b/Programs/ibisturn/FleetControlPlane.cpp
@@ -369,6 +369,7 @@
     auto& metrics = tables_.metrics;
     metrics.set("ibisturn_instances_live", static_cast<double>(live));
     metrics.set("ibisturn_backend_servers_usable", static_cast<double>(fleetState_.registry().usable().size()));
+    metrics.set("ibisturn_backend_servers_restart_suspected", static_cast<double>(tables_.placement.with([now](PlacementTable& table) { return table.suspectedRestarts(now); })));
     metrics.set("ibisturn_configuration_revision", appliedSnapshot_ ? static_cast<double>(appliedSnapshot_->revision().count()) : 0);
     metrics.set("ibisturn_store_away_seconds", unavailableSince ? std::chrono::duration<double>(now - *unavailableSince).count() : 0);
 }
--- a/Tests/Platform/DialectsTest.cpp
+++ b/Tests/Platform/DialectsTest.cpp
@@ -207,6 +207,20 @@
         EXPECT_NE(header.name, "X-Ibisturn-Server-Load");
 }
 
+// A fourth number says how long work takes now; whatever a replica writes there must not be taken for something else.
+TEST_F(ReplicaDialectTest, ReadsThePaceOfAServerThatReportsIt)
+{
+    const auto loadOf = [this](const char* text) { return read(200, { { "X-Ibisturn-Request-Id", "id-1" }, { "X-Ibisturn-Server-Seal", "s" }, { "X-Ibisturn-Server-Load", text } }).load; };
+    EXPECT_EQ(loadOf("3,1,8,250")->pacePercent, 250U);
+    for (const auto* text : { "3,1,8", "3,1,8,", "3,1,8,-5", "3,1,8,fast", "3,1,8,99999999999" }) {
+        ASSERT_TRUE(loadOf(text)) << text;
+        EXPECT_EQ(loadOf(text)->pacePercent, 0U) << text;
+    }
+    EXPECT_EQ(loadOf("3,1,8,90,7")->pacePercent, 90U);
+    for (const auto* text : { "", "3", "3,1", "-3,1,8,100", "3,1,9999999999,100", "4000000000,4000000000,8,100" })
+        EXPECT_FALSE(loadOf(text)) << text;
+}
+
 TEST(PlatformEntryDialect, AnswersEntryAndReadinessQueries)
 {
     const auto dialect = EntryDialectRegistry::instance().make("platform");
