LibHTTP: Suspect a restart when a server closes idle connections early

Change: the pool reports a connection that its server closes before the time it announced, and any connection lost with a request counts, however young.

--- a/Libraries/LibDecision/Placement/PlacementTable.cpp
+++ b/Libraries/LibDecision/Placement/PlacementTable.cpp
@@ -357,6 +357,14 @@
     return true;
 }
 
+void PlacementTable::onConnectionLost(TimePoint now, const Endpoint& endpoint)
+{
+    for (auto& [id, server] : servers_) {
+        if (server.state.server.endpoint == endpoint && !server.isLeaving)
+            server.restart.onConnectionLost(now, server.coldPeriod);
+    }
+}
+
 void PlacementTable::onRetryAfter(TimePoint now, const BackendServerId& id, Duration pause)
 {
     const auto found = servers_.find(id);
@@ -379,9 +387,7 @@
     server.ownLoad.requests -= placed.load.requests;
     if (outcome == PlacementOutcome::Answered)
         server.failures = 0;
-    // A server may close an idle connection just as it is used again; that shows at once and is no sign of a restart.
-    const bool isProcessLost = outcome == PlacementOutcome::Lost && now - placed.sentAt >= RestartSuspicion::livenessMargin;
-    if (isProcessLost || outcome == PlacementOutcome::Unreachable)
+    if (outcome == PlacementOutcome::Lost || outcome == PlacementOutcome::Unreachable)
         server.restart.onConnectionLost(now, server.coldPeriod);
     // A request that was under way already says nothing about the answers to those that followed.
     if (outcome == PlacementOutcome::Answered && placed.sentAt >= server.lastSpoiledAt)
--- a/Libraries/LibDecision/Placement/PlacementTable.h
+++ b/Libraries/LibDecision/Placement/PlacementTable.h
@@ -191,6 +191,9 @@
     /// is new.
     bool onServerLeaving(TimePoint now, const BackendServerId& server);
 
+    /// A connection without a request to the backend server at `endpoint` was closed although the server promised to keep it open.
+    void onConnectionLost(TimePoint now, const Endpoint& endpoint);
+
     /// A backend server that refused a request wants no others from this instance for `pause`.
     void onRetryAfter(TimePoint now, const BackendServerId& server, Duration pause);
 
--- a/Libraries/LibHTTP/Backends/BackendClient.cpp
+++ b/Libraries/LibHTTP/Backends/BackendClient.cpp
@@ -96,11 +96,11 @@
 
 } // namespace
 
-BackendClient::BackendClient(Limits limits, const BackendDialect& dialect, HeadCallback onHead)
+BackendClient::BackendClient(Limits limits, const BackendDialect& dialect, HeadCallback onHead, EndpointCallback onClosedEarly)
     : limits_(limits)
     , dialect_(dialect)
     , onHead_(std::move(onHead))
-    , idle_({ maxIdlePerServer, limits.idleConnections, maxIdleTime })
+    , idle_({ maxIdlePerServer, limits.idleConnections, maxIdleTime }, std::move(onClosedEarly))
 {
 }
 
--- a/Libraries/LibHTTP/Backends/BackendClient.h
+++ b/Libraries/LibHTTP/Backends/BackendClient.h
@@ -30,6 +30,7 @@
 class BackendClient {
 public:
     using HeadCallback = std::function<void(const BackendServerId&, const AnswerHeadInfo&)>;
+    using EndpointCallback = std::function<void(const Endpoint&)>;
 
     struct Limits {
         /// Limits the time to establish a connection.
@@ -40,9 +41,9 @@
         std::size_t idleConnections { 1024 };
     };
 
-    /// `onHead` is called with the head of each answer, also of one to another request.
-    /// Precondition: `dialect` outlives the client.
-    BackendClient(Limits limits, const BackendDialect& dialect, HeadCallback onHead = nullptr);
+    /// `onHead` is called with the head of each answer, also of one to another request; `onClosedEarly` when a backend server closes
+    /// an idle connection that it promised to keep open for longer. Precondition: `dialect` outlives the client.
+    BackendClient(Limits limits, const BackendDialect& dialect, HeadCallback onHead = nullptr, EndpointCallback onClosedEarly = nullptr);
 
     /// Runs `request` on `server` and writes its answer to `sink`. Throws Error, whose ran() says whether the request may have
     /// reached the backend server, NotRunError if the backend server reports that it did not run the request, and
--- a/Libraries/LibHTTP/Backends/IdleConnectionPool.cpp
+++ b/Libraries/LibHTTP/Backends/IdleConnectionPool.cpp
@@ -1,5 +1,6 @@
 #include <LibHTTP/Backends/IdleConnectionPool.h>
 
+#include <LibCore/SteadyClock.h>
 #include <LibHTTP/Callers/SocketWatch.h>
 
 #include <algorithm>
@@ -7,9 +8,10 @@
 
 namespace Ibisturn {
 
-IdleConnectionPool::IdleConnectionPool(Limits limits)
+IdleConnectionPool::IdleConnectionPool(Limits limits, std::function<void(const Endpoint&)> onClosedEarly)
     : limits_(limits)
 {
+    state_->onClosedEarly = std::move(onClosedEarly);
 }
 
 void IdleConnectionPool::keep(TimePoint now, const Endpoint& endpoint, BackendConnectionPointer connection)
@@ -36,6 +38,7 @@
         auto connection = std::move(state_->idle.at(number).connection);
         state_->remove(number);
         // The event that a connection was closed may not have been handled yet.
+        state_->reportIfClosedEarly(now, endpoint, *connection);
         const bool isTrusted = !mustBeTrusted || now < connection->trustedUntil;
         if (!isTrusted || probeSocket(connection->stream.socket()) != SocketState::Idle)
             continue;
@@ -61,12 +64,24 @@
 void IdleConnectionPool::watch(Number number, BackendConnection& connection)
 {
     const auto close = [weak = std::weak_ptr<State>(state_), number](const boost::system::error_code& /*error*/) {
-        if (const auto state = weak.lock())
-            state->remove(number);
+        const auto state = weak.lock();
+        const auto found = state ? state->idle.find(number) : decltype(state->idle.end()) {};
+        if (!state || found == state->idle.end())
+            return;
+        const Endpoint endpoint = found->second.endpoint;
+        const auto connection = std::move(found->second.connection);
+        state->remove(number);
+        state->reportIfClosedEarly(SteadyClock().now(), endpoint, *connection);
     };
     connection.stream.socket().async_wait(Asio::socket_base::wait_read, close);
 }
 
+void IdleConnectionPool::State::reportIfClosedEarly(TimePoint now, const Endpoint& endpoint, BackendConnection& connection) const
+{
+    if (onClosedEarly && now < connection.trustedUntil && probeSocket(connection.stream.socket()) == SocketState::Closed)
+        onClosedEarly(endpoint);
+}
+
 void IdleConnectionPool::State::remove(Number number)
 {
     const auto found = idle.find(number);
--- a/Libraries/LibHTTP/Backends/IdleConnectionPool.h
+++ b/Libraries/LibHTTP/Backends/IdleConnectionPool.h
@@ -23,7 +23,8 @@
         Duration idleTime;
     };
 
-    explicit IdleConnectionPool(Limits limits);
+    /// `onClosedEarly` is called when a backend server closes a connection that it promised to keep open for longer.
+    explicit IdleConnectionPool(Limits limits, std::function<void(const Endpoint&)> onClosedEarly = nullptr);
 
     /// Adds a connection; the longest idle one is closed if there are too many. A connection that is closed or has unread bytes is
     /// dropped instead, as is one to a backend server that has enough.
@@ -52,8 +53,10 @@
     struct State {
         std::map<Number, Idle> idle;
         std::map<Endpoint, std::vector<Number>> byEndpoint;
+        std::function<void(const Endpoint&)> onClosedEarly;
 
         void remove(Number number);
+        void reportIfClosedEarly(TimePoint now, const Endpoint& endpoint, BackendConnection& connection) const;
     };
 
     void watch(Number number, BackendConnection& connection);
--- a/Libraries/LibHTTP/Requests/RequestRunner.cpp
+++ b/Libraries/LibHTTP/Requests/RequestRunner.cpp
@@ -227,7 +227,8 @@
     , strategy_(RoutingStrategyRegistry::instance().require("routing strategy", tables.settings.routingStrategy))
     , backends_(
           { tables.settings.connectTimeout, tables.settings.requestTimeout, idleConnectionsOf(tables.settings) }, *tables.backendDialect,
-          [&tables](const BackendServerId& server, const AnswerHeadInfo& headInfo) { recordServerState(tables, server, headInfo); })
+          [&tables](const BackendServerId& server, const AnswerHeadInfo& headInfo) { recordServerState(tables, server, headInfo); },
+          [&tables](const Endpoint& endpoint) { tables.placement.with([&](PlacementTable& table) { table.onConnectionLost(SteadyClock().now(), endpoint); }); })
     , peers_(makeHelloMessage(tables.settings.identity),
           { tables.settings.connectTimeout, tables.settings.requestTimeout, tables.settings.bodyLimit + ByteCount(frameOverhead) },
           [&tables](const RegionId& region, Duration roundTrip) {
--- a/Tests/LibDecision/ServerRateTest.cpp
+++ b/Tests/LibDecision/ServerRateTest.cpp
@@ -241,6 +241,17 @@
     EXPECT_LE(sent, 2);
 }
 
+// Requests that are short leave none under way when the process ends; only the idle connections show it.
+TEST_F(ServerRateTableTest, AServerThatClosedAnIdleConnectionGetsTheShareOfAColdOne)
+{
+    table_.onConnectionLost(at(0s), { "10.0.0.1", 8080 });
+    auto sent = 0;
+    for (auto time = 0ms; time < 1000ms; time += 10ms)
+        sent += isPlaced(at(time)) && table_.confirmSend(at(time), onlyServer) ? 1 : 0;
+    EXPECT_GE(sent, 1);
+    EXPECT_LE(sent, 2);
+}
+
 TEST_F(ServerRateTableTest, AServerThatGoesOnAnsweringKeepsItsTrafficAfterALostAnswer)
 {
     const auto answering = table_.begin(at(0s), onlyServer, makeQuery(at(0s)));
