PromptAffinity: Rank the servers of each region for a session by themselves

The preferred server of a session was drawn over the servers of all regions, so in two regions of three a session had none, and each instance read its parts on the server that it found least loaded.

ServerRanking ranks the servers of one region (rendezvous hashing weighted by ServerRate::lastingFactor()), PartRates counts the requests of a session, and PromptAffinity derives how many servers hold it; LoadBound bounds their load. preferredServer() uses the ranking of its own region. Only a request that may not run there still draws from the permitted regions, since the result names the region.

--- a/Libraries/LibDecision/Placement/PlacementTable.cpp
+++ b/Libraries/LibDecision/Placement/PlacementTable.cpp
@@ -32,6 +32,8 @@
 constexpr Duration minRetryAfter = std::chrono::milliseconds(100);
 constexpr std::uint32_t urgentPriority = 0;
 constexpr Duration coldWindow = std::chrono::seconds(1);
+/// How often the mean load and the speeds of the backend servers of a service are computed.
+constexpr Duration affinityRefreshPeriod = std::chrono::milliseconds(10);
 /// A backend server that is leaving has ended after this time.
 constexpr Duration leavingServerLifetime = std::chrono::minutes(10);
 
@@ -114,6 +116,11 @@
             server.cache.setCapacity(TokenCount(static_cast<std::int64_t>(static_cast<double>(server.engine->memory.count()) * limits_.cacheShare)));
         byService_[service->id].push_back(state.server.id);
     }
+    std::erase_if(affinities_, [this](const auto& entry) { return !byService_.contains(entry.first); });
+    for (const auto& [id, ids] : byService_)
+        affinities_[id].sessions.setServers(ids);
+    for (auto& [id, locations] : serverLocations_)
+        std::stable_partition(locations.begin(), locations.end(), [this](const ServerLocation& location) { return location.region == ownRegion_; });
     std::erase_if(servers_, [&present](const auto& entry) { return !present.contains(entry.first); });
     std::erase_if(placedRequests_, [&present](const auto& entry) { return !present.contains(entry.second.server); });
 }
@@ -579,13 +586,18 @@
     return uncachedTokens(server.cache, preferred && preferred->server == server.state.server.id, query);
 }
 
-// The backend server that all instances prefer for a session (rendezvous hashing), in any permitted region.
+// The first backend server of this region for a session. If the request may not run in this region, the one that all instances prefer in
+// the permitted regions: it names the region that has the session's parts.
 const PlacementTable::ServerLocation* PlacementTable::preferredServer(const PlacementQuery& query) const
 {
     const auto locations = serverLocations_.find(query.service);
-    if (locations == serverLocations_.end() || query.prompt.size() < 2)
+    const auto session = PromptAffinity::sessionOf(query.prompt);
+    if (locations == serverLocations_.end() || !session)
         return nullptr;
-    const auto sessionKey = std::to_string(query.prompt[query.prompt.size() - 2].id);
+    const auto affinity = affinities_.find(query.service);
+    if (affinity != affinities_.end() && isAllowedIn(query, ownRegion_))
+        return &locations->second[affinity->second.sessions.ranked(*session).front()];
+    const auto sessionKey = std::to_string(*session);
     const ServerLocation* preferred = nullptr;
     std::uint64_t best = 0;
     for (const auto& location : locations->second) {
@@ -664,11 +676,29 @@
     return shortest;
 }
 
+// Updates the speeds and the bound on the load of the backend servers of a service, at most once in each period.
+void PlacementTable::refreshAffinity(TimePoint now, ServiceAffinity& affinity)
+{
+    affinity.sessions.advance(now);
+    affinity.sessions.setInstanceCount(std::max<std::size_t>(1, instances_.size()));
+    if (affinity.refreshedAt && now - *affinity.refreshedAt < affinityRefreshPeriod)
+        return;
+    affinity.refreshedAt = now;
+    affinity.bound = {};
+    for (std::size_t index = 0; index < affinity.sessions.servers().size(); ++index) {
+        const auto& server = servers_.at(affinity.sessions.servers().at(index));
+        const auto load = totalLoad(now, server);
+        affinity.bound.add(load.requests, load.backlog, server.rate.lastingFactor());
+        affinity.sessions.setSpeed(index, 1 / server.rate.lastingFactor());
+    }
+}
+
 std::optional<PlacementTable::Candidate> PlacementTable::bestLocalServer(TimePoint now, const PlacementQuery& query, const ServerLocation* preferred)
 {
     const auto ids = byService_.find(query.service);
     if (ids == byService_.end() || !isAllowedIn(query, ownRegion_))
         return std::nullopt;
+    refreshAffinity(now, affinities_.at(query.service));
     std::optional<Candidate> best;
     for (const auto& id : ids->second) {
         auto& server = servers_.at(id);
--- a/Libraries/LibDecision/Placement/PlacementTable.h
+++ b/Libraries/LibDecision/Placement/PlacementTable.h
@@ -4,6 +4,9 @@
 #include <LibCore/ResultCode.h>
 #include <LibDecision/Placement/PlacementQuery.h>
 #include <LibDecision/Placement/PromptCacheEstimate.h>
+#include <LibDecision/PromptAffinity/AssumedCache.h>
+#include <LibDecision/PromptAffinity/LoadBound.h>
+#include <LibDecision/PromptAffinity/PromptAffinity.h>
 #include <LibDecision/Registry/BackendRegistry.h>
 #include <LibDecision/ServerRates/RestartSuspicion.h>
 #include <LibDecision/ServerRates/ServerRate.h>
@@ -29,6 +32,10 @@
     Duration coldLeft {};
     /// Whether the request also finds out if the backend server is still as slow as believed.
     bool isTrial { false };
+    /// The rank of the backend server for the request's session, from 0; nullopt if it has none among the first.
+    std::optional<std::size_t> sessionRank;
+    /// The tokens that count as cached there although this instance did not send them.
+    TokenCount assumedTokens;
 };
 
 /// Forward the request to an instance of this region.
@@ -135,6 +142,11 @@
     double allowedLateness { 0.5 };
     /// The share of a service's connection limit that all instances use together.
     double connectionShare { 0.9 };
+    /// In a region with no more backend servers of a service than this, all of them are considered for each request. In a larger one,
+    /// only those that hold its session and a few that it draws, unless none of these can serve it in time.
+    std::size_t serversAllConsidered { 4 };
+    /// How many backend servers a request draws. The better of two has nearly the least load.
+    std::size_t drawnServers { 2 };
 };
 
 /// Chooses the backend server of this region, or the other region, that runs a request: the one with the lowest cost, which
@@ -233,6 +245,9 @@
         /// Of the other instances.
         Load otherLoad;
         PromptCacheEstimate cache;
+        AssumedCache assumedCache;
+        /// The share of `assumedCache` when the server was last considered.
+        double assumedShare { AssumedCache::usualShare };
         TimePoint backoffUntil {};
         /// It asked not to be sent requests until then.
         TimePoint pausedUntil {};
@@ -267,6 +282,8 @@
         TokenCount uncachedTokens;
         /// Whether nothing was ahead of it, so that the time to its first part is that of an idle server.
         bool isFirstInLine { false };
+        /// The tokens that counted as cached although this instance did not send them.
+        TokenCount assumedTokens;
     };
 
     /// A smoothed measurement.
@@ -312,6 +329,13 @@
         RegionId region;
     };
 
+    /// Which backend servers of this region hold the sessions of a service, and the load that bounds them.
+    struct ServiceAffinity {
+        PromptAffinity sessions;
+        LoadBound bound;
+        std::optional<TimePoint> refreshedAt;
+    };
+
     bool isAllowedIn(const PlacementQuery& query, const RegionId& region) const;
     bool isUsable(TimePoint now, const Server& server, const PlacementQuery& query) const;
     static bool isCold(TimePoint now, const Server& server);
@@ -333,7 +357,12 @@
     Duration estimateWait(TimePoint now, const Server& server, const PlacementQuery& query, TokenCount uncachedTokens) const;
     TokenCount uncachedTokens(const PromptCacheEstimate& cache, bool isPreferred, const PlacementQuery& query) const;
     TokenCount uncachedTokens(const Server& server, const PlacementQuery& query, const ServerLocation* preferred) const;
+    /// The tokens that count as cached on a backend server of this region beyond those that this instance sent there.
+    TokenCount assumedTokens(const Server& server, const PlacementQuery& query) const;
     const ServerLocation* preferredServer(const PlacementQuery& query) const;
+    void refreshAffinity(TimePoint now, ServiceAffinity& affinity);
+    std::vector<Server*> fewServers(TimePoint now, const PlacementQuery& query, const ServiceAffinity& affinity);
+    Candidate candidateFor(TimePoint now, Server& server, const PlacementQuery& query, const ServerLocation* preferred) const;
     Duration costOf(Duration wait, TokenCount uncachedTokens, double millisecondsPerToken) const;
     std::optional<Duration> shortestPause(TimePoint now, const ServiceId& service) const;
     std::optional<Candidate> bestLocalServer(TimePoint now, const PlacementQuery& query, const ServerLocation* preferred);
@@ -352,7 +381,8 @@
     TimePoint otherLoadsReceivedAt_ {};
     std::map<BackendServerId, Server> servers_;
     std::map<ServiceId, std::vector<BackendServerId>> byService_;
-    /// All usable backend servers of a service, in all regions.
+    std::map<ServiceId, ServiceAffinity> affinities_;
+    /// All usable backend servers of a service, in all regions; those of this region come first, in the order of `byService_`.
     std::map<ServiceId, std::vector<ServerLocation>> serverLocations_;
     std::map<RegionId, RegionState> regions_;
     std::map<ServiceId, MeasuredTime> idleTimes_;
--- a/Tests/Model/ServingSimulation.cpp
+++ b/Tests/Model/ServingSimulation.cpp
@@ -59,15 +59,17 @@
     bool isUp { true };
     bool isRegistered { true };
     std::optional<TimePoint> leavingSince;
+    double speed { 1 };
+    std::uint32_t requests { 0 };
     double lostAnswerProbability { 0 };
     std::deque<TimePoint> coldArrivals;
 };
 
 struct ServingSimulation::Instance {
-    Instance(InstanceId name, std::size_t regionIndex, const RegionId& ownRegion)
+    Instance(InstanceId name, std::size_t regionIndex, const RegionId& ownRegion, const PlacementLimits& limits)
         : id(std::move(name))
         , region(regionIndex)
-        , table(ownRegion)
+        , table(ownRegion, limits)
     {
     }
     InstanceId id;
@@ -128,7 +130,7 @@
         for (std::size_t index = 0; index < options_.serversPerRegion; ++index)
             addServer(region);
         for (std::size_t index = 0; index < options_.instancesPerRegion; ++index)
-            instances_.push_back(std::make_unique<Instance>(InstanceId(fmt::format("i{}-{}", region, index)), region, regionAt(region)));
+            instances_.push_back(std::make_unique<Instance>(InstanceId(fmt::format("i{}-{}", region, index)), region, regionAt(region), options_.limits));
     }
     for (const auto& server : servers_)
         server->state.coldUntil = {};
@@ -187,10 +189,16 @@
     for (const auto& kind : options_.kinds)
         longest = std::max(longest, kind.timeout);
     time_.runUntil(start_ + options_.length + longest + 5s);
+    double requests = 0;
+    double speeds = 0;
     for (const auto& server : servers_) {
         outcome_.prefilledTokens += server->engine->prefilledTokens();
         outcome_.sharedPrefilledTokens += server->engine->sharedPrefilledTokens();
+        requests += server->requests;
+        speeds += server->speed;
     }
+    for (const auto& server : servers_)
+        outcome_.busiestOverMean = std::max(outcome_.busiestOverMean, server->requests / server->speed / (requests / speeds));
     return outcome_;
 }
 
@@ -199,6 +207,8 @@
     auto server = std::make_unique<Server>();
     server->region = region;
     server->engine = std::make_unique<EngineModel>(time_, options_.engine);
+    server->speed = options_.speeds[servers_.size() % options_.speeds.size()];
+    server->engine->setSlowness(1 / server->speed);
     auto& state = server->state;
     state.server.id = BackendServerId(fmt::format("s{}", servers_.size()));
     state.server.service = service;
@@ -278,6 +288,8 @@
         query.prompt = { { base + randomLoadIndex(traits.sharedParts), TokenCount(static_cast<std::int64_t>(traits.sharedTokens)) },
             { base + (1U << 20U) + session, TokenCount(static_cast<std::int64_t>(traits.sessionTokens)) } };
         query.promptTokens = TokenCount(static_cast<std::int64_t>(traits.sharedTokens + traits.sessionTokens + randomSize(traits.meanPromptTokens)));
+        if (traits.hasOwnPart)
+            query.prompt.push_back({ (1ULL << 60U) + ++lastPart_, query.promptTokens - query.prompt[0].tokens - query.prompt[1].tokens });
         query.maxAnswerTokens = TokenCount(request->answerTokens);
         query.target = time_.now() + traits.target;
         query.deadline = time_.now() + traits.timeout;
@@ -317,7 +329,7 @@
         time_.after(drainTime + options_.registryDelay, [&server] { server.isRegistered = false; });
     } else if (isHealthy && chance(0.03)) {
         server.engine->setSlowness(4);
-        time_.after(4s, [&server] { server.engine->setSlowness(1); });
+        time_.after(4s, [&server] { server.engine->setSlowness(1 / server.speed); });
     } else if (isHealthy && chance(0.03)) {
         server.lostAnswerProbability = 0.3;
         time_.after(4s, [&server] { server.lostAnswerProbability = 0; });
@@ -417,6 +429,11 @@
     }
     if (candidates.empty())
         return RefusePlacement { ResultCode::NoBackendServer, 1s, std::nullopt };
+    if (options_.policy == PlacementPolicy::TwoChoices && candidates.size() > 1) {
+        const auto first = randomIndex(candidates.size());
+        const auto second = (first + 1 + randomIndex(candidates.size() - 1)) % candidates.size();
+        candidates = { candidates[first], candidates[second] };
+    }
     if (options_.policy == PlacementPolicy::Random)
         return PlaceOnServer { candidates[randomIndex(candidates.size())], {} };
     const auto hasLowerReportedLoad = [&](const BackendServerId& left, const BackendServerId& right) { return instance.reportedLoads[left] < instance.reportedLoads[right]; };
@@ -533,6 +550,7 @@
 void ServingSimulation::recordRun(Request& request, Server& server)
 {
     ++request.runs;
+    ++server.requests;
     if (options_.kinds[request.kind].repeatability == Repeatability::NonIdempotent && request.runs > 1)
         fail(fmt::format("request {} ran {} times", request.id, request.runs));
     if (request.isReportedNotRun)
--- a/Tests/Model/ServingSimulation.h
+++ b/Tests/Model/ServingSimulation.h
@@ -31,6 +31,8 @@
     std::size_t sessions { 200 };
     /// How often a caller retries after a refusal.
     std::uint32_t callerRetries { 1 };
+    /// Whether the request's own part of the prompt is named too, so that the part before it names the session.
+    bool hasOwnPart { false };
 };
 
 /// How an instance chooses the backend server of a request.
@@ -41,6 +43,8 @@
     Random,
     /// The backend server of the region with the lowest load in its last report.
     LeastLoad,
+    /// Of two random backend servers of the region, the one with the lower load in its last report.
+    TwoChoices,
 };
 
 /// Faults that are injected at random.
@@ -71,6 +75,9 @@
     /// Factor on the arrival rate at a region's peak; the regions reach their peaks one after the other.
     double peakFactor { 1 };
     PlacementPolicy policy { PlacementPolicy::Table };
+    PlacementLimits limits;
+    /// Speeds of the backend servers relative to `engine`, in turn.
+    std::vector<double> speeds { 1 };
     ServingFaults faults { ServingFaults::None };
     ServingMutation mutation { ServingMutation::None };
     Duration regionDelay { std::chrono::milliseconds(55) };
@@ -95,6 +102,8 @@
     std::vector<KindOutcome> windows;
     std::uint64_t prefilledTokens { 0 };
     std::uint64_t sharedPrefilledTokens { 0 };
+    /// The requests that the busiest backend server ran relative to its speed, over the mean.
+    double busiestOverMean { 0 };
     std::uint32_t sentToOtherRegions { 0 };
     std::uint32_t attempts { 0 };
     /// Describes the first violated guarantee; empty if there was none.
@@ -161,6 +170,7 @@
     std::vector<std::unique_ptr<Instance>> instances_;
     ServingOutcome outcome_;
     std::uint64_t lastRequest_ { 0 };
+    std::uint64_t lastPart_ { 0 };
 };
 
 } // namespace Ibisturn::Model
