RequestLog: Say how a request was placed for its session

An operator could not see whether sessions stay on their servers, nor on which assumption a forecast rests.

The mean load and the speeds of a service's servers are computed each 100 ms in place of 10 ms, which is as often as loads are reported: an instance with few requests computed them for nearly every decision.

--- a/Libraries/LibDecision/Placement/PlacementTable.cpp
+++ b/Libraries/LibDecision/Placement/PlacementTable.cpp
@@ -32,8 +32,8 @@
 constexpr Duration minRetryAfter = std::chrono::milliseconds(100);
 constexpr std::uint32_t urgentPriority = 0;
 constexpr Duration coldWindow = std::chrono::seconds(1);
-/// How often the mean load and the speeds of the backend servers of a service are computed.
-constexpr Duration affinityRefreshPeriod = std::chrono::milliseconds(10);
+/// How often the mean load and the speeds of the backend servers of a service are computed: as often as other instances report loads.
+constexpr Duration affinityRefreshPeriod = std::chrono::milliseconds(100);
 /// Below this share of its slots, and with less than this time of unread prompts, a backend server has no bound on its load.
 constexpr double freeSlotShare = 0.5;
 constexpr Duration freeReadingTime = std::chrono::milliseconds(250);
--- a/Libraries/LibHTTP/Requests/RequestLog.cpp
+++ b/Libraries/LibHTTP/Requests/RequestLog.cpp
@@ -50,11 +50,11 @@
     isSampled_ = std::hash<std::string> {}(request_) % sampleInterval == 0;
 }
 
-void RequestLog::logPlace(TimePoint now, const Place& place, Duration expected, std::uint32_t attempt, Duration coldLeft)
+void RequestLog::logPlace(TimePoint now, const Place& place, Duration expected, std::uint32_t attempt, Duration coldLeft, const SessionPlace& session)
 {
     if (!isRouted_ || (!isSampled_ && attempt <= 1 && coldLeft == Duration::zero()))
         return;
-    requestLog.info("Place chosen.", { { "request", request_ }, { "place", nameOf(place) }, { "expected_ms", milliseconds(expected) }, { "cold_ms", milliseconds(coldLeft) }, { "attempt", attempt }, { "service", service_ }, { "elapsed_ms", milliseconds(now - startedAt_) }, { "configuration", revision_ }, { "store", storeState(now) } });
+    requestLog.info("Place chosen.", { { "request", request_ }, { "place", nameOf(place) }, { "expected_ms", milliseconds(expected) }, { "cold_ms", milliseconds(coldLeft) }, { "session_rank", session.rank ? static_cast<std::int64_t>(*session.rank) : -1 }, { "assumed_tokens", session.assumedTokens.count() }, { "attempt", attempt }, { "service", service_ }, { "elapsed_ms", milliseconds(now - startedAt_) }, { "configuration", revision_ }, { "store", storeState(now) } });
 }
 
 void RequestLog::logRefusal(TimePoint now, const RefusePlacement& refusal, const PlacementQuery& query)
--- a/Libraries/LibHTTP/Requests/RequestLog.h
+++ b/Libraries/LibHTTP/Requests/RequestLog.h
@@ -8,6 +8,14 @@
 
 namespace Ibisturn {
 
+/// What is known of the session's prompt parts on the chosen backend server.
+struct SessionPlace {
+    /// The rank of the backend server for the session, from 0; nullopt if it has none among the first.
+    std::optional<std::size_t> rank;
+    /// The tokens that count as cached although this instance did not send them.
+    TokenCount assumedTokens;
+};
+
 /// Logs the decisions on one request on a route with a policy, and the reasons for them. Failures and retries are always
 /// logged, ordinary successes only for a sample of requests, which is the same on all instances.
 /// Thread safety: the worker of the request.
@@ -18,7 +26,8 @@
 
     /// A place was chosen; `expected` is the time until the first part of the answer, `coldLeft` for how much longer the
     /// backend server is cold. Requests to cold backend servers are always logged.
-    void logPlace(TimePoint now, const Place& place, Duration expected, std::uint32_t attempt, Duration coldLeft = {});
+    /// `session` says what is assumed of its prompt there.
+    void logPlace(TimePoint now, const Place& place, Duration expected, std::uint32_t attempt, Duration coldLeft = {}, const SessionPlace& session = {});
 
     /// No place was found for `query`.
     void logRefusal(TimePoint now, const RefusePlacement& refusal, const PlacementQuery& query);
--- a/Libraries/LibHTTP/Requests/RequestRunner.cpp
+++ b/Libraries/LibHTTP/Requests/RequestRunner.cpp
@@ -162,6 +162,17 @@
     serverLog.info("Backend server asks for a pause.", { { "server", server }, { "retry_after_ms", std::chrono::duration_cast<std::chrono::milliseconds>(*headInfo.retryAfter).count() } });
 }
 
+// Counts which backend servers the requests of sessions go to, and what is assumed of the prompt parts there.
+void countSessionPlace(Metrics& metrics, const PlacementQuery& query, const PlaceOnServer& place)
+{
+    if (!PromptAffinity::sessionOf(query.prompt))
+        return;
+    const auto* rank = !place.sessionRank ? "none" : *place.sessionRank == 0 ? "first"
+                                                                             : "next";
+    metrics.increment(fmt::format("ibisturn_session_places_total{{rank=\"{}\"}}", rank));
+    metrics.increment("ibisturn_assumed_cached_tokens_total", static_cast<std::uint64_t>(place.assumedTokens.count()));
+}
+
 // Only the time to the first token and timeouts indicate the load of the backend server; other outcomes do not.
 void recordEnd(AdmissionSlot& slot, TimePoint started, const AttemptSink& answer, const std::optional<AttemptFailure>& failure)
 {
@@ -476,7 +487,8 @@
         const auto decision = tables_.placement.with([&](PlacementTable& table) { return table.place(now, query); });
         if (const auto* server = std::get_if<PlaceOnServer>(&decision)) {
             const RunHere place { server->server };
-            requestLog.logPlace(now, place, server->expected, lifecycle.attempts() + 1, server->coldLeft);
+            requestLog.logPlace(now, place, server->expected, lifecycle.attempts() + 1, server->coldLeft, { server->sessionRank, server->assumedTokens });
+            countSessionPlace(tables_.metrics, query, *server);
             if (server->isTrial)
                 tables_.metrics.increment("ibisturn_server_trials_total");
             if (server->coldLeft > Duration::zero())
--- a/Tests/LibDecision/PromptAffinityScheduleTest.cpp
+++ b/Tests/LibDecision/PromptAffinityScheduleTest.cpp
@@ -66,7 +66,7 @@
 
 ServingOutcome play(ServingOptions options, const std::string& name)
 {
-    const auto outcome = ServingSimulation(options, 20261206).run();
+    auto outcome = ServingSimulation(options, 20261206).run();
     std::string kinds;
     for (std::size_t index = 0; index < outcome.kinds.size(); ++index) {
         const auto& kind = outcome.kinds[index];
--- a/Tests/LibDecision/PromptAffinityTest.cpp
+++ b/Tests/LibDecision/PromptAffinityTest.cpp
@@ -27,6 +27,7 @@
 std::vector<BackendServerId> engines(int count)
 {
     std::vector<BackendServerId> ids;
+    ids.reserve(static_cast<std::size_t>(count));
     for (int index = 0; index < count; ++index)
         ids.emplace_back("engine-" + std::to_string(index));
     return ids;
@@ -70,6 +71,7 @@
 std::vector<BackendState> statesOf(int count)
 {
     std::vector<BackendState> states;
+    states.reserve(static_cast<std::size_t>(count));
     for (int index = 0; index < count; ++index)
         states.push_back(stateOf(ownRegion, index));
     return states;
