--- a/Libraries/LibDecision/Admission/MemoryBudget.cpp
+++ b/Libraries/LibDecision/Admission/MemoryBudget.cpp
@@ -14,6 +14,7 @@
 /// Releases of the current and the last period determine the rate.
 constexpr Duration ratePeriod = std::chrono::seconds(1);
 constexpr std::uint64_t smallShareDivisor = 8;
+constexpr std::uint64_t requestShareDivisor = 4;
 /// A wait is extended by up to this share of itself.
 constexpr double maxWaitSpread = 0.5;
 /// The wait of the first refusals, while no releases have been seen.
@@ -28,8 +29,10 @@
     {
     }
 
-    std::uint64_t limitFor(ByteCount size) const
+    std::uint64_t limitFor(ByteCount size, MemoryUse use = MemoryUse::Request) const
     {
+        if (use == MemoryUse::HeldAnswer)
+            return capacity->count() - capacity->count() / requestShareDivisor;
         return size <= smallReservation ? capacity->count() : capacity->count() - capacity->count() / smallShareDivisor;
     }
 
@@ -70,7 +73,7 @@
     shrinkTo(ByteCount(0));
 }
 
-bool MemoryBudget::Reservation::growTo(ByteCount size)
+bool MemoryBudget::Reservation::growTo(ByteCount size, MemoryUse use)
 {
     if (size <= size_)
         return true;
@@ -79,7 +82,7 @@
     const std::lock_guard lock(state_->mutex);
     const auto others = state_->held - size_.count();
     if (state_->capacity) {
-        const auto limit = state_->limitFor(size);
+        const auto limit = state_->limitFor(size, use);
         if (others > limit || size.count() > limit - others)
             return false;
     }
--- a/Libraries/LibDecision/Admission/MemoryBudget.h
+++ b/Libraries/LibDecision/Admission/MemoryBudget.h
@@ -9,8 +9,15 @@
 
 namespace Ibisturn {
 
+/// What reserved bytes are for.
+enum class MemoryUse : std::uint8_t {
+    Request,
+    /// A part of an answer that its caller does not read.
+    HeldAnswer,
+};
+
 /// Bounds the bytes that an instance holds for the requests of callers and peers. Large reservations leave an eighth of the
-/// capacity to small ones.
+/// capacity to small ones, and held answers leave a quarter to requests.
 /// Thread safety: all methods from any thread.
 class MemoryBudget {
     struct State;
@@ -29,7 +36,7 @@
         ~Reservation();
 
         /// Extends the reservation to `size` bytes in all; returns false, and leaves it as it is, if the budget is used up.
-        bool growTo(ByteCount size);
+        bool growTo(ByteCount size, MemoryUse use = MemoryUse::Request);
 
         /// Releases what the reservation has beyond `size` bytes.
         void shrinkTo(ByteCount size);
