LibHTTP: Wait for backend servers that read a request body slowly

Cause: TCP_USER_TIMEOUT is 2.5 s, and the kernel also applies it while the receive buffer of a living peer is full. A backend server that read nothing of a body of 3 MB for 4 s lost the connection, and its callers got 502. Change: a connection with a body of more than 64 KiB has 15 s until the head of the answer arrives; for others and after it, 2.5 s remain, so a failed machine is noticed as before. The send buffer is limited to 64 KiB, since what waits there counts in no budget.

--- a/Libraries/LibHTTP/Backends/BackendClient.cpp
+++ b/Libraries/LibHTTP/Backends/BackendClient.cpp
@@ -25,6 +25,8 @@
 /// How long an idle connection is kept if the backend server does not announce that it keeps it longer.
 constexpr Duration maxIdleTime = std::chrono::seconds(30);
 constexpr std::size_t partBytes = 16UL * 1024;
+/// A larger body may fill the receive buffer of a backend server that reads it slowly.
+constexpr std::size_t smallBodyBytes = 64UL * 1024;
 constexpr std::uint32_t answerHeadLimit = 16U * 1024;
 /// Stray answers of other requests that are skipped before the expected one.
 constexpr int maxStrayAnswers = 2;
@@ -125,6 +127,7 @@
     const Asio::ip::tcp::endpoint target(Asio::ip::make_address(endpoint.address), endpoint.port);
     openOutgoingSocket(connection->stream.socket(), target);
     limitReceiveBuffer(connection->stream.socket().native_handle());
+    limitSendBuffer(connection->stream.socket().native_handle());
     boost::system::error_code error;
     co_await connection->stream.async_connect(target, Asio::redirect_error(Asio::use_awaitable, error));
     if (error)
@@ -140,6 +143,9 @@
         request.beforeSend();
     const auto message = dialect_.makeRequest(server, request, SteadyClock().now());
     connection.stream.expires_after(limits_.silenceTimeout);
+    const bool isLarge = request.body.size() > smallBodyBytes;
+    if (isLarge)
+        setUserTimeout(connection.stream.socket(), slowReaderUserTimeout);
     boost::system::error_code writeError;
     co_await Http::async_write(connection.stream, message, Asio::redirect_error(Asio::use_awaitable, writeError));
     // A write error is ignored: a backend server may refuse a long request before it has read all of it, and its answer
@@ -149,6 +155,9 @@
         parser.header_limit(answerHeadLimit);
         parser.body_limit(unlimitedBody);
         co_await readHead(connection, parser);
+        // The connection may be kept for other requests.
+        if (isLarge)
+            setUserTimeout(connection.stream.socket(), userTimeout);
         const AnswerHeadInfo headInfo = dialect_.readAnswer(parser.get(), request);
         if (onHead_)
             onHead_(server.id, headInfo);
--- a/Libraries/LibKernel/SocketOptions.cpp
+++ b/Libraries/LibKernel/SocketOptions.cpp
@@ -12,8 +12,6 @@
 constexpr int keepaliveIdleSeconds = 1;
 constexpr int keepaliveIntervalSeconds = 1;
 constexpr int maxKeepaliveProbes = 2;
-/// Milliseconds that sent bytes may remain unacknowledged; long enough for several retransmissions.
-constexpr int userTimeoutMilliseconds = 2500;
 
 void setOption(int socket, int level, int option, int value)
 {
@@ -31,7 +29,13 @@
     setOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, keepaliveIdleSeconds);
     setOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, keepaliveIntervalSeconds);
     setOption(handle, IPPROTO_TCP, TCP_KEEPCNT, maxKeepaliveProbes);
-    setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, userTimeoutMilliseconds);
+    setUserTimeout(socket, userTimeout);
+}
+
+void setUserTimeout(Asio::ip::tcp::socket& socket, Duration timeout)
+{
+    const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count();
+    setOption(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(count));
 }
 
 // Linux lets a listener with SO_REUSEADDR bind a port only if all other sockets that use it have the option too.
@@ -48,4 +52,9 @@
     setOption(socket, SOL_SOCKET, SO_RCVBUF, receiveBufferBytes);
 }
 
+void limitSendBuffer(Asio::ip::tcp::socket::native_handle_type socket)
+{
+    setOption(socket, SOL_SOCKET, SO_SNDBUF, sendBufferBytes);
+}
+
 } // namespace Ibisturn
