LibHTTP: Bound callers' connections and read answers ahead of slow callers

Cause: idle connections of callers could use up the descriptors of a process. An answer waited at its backend server for its caller, so that servers cut off those that stayed unread, and the kernel closed the connection of a caller that read nothing for 2.5 s (TCP_USER_TIMEOUT). Change: at the limit of ConnectionBudget, the caller connection that has been idle longest is closed for a new one or for one that becomes busy. If none is idle, the new one is answered 503 connections_used_up with Retry-After and closed. ReadAheadSink takes an answer as the server or peer sends it and holds what is not read in reserved memory; when that is used up, also by a request's body, the answer held longest without progress is given up. Callers' connections have 15 s to read and send buffers of 64 KiB.

--- a/Libraries/LibCore/ResultCode.cpp
+++ b/Libraries/LibCore/ResultCode.cpp
@@ -36,6 +36,7 @@
     { ResultCode::ConfigurationBehind, "configuration_behind", 503, "The receiving instance's configuration is older than the sender's." },
     { ResultCode::PromptQuarantined, "prompt_quarantined", 503, "Backend servers crashed on a part of the prompt; the request was not sent." },
     { ResultCode::MemoryUsedUp, "memory_used_up", 503, "The instance holds as many bytes of requests as its memory allows; the request was not read." },
+    { ResultCode::ConnectionsUsedUp, "connections_used_up", 503, "Callers use all connections that the instance may have; the connection was closed." },
     { ResultCode::BackendUnreachable, "backend_unreachable", 502, "The backend server could not be reached; nothing was sent." },
     { ResultCode::OutcomeUnknown, "outcome_unknown", 502, "The request may have run; its answer was lost." },
     { ResultCode::AnswerCut, "answer_cut", 502, "The answer ended before it was whole." },
--- a/Libraries/LibCore/ResultCode.h
+++ b/Libraries/LibCore/ResultCode.h
@@ -38,6 +38,7 @@
     ConfigurationBehind = 3007,
     PromptQuarantined = 3008,
     MemoryUsedUp = 3009,
+    ConnectionsUsedUp = 3010,
     BackendUnreachable = 4001,
     OutcomeUnknown = 4002,
     AnswerCut = 4003,
--- a/Libraries/LibHTTP/Callers/CallerSession.cpp
+++ b/Libraries/LibHTTP/Callers/CallerSession.cpp
@@ -29,6 +29,8 @@
 namespace {
 
 constexpr Log callerLog("caller", LineKind::Request);
+/// A connection that is refused is given this long for its handshake.
+constexpr Duration refusalWait = std::chrono::milliseconds(500);
 constexpr int httpVersion11 = 11;
 constexpr const char* jsonType = "application/json";
 
@@ -57,6 +59,15 @@
         co_await closeGracefully(Beast::get_lowest_layer(stream_), pendingInput_);
     }
 
+    /// Answers the first request that callers use all descriptors that they may use.
+    Task<void> refuseConnection()
+    {
+        Error error(ResultCode::ConnectionsUsedUp, Ran::No, "Callers use all connections that the instance may have");
+        error.setRetryAfter(runner_.callerConnections().retryAfter());
+        co_await refuse(error);
+        co_await closeGracefully(Beast::get_lowest_layer(stream_), PendingInput::Discard);
+    }
+
 private:
     Task<AfterRequest> serveOne()
     {
@@ -73,6 +84,7 @@
         if (error)
             co_return co_await refuseHead(error);
         const InFlightRequest inFlight(tables_.requestsInFlight);
+        const auto busy = runner_.callerConnections().beginRequest();
         const auto started = SteadyClock().now();
         auto after = co_await serveParsedHead(parser);
         // An unread body would be parsed as the next request.
@@ -323,16 +335,26 @@
 {
     boost::system::error_code ignored;
     socket.set_option(Asio::ip::tcp::no_delay(true), ignored);
+    const auto connection = runner.callerConnections().open();
+    const auto refusal = connection ? std::nullopt : runner.callerConnections().beginRefusal();
+    if (!connection && !refusal)
+        co_return;
     try {
         if (!tls) {
             CallerSession<PlainStream> session(PlainStream(std::move(socket)), tables, runner);
-            co_await session.run();
+            if (connection)
+                co_await session.run();
+            else
+                co_await session.refuseConnection();
             co_return;
         }
         CallerSession<TlsStream> session(TlsStream(PlainStream(std::move(socket)), *tls), tables, runner);
-        Beast::get_lowest_layer(session.stream()).expires_after(tables.settings.idleTimeout);
+        Beast::get_lowest_layer(session.stream()).expires_after(connection ? tables.settings.idleTimeout : refusalWait);
         co_await session.stream().async_handshake(Asio::ssl::stream_base::server, Asio::use_awaitable);
-        co_await session.run();
+        if (connection)
+            co_await session.run();
+        else
+            co_await session.refuseConnection();
     } catch (const boost::system::system_error& error) {
         callerLog.debug("Connection ended.", { { "reason", error.code().message() } });
     } catch (const std::exception& error) {
--- a/Libraries/LibHTTP/Callers/RoutedSession.cpp
+++ b/Libraries/LibHTTP/Callers/RoutedSession.cpp
@@ -4,6 +4,7 @@
 #include <LibDecision/Requests/ServiceChoice.h>
 #include <LibHTTP/Callers/BodyReading.h>
 #include <LibHTTP/Callers/CallerSink.h>
+#include <LibHTTP/Callers/ReadAheadSink.h>
 #include <LibHTTP/Callers/SocketWatch.h>
 #include <LibHTTP/Peers/ForwardedRequest.h>
 #include <LibHTTP/Requests/InFlightRequest.h>
@@ -31,6 +32,8 @@
 constexpr Duration maxConfigurationWait = std::chrono::milliseconds(300);
 constexpr Duration configurationPollInterval = std::chrono::milliseconds(20);
 constexpr auto notReadyRetryAfter = std::chrono::milliseconds(300);
+/// A connection that is refused is given this long to send the head of its request, whose id the answer then carries.
+constexpr Duration refusalWait = std::chrono::milliseconds(500);
 
 class RoutedSession {
 public:
@@ -50,7 +53,58 @@
         co_await closeGracefully(stream_, pendingInput_);
     }
 
+    /// Answers the first request, or a connection without one, that callers use all descriptors that they may use.
+    Task<void> refuseConnection()
+    {
+        const auto refusal = runner_.callerConnections().beginRefusal();
+        if (refusal)
+            co_await readRefusedHead();
+        auto failure = connectionsUsedUpError();
+        recordFailure(failure);
+        if (!refusal) {
+            writeWithoutWaiting(failure);
+            co_return;
+        }
+        co_await write(failure, AfterRequest::Close);
+        co_await closeGracefully(stream_, PendingInput::Discard);
+    }
+
 private:
+    Task<void> readRefusedHead()
+    {
+        CallerParser parser;
+        parser.header_limit(static_cast<std::uint32_t>(limits().head.count()));
+        buffer_.max_size(receiveBufferLimit(limits().head.count()));
+        stream_.expires_after(refusalWait);
+        boost::system::error_code error;
+        co_await Http::async_read_header(stream_, buffer_, parser, Asio::redirect_error(Asio::use_awaitable, error));
+        if (error)
+            co_return;
+        try {
+            callerId_ = dialect_.readHead(parser.get()).callerId;
+            target_ = std::string(parser.get().target().data(), parser.get().target().size());
+        } catch (const Error&) {
+            callerId_.clear();
+        }
+    }
+
+    Error connectionsUsedUpError()
+    {
+        Error error(ResultCode::ConnectionsUsedUp, Ran::No, "Callers use all connections that the instance may have");
+        error.setRetryAfter(runner_.callerConnections().retryAfter());
+        return error;
+    }
+
+    // The send buffer of a new connection takes the whole answer.
+    void writeWithoutWaiting(const Error& failure)
+    {
+        const std::string answer = dialect_.formatFailure(failure, callerId_, AfterAnswer::Close);
+        boost::system::error_code ignored;
+        stream_.socket().non_blocking(true, ignored);
+        stream_.socket().write_some(Asio::buffer(answer), ignored);
+        stream_.socket().shutdown(Asio::ip::tcp::socket::shutdown_send, ignored);
+    }
+
     Task<AfterRequest> serveOne()
     {
         callerId_.clear();
@@ -71,6 +125,7 @@
         if (error)
             co_return AfterRequest::Close;
         const InFlightRequest inFlight(tables_.requestsInFlight);
+        const auto busy = runner_.callerConnections().beginRequest();
         stream_.expires_after(limits().headTimeout);
         co_await Http::async_read_header(stream_, buffer_, parser, Asio::redirect_error(Asio::use_awaitable, error));
         if (error)
@@ -152,7 +207,7 @@
         std::optional<Error> failure;
         auto after = AfterRequest::Close;
         try {
-            after = co_await runRequest(std::move(request), parser.keep_alive());
+            after = co_await runRequest(std::move(request), parser.keep_alive(), memory);
         } catch (const Error& error) {
             failure = error;
         }
@@ -250,7 +305,10 @@
     void reserve(MemoryBudget::Reservation& memory, std::uint64_t bodySize)
     {
         const auto cost = costOfBody(bodySize);
-        if (!memory.growTo(cost))
+        bool isReserved = memory.growTo(cost);
+        while (!isReserved && runner_.heldAnswers().giveUpLongestStalled())
+            isReserved = memory.growTo(cost);
+        if (!isReserved)
             throw memoryUsedUpError(tables_.requestMemory, cost, SteadyClock().now());
     }
 
@@ -270,18 +328,34 @@
         body.reserve(capacity);
     }
 
-    Task<AfterRequest> runRequest(GatewayRequest request, bool keepAlive)
+    Task<AfterRequest> runRequest(GatewayRequest request, bool keepAlive, MemoryBudget::Reservation& memory)
     {
         CallerSink<Beast::tcp_stream> sink(stream_, tables_.settings.idleTimeout, tables_.isDraining);
+        ReadAheadSink answer(stream_.get_executor(), sink, tables_.requestMemory, runner_.heldAnswers(), callerId_, [this] { stream_.close(); });
         const auto cancellation = std::make_shared<Cancellation>();
         request.cancellation = cancellation;
         const auto started = SteadyClock().now();
         std::optional<Error> failure;
-        try {
+        {
+            // Its end cancels what is under way on the socket, so it lasts until everything is written.
             const SocketWatch watch(stream_.socket(), cancellation);
-            co_await runner_.runFromCaller(std::move(request), sink);
-        } catch (const Error& error) {
-            failure = error;
+            std::exception_ptr unexpected;
+            try {
+                co_await runner_.runFromCaller(std::move(request), answer);
+            } catch (const Error& error) {
+                failure = error;
+            } catch (...) {
+                unexpected = std::current_exception();
+            }
+            if (failure && failure->code() == ResultCode::CallerGone)
+                answer.abandon();
+            // The request is not needed any more. What the backend server sent is delivered even if its answer was cut.
+            memory.shrinkTo(ByteCount(0));
+            const auto undelivered = co_await answer.finish();
+            if (unexpected)
+                std::rethrow_exception(unexpected);
+            if (undelivered && !failure)
+                failure = undelivered;
         }
         tables_.metrics.observe("ibisturn_request_seconds", SteadyClock().now() - started);
         if (!failure) {
@@ -342,9 +416,15 @@
 Task<void> serveRoutedCaller(Asio::ip::tcp::socket socket, InstanceTables& tables, RequestRunner& runner, const CallerDialect& dialect)
 {
     configureSocket(socket);
+    limitSendBuffer(socket.native_handle());
+    setUserTimeout(socket, slowReaderUserTimeout);
     try {
+        const auto connection = runner.callerConnections().open();
         RoutedSession session(Beast::tcp_stream(std::move(socket)), tables, runner, dialect);
-        co_await session.run();
+        if (connection)
+            co_await session.run();
+        else
+            co_await session.refuseConnection();
     } catch (const boost::system::system_error& error) {
         callerLog.debug("Connection ended.", { { "reason", error.code().message() } });
     } catch (const std::exception& error) {
--- a/Libraries/LibHTTP/Peers/PeerServer.cpp
+++ b/Libraries/LibHTTP/Peers/PeerServer.cpp
@@ -1,6 +1,7 @@
 #include <LibHTTP/Peers/PeerServer.h>
 
 #include <LibCore/SteadyClock.h>
+#include <LibHTTP/Callers/ReadAheadSink.h>
 #include <LibHTTP/Callers/SocketWatch.h>
 #include <LibHTTP/Requests/InFlightRequest.h>
 #include <LibPeer/Hello.h>
@@ -78,21 +79,34 @@
     if (!forwarded)
         throw Error(ResultCode::MalformedFrame, Ran::No, "The peer sent a frame that is not a request");
     FrameSink sink(connection, frame.request, timeout);
+    std::string requestId = forwarded->routed.empty() ? std::string() : forwarded->routed.front().callerId;
+    ReadAheadSink answer(connection.socket().get_executor(), sink, tables.requestMemory, runner.heldAnswers(), std::move(requestId), [&connection] { connection.close(); });
     std::optional<FailureMessage> failure;
-    try {
-        if (tables.isDraining)
-            throw Error(ResultCode::Draining, Ran::No, "The instance is shutting down");
-        auto cancellation = std::make_shared<Cancellation>();
-        // The origin closes the connection to cancel.
+    auto cancellation = std::make_shared<Cancellation>();
+    {
+        // The origin closes the connection to cancel. The end of the watch cancels what is under way on the socket, so it lasts until
+        // everything is written.
         const SocketWatch watch(connection.socket(), cancellation);
-        co_await runner.runFromPeer(std::move(*forwarded), std::move(cancellation), sink);
-    } catch (const Error& error) {
-        failure = FailureMessage { static_cast<std::uint16_t>(error.code()), static_cast<std::uint8_t>(error.ran()), error.what() };
-    } catch (const boost::system::system_error&) {
-        throw;
-    } catch (const std::exception& error) {
-        peerLog.error("Request failed.", { { "reason", error.what() } });
-        failure = FailureMessage { static_cast<std::uint16_t>(ResultCode::InternalError), static_cast<std::uint8_t>(Ran::Unknown), "Internal error of the instance" };
+        std::exception_ptr connectionFailure;
+        try {
+            if (tables.isDraining)
+                throw Error(ResultCode::Draining, Ran::No, "The instance is shutting down");
+            co_await runner.runFromPeer(std::move(*forwarded), std::move(cancellation), answer);
+        } catch (const Error& error) {
+            failure = FailureMessage { static_cast<std::uint16_t>(error.code()), static_cast<std::uint8_t>(error.ran()), error.what() };
+        } catch (const boost::system::system_error&) {
+            connectionFailure = std::current_exception();
+        } catch (const std::exception& error) {
+            peerLog.error("Request failed.", { { "reason", error.what() } });
+            failure = FailureMessage { static_cast<std::uint16_t>(ResultCode::InternalError), static_cast<std::uint8_t>(Ran::Unknown), "Internal error of the instance" };
+        }
+        if (connectionFailure || (failure && failure->code == static_cast<std::uint16_t>(ResultCode::CallerGone)))
+            answer.abandon();
+        const auto undelivered = co_await answer.finish();
+        if (connectionFailure)
+            std::rethrow_exception(connectionFailure);
+        if (undelivered)
+            throw boost::system::system_error(Asio::error::connection_aborted);
     }
     if (!failure)
         co_return;
--- a/Libraries/LibHTTP/Requests/RequestRunner.cpp
+++ b/Libraries/LibHTTP/Requests/RequestRunner.cpp
@@ -217,19 +217,6 @@
     AttemptEvidence evidence_ { AttemptEvidence::Nothing };
 };
 
-/// Idle connections may use a quarter of the descriptors; the workers share them.
-std::size_t idleConnectionsOf(const Settings& settings)
-{
-    constexpr std::size_t idleShare = 4;
-    std::size_t descriptors = 0;
-    rlimit limit {};
-    if (settings.fleet && settings.fleet->processDescriptors)
-        descriptors = *settings.fleet->processDescriptors;
-    else if (::getrlimit(RLIMIT_NOFILE, &limit) == 0)
-        descriptors = limit.rlim_cur;
-    return descriptors / idleShare / std::max<std::size_t>(settings.workers, 1);
-}
-
 } // namespace
 
 RequestRunner::RequestRunner(InstanceTables& tables, ClaimService& claims)
@@ -237,7 +224,7 @@
     , claims_(claims)
     , strategy_(RoutingStrategyRegistry::instance().require("routing strategy", tables.settings.routingStrategy))
     , backends_(
-          { tables.settings.connectTimeout, tables.settings.requestTimeout, idleConnectionsOf(tables.settings) }, *tables.backendDialect,
+          { tables.settings.connectTimeout, tables.settings.requestTimeout, connectionBudgetOf(tables.settings).idleServerConnections() }, *tables.backendDialect,
           [&tables](const BackendServerId& server, const AnswerHeadInfo& headInfo) { recordServerState(tables, server, headInfo); },
           [&tables](const Endpoint& endpoint) { tables.placement.with([&](PlacementTable& table) { table.onConnectionLost(SteadyClock().now(), endpoint); }); })
     , peers_(makeHelloMessage(tables.settings.identity),
@@ -245,6 +232,8 @@
           [&tables](const RegionId& region, Duration roundTrip) {
               tables.placement.with([&](PlacementTable& table) { table.onRoundTrip(SteadyClock().now(), region, roundTrip); });
           })
+    , callerConnections_(connectionBudgetOf(tables.settings), tables.metrics)
+    , heldAnswers_(tables.metrics)
 {
 }
 
@@ -516,6 +505,8 @@
 
 void RequestRunner::sweepIdleConnections(TimePoint now)
 {
+    callerConnections_.report();
+    heldAnswers_.report(now);
     const auto snapshot = tables_.configuration.get();
     if (!snapshot)
         return;
--- a/Libraries/LibHTTP/Requests/RequestRunner.h
+++ b/Libraries/LibHTTP/Requests/RequestRunner.h
@@ -3,7 +3,8 @@
 #include <LibDecision/Requests/RequestLifecycle.h>
 #include <LibDecision/Routing/PlaceDecision.h>
 #include <LibHTTP/Backends/BackendClient.h>
-#include <LibHTTP/Callers/IdleConnections.h>
+#include <LibHTTP/Callers/CallerConnections.h>
+#include <LibHTTP/Callers/HeldAnswerTable.h>
 #include <LibHTTP/Peers/PeerClient.h>
 #include <LibHTTP/Requests/AccessWatch.h>
 #include <LibHTTP/Requests/AttemptSink.h>
@@ -44,7 +45,13 @@
     void cancelAllRequests() { access_.cancelAll(ResultCode::Draining); }
 
     /// The idle connections of callers on this worker.
-    IdleConnections& idleConnections() { return idleConnections_; }
+    IdleConnections& idleConnections() { return callerConnections_.idle(); }
+
+    /// The connections of callers on this worker.
+    CallerConnections& callerConnections() { return callerConnections_; }
+
+    /// The answers that are held for slow callers on this worker.
+    HeldAnswerTable& heldAnswers() { return heldAnswers_; }
 
     /// Issues an idempotency key that this instance can guarantee to run once even while the store is unavailable.
     IdempotencyKey issueKey(const WorkspaceId& workspace) { return claims_.issueKey(workspace); }
@@ -96,7 +103,8 @@
     BackendClient backends_;
     PeerClient peers_;
     AccessWatch access_;
-    IdleConnections idleConnections_;
+    CallerConnections callerConnections_;
+    HeldAnswerTable heldAnswers_;
 };
 
 } // namespace Ibisturn
--- a/Libraries/LibKernel/AnswerSink.h
+++ b/Libraries/LibKernel/AnswerSink.h
@@ -25,8 +25,8 @@
     std::optional<std::uint64_t> contentLength;
 };
 
-/// Receives one answer in order: head, parts, end. writePart() completes once the part is passed to the network,
-/// so a slow reader applies backpressure to the writer. The head may be buffered until the first part.
+/// Receives one answer in order: head, parts, end. writePart() completes once the part is passed to the network or
+/// held in reserved memory, so a slow reader applies backpressure to the writer once that is used up. The head may be buffered until the first part.
 /// Thread safety: one coroutine at a time.
 class AnswerSink {
 public:
