PromptAffinity: Spread sessions over all regions where these are small

Change: servers are ranked by region only if some region has more than eight of a service; otherwise the session's server is drawn over all regions, as before.

--- a/Libraries/LibDecision/Placement/PlacementTable.cpp
+++ b/Libraries/LibDecision/Placement/PlacementTable.cpp
@@ -611,11 +611,13 @@
         return TokenCount(0);
     const auto& sessions = affinity->second.sessions;
     const auto share = [](TokenCount tokens, double part) { return TokenCount(static_cast<std::int64_t>(static_cast<double>(tokens.count()) * part)); };
+    const bool isRankedByRegion = ranksByRegion(query.service);
     // A server that was not restarted and answers as forecast has all common parts.
-    auto cached = share(sessions.commonTokens(query.prompt), server.assumedShare / AssumedCache::usualShare);
+    auto cached = isRankedByRegion ? share(sessions.commonTokens(query.prompt), server.assumedShare / AssumedCache::usualShare) : TokenCount(0);
     const auto session = PromptAffinity::sessionOf(query.prompt);
-    const auto rank = session ? sessions.rankOf(*session, server.state.server.id) : std::nullopt;
-    if (rank && *rank < sessions.holderCount(*session)) {
+    const auto rank = session && isRankedByRegion ? sessions.rankOf(*session, server.state.server.id) : std::nullopt;
+    const bool isHolder = isRankedByRegion ? rank && *rank < sessions.holderCount(*session) : preferred->server == server.state.server.id;
+    if (isHolder) {
         TokenCount shared;
         for (std::size_t index = 0; index + 1 < query.prompt.size(); ++index)
             shared += query.prompt[index].tokens;
@@ -633,7 +635,7 @@
     if (locations == serverLocations_.end() || !session)
         return nullptr;
     const auto affinity = affinities_.find(query.service);
-    if (affinity != affinities_.end() && isAllowedIn(query, ownRegion_))
+    if (affinity != affinities_.end() && isAllowedIn(query, ownRegion_) && ranksByRegion(query.service))
         return &locations->second[affinity->second.sessions.ranked(*session).front()];
     const auto sessionKey = std::to_string(*session);
     const ServerLocation* preferred = nullptr;
@@ -650,6 +652,16 @@
     return preferred;
 }
 
+// Whether each region keeps the sessions' prompt parts on its own backend servers. A region with few of them lacks the memory for the
+// parts of all sessions, so these are spread over the servers of all regions instead.
+bool PlacementTable::ranksByRegion(const ServiceId& service) const
+{
+    return std::any_of(regions_.begin(), regions_.end(), [&](const auto& entry) {
+        const auto servers = entry.second.servers.find(service);
+        return servers != entry.second.servers.end() && servers->second > limits_.serversSharedByRegions;
+    });
+}
+
 Duration PlacementTable::costOf(Duration wait, TokenCount uncachedTokens, double millisecondsPerToken) const
 {
     return wait + milliseconds(static_cast<double>(uncachedTokens.count()) * millisecondsPerToken * limits_.prefillWeight);
@@ -791,7 +803,7 @@
         if (!best || candidate.cost < best->cost)
             best = candidate;
     };
-    if (ids->second.size() > limits_.serversAllConsidered) {
+    if (ids->second.size() > limits_.serversAllConsidered && ranksByRegion(query.service)) {
         const auto timeLeft = (query.wasPlaced ? query.deadline : query.target) - now;
         for (auto* server : sessionHolders(now, query, affinity))
             consider(*server);
--- a/Libraries/LibDecision/Placement/PlacementTable.h
+++ b/Libraries/LibDecision/Placement/PlacementTable.h
@@ -145,6 +145,8 @@
     /// In a region with no more backend servers of a service than this, all of them are considered for each request. In a larger one,
     /// only those that hold its session and a few that it draws, unless none of these can serve it in time.
     std::size_t serversAllConsidered { 4 };
+    /// While no region has more backend servers of a service than this, the sessions' prompt parts are spread over the servers of all regions.
+    std::size_t serversSharedByRegions { 8 };
     /// How many backend servers a request draws. The better of two has nearly the least load.
     std::size_t drawnServers { 2 };
 };
@@ -365,6 +367,7 @@
     std::vector<Server*> sessionHolders(TimePoint now, const PlacementQuery& query, const ServiceAffinity& affinity);
     std::vector<Server*> drawnServers(TimePoint now, const PlacementQuery& query, const ServiceAffinity& affinity);
     Candidate candidateFor(TimePoint now, Server& server, const PlacementQuery& query, const ServerLocation* preferred);
+    bool ranksByRegion(const ServiceId& service) const;
     Duration costOf(Duration wait, TokenCount uncachedTokens, double millisecondsPerToken) const;
     std::optional<Duration> shortestPause(TimePoint now, const ServiceId& service) const;
     std::optional<Candidate> bestLocalServer(TimePoint now, const PlacementQuery& query, const ServerLocation* preferred);
--- a/Tests/LibDecision/PromptAffinityTest.cpp
+++ b/Tests/LibDecision/PromptAffinityTest.cpp
@@ -294,12 +294,43 @@
     EXPECT_TRUE(bound.isExceededBy(5, TokenCount(0), 1));
 }
 
+// Three regions that each kept the parts of all sessions had too little memory for them, and read them again and again.
+TEST(PromptAffinityPlacement, SessionsAreSpreadOverAllRegionsWhereTheseAreSmall)
+{
+    const std::vector<RegionId> regions { RegionId("north"), RegionId("east"), RegionId("south") };
+    std::vector<BackendState> servers;
+    for (const auto& region : regions) {
+        for (int index = 0; index < 5; ++index)
+            servers.push_back(stateOf(region, index));
+    }
+    // How many regions assume that a server of theirs holds a session, for the session with the most.
+    const auto mostRegions = [&](std::size_t serversSharedByRegions) {
+        PlacementLimits limits;
+        limits.serversSharedByRegions = serversSharedByRegions;
+        int most = 0;
+        for (std::uint64_t session = 0; session < 300; ++session) {
+            int holding = 0;
+            for (const auto& region : regions) {
+                PlacementTable table(region, limits);
+                table.setServers(servers, services());
+                const auto decision = table.place(at(0s), queryOf(promptOf(session)));
+                const auto* placed = std::get_if<PlaceOnServer>(&decision);
+                holding += placed && placed->assumedTokens > TokenCount(0) ? 1 : 0;
+            }
+            most = std::max(most, holding);
+        }
+        return most;
+    };
+    EXPECT_EQ(mostRegions(4), 3);
+    EXPECT_EQ(mostRegions(PlacementLimits().serversSharedByRegions), 1);
+}
+
 // Guards against a region in which most sessions have no server of their own, because the servers of all regions were ranked together:
 // then each instance reads their parts on the server that it finds least loaded.
 TEST(PromptAffinityPlacement, InstancesOfEachRegionAgreeOnAServerForEverySession)
 {
     const std::vector<RegionId> regions { RegionId("north"), RegionId("east"), RegionId("south") };
-    constexpr int serversPerRegion = 4;
+    constexpr int serversPerRegion = 12;
     std::vector<BackendState> servers;
     for (const auto& region : regions) {
         for (int index = 0; index < serversPerRegion; ++index)
@@ -311,7 +342,7 @@
         left.setServers(servers, services());
         right.setServers({ servers.rbegin(), servers.rend() }, services());
         std::map<std::string, int> counts;
-        constexpr int sessionCount = 200;
+        constexpr int sessionCount = 600;
         for (int session = 0; session < sessionCount; ++session) {
             const auto query = queryOf(promptOf(static_cast<std::uint64_t>(session)));
             const auto chosen = std::get<PlaceOnServer>(left.place(at(0s), query)).server;
