Scheduling: Reserve capacity for the callers that a refusal sends back

Cause: Retry-After was the excess of the wait with random spread, so that the callers which all instances of a region refuse in one second came back together and were refused again: 7,122 refusals for 2,913 requests never served. Change: RetrySchedule forecasts when capacity comes free for each refused request after those refused before; the log says whether it is reserved.

--- a/Libraries/LibDecision/Placement/PlacementTable.cpp
+++ b/Libraries/LibDecision/Placement/PlacementTable.cpp
@@ -29,7 +29,6 @@
 constexpr std::int64_t maxTimeFactor = 8;
 /// Added to the wait if the engine's memory share would be exceeded or all its slots are taken.
 constexpr Duration memoryPenalty = std::chrono::milliseconds(500);
-constexpr Duration minRetryAfter = std::chrono::milliseconds(100);
 constexpr std::uint32_t urgentPriority = 0;
 constexpr Duration coldWindow = std::chrono::seconds(1);
 /// How often the mean load and the speeds of the backend servers of a service are computed: as often as other instances report loads.
@@ -171,17 +170,19 @@
     }
     const auto remote = query.canLeaveRegion ? bestRemoteRegion(now, query, preferred) : std::nullopt;
     if (!local && !remote)
-        return refuse(query, ResultCode::NoBackendServer, shortestPause(now, query.service).value_or(Duration::zero()));
+        return refuse(now, query, ResultCode::NoBackendServer, shortestPause(now, query.service).value_or(Duration::zero()), query.promptTokens);
     const bool isLocal = local && (!remote || local->cost <= remote->cost + limits_.regionMargin);
     const auto& best = isLocal ? *local : *remote;
     const auto timeToTarget = query.target - now;
     const auto timeLeft = query.deadline - now;
     const auto maxWaitForTarget = timeToTarget + milliseconds(inMilliseconds(timeToTarget) * limits_.allowedLateness);
     const auto maxWait = query.wasPlaced ? timeLeft : std::min(std::max(maxWaitForTarget, Duration::zero()), timeLeft);
+    const auto work = uncachedTokens(best, query, preferred);
     const bool isTooLate = best.wait > maxWait && best.wait > limits_.timeToFirstToken * 3;
     const auto trial = isTooLate ? findTrial(now, query, preferred, maxWait) : std::nullopt;
     if (isTooLate && !trial)
-        return refuse(query, ResultCode::DeadlineUnreachable, best.wait - timeToTarget, best.wait);
+        return refuse(now, query, ResultCode::DeadlineUnreachable, best.wait - timeToTarget, work, best.wait);
+    retries_.onAccepted(now, query.service, workOf(query.service, work));
     if (trial) {
         trial->server->rate.onTrial(now);
         return PlaceOnServer { trial->server->state.server.id, trial->wait, {}, true };
@@ -849,11 +850,44 @@
     return best;
 }
 
-RefusePlacement PlacementTable::refuse(const PlacementQuery& query, ResultCode code, Duration wait, std::optional<Duration> expected) const
+TokenCount PlacementTable::uncachedTokens(const Candidate& candidate, const PlacementQuery& query, const ServerLocation* preferred) const
 {
-    // Add up to 50 % jitter, so that callers don't retry at the same time.
-    const auto jitter = 1 + 0.5 * static_cast<double>(query.requestHash % 1024) / 1024;
-    return { code, milliseconds(inMilliseconds(std::max(wait, minRetryAfter)) * jitter), expected };
+    if (candidate.server)
+        return uncachedTokens(*candidate.server, query, preferred);
+    return uncachedTokens(regions_.at(*candidate.region).cache, preferred && preferred->region == *candidate.region, query);
+}
+
+// In uncached prompt tokens, or in requests for a plain service.
+double PlacementTable::workOf(const ServiceId& service, TokenCount uncachedTokens) const
+{
+    const auto ids = byService_.find(service);
+    const bool isEngine = ids != byService_.end() && !ids->second.empty() && servers_.at(ids->second.front()).engine;
+    return isEngine ? std::max(1.0, static_cast<double>(uncachedTokens.count())) : 1;
+}
+
+RefusePlacement PlacementTable::refuse(TimePoint now, const PlacementQuery& query, ResultCode code, Duration wait, TokenCount uncachedTokens, std::optional<Duration> expected)
+{
+    RefusedRequest refused;
+    refused.service = query.service;
+    refused.priority = query.priority;
+    refused.work = workOf(query.service, uncachedTokens);
+    refused.instances = std::max<std::size_t>(1, instances_.size());
+    refused.excess = wait;
+    refused.timeLeft = query.deadline - now;
+    refused.hash = query.requestHash;
+    // The caller of a forwarded request returns to the instance that it called, and a request that was placed before is not sent again.
+    refused.mayReturn = query.canLeaveRegion && !query.wasPlaced;
+    refused.regionRate = 0;
+    if (const auto ids = byService_.find(query.service); ids != byService_.end()) {
+        const auto perToken = millisecondsPerToken(now, query.service);
+        for (const auto& id : ids->second) {
+            const auto& server = servers_.at(id);
+            const auto perUnit = server.engine ? perToken : inMilliseconds(idleTime(now, server)) / std::max<std::uint32_t>(1, server.state.server.slots);
+            refused.regionRate += inMilliseconds(std::chrono::seconds(1)) / std::max(perUnit, minMillisecondsPerToken);
+        }
+    }
+    const auto forecast = retries_.refuse(now, refused);
+    return { code, forecast.retryAfter, expected, forecast.isReserved, forecast.rate };
 }
 
 } // namespace Ibisturn
--- a/Libraries/LibDecision/Placement/PlacementTable.h
+++ b/Libraries/LibDecision/Placement/PlacementTable.h
@@ -8,6 +8,7 @@
 #include <LibDecision/PromptAffinity/LoadBound.h>
 #include <LibDecision/PromptAffinity/PromptAffinity.h>
 #include <LibDecision/Registry/BackendRegistry.h>
+#include <LibDecision/Scheduling/RetrySchedule.h>
 #include <LibDecision/ServerRates/RestartSuspicion.h>
 #include <LibDecision/ServerRates/ServerRate.h>
 
@@ -51,6 +52,9 @@
     Duration retryAfter {};
     /// The expected time to the first part at the best candidate; nullopt if there was no candidate.
     std::optional<Duration> expected;
+    /// Whether capacity is reserved for the caller's return, and the work per second of this instance on which that rests.
+    bool isReserved { false };
+    double forecastRate { 0 };
 };
 
 using PlacementDecision = std::variant<PlaceOnServer, PlaceInRegion, RefusePlacement>;
@@ -374,7 +378,10 @@
     std::optional<Candidate> bestRemoteRegion(TimePoint now, const PlacementQuery& query, const ServerLocation* preferred);
     Duration baseTime(TimePoint now, const Server& server, const PlacementQuery& query, TokenCount uncachedTokens) const;
     std::optional<Candidate> findTrial(TimePoint now, const PlacementQuery& query, const ServerLocation* preferred, Duration maxWait);
-    RefusePlacement refuse(const PlacementQuery& query, ResultCode code, Duration wait, std::optional<Duration> expected = std::nullopt) const;
+    TokenCount uncachedTokens(const Candidate& candidate, const PlacementQuery& query, const ServerLocation* preferred) const;
+    double workOf(const ServiceId& service, TokenCount uncachedTokens) const;
+    /// `wait` is how far the wait of the best candidate exceeds the time to the target.
+    RefusePlacement refuse(TimePoint now, const PlacementQuery& query, ResultCode code, Duration wait, TokenCount uncachedTokens, std::optional<Duration> expected = std::nullopt);
 
     RegionId ownRegion_;
     PlacementLimits limits_;
@@ -395,6 +402,7 @@
     std::map<ServiceId, MeasuredFactor> serviceRatios_;
     std::unordered_map<std::uint64_t, PlacedRequest> placedRequests_;
     std::uint64_t lastPlacementId_ { 0 };
+    RetrySchedule retries_;
     /// Measured engine time per prompt token.
     std::map<ServiceId, MeasuredFactor> millisecondsPerToken_;
 };
--- a/Libraries/LibHTTP/Requests/RequestRunner.cpp
+++ b/Libraries/LibHTTP/Requests/RequestRunner.cpp
@@ -489,6 +489,8 @@
             if (!std::exchange(query.failedServers, {}).empty())
                 continue;
             requestLog.logRefusal(now, *refusal, query);
+            if (refusal->code == ResultCode::DeadlineUnreachable && !refusal->isReserved)
+                tables_.metrics.increment("ibisturn_retries_not_reserved_total");
             return RefuseRequest { refusal->code, refusal->retryAfter };
         }
         const auto& chosen = std::get<PlaceInRegion>(decision);
