Placement: Drop old sends to a server whose restart is suspected

Cause: they were kept until the server was cold, so a server that often lost connections and never was cold had a list that grew without a bound. Change: sends older than the window are dropped before either check. No test: the list is private and its effect only memory.

--- a/Libraries/LibDecision/Placement/PlacementTable.cpp
+++ b/Libraries/LibDecision/Placement/PlacementTable.cpp
@@ -257,20 +257,20 @@
     auto& server = found->second;
     if (server.isLeaving || now < server.pausedUntil)
         return false;
+    auto& sends = server.coldSends;
+    while (!sends.empty() && now - sends.front() >= coldWindow)
+        sends.pop_front();
     if (!isCold(now, server)) {
         if (isHeldBack(now, server))
             return false;
         if (server.restart.isSuspected(now)) {
             server.restart.onSend(now);
             // Counts as well if the server turns out to be cold.
-            server.coldSends.push_back(now);
+            sends.push_back(now);
         }
         return true;
     }
     // Choices are spaced, but connections take different times, so that several requests may be ready at once.
-    auto& sends = server.coldSends;
-    while (!sends.empty() && now - sends.front() >= coldWindow)
-        sends.pop_front();
     if (!holdsColdServer(now, id) || sends.size() >= coldRequestsPerSecond(server.coldRate))
         return false;
     sends.push_back(now);
