--- a/Libraries/LibHTTP/Requests/RequestLog.cpp
+++ b/Libraries/LibHTTP/Requests/RequestLog.cpp
@@ -61,7 +61,7 @@
 {
     if (!isRouted_)
         return;
-    requestLog.info("No place.", { { "request", request_ }, { "code", resultCodeEntry(refusal.code).name }, { "best_ms", refusal.expected ? milliseconds(*refusal.expected) : -1 }, { "retry_after_ms", milliseconds(refusal.retryAfter) }, { "reserved", refusal.isReserved }, { "forecast_rate", static_cast<std::int64_t>(refusal.forecastRate) }, { "homes", homeRegionsOf(query) }, { "route", route_ }, { "service", service_ }, { "workspace", workspace_ }, { "elapsed_ms", milliseconds(now - startedAt_) }, { "configuration", revision_ }, { "store", storeState(now) } });
+    requestLog.info("No place.", { { "request", request_ }, { "code", resultCodeEntry(refusal.code).name }, { "best_ms", refusal.expected ? milliseconds(*refusal.expected) : -1 }, { "retry_after_ms", milliseconds(refusal.retryAfter) }, { "homes", homeRegionsOf(query) }, { "route", route_ }, { "service", service_ }, { "workspace", workspace_ }, { "reserved", refusal.isReserved }, { "forecast_rate", static_cast<std::int64_t>(refusal.forecastRate) }, { "elapsed_ms", milliseconds(now - startedAt_) }, { "configuration", revision_ }, { "store", storeState(now) } });
 }
 
 void RequestLog::logQuarantine(TimePoint now, const ServicePart& part)
