PromptAffinity: Spread sessions with large shared parts over all regions

Change: a session of which a server's memory takes fewer than 40 is ranked over all regions, as before; the others have one server in each region.

--- a/Libraries/LibDecision/Placement/PlacementTable.cpp
+++ b/Libraries/LibDecision/Placement/PlacementTable.cpp
@@ -612,7 +612,7 @@
         return TokenCount(0);
     const auto& sessions = affinity->second.sessions;
     const auto share = [](TokenCount tokens, double part) { return TokenCount(static_cast<std::int64_t>(static_cast<double>(tokens.count()) * part)); };
-    const bool isRankedByRegion = ranksByRegion(query.service);
+    const bool isRankedByRegion = ranksByRegion(query);
     // A server that was not restarted and answers as forecast has all common parts.
     auto cached = isRankedByRegion ? share(sessions.commonTokens(query.prompt), server.assumedShare / AssumedCache::usualShare) : TokenCount(0);
     const auto session = PromptAffinity::sessionOf(query.prompt);
@@ -636,7 +636,7 @@
     if (locations == serverLocations_.end() || !session)
         return nullptr;
     const auto affinity = affinities_.find(query.service);
-    if (affinity != affinities_.end() && isAllowedIn(query, ownRegion_) && ranksByRegion(query.service))
+    if (affinity != affinities_.end() && isAllowedIn(query, ownRegion_) && ranksByRegion(query))
         return &locations->second[affinity->second.sessions.ranked(*session).front()];
     const auto sessionKey = std::to_string(*session);
     const ServerLocation* preferred = nullptr;
@@ -653,12 +653,21 @@
     return preferred;
 }
 
-// Whether each region keeps the sessions' prompt parts on its own backend servers. A region with few of them lacks the memory for the
-// parts of all sessions, so these are spread over the servers of all regions instead.
-bool PlacementTable::ranksByRegion(const ServiceId& service) const
+// Whether each region keeps the prompt parts of the request's session on its own backend servers. A region with few servers, or servers that
+// can keep few sessions as large as this one, lacks the memory for the parts of all sessions, so these are spread over all regions instead.
+bool PlacementTable::ranksByRegion(const PlacementQuery& query) const
 {
+    const auto ids = byService_.find(query.service);
+    const auto* first = ids == byService_.end() || ids->second.empty() ? nullptr : &servers_.at(ids->second.front());
+    if (first && first->engine) {
+        TokenCount shared;
+        for (std::size_t index = 0; index + 1 < query.prompt.size(); ++index)
+            shared += query.prompt[index].tokens;
+        if (shared.count() * limits_.minSessionsPerServer > first->engine->memory.count())
+            return false;
+    }
     return std::any_of(regions_.begin(), regions_.end(), [&](const auto& entry) {
-        const auto servers = entry.second.servers.find(service);
+        const auto servers = entry.second.servers.find(query.service);
         return servers != entry.second.servers.end() && servers->second > limits_.serversSharedByRegions;
     });
 }
@@ -804,7 +813,7 @@
         if (!best || candidate.cost < best->cost)
             best = candidate;
     };
-    if (ids->second.size() > limits_.serversAllConsidered && ranksByRegion(query.service)) {
+    if (ids->second.size() > limits_.serversAllConsidered && ranksByRegion(query)) {
         const auto timeLeft = (query.wasPlaced ? query.deadline : query.target) - now;
         for (auto* server : sessionHolders(now, query, affinity))
             consider(*server);
--- a/Libraries/LibDecision/Placement/PlacementTable.h
+++ b/Libraries/LibDecision/Placement/PlacementTable.h
@@ -151,6 +151,8 @@
     std::size_t serversAllConsidered { 4 };
     /// While no region has more backend servers of a service than this, the sessions' prompt parts are spread over the servers of all regions.
     std::size_t serversSharedByRegions { 8 };
+    /// Sessions of which a server's memory takes fewer than this are spread over the servers of all regions, too.
+    std::int64_t minSessionsPerServer { 40 };
     /// How many backend servers a request draws. The better of two has nearly the least load.
     std::size_t drawnServers { 2 };
 };
@@ -371,7 +373,7 @@
     std::vector<Server*> sessionHolders(TimePoint now, const PlacementQuery& query, const ServiceAffinity& affinity);
     std::vector<Server*> drawnServers(TimePoint now, const PlacementQuery& query, const ServiceAffinity& affinity);
     Candidate candidateFor(TimePoint now, Server& server, const PlacementQuery& query, const ServerLocation* preferred);
-    bool ranksByRegion(const ServiceId& service) const;
+    bool ranksByRegion(const PlacementQuery& query) const;
     Duration costOf(Duration wait, TokenCount uncachedTokens, double millisecondsPerToken) const;
     std::optional<Duration> shortestPause(TimePoint now, const ServiceId& service) const;
     std::optional<Candidate> bestLocalServer(TimePoint now, const PlacementQuery& query, const ServerLocation* preferred);
