--- a/Tests/LibDecision/PromptAffinityTest.cpp
+++ b/Tests/LibDecision/PromptAffinityTest.cpp
@@ -294,6 +294,38 @@
     EXPECT_TRUE(bound.isExceededBy(5, TokenCount(0), 1));
 }
 
+// Large shared parts, of which a server's memory takes few, pushed each other out when each region kept them.
+TEST(PromptAffinityPlacement, LargeSessionsAreSpreadOverAllRegions)
+{
+    const std::vector<RegionId> regions { RegionId("north"), RegionId("east"), RegionId("south") };
+    std::vector<BackendState> servers;
+    for (const auto& region : regions) {
+        for (int index = 0; index < 12; ++index)
+            servers.push_back(stateOf(region, index));
+    }
+    // How many regions assume that a server of theirs holds a session, for the session with the most.
+    const auto mostRegions = [&](TokenCount sharedTokens) {
+        int most = 0;
+        for (std::uint64_t session = 0; session < 100; ++session) {
+            int holding = 0;
+            for (const auto& region : regions) {
+                PlacementTable table(region);
+                table.setServers(servers, services());
+                auto query = queryOf(promptOf(session));
+                query.prompt[1].tokens = sharedTokens;
+                query.promptTokens = sharedTokens + TokenCount(5000);
+                const auto decision = table.place(at(0s), query);
+                const auto* placed = std::get_if<PlaceOnServer>(&decision);
+                holding += placed && placed->assumedTokens > TokenCount(0) ? 1 : 0;
+            }
+            most = std::max(most, holding);
+        }
+        return most;
+    };
+    EXPECT_EQ(mostRegions(TokenCount(4870)), 3);
+    EXPECT_EQ(mostRegions(TokenCount(13'000)), 1);
+}
+
 // Three regions that each kept the parts of all sessions had too little memory for them, and read them again and again.
 TEST(PromptAffinityPlacement, SessionsAreSpreadOverAllRegionsWhereTheseAreSmall)
 {
