RequestLog: Log the home regions under which each place is chosen

The log could not tell the hypotheses apart: a place was logged without the regions that were permitted, and with the revision under which the request was accepted only, though the place may be chosen under a later configuration.

A place now comes with the home regions, the region, and the configuration in force when it was chosen; places on routes with home regions are always logged once the configuration has changed since the request was accepted. A line of its own says when the home regions of a request change while it is under way, on the instance that accepted it and on the one that it was forwarded to, for which the home regions travel with the request. No decision changes. The functions that answer which regions are permitted move to a file of their own, HomeRegions, since callers' directory, placement and log use them.

Ruled out by reading: the directory has no part in where a request runs; PlacementTable checks the own region and each other region against the home regions of its query at each choice. What it is given as home regions was not visible.

--- a/Libraries/LibDecision/Membership/EntryDirectory.cpp
+++ b/Libraries/LibDecision/Membership/EntryDirectory.cpp
@@ -88,21 +88,21 @@
     SuspectedInOtherRegion,
 };
 
-EntryRank rankOf(const Member& member, const CallerLocation& caller, const std::optional<std::vector<RegionId>>& homeRegions)
+EntryRank rankOf(const Member& member, const CallerLocation& caller, const HomeRegions& homeRegions)
 {
     const bool isSuspected = member.state == MemberState::Suspected;
     if (member.dataCentre == caller.dataCentre)
         return isSuspected ? EntryRank::SuspectedInDataCentre : EntryRank::DataCentre;
     if (member.region == caller.region)
         return isSuspected ? EntryRank::SuspectedInRegion : EntryRank::Region;
-    if (!homeRegions || std::find(homeRegions->begin(), homeRegions->end(), member.region) != homeRegions->end())
+    if (permitsRegion(homeRegions, member.region))
         return isSuspected ? EntryRank::SuspectedInHomeRegion : EntryRank::HomeRegion;
     return isSuspected ? EntryRank::SuspectedInOtherRegion : EntryRank::OtherRegion;
 }
 
 } // namespace
 
-std::vector<Member> entriesNear(const MembershipView& membership, const CallerLocation& caller, const std::optional<std::vector<RegionId>>& homeRegions)
+std::vector<Member> entriesNear(const MembershipView& membership, const CallerLocation& caller, const HomeRegions& homeRegions)
 {
     std::vector<Member> entries;
     std::optional<EntryRank> best;
--- a/Libraries/LibDecision/Membership/EntryDirectory.h
+++ b/Libraries/LibDecision/Membership/EntryDirectory.h
@@ -2,6 +2,7 @@
 
 #include <LibConfiguration/Snapshot.h>
 #include <LibDecision/Membership/MembershipView.h>
+#include <LibDecision/Routing/HomeRegions.h>
 
 #include <functional>
 #include <optional>
@@ -41,7 +42,7 @@
 /// centre, in its region, in the home regions, suspected ones in the same order, and last the live and then the suspected
 /// instances of any other region. Leaving instances are never returned.
 /// Thread safety: any thread.
-std::vector<Member> entriesNear(const MembershipView& membership, const CallerLocation& caller, const std::optional<std::vector<RegionId>>& homeRegions);
+std::vector<Member> entriesNear(const MembershipView& membership, const CallerLocation& caller, const HomeRegions& homeRegions);
 
 /// The instances that callers of `workspace` should use, best first. Only instances in permitted regions that are not
 /// leaving; suspected ones last, those in the region `near` first, otherwise in an order that is stable per workspace.
--- a/Libraries/LibDecision/Placement/PlacementQuery.h
+++ b/Libraries/LibDecision/Placement/PlacementQuery.h
@@ -2,6 +2,7 @@
 
 #include <LibConfiguration/Records.h>
 #include <LibCore/Clock.h>
+#include <LibDecision/Routing/HomeRegions.h>
 
 #include <optional>
 #include <set>
@@ -33,8 +34,7 @@
     TimePoint deadline;
     /// Distributes otherwise identical requests.
     std::uint64_t requestHash { 0 };
-    /// The regions that may run it; nullopt permits all of them.
-    std::optional<std::vector<RegionId>> homeRegions;
+    HomeRegions homeRegions;
     /// Whether the request may be forwarded to an instance of another region.
     bool canLeaveRegion { true };
     /// Backend servers on which the request has already failed.
--- a/Libraries/LibDecision/Placement/PlacementTable.cpp
+++ b/Libraries/LibDecision/Placement/PlacementTable.cpp
@@ -504,7 +504,7 @@
 
 bool PlacementTable::isAllowedIn(const PlacementQuery& query, const RegionId& region) const
 {
-    return !query.homeRegions || std::find(query.homeRegions->begin(), query.homeRegions->end(), region) != query.homeRegions->end();
+    return permitsRegion(query.homeRegions, region);
 }
 
 bool PlacementTable::isUsable(TimePoint now, const Server& server, const PlacementQuery& query) const
--- a/Libraries/LibDecision/Routing/HeadDecision.cpp
+++ b/Libraries/LibDecision/Routing/HeadDecision.cpp
@@ -25,11 +25,6 @@
     return found && snapshot.hasUnknownSchema("residency", found->residency.value());
 }
 
-void intersectWith(std::vector<RegionId>& regions, const std::vector<RegionId>& others)
-{
-    std::erase_if(regions, [&others](const RegionId& region) { return std::find(others.begin(), others.end(), region) == others.end(); });
-}
-
 } // namespace
 
 HeadDecision decideHead(const Snapshot& snapshot, const RegionId& ownRegion, const RequestHead& head)
@@ -46,38 +41,6 @@
     return { ResultCode::Ok, key->workspace };
 }
 
-std::optional<std::vector<RegionId>> homeRegionsFor(const Snapshot& snapshot, const WorkspaceId& workspace, const RouteId& route)
-{
-    const auto* found = snapshot.findRoute(route);
-    std::optional<std::vector<RegionId>> homeRegions;
-    if (found && found->policy && !found->policy->homeRegions.empty())
-        homeRegions = found->policy->homeRegions;
-    const auto* owner = snapshot.findWorkspace(workspace);
-    if (!owner || owner->scope == ResidencyScope::Everywhere)
-        return homeRegions;
-    const auto* permitted = snapshot.permittedRegions(workspace);
-    if (!permitted)
-        return std::vector<RegionId>();
-    if (!homeRegions)
-        return *permitted;
-    intersectWith(*homeRegions, *permitted);
-    return homeRegions;
-}
-
-std::optional<std::vector<RegionId>> homeRegionsOfHost(const Snapshot& snapshot, std::string_view host)
-{
-    std::optional<std::vector<RegionId>> homeRegions;
-    for (const auto& route : snapshot.routes()) {
-        if (!route.policy || route.policy->host != host || route.policy->homeRegions.empty())
-            continue;
-        if (homeRegions)
-            intersectWith(*homeRegions, route.policy->homeRegions);
-        else
-            homeRegions = route.policy->homeRegions;
-    }
-    return homeRegions;
-}
-
 bool isPermittedRegion(const Snapshot& snapshot, const WorkspaceId& workspace, const RegionId& region)
 {
     if (workspace.isEmpty())
--- /dev/null
+++ b/Libraries/LibDecision/Routing/HomeRegions.cpp
@@ -0,0 +1,58 @@
+#include <LibDecision/Routing/HomeRegions.h>
+
+#include <algorithm>
+
+namespace Ibisturn {
+
+namespace {
+
+bool contains(const std::vector<RegionId>& regions, const RegionId& region)
+{
+    return std::find(regions.begin(), regions.end(), region) != regions.end();
+}
+
+} // namespace
+
+bool permitsRegion(const HomeRegions& homeRegions, const RegionId& region)
+{
+    return !homeRegions || contains(*homeRegions, region);
+}
+
+HomeRegions intersectionOf(const HomeRegions& left, const HomeRegions& right)
+{
+    if (!left || !right)
+        return left ? left : right;
+    auto common = *left;
+    std::erase_if(common, [&right](const RegionId& region) { return !contains(*right, region); });
+    return common;
+}
+
+HomeRegions homeRegionsFor(const Snapshot& snapshot, const WorkspaceId& workspace, const RouteId& route)
+{
+    const auto* found = snapshot.findRoute(route);
+    HomeRegions homeRegions;
+    if (found && found->policy && !found->policy->homeRegions.empty())
+        homeRegions = found->policy->homeRegions;
+    const auto* owner = snapshot.findWorkspace(workspace);
+    if (!owner || owner->scope == ResidencyScope::Everywhere)
+        return homeRegions;
+    const auto* permitted = snapshot.permittedRegions(workspace);
+    return intersectionOf(homeRegions, permitted ? *permitted : std::vector<RegionId>());
+}
+
+HomeRegions homeRegionsInForce(const Snapshot& snapshot, const WorkspaceId& workspace, const RouteId& route, const HomeRegions& accepted)
+{
+    return intersectionOf(accepted, homeRegionsFor(snapshot, workspace, route));
+}
+
+HomeRegions homeRegionsOfHost(const Snapshot& snapshot, std::string_view host)
+{
+    HomeRegions homeRegions;
+    for (const auto& route : snapshot.routes()) {
+        if (route.policy && route.policy->host == host && !route.policy->homeRegions.empty())
+            homeRegions = intersectionOf(homeRegions, route.policy->homeRegions);
+    }
+    return homeRegions;
+}
+
+} // namespace Ibisturn
--- /dev/null
+++ b/Libraries/LibDecision/Routing/HomeRegions.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <LibConfiguration/Snapshot.h>
+
+#include <optional>
+#include <vector>
+
+namespace Ibisturn {
+
+/// The regions that may run a request; nullopt permits every region, an empty list none.
+using HomeRegions = std::optional<std::vector<RegionId>>;
+
+/// Whether `homeRegions` permit `region`. Thread safety: any thread.
+bool permitsRegion(const HomeRegions& homeRegions, const RegionId& region);
+
+/// The regions that both `left` and `right` permit. Thread safety: any thread.
+HomeRegions intersectionOf(const HomeRegions& left, const HomeRegions& right);
+
+/// The regions that may serve a request that arrives for `workspace` on `route`: the intersection of the regions that each permits.
+/// Says nothing about a request that was accepted under another snapshot; see homeRegionsInForce().
+/// Thread safety: any thread.
+HomeRegions homeRegionsFor(const Snapshot& snapshot, const WorkspaceId& workspace, const RouteId& route);
+
+/// The regions that may serve a request that was accepted with the home regions `accepted` and is still under way under `snapshot`, which may
+/// have changed the regions, or no longer have the route or the workspace: those that were permitted then and are permitted now.
+/// Thread safety: any thread.
+HomeRegions homeRegionsInForce(const Snapshot& snapshot, const WorkspaceId& workspace, const RouteId& route, const HomeRegions& accepted);
+
+/// The home regions common to all routes of `host` that have home regions; nullopt if none of its routes has any.
+/// Thread safety: any thread.
+HomeRegions homeRegionsOfHost(const Snapshot& snapshot, std::string_view host);
+
+} // namespace Ibisturn
--- a/Libraries/LibHTTP/Callers/RoutedSession.cpp
+++ b/Libraries/LibHTTP/Callers/RoutedSession.cpp
@@ -265,6 +265,7 @@
         RoutedRequest routed;
         routed.route = route.id;
         routed.revision = snapshot.revision();
+        routed.homeRegions = homeRegionsFor(snapshot, workspace, route.id);
         routed.service = chooseService(policy.services, std::hash<std::string> {}(head.callerId));
         routed.callerId = std::move(head.callerId);
         routed.host = std::move(head.host);
--- a/Libraries/LibHTTP/Peers/ForwardedRequest.cpp
+++ b/Libraries/LibHTTP/Peers/ForwardedRequest.cpp
@@ -47,6 +47,11 @@
     routed.priority = message.priority;
     routed.target = now + std::chrono::milliseconds(std::min(message.targetMilliseconds, maxTargetMilliseconds));
     routed.resume = message.canResume ? ResumeSupport::Supported : ResumeSupport::Unsupported;
+    if (message.hasHomeRegions) {
+        routed.homeRegions.emplace();
+        for (auto& region : message.homeRegions)
+            routed.homeRegions->emplace_back(std::move(region));
+    }
     return routed;
 }
 
@@ -68,6 +73,9 @@
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(routed.target - now);
     message.targetMilliseconds = left.count() > 0 ? static_cast<std::uint64_t>(left.count()) : 0;
     message.canResume = routed.resume == ResumeSupport::Supported;
+    message.hasHomeRegions = routed.homeRegions.has_value();
+    for (const auto& region : routed.homeRegions.value_or(std::vector<RegionId>()))
+        message.homeRegions.push_back(region.value());
     return message;
 }
 
--- a/Libraries/LibHTTP/Requests/GatewayRequest.h
+++ b/Libraries/LibHTTP/Requests/GatewayRequest.h
@@ -4,6 +4,7 @@
 #include <LibCore/Identifier.h>
 #include <LibCore/Span.h>
 #include <LibDecision/Placement/PlacementQuery.h>
+#include <LibDecision/Routing/HomeRegions.h>
 #include <LibHTTP/Requests/Cancellation.h>
 #include <LibKernel/HttpHeader.h>
 
@@ -19,6 +20,8 @@
     /// The service that the route selected, and the configuration revision in which it did.
     ServiceId service;
     Revision revision;
+    /// The regions that the configuration permitted when the request was accepted. A later one can only restrict them.
+    HomeRegions homeRegions;
     /// The caller's id for this attempt. It is sent to backend servers, and their answers echo it.
     std::string callerId;
     std::string host;
--- a/Libraries/LibHTTP/Requests/RequestLog.cpp
+++ b/Libraries/LibHTTP/Requests/RequestLog.cpp
@@ -26,11 +26,11 @@
 }
 
 /// The regions that both route and workspace permit; "none" if there are none, in which case no backend server qualifies.
-std::string homeRegionsOf(const PlacementQuery& query)
+std::string formatHomeRegions(const HomeRegions& homeRegions)
 {
-    if (!query.homeRegions)
+    if (!homeRegions)
         return "any";
-    return query.homeRegions->empty() ? "none" : fmt::format("{}", fmt::join(*query.homeRegions, ","));
+    return homeRegions->empty() ? "none" : fmt::format("{}", fmt::join(*homeRegions, ","));
 }
 
 } // namespace
@@ -47,21 +47,33 @@
     route_ = request.routed->route.value();
     service_ = request.routed->service.value();
     revision_ = request.routed->revision;
+    revisionInForce_ = revision_;
+    homeRegions_ = request.routed->homeRegions;
     isSampled_ = std::hash<std::string> {}(request_) % sampleInterval == 0;
 }
 
+void RequestLog::setRules(TimePoint now, const HomeRegions& homeRegions, Revision revision)
+{
+    if (isRouted_ && homeRegions != homeRegions_)
+        requestLog.info("Home regions changed while the request was under way.", { { "request", request_ }, { "homes", formatHomeRegions(homeRegions) }, { "homes_before", formatHomeRegions(homeRegions_) }, { "route", route_ }, { "workspace", workspace_ }, { "elapsed_ms", milliseconds(now - startedAt_) }, { "configuration", revision }, { "accepted_under", revision_ } });
+    homeRegions_ = homeRegions;
+    revisionInForce_ = revision;
+}
+
 void RequestLog::logPlace(TimePoint now, const Place& place, Duration expected, std::uint32_t attempt, Duration coldLeft, const SessionPlace& session)
 {
-    if (!isRouted_ || (!isSampled_ && attempt <= 1 && coldLeft == Duration::zero()))
+    // Most requests end before the configuration changes.
+    const bool isUnderNewRules = homeRegions_ && revisionInForce_ != revision_;
+    if (!isRouted_ || (!isSampled_ && attempt <= 1 && coldLeft == Duration::zero() && !isUnderNewRules))
         return;
-    requestLog.info("Place chosen.", { { "request", request_ }, { "place", nameOf(place) }, { "expected_ms", milliseconds(expected) }, { "cold_ms", milliseconds(coldLeft) }, { "session_rank", session.rank ? static_cast<std::int64_t>(*session.rank) : -1 }, { "assumed_tokens", session.assumedTokens.count() }, { "attempt", attempt }, { "service", service_ }, { "elapsed_ms", milliseconds(now - startedAt_) }, { "configuration", revision_ }, { "store", storeState(now) } });
+    requestLog.info("Place chosen.", { { "request", request_ }, { "place", nameOf(place) }, { "expected_ms", milliseconds(expected) }, { "cold_ms", milliseconds(coldLeft) }, { "session_rank", session.rank ? static_cast<std::int64_t>(*session.rank) : -1 }, { "assumed_tokens", session.assumedTokens.count() }, { "attempt", attempt }, { "service", service_ }, { "elapsed_ms", milliseconds(now - startedAt_) }, { "configuration", revision_ }, { "store", storeState(now) }, { "in_force", revisionInForce_ }, { "homes", formatHomeRegions(homeRegions_) }, { "region", tables_.settings.identity.region }, { "route", route_ }, { "workspace", workspace_ } });
 }
 
-void RequestLog::logRefusal(TimePoint now, const RefusePlacement& refusal, const PlacementQuery& query)
+void RequestLog::logRefusal(TimePoint now, const RefusePlacement& refusal)
 {
     if (!isRouted_)
         return;
-    requestLog.info("No place.", { { "request", request_ }, { "code", resultCodeEntry(refusal.code).name }, { "best_ms", refusal.expected ? milliseconds(*refusal.expected) : -1 }, { "retry_after_ms", milliseconds(refusal.retryAfter) }, { "homes", homeRegionsOf(query) }, { "route", route_ }, { "service", service_ }, { "workspace", workspace_ }, { "reserved", refusal.isReserved }, { "forecast_rate", static_cast<std::int64_t>(refusal.forecastRate) }, { "elapsed_ms", milliseconds(now - startedAt_) }, { "configuration", revision_ }, { "store", storeState(now) } });
+    requestLog.info("No place.", { { "request", request_ }, { "code", resultCodeEntry(refusal.code).name }, { "best_ms", refusal.expected ? milliseconds(*refusal.expected) : -1 }, { "retry_after_ms", milliseconds(refusal.retryAfter) }, { "homes", formatHomeRegions(homeRegions_) }, { "route", route_ }, { "service", service_ }, { "workspace", workspace_ }, { "reserved", refusal.isReserved }, { "forecast_rate", static_cast<std::int64_t>(refusal.forecastRate) }, { "elapsed_ms", milliseconds(now - startedAt_) }, { "configuration", revision_ }, { "store", storeState(now) } });
 }
 
 void RequestLog::logQuarantine(TimePoint now, const ServicePart& part)
--- a/Libraries/LibHTTP/Requests/RequestLog.h
+++ b/Libraries/LibHTTP/Requests/RequestLog.h
@@ -24,13 +24,16 @@
     /// Precondition: `tables` outlives the log.
     RequestLog(const InstanceTables& tables, const GatewayRequest& request);
 
+    /// The next places are chosen with `homeRegions`, under the configuration `revision`.
+    void setRules(TimePoint now, const HomeRegions& homeRegions, Revision revision);
+
     /// A place was chosen; `expected` is the time until the first part of the answer, `coldLeft` for how much longer the
     /// backend server is cold. Requests to cold backend servers are always logged.
     /// `session` says what is assumed of its prompt there.
     void logPlace(TimePoint now, const Place& place, Duration expected, std::uint32_t attempt, Duration coldLeft = {}, const SessionPlace& session = {});
 
-    /// No place was found for `query`.
-    void logRefusal(TimePoint now, const RefusePlacement& refusal, const PlacementQuery& query);
+    /// No place was found.
+    void logRefusal(TimePoint now, const RefusePlacement& refusal);
 
     /// The request is refused because its prompt contains a quarantined part.
     void logQuarantine(TimePoint now, const ServicePart& part);
@@ -52,7 +55,10 @@
     std::string route_;
     std::string service_;
     WorkspaceId workspace_;
+    /// The configuration under which the request was accepted, and the one under which its places are chosen.
     Revision revision_;
+    Revision revisionInForce_;
+    HomeRegions homeRegions_;
     TimePoint startedAt_;
     bool isRouted_ { false };
     bool isSampled_ { false };
--- a/Libraries/LibHTTP/Requests/RequestRunner.cpp
+++ b/Libraries/LibHTTP/Requests/RequestRunner.cpp
@@ -459,6 +459,7 @@
 {
     const auto snapshot = requireConfiguration();
     query = placementQueryOf(request, *snapshot);
+    requestLog.setRules(SteadyClock().now(), query.homeRegions, snapshot->revision());
     query.canLeaveRegion = hops == HopsLeft::One;
     query.failedServers = lifecycle.failedBackendServers();
     query.wasPlaced = lifecycle.attempts() > 0 || request.resumeAfter.has_value();
@@ -488,7 +489,7 @@
             // If no other backend server is available, allow those that failed this request.
             if (!std::exchange(query.failedServers, {}).empty())
                 continue;
-            requestLog.logRefusal(now, *refusal, query);
+            requestLog.logRefusal(now, *refusal);
             if (refusal->code == ResultCode::DeadlineUnreachable && !refusal->isReserved)
                 tables_.metrics.increment("ibisturn_retries_not_reserved_total");
             return RefuseRequest { refusal->code, refusal->retryAfter };
--- a/Libraries/LibPeer/Frame.h
+++ b/Libraries/LibPeer/Frame.h
@@ -53,7 +53,10 @@
     std::uint32_t priority { 0 };
     std::uint64_t targetMilliseconds { 0 };
     bool canResume { false };
-    MSGPACK_DEFINE(service, callerId, host, headers, prompt, promptTokens, mostAnswerTokens, priority, targetMilliseconds, canResume)
+    /// Whether `homeRegions` restrict where the request may run; a sender of an older version restricts nothing.
+    bool hasHomeRegions { false };
+    std::vector<std::string> homeRegions;
+    MSGPACK_DEFINE(service, callerId, host, headers, prompt, promptTokens, mostAnswerTokens, priority, targetMilliseconds, canResume, hasHomeRegions, homeRegions)
 };
 
 /// A request that one instance forwards to another. It does not contain the caller's key.
--- a/Programs/ibisturn/FleetControlPlane.cpp
+++ b/Programs/ibisturn/FleetControlPlane.cpp
@@ -2,7 +2,6 @@
 
 #include <LibCore/RandomIdentity.h>
 #include <LibCore/SteadyClock.h>
-#include <LibDecision/Routing/HeadDecision.h>
 #include <LibKernel/SpawnDetached.h>
 #include <LibPeer/Hello.h>
 
@@ -142,7 +141,7 @@
         return {};
     // Until a configuration is known, any region may be outside the home regions of the host's requests, so none is treated
     // as a home region.
-    const auto homeRegions = appliedSnapshot_ ? homeRegionsOfHost(*appliedSnapshot_, host) : std::vector<RegionId>();
+    const auto homeRegions = appliedSnapshot_ ? homeRegionsOfHost(*appliedSnapshot_, host) : HomeRegions(std::vector<RegionId>());
     return entriesNear(*membership, caller, homeRegions);
 }
 
--- a/Tests/LibDecision/FleetRequestsTest.cpp
+++ b/Tests/LibDecision/FleetRequestsTest.cpp
@@ -2,7 +2,7 @@
 #include <LibDecision/Requests/FleetRetryBudget.h>
 #include <LibDecision/Requests/RequestLifecycle.h>
 #include <LibDecision/Requests/ServiceChoice.h>
-#include <LibDecision/Routing/HeadDecision.h>
+#include <LibDecision/Routing/HomeRegions.h>
 
 #include <set>
 
