RequestRunner: Keep a request within the home regions of its route and workspace when a configuration drops them

What callers saw: requests ran outside their home regions.

Cause: home regions were looked up anew in the newest configuration for each choice of a place. A route or a workspace that this configuration no longer has permits every region. A request whose head was accepted on a route with home regions therefore lost them when a new version removed the route before its body was complete, before a retry, or before its stream was resumed, and ran in the region of the instance that its caller had connected to. The receiver of a forwarded request had the same hole if its own version did not have the route, and nothing was checked between the choice of a place and the first byte that leaves for it. The class of fault: a missing record is read as permission.

Ruled out: the regions of backend servers (an instance only places on servers whose entry is in its own region, and a server elsewhere refuses its connections), addresses given out again (the expected id is sent along), stale membership (the directory does not decide where a request runs).

The home regions now belong to the request: those of the configuration that accepted it, narrowed by each later configuration that it meets. They travel with a forwarded request and are checked once more after connecting, before anything is written. A request whose regions no longer permit any place is refused as not run.

--- a/Libraries/LibHTTP/Requests/RequestRunner.cpp
+++ b/Libraries/LibHTTP/Requests/RequestRunner.cpp
@@ -121,7 +121,7 @@
     return code != ResultCode::BackendFailed && isBackendServerFailure(code) ? PlacementOutcome::Failed : PlacementOutcome::Unknown;
 }
 
-PlacementQuery placementQueryOf(const GatewayRequest& request, const Snapshot& snapshot)
+PlacementQuery placementQueryOf(const GatewayRequest& request)
 {
     const auto& routed = *request.routed;
     PlacementQuery query;
@@ -133,7 +133,7 @@
     query.target = routed.target;
     query.deadline = request.deadline;
     query.requestHash = std::hash<std::string> {}(routed.callerId);
-    query.homeRegions = homeRegionsFor(snapshot, request.workspace, routed.route);
+    query.homeRegions = routed.homeRegions;
     return query;
 }
 
@@ -359,6 +359,7 @@
         if (!request.routed)
             watchedInTarget.emplace(access_, access, target, request.cancellation);
         request.beforeSend = [this, &request, &lifecycle, &target, &place, attemptId] {
+            requireHomeRegion(request, target);
             requireUsableServer(request, place);
             checkBeforeSend(request, target, attemptId, lifecycle);
         };
@@ -455,11 +456,12 @@
 
 // Chooses among the backend servers of this region and the other regions.
 Place RequestRunner::chooseRoutedPlace(
-    const GatewayRequest& request, HopsLeft hops, const RequestLifecycle& lifecycle, std::set<RegionId>& failedRegions, RequestLog& requestLog, PlacementQuery& query)
+    GatewayRequest& request, HopsLeft hops, const RequestLifecycle& lifecycle, std::set<RegionId>& failedRegions, RequestLog& requestLog, PlacementQuery& query)
 {
     const auto snapshot = requireConfiguration();
-    query = placementQueryOf(request, *snapshot);
-    requestLog.setRules(SteadyClock().now(), query.homeRegions, snapshot->revision());
+    request.routed->homeRegions = homeRegionsInForce(*snapshot, request.workspace, request.routed->route, request.routed->homeRegions);
+    requestLog.setRules(SteadyClock().now(), request.routed->homeRegions, snapshot->revision());
+    query = placementQueryOf(request);
     query.canLeaveRegion = hops == HopsLeft::One;
     query.failedServers = lifecycle.failedBackendServers();
     query.wasPlaced = lifecycle.attempts() > 0 || request.resumeAfter.has_value();
@@ -629,6 +631,18 @@
     throwIfFailed(lifecycle.handle(ConnectionReady { attempt, decided }, now));
 }
 
+// The home regions may have changed since the place was chosen, while the connection to it was made.
+void RequestRunner::requireHomeRegion(const GatewayRequest& request, const RegionId& target) const
+{
+    if (!request.routed)
+        return;
+    const auto homeRegions = homeRegionsInForce(*requireConfiguration(), request.workspace, request.routed->route, request.routed->homeRegions);
+    if (permitsRegion(homeRegions, target))
+        return;
+    tables_.metrics.increment("ibisturn_home_region_refusals_total");
+    throw NotRunError(ResultCode::ResidencyRefused, Ran::No, fmt::format("The home regions changed before the request was sent to region {}", target));
+}
+
 // A backend server may have left or become cold since it was chosen, while the connection to it was made.
 void RequestRunner::requireUsableServer(const GatewayRequest& request, const Place& place) const
 {
--- a/Libraries/LibHTTP/Requests/RequestRunner.h
+++ b/Libraries/LibHTTP/Requests/RequestRunner.h
@@ -85,13 +85,14 @@
 
     /// Sets `query` to the one for which the place was chosen.
     Place chooseRoutedPlace(
-        const GatewayRequest& request, HopsLeft hops, const RequestLifecycle& lifecycle, std::set<RegionId>& failedRegions, RequestLog& requestLog, PlacementQuery& query);
+        GatewayRequest& request, HopsLeft hops, const RequestLifecycle& lifecycle, std::set<RegionId>& failedRegions, RequestLog& requestLog, PlacementQuery& query);
     RequestLimits requestLimitsOf(const GatewayRequest& request, const Route* route, HopsLeft hops);
     void recordFirstAttempt(const GatewayRequest& request, HopsLeft hops, AttemptSink& answer);
     TicketPointer makeTicket(const GatewayRequest& request, const Place& place, const PlacementQuery& query);
     std::optional<BackendServer> findBackendServer(const Snapshot& snapshot, const BackendServerId& id, const GatewayRequest& request);
     Place choosePlace(const GatewayRequest& request, const RouteId& routeId, HopsLeft hops, const RequestLifecycle& lifecycle, ResumeNeed resume);
     void checkBeforeSend(const GatewayRequest& request, const RegionId& target, AttemptId attempt, RequestLifecycle& lifecycle) const;
+    void requireHomeRegion(const GatewayRequest& request, const RegionId& target) const;
     void requireUsableServer(const GatewayRequest& request, const Place& place) const;
     ResultCode accessOf(const GatewayRequest& request, const RegionId& region) const;
     RegionId regionOf(const Place& place) const;
--- a/Tests/LibHTTP/RoutedRequestTest.cpp
+++ b/Tests/LibHTTP/RoutedRequestTest.cpp
@@ -1,5 +1,6 @@
 #include <LibKernel/Asio.h>
 
+#include <LibHTTP/Peers/ForwardedRequest.h>
 #include <LibHTTP/Requests/RequestRunner.h>
 #include <Tests/Support/EndlessServer.h>
 #include <Tests/Support/LoopbackInstance.h>
@@ -17,7 +18,7 @@
 const ServiceId bookings("bookings");
 const RegionId khomas("khomas");
 
-SnapshotPointer configuration()
+SnapshotPointer configuration(const std::vector<RegionId>& homeRegions = {}, Revision revision = Revision(1))
 {
     Service service;
     service.id = bookings;
@@ -29,7 +30,8 @@
     route.policy = RoutePolicy();
     route.policy->services = { { bookings, 1 } };
     route.policy->maxAttempts = 3;
-    return std::make_shared<const Snapshot>(Revision(1), std::vector<Record> { { "services", "bookings", Revision(1), service }, { "routes", "book", Revision(1), route } });
+    route.policy->homeRegions = homeRegions;
+    return std::make_shared<const Snapshot>(revision, std::vector<Record> { { "services", "bookings", revision, service }, { "routes", "book", revision, route } });
 }
 
 /// Runs requests on a route with a policy against backend servers on loopback, in one event loop.
@@ -84,6 +86,14 @@
         done_ = Asio::co_spawn(context_, run(std::move(request)), Asio::use_future);
     }
 
+    /// The same for a request that a peer forwards.
+    void startFromPeer(ForwardMessage message)
+    {
+        context_.restart();
+        failure_.reset();
+        done_ = Asio::co_spawn(context_, runFromPeer(std::move(message)), Asio::use_future);
+    }
+
     void await()
     {
         while (done_.wait_for(0s) != std::future_status::ready)
@@ -109,6 +119,15 @@
         }
     }
 
+    Task<void> runFromPeer(ForwardMessage message)
+    {
+        try {
+            co_await runner_.runFromPeer(std::move(message), std::make_shared<Cancellation>(), sink_);
+        } catch (const Error& error) {
+            failure_ = error;
+        }
+    }
+
     std::future<void> done_;
     std::optional<Error> failure_;
 };
@@ -267,4 +286,38 @@
     }
 }
 
+TEST_F(RoutedRequestTest, IsNotSentIfTheHomeRegionsChangedWhileTheConnectionWasMade)
+{
+    ScriptedServer server(context_, { completeAnswer });
+    setServers({ server.endpoint() });
+    start(makeRequest());
+    Asio::post(context_, [this] { tables_.configuration.set(configuration({ RegionId("omaheke") }, Revision(2))); });
+    await();
+    ASSERT_TRUE(failure());
+    EXPECT_EQ(failure()->ran(), Ran::No);
+    EXPECT_EQ(server.requests(), 0U);
+}
+
+// The receiver's own configuration may have no route for a forwarded request.
+TEST_F(RoutedRequestTest, AForwardedRequestIsNotRunOutsideTheHomeRegionsOfItsSender)
+{
+    ScriptedServer server(context_, { completeAnswer, completeAnswer });
+    setServers({ server.endpoint() });
+    tables_.configuration.set(std::make_shared<const Snapshot>(Revision(2), std::vector<Record>()));
+    for (const auto& region : { RegionId("omaheke"), khomas }) {
+        auto request = makeRequest();
+        request.routed->homeRegions = std::vector<RegionId> { region };
+        ForwardMessage message;
+        message.route = "book";
+        message.method = request.method;
+        message.target = request.target;
+        message.timeoutMilliseconds = 5000;
+        message.routed.push_back(makeRoutedMessage(*request.routed, SteadyClock().now()));
+        startFromPeer(std::move(message));
+        await();
+        EXPECT_EQ(failure().has_value(), region != khomas);
+    }
+    EXPECT_EQ(server.requests(), 1U);
+}
+
 } // namespace Ibisturn::Testing
--- a/Tests/Platform/RoutedCallerTest.cpp
+++ b/Tests/Platform/RoutedCallerTest.cpp
@@ -1,5 +1,6 @@
 #include <LibKernel/Asio.h>
 
+#include <LibCore/Digest.h>
 #include <LibHTTP/Backends/BackendDialectRegistry.h>
 #include <LibHTTP/Callers/CallerDialectRegistry.h>
 #include <LibHTTP/Callers/RoutedSession.h>
@@ -19,10 +20,23 @@
 const RegionId khomas("khomas");
 const std::string host = "barn.example";
 
-SnapshotPointer configuration(Repeatability repeatability, AnswerForm form)
+const WorkspaceId schools("schools");
+
+Service bookingService()
 {
     Service service;
     service.id = bookings;
+    return service;
+}
+
+/// A configuration that has the service and no routes or workspaces.
+SnapshotPointer configurationWithoutRoutes(Revision revision)
+{
+    return std::make_shared<const Snapshot>(revision, std::vector<Record> { { "services", "bookings", revision, bookingService() } });
+}
+
+SnapshotPointer configuration(Repeatability repeatability, AnswerForm form, const std::vector<RegionId>& homeRegions = {})
+{
     Route route;
     route.id = RouteId("book");
     route.pathPrefix = "/book/";
@@ -35,7 +49,31 @@
     route.policy->services = { { bookings, 1 } };
     route.policy->targetLatency = 1s;
     route.policy->maxAttempts = 2;
-    return std::make_shared<const Snapshot>(Revision(1), std::vector<Record> { { "services", "bookings", Revision(1), service }, { "routes", "book", Revision(1), route } });
+    route.policy->homeRegions = homeRegions;
+    return std::make_shared<const Snapshot>(Revision(1), std::vector<Record> { { "services", "bookings", Revision(1), bookingService() }, { "routes", "book", Revision(1), route } });
+}
+
+/// A configuration whose route is used with the key "k" of a workspace that may run in `homeRegions` only.
+SnapshotPointer configurationOfWorkspace(const std::vector<RegionId>& homeRegions)
+{
+    const Revision revision(1);
+    Route route;
+    route.id = RouteId("book");
+    route.pathPrefix = "/book/";
+    route.kind = BackendKind::Service;
+    route.access = RouteAccess::Workspaces;
+    route.policy = RoutePolicy();
+    route.policy->host = host;
+    route.policy->services = { { bookings, 1 } };
+    route.policy->targetLatency = 1s;
+    Workspace workspace;
+    workspace.id = schools;
+    workspace.scope = ResidencyScope::ByRule;
+    workspace.residency = ResidencyRuleId("schools");
+    const auto digest = digestOfKey("k");
+    return std::make_shared<const Snapshot>(revision,
+        std::vector<Record> { { "services", "bookings", revision, bookingService() }, { "routes", "book", revision, route }, { "workspaces", "schools", revision, workspace },
+            { "residency", "schools", revision, ResidencyRule { workspace.residency, homeRegions } }, { "keys", digest.value(), revision, Key { digest, schools } } });
 }
 
 std::string requestHead(const std::string& headers, std::chrono::milliseconds timeout = 5s)
@@ -366,4 +404,35 @@
     EXPECT_EQ(tables_.requestMemory.held(), ByteCount(0));
 }
 
+// The route's home regions were lost with the route, and the request ran wherever its caller had connected.
+TEST_F(RoutedCallerTest, ARequestWhoseRouteIsRemovedDoesNotRunOutsideItsHomeRegions)
+{
+    ScriptedServer server(context_, { answerHead("Content-Length: 2\r\n") + "ok" });
+    tables_.configuration.set(configuration(Repeatability::NonIdempotent, AnswerForm::Whole, { RegionId("omaheke") }));
+    setServers({ server.endpoint() });
+    const auto received = exchange(requestHead("Connection: close\r\nContent-Length: 2\r\n") + "o", "k", [this] { tables_.configuration.set(configurationWithoutRoutes(Revision(2))); });
+    EXPECT_TRUE(received.starts_with("HTTP/1.1 503 ")) << received;
+    EXPECT_EQ(server.requests(), 0U);
+}
+
+TEST_F(RoutedCallerTest, ARequestWhoseWorkspaceIsRemovedDoesNotRunOutsideItsHomeRegions)
+{
+    ScriptedServer server(context_, { answerHead("Content-Length: 2\r\n") + "ok" });
+    tables_.configuration.set(configurationOfWorkspace({ RegionId("omaheke") }));
+    setServers({ server.endpoint() });
+    const auto received = exchange(requestHead("Authorization: Bearer k\r\nConnection: close\r\nContent-Length: 2\r\n") + "o", "k",
+        [this] { tables_.configuration.set(configurationWithoutRoutes(Revision(2))); });
+    EXPECT_TRUE(received.starts_with("HTTP/1.1 503 ")) << received;
+    EXPECT_EQ(server.requests(), 0U);
+}
+
+TEST_F(RoutedCallerTest, ARequestWhoseRouteIsRemovedRunsInItsHomeRegion)
+{
+    ScriptedServer server(context_, { answerHead("Content-Length: 2\r\n") + "ok" });
+    tables_.configuration.set(configuration(Repeatability::NonIdempotent, AnswerForm::Whole, { khomas }));
+    setServers({ server.endpoint() });
+    const auto received = exchange(requestHead("Connection: close\r\nContent-Length: 2\r\n") + "o", "k", [this] { tables_.configuration.set(configurationWithoutRoutes(Revision(2))); });
+    EXPECT_TRUE(received.starts_with("HTTP/1.1 200 ")) << received;
+}
+
 } // namespace Ibisturn::Testing
