--- a/Libraries/LibDecision/Membership/EntryDirectory.cpp
+++ b/Libraries/LibDecision/Membership/EntryDirectory.cpp
@@ -88,28 +88,31 @@
     SuspectedInOtherRegion,
 };
 
-EntryRank rankOf(const Member& member, const CallerLocation& caller, const HomeRegions& homeRegions)
+/// The rank, and among regions of one rank the number of routes that don't permit the instance's region; the lowest pair is best.
+std::pair<EntryRank, std::size_t> rankOf(const Member& member, const CallerLocation& caller, const HostRegions& regions)
 {
     const bool isSuspected = member.state == MemberState::Suspected;
     if (member.dataCentre == caller.dataCentre)
-        return isSuspected ? EntryRank::SuspectedInDataCentre : EntryRank::DataCentre;
+        return { isSuspected ? EntryRank::SuspectedInDataCentre : EntryRank::DataCentre, 0 };
     if (member.region == caller.region)
-        return isSuspected ? EntryRank::SuspectedInRegion : EntryRank::Region;
-    if (permitsRegion(homeRegions, member.region))
-        return isSuspected ? EntryRank::SuspectedInHomeRegion : EntryRank::HomeRegion;
-    return isSuspected ? EntryRank::SuspectedInOtherRegion : EntryRank::OtherRegion;
+        return { isSuspected ? EntryRank::SuspectedInRegion : EntryRank::Region, 0 };
+    const auto found = regions.permittedBy.find(member.region);
+    const auto permittedBy = found == regions.permittedBy.end() ? 0 : found->second;
+    if (regions.routes == 0 || permittedBy > 0)
+        return { isSuspected ? EntryRank::SuspectedInHomeRegion : EntryRank::HomeRegion, regions.routes - permittedBy };
+    return { isSuspected ? EntryRank::SuspectedInOtherRegion : EntryRank::OtherRegion, 0 };
 }
 
 } // namespace
 
-std::vector<Member> entriesNear(const MembershipView& membership, const CallerLocation& caller, const HomeRegions& homeRegions)
+std::vector<Member> entriesNear(const MembershipView& membership, const CallerLocation& caller, const HostRegions& regions)
 {
     std::vector<Member> entries;
-    std::optional<EntryRank> best;
+    std::optional<std::pair<EntryRank, std::size_t>> best;
     for (const auto& member : membership.instances) {
         if (member.state == MemberState::Leaving)
             continue;
-        const auto rank = rankOf(member, caller, homeRegions);
+        const auto rank = rankOf(member, caller, regions);
         if (best && rank > *best)
             continue;
         if (!best || rank < *best)
--- a/Libraries/LibDecision/Membership/EntryDirectory.h
+++ b/Libraries/LibDecision/Membership/EntryDirectory.h
@@ -37,12 +37,13 @@
     DataCentreId dataCentre;
 };
 
-/// The instances that callers at `caller` should use for a host whose requests have the home regions `homeRegions` (nullopt
-/// if they may run anywhere). Returns the first of these groups that is not empty: live instances in the caller's data
-/// centre, in its region, in the home regions, suspected ones in the same order, and last the live and then the suspected
-/// instances of any other region. Leaving instances are never returned.
+/// The instances that callers at `caller` should use for a host whose routes permit `regions`. Returns the first of these groups that is
+/// not empty: live instances in the caller's data centre, in its region, in the region that most of the host's routes with home regions
+/// permit, in the one that the next most permit, and so on; suspected ones in the same order; and last the live and then the suspected
+/// instances of regions that none of these routes permits. Without such routes, all other regions are alike. Leaving instances are never
+/// returned.
 /// Thread safety: any thread.
-std::vector<Member> entriesNear(const MembershipView& membership, const CallerLocation& caller, const HomeRegions& homeRegions);
+std::vector<Member> entriesNear(const MembershipView& membership, const CallerLocation& caller, const HostRegions& regions);
 
 /// The instances that callers of `workspace` should use, best first. Only instances in permitted regions that are not
 /// leaving; suspected ones last, those in the region `near` first, otherwise in an order that is stable per workspace.
--- a/Libraries/LibDecision/Routing/HomeRegions.cpp
+++ b/Libraries/LibDecision/Routing/HomeRegions.cpp
@@ -45,14 +45,17 @@
     return intersectionOf(accepted, homeRegionsFor(snapshot, workspace, route));
 }
 
-HomeRegions homeRegionsOfHost(const Snapshot& snapshot, std::string_view host)
+HostRegions regionsOfHost(const Snapshot& snapshot, std::string_view host)
 {
-    HomeRegions homeRegions;
+    HostRegions regions;
     for (const auto& route : snapshot.routes()) {
-        if (route.policy && route.policy->host == host && !route.policy->homeRegions.empty())
-            homeRegions = intersectionOf(homeRegions, route.policy->homeRegions);
+        if (!route.policy || route.policy->host != host || route.policy->homeRegions.empty())
+            continue;
+        ++regions.routes;
+        for (const auto& region : route.policy->homeRegions)
+            ++regions.permittedBy[region];
     }
-    return homeRegions;
+    return regions;
 }
 
 } // namespace Ibisturn
--- a/Libraries/LibDecision/Routing/HomeRegions.h
+++ b/Libraries/LibDecision/Routing/HomeRegions.h
@@ -2,7 +2,10 @@
 
 #include <LibConfiguration/Snapshot.h>
 
+#include <cstddef>
+#include <map>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 namespace Ibisturn {
@@ -26,8 +29,15 @@
 /// Thread safety: any thread.
 HomeRegions homeRegionsInForce(const Snapshot& snapshot, const WorkspaceId& workspace, const RouteId& route, const HomeRegions& accepted);
 
-/// The home regions common to all routes of `host` that have home regions; nullopt if none of its routes has any.
-/// Thread safety: any thread.
-HomeRegions homeRegionsOfHost(const Snapshot& snapshot, std::string_view host);
+/// Which regions the routes of one host permit.
+struct HostRegions {
+    /// The number of routes that have home regions.
+    std::size_t routes { 0 };
+    /// How many of them permit a region; a region that none permits is missing.
+    std::map<RegionId, std::size_t> permittedBy;
+};
+
+/// The regions that the routes of `host` permit. Thread safety: any thread.
+HostRegions regionsOfHost(const Snapshot& snapshot, std::string_view host);
 
 } // namespace Ibisturn
--- a/Programs/ibisturn/FleetControlPlane.cpp
+++ b/Programs/ibisturn/FleetControlPlane.cpp
@@ -141,8 +141,8 @@
         return {};
     // Until a configuration is known, any region may be outside the home regions of the host's requests, so none is treated
     // as a home region.
-    const auto homeRegions = appliedSnapshot_ ? homeRegionsOfHost(*appliedSnapshot_, host) : HomeRegions(std::vector<RegionId>());
-    return entriesNear(*membership, caller, homeRegions);
+    const auto regions = appliedSnapshot_ ? regionsOfHost(*appliedSnapshot_, host) : HostRegions { 1, {} };
+    return entriesNear(*membership, caller, regions);
 }
 
 Task<std::vector<PeerAction>> FleetControlPlane::receive(InstanceId from, ControlEvent event)
