EntryDirectory: Rank regions by how many of a host's routes permit them

Cause: all three instances of a region drain at once in a planned restart (from 3.0, 5.0 and 7.0 s; one restart takes 4 s), so callers there are led to other regions. Those were ranked by the regions that all routes of the host have in common. Routes that had been added with one home region, the region that restarts, left no other one in common, and all other regions counted as equal, although most requests were on a route that permits one of them. The class of fault: the empty intersection of several rules is read as no rule.

Regions that all routes permit still come first, then suspected instances in the same order. After them, a region ranks by how many of the host's routes permit it. If two routes have no home region in common, some of their callers are still led elsewhere: the directory knows the host of a request and not its route.

--- a/Libraries/LibDecision/Membership/EntryDirectory.cpp
+++ b/Libraries/LibDecision/Membership/EntryDirectory.cpp
@@ -97,10 +97,10 @@
     if (member.region == caller.region)
         return { isSuspected ? EntryRank::SuspectedInRegion : EntryRank::Region, 0 };
     const auto found = regions.permittedBy.find(member.region);
-    const auto permittedBy = found == regions.permittedBy.end() ? 0 : found->second;
-    if (regions.routes == 0 || permittedBy > 0)
-        return { isSuspected ? EntryRank::SuspectedInHomeRegion : EntryRank::HomeRegion, regions.routes - permittedBy };
-    return { isSuspected ? EntryRank::SuspectedInOtherRegion : EntryRank::OtherRegion, 0 };
+    const auto refusedBy = regions.routes - (found == regions.permittedBy.end() ? 0 : found->second);
+    if (refusedBy == 0)
+        return { isSuspected ? EntryRank::SuspectedInHomeRegion : EntryRank::HomeRegion, 0 };
+    return { isSuspected ? EntryRank::SuspectedInOtherRegion : EntryRank::OtherRegion, refusedBy };
 }
 
 } // namespace
--- a/Libraries/LibDecision/Membership/EntryDirectory.h
+++ b/Libraries/LibDecision/Membership/EntryDirectory.h
@@ -38,10 +38,9 @@
 };
 
 /// The instances that callers at `caller` should use for a host whose routes permit `regions`. Returns the first of these groups that is
-/// not empty: live instances in the caller's data centre, in its region, in the region that most of the host's routes with home regions
-/// permit, in the one that the next most permit, and so on; suspected ones in the same order; and last the live and then the suspected
-/// instances of regions that none of these routes permits. Without such routes, all other regions are alike. Leaving instances are never
-/// returned.
+/// not empty: live instances in the caller's data centre, in its region, in the regions that all of the host's routes permit; suspected
+/// ones in the same order; and last the live and then the suspected instances of the region that most of the routes with home regions
+/// permit, of the one that the next most permit, and so on. Leaving instances are never returned.
 /// Thread safety: any thread.
 std::vector<Member> entriesNear(const MembershipView& membership, const CallerLocation& caller, const HostRegions& regions);
 
