RequestRunner: Refuse a forwarded request whose home regions nobody knows

A forwarded request of an instance of an older version does not tell its home regions. The receiver refuses such a request as not run.

The test of home regions that change while a connection is made also checks that the check before the first byte refused it, and not the choice of the place.

--- a/Libraries/LibHTTP/Peers/ForwardedRequest.cpp
+++ b/Libraries/LibHTTP/Peers/ForwardedRequest.cpp
@@ -73,6 +73,7 @@
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(routed.target - now);
     message.targetMilliseconds = left.count() > 0 ? static_cast<std::uint64_t>(left.count()) : 0;
     message.canResume = routed.resume == ResumeSupport::Supported;
+    message.tellsHomeRegions = true;
     message.hasHomeRegions = routed.homeRegions.has_value();
     for (const auto& region : routed.homeRegions.value_or(std::vector<RegionId>()))
         message.homeRegions.push_back(region.value());
--- a/Libraries/LibHTTP/Requests/RequestRunner.cpp
+++ b/Libraries/LibHTTP/Requests/RequestRunner.cpp
@@ -263,6 +263,10 @@
     if (message.routed.empty() && snapshot->revision() < Revision(message.revision))
         throw Error(ResultCode::ConfigurationBehind, Ran::No, "This instance's configuration is behind the sender's");
     RouteId routeId(message.route);
+    // Otherwise a route or workspace that this instance's configuration does not have would permit every region.
+    const bool areRulesKnown = snapshot->findRoute(routeId) && (message.workspace.empty() || snapshot->findWorkspace(WorkspaceId(message.workspace)));
+    if (!message.routed.empty() && !message.routed.front().tellsHomeRegions && !areRulesKnown)
+        throw Error(ResultCode::ResidencyRefused, Ran::No, "The home regions of the forwarded request are not known here");
     const auto role = message.asksOwner ? ClaimRole::AnswerAsOwner : ClaimRole::HeldBySender;
     GatewayRequest request = readForwarded(std::move(message), SteadyClock().now(), tables_.settings.requestTimeout);
     request.cancellation = std::move(cancellation);
--- a/Libraries/LibPeer/Frame.h
+++ b/Libraries/LibPeer/Frame.h
@@ -53,10 +53,12 @@
     std::uint32_t priority { 0 };
     std::uint64_t targetMilliseconds { 0 };
     bool canResume { false };
-    /// Whether `homeRegions` restrict where the request may run; a sender of an older version restricts nothing.
+    /// Whether the sender tells the home regions; one of an older version does not.
+    bool tellsHomeRegions { false };
+    /// Whether `homeRegions` restrict where the request may run.
     bool hasHomeRegions { false };
     std::vector<std::string> homeRegions;
-    MSGPACK_DEFINE(service, callerId, host, headers, prompt, promptTokens, mostAnswerTokens, priority, targetMilliseconds, canResume, hasHomeRegions, homeRegions)
+    MSGPACK_DEFINE(service, callerId, host, headers, prompt, promptTokens, mostAnswerTokens, priority, targetMilliseconds, canResume, tellsHomeRegions, hasHomeRegions, homeRegions)
 };
 
 /// A request that one instance forwards to another. It does not contain the caller's key.
--- a/Tests/LibHTTP/RoutedRequestTest.cpp
+++ b/Tests/LibHTTP/RoutedRequestTest.cpp
@@ -296,6 +296,7 @@
     ASSERT_TRUE(failure());
     EXPECT_EQ(failure()->ran(), Ran::No);
     EXPECT_EQ(server.requests(), 0U);
+    EXPECT_NE(tables_.metrics.render().find("ibisturn_home_region_refusals_total 1"), std::string::npos);
 }
 
 // The receiver's own configuration may have no route for a forwarded request.
@@ -320,4 +321,27 @@
     EXPECT_EQ(server.requests(), 1U);
 }
 
+// An instance of an older version does not tell the home regions, so only this instance's configuration can know them.
+TEST_F(RoutedRequestTest, AForwardedRequestWithoutHomeRegionsIsNotRunWithoutItsRoute)
+{
+    ScriptedServer server(context_, { completeAnswer, completeAnswer });
+    for (const bool isRouteKnown : { false, true }) {
+        tables_.configuration.set(configuration());
+        setServers({ server.endpoint() });
+        ForwardMessage message;
+        message.route = "book";
+        message.method = "POST";
+        message.target = "/book";
+        message.timeoutMilliseconds = 5000;
+        message.routed.push_back(makeRoutedMessage(*makeRequest().routed, SteadyClock().now()));
+        message.routed.back().tellsHomeRegions = false;
+        if (!isRouteKnown)
+            tables_.configuration.set(std::make_shared<const Snapshot>(Revision(2), std::vector<Record>()));
+        startFromPeer(std::move(message));
+        await();
+        EXPECT_EQ(failure().has_value(), !isRouteKnown);
+        EXPECT_EQ(server.requests(), isRouteKnown ? 1U : 0U);
+    }
+}
+
 } // namespace Ibisturn::Testing
