--- a/Benchmarks/ClaimsBenchmark.cpp
+++ b/Benchmarks/ClaimsBenchmark.cpp
@@ -160,7 +160,7 @@
             }
             return conflicted;
         }
-        revision_ += Revision(1);
+        revision_ = revision_.next();
         for (const auto& write : writes)
             store_[write.id] = { write.id, revision_, write.record };
         return BatchWritten { revision_ };
--- a/Libraries/LibConfiguration/RecordHead.cpp
+++ b/Libraries/LibConfiguration/RecordHead.cpp
@@ -11,7 +11,7 @@
 
 std::string formatRecordHead(const RecordHead& head)
 {
-    return nlohmann::json { { "previous", head.previous.count() } }.dump();
+    return nlohmann::json { { "previous", head.previous.number() } }.dump();
 }
 
 std::optional<RecordHead> parseRecordHead(std::string_view text)
--- a/Libraries/LibConfiguration/RecordHead.h
+++ b/Libraries/LibConfiguration/RecordHead.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibCore/Quantity.h>
+#include <LibCore/Revision.h>
 
 #include <optional>
 #include <string>
--- a/Libraries/LibConfiguration/Records.h
+++ b/Libraries/LibConfiguration/Records.h
@@ -3,6 +3,7 @@
 #include <LibConfiguration/Settings.h>
 #include <LibCore/Identifier.h>
 #include <LibCore/Quantity.h>
+#include <LibCore/Revision.h>
 
 #include <cstdint>
 #include <optional>
--- a/Libraries/LibCore/Quantity.h
+++ b/Libraries/LibCore/Quantity.h
@@ -48,8 +48,6 @@
 using ByteCount = Quantity<struct ByteTag, std::uint64_t>;
 using Incarnation = Quantity<struct IncarnationTag, std::uint64_t>;
 using RequestId = Quantity<struct RequestIdTag, std::uint64_t>;
-/// A revision of the platform's store; it increases monotonically.
-using Revision = Quantity<struct RevisionTag, std::int64_t>;
 using TokenCount = Quantity<struct TokenTag, std::int64_t>;
 using TokensPerSecond = Quantity<struct TokenRateTag, double>;
 
--- a/Libraries/LibDecision/Claims/ClaimActions.h
+++ b/Libraries/LibDecision/Claims/ClaimActions.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/Error.h>
+#include <LibCore/Revision.h>
 #include <LibDecision/Claims/ClaimRecord.h>
 
 #include <variant>
--- a/Libraries/LibDecision/Configuration/ConfigurationMessages.h
+++ b/Libraries/LibDecision/Configuration/ConfigurationMessages.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/Quantity.h>
+#include <LibCore/Revision.h>
 #include <LibDecision/Membership/MembershipView.h>
 
 #include <optional>
--- a/Libraries/LibDecision/Dissemination/StatusCheck.cpp
+++ b/Libraries/LibDecision/Dissemination/StatusCheck.cpp
@@ -58,7 +58,7 @@
 
 bool isPossible(Revision position)
 {
-    return position >= Revision(0);
+    return position.number() >= 0 && position.era() >= StoreEra();
 }
 
 template <typename Entry>
--- a/Libraries/LibDecision/Dissemination/StoreFeed.cpp
+++ b/Libraries/LibDecision/Dissemination/StoreFeed.cpp
@@ -29,6 +29,12 @@
     return false;
 }
 
+StoreEra newestEra(const std::vector<Revision>& positions)
+{
+    const auto newest = std::max_element(positions.begin(), positions.end());
+    return newest == positions.end() ? StoreEra() : newest->era();
+}
+
 } // namespace
 
 StoreFeed::StoreFeed(TimePoint start, StoreFeedLimits limits)
@@ -53,7 +59,8 @@
         lastFollowerAt_ = std::max(lastFollowerAt_, now);
     else if (peer.status.isFollowing)
         lastFollowerAt_ = std::min(lastFollowerAt_, now - silence() + recoveryTime);
-    peer = { now, sentAt, rank, status };
+    const auto isSameEra = peer.receivedAt != TimePoint() && newestEra(peer.status.positions) == newestEra(status.positions);
+    peer = { now, sentAt, rank, status, isSameEra ? peer.eraSince : now };
 }
 
 void StoreFeed::advance(TimePoint now, std::size_t rank, const std::vector<Revision>& positions)
@@ -97,6 +104,8 @@
     for (const auto& [id, peer] : peers_) {
         if (now - peer.receivedAt > silence() || !isAhead(peer.status.positions, *newest))
             continue;
+        if (newestEra(peer.status.positions) > newestEra(positions) && now - peer.eraSince < ownListingTime)
+            continue;
         best = &id;
         newest = &peer.status.positions;
     }
--- a/Libraries/LibDecision/Dissemination/StoreFeed.h
+++ b/Libraries/LibDecision/Dissemination/StoreFeed.h
@@ -21,6 +21,9 @@
 /// Thread safety: one thread at a time.
 class StoreFeed {
 public:
+    /// An instance that reaches the store learns of a new era when it next renews its lease, and then lists the store.
+    static constexpr Duration ownListingTime = std::chrono::milliseconds(2000);
+
     explicit StoreFeed(TimePoint start, StoreFeedLimits limits = {});
 
     /// Sets the period of the instances' reports, each of which is answered with a status.
@@ -47,7 +50,8 @@
     /// The status to send to others. `positions` are this instance's.
     StoreFeedStatus status(TimePoint now, std::vector<Revision> positions) const;
 
-    /// The instance to request the changes after `positions` from now, if one has later ones.
+    /// The instance to request the changes after `positions` from now, if one has later ones. Every instance has time to list the
+    /// store itself after it has come back from an older copy, since its full content would be too much for one instance to send to all.
     std::optional<InstanceId> sourceOf(TimePoint now, const std::vector<Revision>& positions);
 
 private:
@@ -56,6 +60,8 @@
         TimePoint sentAt;
         std::size_t rank { 0 };
         StoreFeedStatus status;
+        /// Since when it has been in the era of its positions.
+        TimePoint eraSince {};
     };
 
     /// Longer than the time between two confirmations as others learn of them.
--- a/Libraries/LibDecision/Placement/ColdServerLocks.cpp
+++ b/Libraries/LibDecision/Placement/ColdServerLocks.cpp
@@ -32,7 +32,7 @@
 std::vector<BackendServerId> ColdServerLocks::advance(TimePoint now, const std::vector<BackendServerId>& coldServers)
 {
     std::vector<BackendServerId> wanted;
-    if (!term_ || now >= term_->end)
+    if (!term_ || now >= term_->end || now < noLocksUntil_)
         return wanted;
     for (const auto& server : coldServers) {
         const auto known = locks_.find(server);
--- a/Libraries/LibDecision/Placement/ColdServerLocks.h
+++ b/Libraries/LibDecision/Placement/ColdServerLocks.h
@@ -3,6 +3,7 @@
 #include <LibCore/Clock.h>
 #include <LibCore/Identifier.h>
 #include <LibCore/Quantity.h>
+#include <LibCore/Revision.h>
 
 #include <cstdint>
 #include <map>
@@ -11,7 +12,7 @@
 
 namespace Ibisturn {
 
-/// Identifies the lease of the store under which an instance holds its locks; another lease is another term.
+/// Numbers the leases under which this instance has held its locks; another lease is another term.
 using LockTermId = Quantity<struct LockTermTag, std::int64_t>;
 
 /// The time for which the store certainly keeps what this instance wrote under its lease.
@@ -54,6 +55,10 @@
     /// Sets the current term; nullopt while the instance has no lease or is shutting down. Locks of another term are dropped.
     void setTerm(const std::optional<LockTerm>& term);
 
+    /// The store has come back from an older copy, which may lack locks whose holders don't know it yet. No server is locked until their
+    /// terms, which are at most `longestTerm`, have ended.
+    void onLocksLost(TimePoint now, Duration longestTerm) { noLocksUntil_ = now + longestTerm; }
+
     /// Returns those of the cold backend servers that this instance should lock now. Each attempt must be reported by
     /// onAttempt().
     std::vector<BackendServerId> advance(TimePoint now, const std::vector<BackendServerId>& coldServers);
@@ -86,6 +91,7 @@
     std::vector<InstanceId> instances_;
     std::optional<LockTerm> term_;
     std::map<BackendServerId, Lock> locks_;
+    TimePoint noLocksUntil_ {};
 };
 
 } // namespace Ibisturn
--- a/Libraries/LibDecision/Quarantine/PromptQuarantine.cpp
+++ b/Libraries/LibDecision/Quarantine/PromptQuarantine.cpp
@@ -121,6 +121,13 @@
     crashes_.erase(part);
 }
 
+void PromptQuarantine::onLost(TimePoint now, const ServicePart& part)
+{
+    const auto found = quarantined_.find(part);
+    if (found != quarantined_.end())
+        found->second.nextWriteAt = now;
+}
+
 std::optional<ServicePart> PromptQuarantine::findQuarantined(TimePoint now, const PlacementQuery& query)
 {
     if (quarantined_.empty())
--- a/Libraries/LibDecision/Quarantine/PromptQuarantine.h
+++ b/Libraries/LibDecision/Quarantine/PromptQuarantine.h
@@ -39,6 +39,9 @@
     void onStored(TimePoint now, const ServicePart& part);
     void onDeleted(const ServicePart& part);
 
+    /// The store has lost a quarantine by coming back from an older copy. It stays in force and is due to be written again.
+    void onLost(TimePoint now, const ServicePart& part);
+
     /// The quarantined part that the request contains, if any. Extends the quarantine, since such requests still arrive.
     std::optional<ServicePart> findQuarantined(TimePoint now, const PlacementQuery& query);
 
--- a/Libraries/LibDecision/Registry/BackendRegistry.cpp
+++ b/Libraries/LibDecision/Registry/BackendRegistry.cpp
@@ -8,6 +8,11 @@
 
 /// After an evacuation ends, a backend server is treated as cold until it writes a new entry, but at most for this long.
 constexpr Duration maxAssumedCold = std::chrono::seconds(4);
+/// The entry of a process that no longer runs expires within three heartbeats of 1.2 s after the store has come back, and its removal
+/// reaches every instance some seconds later. A running process ends the wait by writing its entry again.
+constexpr Duration deferral = std::chrono::seconds(8);
+/// Several times the age of a copy that a store comes back from.
+constexpr Duration endedMemory = std::chrono::seconds(60);
 
 } // namespace
 
@@ -16,8 +21,39 @@
 {
 }
 
-bool BackendRegistry::onEntry(TimePoint now, const RegisteredServer& server)
+// Whether a later entry of the same process is known.
+bool BackendRegistry::isSuperseded(const RegisteredServer& server) const
 {
+    const auto found = entries_.find(server.id);
+    if (found == entries_.end())
+        return false;
+    const auto& known = found->second.state.server;
+    return known.started > server.started || (known.started == server.started && known.sequence > server.sequence);
+}
+
+// Whether the entry of the same process, or of a later one, was removed after this one had been written.
+bool BackendRegistry::hasEnded(const RegisteredServer& server) const
+{
+    const auto found = ended_.find(server.id);
+    if (found == ended_.end())
+        return false;
+    const auto& ended = found->second;
+    return ended.started > server.started || (ended.started == server.started && ended.sequence >= server.sequence);
+}
+
+bool BackendRegistry::onEntry(TimePoint now, const RegisteredServer& server, EntryOrigin origin)
+{
+    deferred_.erase(server.id);
+    if (origin == EntryOrigin::OlderCopy && hasEnded(server)) {
+        deferred_.insert_or_assign(server.id, DeferredEntry { server, now });
+        return false;
+    }
+    if (origin == EntryOrigin::OlderCopy && isSuperseded(server)) {
+        // An even older copy may have lacked it.
+        entries_.at(server.id).removedAt.reset();
+        return false;
+    }
+    ended_.erase(server.id);
     auto& entry = entries_[server.id];
     auto& known = entry.state.server;
     const bool isSameIncarnation = !known.id.isEmpty() && known.started == server.started;
@@ -39,13 +75,20 @@
     return true;
 }
 
-void BackendRegistry::onRemoved(TimePoint now, const BackendServerId& id)
+void BackendRegistry::onRemoved(TimePoint now, const BackendServerId& id, EntryOrigin origin)
 {
+    deferred_.erase(id);
     const auto found = entries_.find(id);
     if (found == entries_.end() || found->second.removedAt)
         return;
+    const auto& server = found->second.state.server;
     found->second.removedAt = now;
+    if (origin == EntryOrigin::OlderCopy) {
+        found->second.regularGrace = removalGracePeriod_.recoveryGrace();
+        return;
+    }
     found->second.regularGrace = removalGracePeriod_.regularGrace(now, confirmedAt_);
+    ended_.insert_or_assign(id, EndedServer { server.started, server.sequence, now });
 }
 
 void BackendRegistry::setEvacuated(TimePoint now, const std::set<DataCentreId>& dataCentres)
@@ -66,13 +109,27 @@
 
 std::vector<BackendServerId> BackendRegistry::advance(TimePoint now)
 {
+    std::erase_if(ended_, [now](const auto& ended) { return now - ended.second.at > endedMemory; });
+    std::vector<RegisteredServer> due;
+    for (auto& [id, deferred] : deferred_) {
+        // While the store is unavailable, nobody can write.
+        if (removalGracePeriod_.unavailableSince())
+            deferred.since = now;
+        if (now - deferred.since >= deferral)
+            due.push_back(deferred.server);
+    }
+    for (const auto& server : due)
+        onEntry(now, server);
     std::vector<BackendServerId> removed;
     for (const auto& [id, entry] : entries_) {
         if (entry.removedAt && !removalGracePeriod_.isInGracePeriod(*entry.removedAt, now, entry.regularGrace))
             removed.push_back(id);
     }
-    for (const auto& id : removed)
+    for (const auto& id : removed) {
+        const auto& server = entries_.at(id).state.server;
+        ended_.insert_or_assign(id, EndedServer { server.started, server.sequence, now });
         entries_.erase(id);
+    }
     if (!removed.empty())
         ++version_;
     return removed;
--- a/Libraries/LibDecision/Registry/BackendRegistry.h
+++ b/Libraries/LibDecision/Registry/BackendRegistry.h
@@ -3,6 +3,7 @@
 #include <LibDecision/Registry/RegisteredServer.h>
 #include <LibDecision/Registry/RemovalGracePeriod.h>
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -17,6 +18,14 @@
     TimePoint coldUntil {};
 };
 
+/// Where a change of an entry comes from.
+enum class EntryOrigin : std::uint8_t {
+    /// Its owner wrote or deleted it.
+    Owner,
+    /// The store came back from an older copy that has this entry, or lacks one that was known. The owner writes its entry again.
+    OlderCopy,
+};
+
 /// The backend servers that may be used: those that have entries in the registry, are not draining, and are not in an
 /// evacuated data centre. Entries that expire while the store is unavailable stay in force.
 /// Thread safety: one thread at a time.
@@ -26,12 +35,13 @@
 
     void setLimits(RemovalLimits limits) { removalGracePeriod_.setLimits(limits); }
 
-    /// A backend server's entry was written. Returns whether it changed anything that routing depends on.
+    /// A backend server's entry was written. Returns whether it changed anything that routing depends on. An entry of an older copy has
+    /// no effect if a later one of the same process is known, and takes effect late if the later one was removed.
     /// Precondition: entries of one id arrive in the order of their revisions.
-    bool onEntry(TimePoint now, const RegisteredServer& server);
+    bool onEntry(TimePoint now, const RegisteredServer& server, EntryOrigin origin = EntryOrigin::Owner);
 
-    /// An entry was removed or became unreadable.
-    void onRemoved(TimePoint now, const BackendServerId& id);
+    /// An entry was removed or became unreadable, or is missing in an older copy.
+    void onRemoved(TimePoint now, const BackendServerId& id, EntryOrigin origin = EntryOrigin::Owner);
 
     /// The store confirmed at `confirmedAt` that no entry had been removed of which the registry does not know.
     void setConfirmedAt(const std::optional<TimePoint>& confirmedAt) { confirmedAt_ = confirmedAt; }
@@ -65,6 +75,18 @@
     bool isEvacuated(const DataCentreId& dataCentre) const { return evacuated_.contains(dataCentre); }
 
 private:
+    /// A process whose entry was removed.
+    struct EndedServer {
+        StartTime started;
+        std::int64_t sequence { 0 };
+        TimePoint at {};
+    };
+    /// An entry of an older copy whose process may have ended.
+    struct DeferredEntry {
+        RegisteredServer server;
+        /// Since when its owner could have written it again.
+        TimePoint since {};
+    };
     struct Entry {
         BackendState state;
         /// When the removal of the entry became known; unset while it exists.
@@ -75,8 +97,13 @@
         std::optional<std::int64_t> coldSequence;
     };
 
+    bool isSuperseded(const RegisteredServer& server) const;
+    bool hasEnded(const RegisteredServer& server) const;
+
     RemovalGracePeriod removalGracePeriod_;
     std::map<BackendServerId, Entry> entries_;
+    std::map<BackendServerId, EndedServer> ended_;
+    std::map<BackendServerId, DeferredEntry> deferred_;
     std::set<DataCentreId> evacuated_;
     std::optional<TimePoint> confirmedAt_;
     std::uint64_t version_ { 1 };
--- a/Libraries/LibDecision/Registry/RemovalGracePeriod.h
+++ b/Libraries/LibDecision/Registry/RemovalGracePeriod.h
@@ -44,6 +44,9 @@
     /// confirmed at `confirmedAt`; unset if it never has.
     Duration regularGrace(TimePoint now, const std::optional<TimePoint>& confirmedAt) const;
 
+    /// How long an entry that the store has lost is still used: by then its owner has written it again.
+    Duration recoveryGrace() const { return limits_.recoveryGrace; }
+
     /// Whether missing entries can be taken as removed: the store has been available for long enough.
     bool isViewComplete(TimePoint now) const;
 
--- a/Libraries/LibDecision/Registry/StoreMirror.cpp
+++ b/Libraries/LibDecision/Registry/StoreMirror.cpp
@@ -2,38 +2,38 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace Ibisturn {
 
-bool StoreMirror::apply(const RecordChange& change)
+std::optional<AppliedChange> StoreMirror::apply(const RecordChange& change)
 {
     const auto found = changes_.find(change.key);
     if (found == changes_.end()) {
         changes_.emplace(change.key, change);
-        return true;
+        return AppliedChange { change, std::nullopt };
     }
     auto& known = found->second;
     if (change.revision <= known.revision)
-        return false;
-    known = change;
-    return true;
+        return std::nullopt;
+    return AppliedChange { change, std::exchange(known, change) };
 }
 
-std::vector<RecordChange> StoreMirror::applyListing(std::string_view prefix, Revision position, const std::vector<RecordChange>& listed)
+std::vector<AppliedChange> StoreMirror::applyListing(std::string_view prefix, Revision position, const std::vector<RecordChange>& listed)
 {
-    std::vector<RecordChange> newChanges;
+    std::vector<AppliedChange> newChanges;
     std::set<std::string_view> present;
     for (const auto& change : listed) {
         present.insert(change.key);
-        if (apply(change))
-            newChanges.push_back(change);
+        if (auto applied = apply(change))
+            newChanges.push_back(std::move(*applied));
     }
     for (auto entry = changes_.lower_bound(prefix); entry != changes_.end() && entry->first.starts_with(prefix); ++entry) {
         auto& known = entry->second;
         if (!known.value || known.revision > position || present.contains(known.key))
             continue;
-        known = { known.key, std::nullopt, position };
-        newChanges.push_back(known);
+        RecordChange deletion { known.key, std::nullopt, position };
+        newChanges.push_back({ deletion, std::exchange(known, deletion) });
     }
     return newChanges;
 }
--- a/Libraries/LibHTTP/Callers/RoutedSession.cpp
+++ b/Libraries/LibHTTP/Callers/RoutedSession.cpp
@@ -397,7 +397,7 @@
         tables_.metrics.increment(fmt::format("ibisturn_requests_total{{result=\"{}\"}}", resultCodeEntry(failure.code()).name));
         const auto snapshot = tables_.configuration.get();
         const auto retryAfter = failure.retryAfter() ? failure.retryAfter()->count() : -1;
-        callerLog.info("Request failed.", { { "request", callerId_ }, { "code", resultCodeEntry(failure.code()).name }, { "ran", ranName(failure.ran()) }, { "reason", failure.what() }, { "retry_after_ms", retryAfter }, { "target", target_ }, { "configuration", snapshot ? snapshot->revision().count() : -1 }, { "store", tables_.storeUnavailableSince ? "away" : "followed" } });
+        callerLog.info("Request failed.", { { "request", callerId_ }, { "code", resultCodeEntry(failure.code()).name }, { "ran", ranName(failure.ran()) }, { "reason", failure.what() }, { "retry_after_ms", retryAfter }, { "target", target_ }, { "configuration", snapshot ? snapshot->revision().number() : -1 }, { "store", tables_.storeUnavailableSince ? "away" : "followed" } });
     }
 
     const CallerLimits& limits() const { return tables_.callerLimits; }
--- a/Libraries/LibHTTP/Operators/OperatorInterface.cpp
+++ b/Libraries/LibHTTP/Operators/OperatorInterface.cpp
@@ -94,7 +94,7 @@
     auto json = nlohmann::json::parse(entry.value, nullptr, false);
     if (json.is_discarded())
         json = nullptr;
-    return { { "kind", name ? name->kind : "" }, { "name", name ? name->name : "" }, { "revision", entry.revision.count() }, { "record", json } };
+    return { { "kind", name ? name->kind : "" }, { "name", name ? name->name : "" }, { "revision", entry.revision.number() }, { "record", json } };
 }
 
 } // namespace
@@ -176,7 +176,7 @@
         { "instance", identity.instance.value() },
         { "region", identity.region.value() },
         { "data_centre", identity.dataCentre.value() },
-        { "revision", snapshot ? snapshot->revision().count() : 0 },
+        { "revision", snapshot ? snapshot->revision().number() : 0 },
         { "records", snapshot ? snapshot->recordCount() : 0 },
         { "readiness", readinessName(state.readiness) },
         { "store_age_ms", state.storeAge ? std::chrono::duration_cast<std::chrono::milliseconds>(*state.storeAge).count() : -1 },
@@ -205,7 +205,7 @@
     }
     if (isOne && list.empty())
         throw Error(ResultCode::RecordNotFound, Ran::No, "There is no such record");
-    const nlohmann::json body { { "revision", range.revision.count() }, { "records", std::move(list) } };
+    const nlohmann::json body { { "revision", range.revision.number() }, { "records", std::move(list) } };
     co_return BufferedReply { 200, "application/json", body.dump() };
 }
 
@@ -307,7 +307,7 @@
 BufferedReply OperatorInterface::showResult(const std::string& changeId, const ChangeResult& result) const
 {
     if (result.code == ResultCode::Ok)
-        return { 200, "application/json", nlohmann::json { { "revision", result.revision.count() }, { "change", changeId } }.dump() };
+        return { 200, "application/json", nlohmann::json { { "revision", result.revision.number() }, { "change", changeId } }.dump() };
     BufferedReply reply = errorReply(Error(result.code, Ran::No, result.reason));
     auto body = nlohmann::json::parse(reply.body);
     auto current = nlohmann::json::array();
--- a/Libraries/LibHTTP/Peers/ForwardedRequest.cpp
+++ b/Libraries/LibHTTP/Peers/ForwardedRequest.cpp
@@ -27,11 +27,11 @@
     return text.starts_with('/') && std::none_of(text.begin(), text.end(), isForbidden);
 }
 
-RoutedRequest readRouted(RoutedRequestMessage message, RouteId route, Revision revision, TimePoint now)
+RoutedRequest readRouted(RoutedRequestMessage message, RouteId route, std::int64_t revision, TimePoint now)
 {
     RoutedRequest routed;
     routed.route = std::move(route);
-    routed.revision = revision;
+    routed.revision = Revision(revision, StoreEra(message.revisionEra));
     routed.service = ServiceId(std::move(message.service));
     routed.callerId = std::move(message.callerId);
     routed.host = std::move(message.host);
@@ -112,7 +112,7 @@
     if (message.eventsReceived > 0)
         request.resumeAfter = message.eventsReceived - 1;
     if (!message.routed.empty())
-        request.routed = readRouted(std::move(message.routed.front()), RouteId(message.route), Revision(message.revision), now);
+        request.routed = readRouted(std::move(message.routed.front()), RouteId(message.route), message.revision, now);
     return request;
 }
 
--- a/Libraries/LibHTTP/Requests/RequestLog.cpp
+++ b/Libraries/LibHTTP/Requests/RequestLog.cpp
@@ -66,14 +66,14 @@
     const bool isUnderNewRules = homeRegions_ && revisionInForce_ != revision_;
     if (!isRouted_ || (!isSampled_ && attempt <= 1 && coldLeft == Duration::zero() && !isUnderNewRules))
         return;
-    requestLog.info("Place chosen.", { { "request", request_ }, { "place", nameOf(place) }, { "expected_ms", milliseconds(expected) }, { "cold_ms", milliseconds(coldLeft) }, { "session_rank", session.rank ? static_cast<std::int64_t>(*session.rank) : -1 }, { "assumed_tokens", session.assumedTokens.count() }, { "attempt", attempt }, { "service", service_ }, { "elapsed_ms", milliseconds(now - startedAt_) }, { "configuration", revision_ }, { "store", storeState(now) }, { "in_force", revisionInForce_ }, { "homes", formatHomeRegions(homeRegions_) }, { "region", tables_.settings.identity.region }, { "route", route_ }, { "workspace", workspace_ } });
+    requestLog.info("Place chosen.", { { "request", request_ }, { "place", nameOf(place) }, { "expected_ms", milliseconds(expected) }, { "cold_ms", milliseconds(coldLeft) }, { "session_rank", session.rank ? static_cast<std::int64_t>(*session.rank) : -1 }, { "assumed_tokens", session.assumedTokens.count() }, { "attempt", attempt }, { "service", service_ }, { "elapsed_ms", milliseconds(now - startedAt_) }, { "configuration", revision_.number() }, { "store", storeState(now) }, { "in_force", revisionInForce_ }, { "homes", formatHomeRegions(homeRegions_) }, { "region", tables_.settings.identity.region }, { "route", route_ }, { "workspace", workspace_ } });
 }
 
 void RequestLog::logRefusal(TimePoint now, const RefusePlacement& refusal)
 {
     if (!isRouted_)
         return;
-    requestLog.info("No place.", { { "request", request_ }, { "code", resultCodeEntry(refusal.code).name }, { "best_ms", refusal.expected ? milliseconds(*refusal.expected) : -1 }, { "retry_after_ms", milliseconds(refusal.retryAfter) }, { "homes", formatHomeRegions(homeRegions_) }, { "route", route_ }, { "service", service_ }, { "workspace", workspace_ }, { "reserved", refusal.isReserved }, { "forecast_rate", static_cast<std::int64_t>(refusal.forecastRate) }, { "elapsed_ms", milliseconds(now - startedAt_) }, { "configuration", revision_ }, { "store", storeState(now) } });
+    requestLog.info("No place.", { { "request", request_ }, { "code", resultCodeEntry(refusal.code).name }, { "best_ms", refusal.expected ? milliseconds(*refusal.expected) : -1 }, { "retry_after_ms", milliseconds(refusal.retryAfter) }, { "homes", formatHomeRegions(homeRegions_) }, { "route", route_ }, { "service", service_ }, { "workspace", workspace_ }, { "reserved", refusal.isReserved }, { "forecast_rate", static_cast<std::int64_t>(refusal.forecastRate) }, { "elapsed_ms", milliseconds(now - startedAt_) }, { "configuration", revision_.number() }, { "store", storeState(now) } });
 }
 
 void RequestLog::logQuarantine(TimePoint now, const ServicePart& part)
--- a/Libraries/LibHTTP/Requests/RequestRunner.cpp
+++ b/Libraries/LibHTTP/Requests/RequestRunner.cpp
@@ -725,7 +725,7 @@
     ForwardMessage message;
     message.workspace = request.workspace.value();
     message.route = route.value();
-    message.revision = snapshot->revision().count();
+    message.revision = snapshot->revision().number();
     message.method = request.method;
     message.target = request.target;
     message.contentType = request.contentType;
@@ -738,8 +738,10 @@
     message.keyDigest = request.key ? request.key->value() : std::string();
     message.asksOwner = role == ClaimRole::AnswerAsOwner;
     message.eventsReceived = request.resumeAfter ? *request.resumeAfter + 1 : 0;
-    if (request.routed)
+    if (request.routed) {
         message.routed.push_back(makeRoutedMessage(*request.routed, SteadyClock().now()));
+        message.routed.back().revisionEra = snapshot->revision().era().count();
+    }
     try {
         co_await peers_.run(peer, std::move(message), request, sink);
         tables_.peerReachability.record(peer.id, Reachability::Reachable);
--- a/Libraries/LibKernel/HttpClient.cpp
+++ b/Libraries/LibKernel/HttpClient.cpp
@@ -4,6 +4,7 @@
 #include <LibKernel/HttpLimits.h>
 #include <LibKernel/SocketOptions.h>
 
+#include <algorithm>
 #include <array>
 #include <limits>
 #include <utility>
@@ -65,6 +66,12 @@
 
 } // namespace
 
+std::string_view HttpReply::header(std::string_view name) const
+{
+    const auto found = std::find_if(headers.begin(), headers.end(), [name](const HttpHeader& header) { return Beast::iequals(header.name, Beast::string_view(name.data(), name.size())); });
+    return found == headers.end() ? std::string_view() : std::string_view(found->value);
+}
+
 Task<HttpReply> exchangeHttp(HttpCall call)
 {
     const auto executor = co_await Asio::this_coro::executor;
@@ -78,7 +85,10 @@
     logIfOverLimit(call, error);
     if (error)
         throw boost::system::system_error(error);
-    co_return HttpReply { parser.get().result_int(), std::move(parser.get().body()) };
+    HttpReply reply { parser.get().result_int(), std::move(parser.get().body()) };
+    for (const auto& field : parser.get())
+        reply.headers.push_back({ std::string(field.name_string().data(), field.name_string().size()), std::string(field.value().data(), field.value().size()) });
+    co_return reply;
 }
 
 Task<void> readHttpLines(HttpCall call, std::function<void(std::string_view)> onLine)
--- a/Libraries/LibKernel/HttpClient.h
+++ b/Libraries/LibKernel/HttpClient.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Ibisturn {
@@ -25,6 +26,10 @@
 struct HttpReply {
     unsigned status { 0 };
     std::string body;
+    std::vector<HttpHeader> headers {};
+
+    /// The value of a header, whose name is compared without regard to case; empty if it is missing.
+    std::string_view header(std::string_view name) const;
 };
 
 /// Makes one call on a new connection, without retries.
--- a/Libraries/LibPeer/ControlMessages.cpp
+++ b/Libraries/LibPeer/ControlMessages.cpp
@@ -28,10 +28,10 @@
 {
     const auto& heartbeat = action.heartbeat;
     HeartbeatMessage message { static_cast<std::uint8_t>(heartbeat.kind), heartbeat.incarnation.count(), nanoseconds(heartbeat.sentAt),
-        heartbeat.echoIncarnation.count(), nanoseconds(heartbeat.echo), heartbeat.revision.count(), heartbeat.storeAge.count(),
+        heartbeat.echoIncarnation.count(), nanoseconds(heartbeat.echo), heartbeat.revision.number(), heartbeat.storeAge.count(),
         static_cast<std::uint8_t>(heartbeat.readiness), static_cast<std::uint8_t>(heartbeat.updateRequest), static_cast<std::uint8_t>(heartbeat.state), {} };
     for (const auto& withdrawal : heartbeat.withdrawals)
-        message.withdrawals.push_back({ withdrawal.key, withdrawal.expected.count(), withdrawal.id, withdrawal.who, withdrawal.when });
+        message.withdrawals.push_back({ withdrawal.key, withdrawal.expected.number(), withdrawal.id, withdrawal.who, withdrawal.when });
     return message;
 }
 
@@ -40,7 +40,7 @@
     std::vector<RecordChangeMessage> messages;
     messages.reserve(changes.size());
     for (const auto& change : changes)
-        messages.push_back({ change.key, !change.value, change.value.value_or(""), change.revision.count() });
+        messages.push_back({ change.key, !change.value, change.value.value_or(""), change.revision.number(), change.revision.era().count() });
     return messages;
 }
 
@@ -50,7 +50,7 @@
     changes.reserve(messages.size());
     for (const auto& message : messages) {
         auto value = message.isDeleted ? std::nullopt : std::optional<std::string>(message.value);
-        changes.push_back({ message.key, std::move(value), Revision(message.revision) });
+        changes.push_back({ message.key, std::move(value), Revision(message.revision, StoreEra(message.era)) });
     }
     return changes;
 }
@@ -58,7 +58,7 @@
 PeerMessage encode(const SendUpdate& action)
 {
     const auto& update = action.update;
-    return ConfigurationUpdateMessage { static_cast<std::uint8_t>(update.kind), update.from.count(), update.to.count(), encode(update.changes) };
+    return ConfigurationUpdateMessage { static_cast<std::uint8_t>(update.kind), update.from.number(), update.to.number(), encode(update.changes) };
 }
 
 std::int64_t encode(const std::optional<Duration>& duration)
@@ -71,21 +71,30 @@
     return nanoseconds < 0 ? std::nullopt : std::optional(Duration(nanoseconds));
 }
 
-std::vector<std::int64_t> encode(const std::vector<Revision>& revisions)
+std::vector<std::int64_t> numbersOf(const std::vector<Revision>& revisions)
 {
     std::vector<std::int64_t> numbers;
     numbers.reserve(revisions.size());
     for (const auto revision : revisions)
-        numbers.push_back(revision.count());
+        numbers.push_back(revision.number());
     return numbers;
 }
 
-std::vector<Revision> decode(const std::vector<std::int64_t>& numbers)
+std::vector<std::int64_t> erasOf(const std::vector<Revision>& revisions)
+{
+    std::vector<std::int64_t> eras;
+    eras.reserve(revisions.size());
+    for (const auto revision : revisions)
+        eras.push_back(revision.era().count());
+    return eras;
+}
+
+std::vector<Revision> decode(const std::vector<std::int64_t>& numbers, const std::vector<std::int64_t>& eras)
 {
     std::vector<Revision> revisions;
     revisions.reserve(numbers.size());
-    for (const auto number : numbers)
-        revisions.emplace_back(number);
+    for (std::size_t index = 0; index < numbers.size(); ++index)
+        revisions.emplace_back(numbers[index], index < eras.size() ? StoreEra(eras[index]) : StoreEra());
     return revisions;
 }
 
@@ -180,7 +189,7 @@
 {
     const auto& digest = action.digest;
     FleetDigestMessage message { digest.report.count(), digest.isCounted, encode(digest.own), encode(digest.loads), {}, digest.store.isFollowing,
-        encode(digest.store.age), encode(digest.store.positions) };
+        encode(digest.store.age), numbersOf(digest.store.positions), erasOf(digest.store.positions) };
     for (const auto& other : digest.others)
         message.others.push_back(encode(other));
     return message;
@@ -195,7 +204,8 @@
 PeerMessage encode(const SendStoreUpdate& action)
 {
     const auto& update = action.update;
-    StoreUpdateMessage message { encode(update.requestAfter), encode(update.changes), encode(update.positions), -1, update.listedPrefixes, update.existingKeys };
+    StoreUpdateMessage message { numbersOf(update.requestAfter), encode(update.changes), numbersOf(update.positions), -1, update.listedPrefixes, update.existingKeys,
+        erasOf(update.requestAfter), erasOf(update.positions) };
     if (update.view)
         message.view = static_cast<std::int8_t>(*update.view);
     return message;
@@ -232,7 +242,7 @@
 
 ControlEvent decode(const FleetDigestMessage& message)
 {
-    FleetDigest digest { StatusNumber(message.report), message.isCounted, decode(message.own), decode(message.loads), {}, { message.isFollowingStore, decodeDuration(message.storeAge), decode(message.storePositions) } };
+    FleetDigest digest { StatusNumber(message.report), message.isCounted, decode(message.own), decode(message.loads), {}, { message.isFollowingStore, decodeDuration(message.storeAge), decode(message.storePositions, message.storeEras) } };
     for (const auto& other : message.others)
         digest.others.push_back(decode(other));
     return digest;
@@ -245,7 +255,7 @@
 
 ControlEvent decode(const StoreUpdateMessage& message)
 {
-    StoreUpdate update { decode(message.requestAfter), decode(message.changes), decode(message.positions), std::nullopt, message.listedPrefixes, message.existingKeys };
+    StoreUpdate update { decode(message.requestAfter, message.requestEras), decode(message.changes), decode(message.positions, message.positionEras), std::nullopt, message.listedPrefixes, message.existingKeys };
     if (message.view >= 0)
         update.view = decodeEnum(static_cast<std::uint8_t>(message.view), StoreView::Partial);
     return update;
--- a/Libraries/LibPeer/Frame.h
+++ b/Libraries/LibPeer/Frame.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Error.h>
 #include <LibCore/Quantity.h>
+#include <LibCore/Revision.h>
 
 #include <cstdint>
 #include <string>
@@ -58,7 +59,9 @@
     /// Whether `homeRegions` restrict where the request may run.
     bool hasHomeRegions { false };
     std::vector<std::string> homeRegions;
-    MSGPACK_DEFINE(service, callerId, host, headers, prompt, promptTokens, mostAnswerTokens, priority, targetMilliseconds, canResume, tellsHomeRegions, hasHomeRegions, homeRegions)
+    /// The era of the forwarded request's revision.
+    std::int64_t revisionEra { 0 };
+    MSGPACK_DEFINE(service, callerId, host, headers, prompt, promptTokens, mostAnswerTokens, priority, targetMilliseconds, canResume, tellsHomeRegions, hasHomeRegions, homeRegions, revisionEra)
 };
 
 /// A request that one instance forwards to another. It does not contain the caller's key.
@@ -150,7 +153,9 @@
     bool isDeleted { false };
     std::string value;
     std::int64_t revision { 0 };
-    MSGPACK_DEFINE(key, isDeleted, value, revision)
+    /// The era of the revision; peers of an older version know only the first.
+    std::int64_t era { 0 };
+    MSGPACK_DEFINE(key, isDeleted, value, revision, era)
 };
 
 /// The changes that bring the receiver's records to a later revision; see ConfigurationUpdate.
@@ -197,7 +202,10 @@
     std::int8_t view { -1 };
     std::vector<std::uint32_t> listedPrefixes;
     std::vector<std::string> existingKeys;
-    MSGPACK_DEFINE(requestAfter, changes, positions, view, listedPrefixes, existingKeys)
+    /// The eras of `requestAfter` and of `positions`.
+    std::vector<std::int64_t> requestEras;
+    std::vector<std::int64_t> positionEras;
+    MSGPACK_DEFINE(requestAfter, changes, positions, view, listedPrefixes, existingKeys, requestEras, positionEras)
 };
 
 /// See CrashReport; the age is nanoseconds.
@@ -269,7 +277,9 @@
     bool isFollowingStore { false };
     std::int64_t storeAge { -1 };
     std::vector<std::int64_t> storePositions;
-    MSGPACK_DEFINE(report, isCounted, own, loads, others, isFollowingStore, storeAge, storePositions)
+    /// The eras of `storePositions`.
+    std::vector<std::int64_t> storeEras;
+    MSGPACK_DEFINE(report, isCounted, own, loads, others, isFollowingStore, storeAge, storePositions, storeEras)
 };
 
 /// See RegionExchange; times are nanoseconds, and negative numbers mean that a value is absent.
--- a/Libraries/LibPlatform/ConfigurationFeed.cpp
+++ b/Libraries/LibPlatform/ConfigurationFeed.cpp
@@ -205,7 +205,7 @@
     };
     try {
         std::string folder = recordsFolder(prefix_);
-        co_await store_.watch(std::move(folder), action.after + Revision(1), watchConfirmationPeriod, std::move(onChanges));
+        co_await store_.watch(std::move(folder), action.after, watchConfirmationPeriod, std::move(onChanges));
     } catch (const std::exception& error) {
         feedLog.debug("Watch ended.", { { "reason", error.what() } });
     }
--- a/Libraries/LibPlatform/EntryFollower.cpp
+++ b/Libraries/LibPlatform/EntryFollower.cpp
@@ -45,8 +45,8 @@
             co_await follow();
         } catch (const FollowerSuspended&) {
             continue;
-        } catch (const HistoryCompacted&) {
-            followerLog.info("Store has compacted its history; listing again.", { { "prefix", prefix_ } });
+        } catch (const HistoryUnavailable& error) {
+            followerLog.info("Listing the store again.", { { "prefix", prefix_ }, { "position", callbacks_.position().value_or(Revision()) }, { "store_era", store_.era() }, { "reason", error.what() } });
             mustList_ = true;
             continue;
         } catch (const std::exception& error) {
@@ -102,7 +102,7 @@
             throw FollowerSuspended();
     };
     auto prefix = prefix_;
-    co_await store_.watch(std::move(prefix), position + Revision(1), confirmationPeriod_, std::move(onChanges));
+    co_await store_.watch(std::move(prefix), position, confirmationPeriod_, std::move(onChanges));
 }
 
 Task<Revision> EntryFollower::list()
@@ -110,6 +110,8 @@
     auto prefix = prefix_;
     const auto calledAt = SteadyClock().now();
     const StoreRange range = co_await store_.range(std::move(prefix));
+    if (const auto known = callbacks_.position(); known && range.revision.era() < known->era())
+        throw Error(ResultCode::StoreUnavailable, Ran::No, "The listing is of an earlier era of the store");
     Listing listing { prefix_, range.revision, {} };
     for (const auto& entry : range.entries)
         listing.entries.push_back({ entry.key, entry.value, entry.revision });
--- a/Libraries/LibPlatform/FleetState.cpp
+++ b/Libraries/LibPlatform/FleetState.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/Error.h>
 #include <LibCore/Log.h>
+#include <LibDecision/Dissemination/StoreFeed.h>
 #include <LibPlatform/InstanceLease.h>
 
 #include <algorithm>
@@ -19,6 +20,16 @@
 /// For shorter outages of the store, requesting its changes from peers is not worth while.
 constexpr Duration minOutage = std::chrono::milliseconds(500);
 
+/// How long entries of operators are kept as they were after the store came back from an older copy: operators write again what the copy
+/// lacks within this time.
+constexpr Duration operatorsGrace = std::chrono::milliseconds(2500);
+/// An instance's entry in an older copy expires within the term of its lease if the process no longer runs, and its removal reaches every
+/// instance some seconds later.
+constexpr Duration instancesGrace = std::chrono::milliseconds(8000);
+/// A configuration with a lower version than the one in force is taken after all if it stands for this long, many times as long as operators
+/// need to write again what the store has lost.
+constexpr Duration lowerVersionGrace = std::chrono::seconds(30);
+
 /// Several times the maximum interval between status messages.
 constexpr Duration messageGrace = std::chrono::milliseconds(2000);
 
@@ -66,10 +77,11 @@
     if (!index)
         return;
     listed_.insert(listing.prefix);
+    onPosition(now, *index, listing.position);
     auto entries = listing.entries;
     std::erase_if(entries, [this](const RecordChange& entry) { return isObsolete(entry); });
-    for (const auto& change : mirror_.applyListing(listing.prefix, listing.position, entries))
-        apply(now, change);
+    for (const auto& applied : mirror_.applyListing(listing.prefix, listing.position, entries))
+        apply(now, applied);
     advancePosition(*index, listing.position);
     removalsKnownAfter_[*index] = std::max(removalsKnownAfter_[*index], std::optional(listing.position));
 }
@@ -85,6 +97,8 @@
 
 void FleetState::onPeerUpdate(TimePoint now, const StoreUpdate& update)
 {
+    for (std::size_t index = 0; index < std::min(positions_.size(), update.positions.size()); ++index)
+        onPosition(now, index, update.positions[index]);
     applyChanges(now, update.changes);
     for (std::size_t index = 0; index < std::min(positions_.size(), update.positions.size()); ++index) {
         const bool isListed = std::find(update.listedPrefixes.begin(), update.listedPrefixes.end(), index) != update.listedPrefixes.end();
@@ -99,8 +113,10 @@
 void FleetState::applyChanges(TimePoint now, const std::vector<RecordChange>& changes)
 {
     for (const auto& change : changes) {
-        if (!isObsolete(change) && mirror_.apply(change))
-            apply(now, change);
+        if (isObsolete(change))
+            continue;
+        if (const auto applied = mirror_.apply(change))
+            apply(now, *applied);
     }
 }
 
@@ -129,8 +145,8 @@
         if (known)
             existing.push_back(*known);
     }
-    for (const auto& change : mirror_.applyListing(prefix, position, existing))
-        apply(now, change);
+    for (const auto& applied : mirror_.applyListing(prefix, position, existing))
+        apply(now, applied);
     removalsKnownAfter_[index] = std::max(removalsKnownAfter_[index], std::optional(position));
     return true;
 }
@@ -152,6 +168,7 @@
 
 void FleetState::advance(TimePoint now)
 {
+    applyDeferred(now);
     for (const auto& id : registry_.advance(now))
         fleetLog.info("Backend server dropped.", { { "server", id } });
     const auto discarded = mirror_.discardDeletions(maxDeletions);
@@ -165,7 +182,7 @@
 bool FleetState::isExpired(const KnownMember& known, TimePoint now) const
 {
     // A leaving instance removes its own entry, so while the store is available a removal takes effect at once.
-    return known.removedAt && !registry_.removalGracePeriod().isInGracePeriod(*known.removedAt, now, Duration::zero()) && now - known.lastMessageAt >= messageGrace;
+    return known.removedAt && !registry_.removalGracePeriod().isInGracePeriod(*known.removedAt, now, known.grace) && now - known.lastMessageAt >= messageGrace;
 }
 
 void FleetState::onPeerMessage(TimePoint now, const InstanceId& instance)
@@ -209,6 +226,13 @@
 {
     StoreUpdate update;
     update.view = view(now);
+    const auto isEarlier = [](const std::vector<Revision>& left, const std::vector<Revision>& right) {
+        return !left.empty() && std::max_element(left.begin(), left.end())->era() < std::max_element(right.begin(), right.end())->era();
+    };
+    if (isEarlier(positions, positions_) && now - eraSince_ < StoreFeed::ownListingTime) {
+        update.view = StoreView::Partial;
+        return update;
+    }
     for (std::size_t index = 0; index < prefixes_.size(); ++index) {
         const auto position = index < positions.size() ? positions[index] : Revision();
         const auto& removalsKnownAfter = removalsKnownAfter_[index];
@@ -231,39 +255,115 @@
     positions_[index] = std::max(positions_[index], position);
 }
 
-void FleetState::apply(TimePoint now, const RecordChange& change)
+void FleetState::apply(TimePoint now, const AppliedChange& applied)
+{
+    const auto& change = applied.change;
+    deferred_.erase(change.key);
+    const auto deferral = deferralOf(applied);
+    if (!deferral) {
+        apply(now, change, applied.isFromOlderCopy() ? EntryOrigin::OlderCopy : EntryOrigin::Owner);
+        return;
+    }
+    defer(now, change, *deferral);
+}
+
+void FleetState::defer(TimePoint now, const RecordChange& change, Duration wait)
+{
+    deferred_.insert_or_assign(change.key, DeferredChange { change, now, wait });
+    fleetLog.info("Change of an older copy deferred.", { { "key", change.key }, { "exists", change.value.has_value() }, { "revision", change.revision }, { "wait_ms", std::chrono::duration_cast<std::chrono::milliseconds>(wait).count() } });
+}
+
+// For how long a change of an older copy must not take effect, since its owner, who alone knows what is true now, has not written it again
+// yet: an evacuation that began or ended after the copy was made, and an instance that ended or was started again. Backend servers'
+// entries say themselves which one is later.
+std::optional<Duration> FleetState::deferralOf(const AppliedChange& applied) const
+{
+    const auto& change = applied.change;
+    if (!applied.isFromOlderCopy() || change.value == applied.previous->value)
+        return std::nullopt;
+    if (reader_.evacuatedDataCentre(change.key))
+        return operatorsGrace;
+    if (change.key.starts_with(instancesPrefix_) && change.value)
+        return instancesGrace;
+    return std::nullopt;
+}
+
+void FleetState::applyDeferred(TimePoint now)
+{
+    std::vector<RecordChange> due;
+    for (auto& [key, deferred] : deferred_) {
+        // While the store is unavailable, nobody can write.
+        if (unavailableSince())
+            deferred.since = now;
+        if (now - deferred.since >= deferred.wait)
+            due.push_back(deferred.change);
+    }
+    for (const auto& change : due) {
+        deferred_.erase(change.key);
+        if (reader_.isConfiguration(change.key))
+            adopt(change, reader_.readConfiguration(*change.value, change.revision));
+        else
+            apply(now, change, EntryOrigin::Owner);
+    }
+}
+
+void FleetState::apply(TimePoint now, const RecordChange& change, EntryOrigin origin)
 {
     if (change.key.starts_with(reader_.operatorsPrefix()))
         applyOperatorEntry(now, change);
     else if (change.key.starts_with(reader_.registryPrefix()))
-        applyServerEntry(now, change);
+        applyServerEntry(now, change, origin);
     else if (change.key.starts_with(instancesPrefix_))
-        applyInstanceEntry(now, change);
-    else if (change.key == fleetSizeKeyOf(ownPrefix_) && change.value)
-        applyFleetSize(*change.value);
+        applyInstanceEntry(now, change, origin);
+    else if (change.key == fleetSizeKeyOf(ownPrefix_))
+        applyFleetSize(change.value);
     else if (change.key.starts_with(quarantinePrefixOf(ownPrefix_)))
-        applyQuarantine(change);
+        applyQuarantine(change, origin);
+}
+
+bool FleetState::isBehindEra(StoreEra era) const
+{
+    return std::any_of(positions_.begin(), positions_.end(), [era](Revision position) { return position.era() < era; });
 }
 
-void FleetState::applyQuarantine(const RecordChange& change)
+// A peer or the store has everything up to `position`, which may be of a later era.
+void FleetState::onPosition(TimePoint now, std::size_t index, Revision position)
+{
+    const auto known = positions_[index];
+    const bool isInEra = std::any_of(positions_.begin(), positions_.end(), [position](Revision other) { return other.era() >= position.era(); });
+    if (!isInEra)
+        eraSince_ = now;
+    if (known == Revision() || position.era() <= known.era())
+        return;
+    for (auto& [key, deferred] : deferred_)
+        deferred.since = now;
+    fleetLog.warning("The store came back from an older copy.", { { "prefix", prefixes_[index] }, { "known", known }, { "position", position }, { "configuration_version", configurationVersion_ } });
+}
+
+void FleetState::applyQuarantine(const RecordChange& change, EntryOrigin origin)
 {
     const auto part = parsePart(std::string_view(change.key).substr(quarantinePrefixOf(ownPrefix_).size()));
     if (!part) {
         fleetLog.warning("Quarantine entry names no prompt part.", { { "key", change.key }, { "revision", change.revision } });
         return;
     }
-    quarantineChanges_.push_back({ *part, change.value.has_value() });
-    fleetLog.info("Quarantine changed.", { { "part", formatPart(*part) }, { "quarantined", change.value.has_value() }, { "revision", change.revision } });
+    const auto removal = origin == EntryOrigin::OlderCopy ? QuarantineEntry::Lost : QuarantineEntry::Deleted;
+    quarantineChanges_.push_back({ *part, change.value ? QuarantineEntry::Written : removal });
+    fleetLog.info("Quarantine changed.", { { "part", formatPart(*part) }, { "quarantined", change.value.has_value() }, { "older_copy", origin == EntryOrigin::OlderCopy }, { "revision", change.revision } });
 }
 
-void FleetState::applyFleetSize(const std::string& value)
+void FleetState::applyFleetSize(const std::optional<std::string>& value)
 {
+    storedFleetSize_ = 0;
+    if (!value)
+        return;
     std::size_t size = 0;
-    const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), size);
+    const auto [end, error] = std::from_chars(value->data(), value->data() + value->size(), size);
     if (error != std::errc {} || size > maxInstances) {
-        fleetLog.warning("Fleet size entry is not a valid number.", { { "value", value } });
+        fleetLog.warning("Fleet size entry is not a valid number.", { { "value", *value } });
         return;
     }
+    storedFleetSize_ = size;
     fleetSize_ = std::max(fleetSize_, size);
 }
 
@@ -278,19 +378,36 @@
         fleetLog.info("Evacuation changed.", { { "data_centre", *dataCentre }, { "evacuated", change.value.has_value() }, { "revision", change.revision } });
         return;
     }
-    if (!reader_.isConfiguration(change.key) || !change.value)
-        return;
+    if (reader_.isConfiguration(change.key) && change.value)
+        applyConfiguration(now, change);
+}
+
+void FleetState::applyConfiguration(TimePoint now, const RecordChange& change)
+{
     try {
         auto document = reader_.readConfiguration(*change.value, change.revision);
-        snapshot_ = std::make_shared<const Snapshot>(change.revision, document.records);
-        callerLimits_ = document.callers;
-        fleetLog.info("Configuration in force.", { { "revision", change.revision }, { "version", document.version }, { "records", document.records.size() } });
+        // Within an era, the store orders the configurations. An older copy has lost those that were acknowledged last.
+        const bool isOfLaterEra = snapshot_ && snapshot_->revision().era() < change.revision.era();
+        if (!isOfLaterEra || document.version >= configurationVersion_) {
+            adopt(change, std::move(document));
+            return;
+        }
+        fleetLog.warning("Configuration of an older copy not taken.", { { "revision", change.revision }, { "version", document.version }, { "in_force", snapshot_->revision() }, { "version_in_force", configurationVersion_ } });
+        defer(now, change, lowerVersionGrace);
     } catch (const std::exception& error) {
         // The previous configuration stays in force.
         fleetLog.error("Configuration is invalid.", { { "revision", change.revision }, { "reason", error.what() } });
     }
 }
 
+void FleetState::adopt(const RecordChange& change, ConfigurationDocument document)
+{
+    configurationVersion_ = document.version;
+    snapshot_ = std::make_shared<const Snapshot>(change.revision, document.records);
+    callerLimits_ = document.callers;
+    fleetLog.info("Configuration in force.", { { "revision", change.revision }, { "version", document.version }, { "records", document.records.size() } });
+}
+
 // An entry that can't be read must not keep the others from being applied.
 std::optional<RegisteredServer> FleetState::readServer(const RecordChange& change) const
 {
@@ -305,16 +422,16 @@
     return std::nullopt;
 }
 
-void FleetState::applyServerEntry(TimePoint now, const RecordChange& change)
+void FleetState::applyServerEntry(TimePoint now, const RecordChange& change, EntryOrigin origin)
 {
     const auto server = change.value ? readServer(change) : std::nullopt;
     if (!server) {
         const auto id = reader_.serverIdOf(change.key);
-        registry_.onRemoved(now, id);
-        fleetLog.info("Backend server's entry removed.", { { "server", id }, { "revision", change.revision }, { "store", storeState(now) } });
+        registry_.onRemoved(now, id, origin);
+        fleetLog.info("Backend server's entry removed.", { { "server", id }, { "revision", change.revision }, { "older_copy", origin == EntryOrigin::OlderCopy }, { "store", storeState(now) } });
         return;
     }
-    if (!registry_.onEntry(now, *server))
+    if (!registry_.onEntry(now, *server, origin))
         return;
     const auto coldLeft = std::chrono::duration_cast<std::chrono::milliseconds>(server->coldLeft).count();
     fleetLog.info("Backend server's entry changed.", { { "server", server->id }, { "service", server->service }, { "data_centre", server->dataCentre }, { "draining", server->state == RegistrationState::Draining }, { "started", server->started }, { "cold_ms", coldLeft }, { "revision", change.revision }, { "store", storeState(now) } });
@@ -327,7 +444,7 @@
     return fmt::format("away:{}ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - *unavailableSince()).count());
 }
 
-void FleetState::applyInstanceEntry(TimePoint now, const RecordChange& change)
+void FleetState::applyInstanceEntry(TimePoint now, const RecordChange& change, EntryOrigin origin)
 {
     const auto member = change.value ? parseMember(*change.value) : std::nullopt;
     if (member) {
@@ -335,8 +452,11 @@
         return;
     }
     const auto found = members_.find(change.key);
-    if (found != members_.end() && !found->second.removedAt)
-        found->second.removedAt = now;
+    if (found == members_.end() || found->second.removedAt)
+        return;
+    found->second.removedAt = now;
+    // A running instance writes its entry again when it next renews its lease.
+    found->second.grace = origin == EntryOrigin::OlderCopy ? registry_.removalGracePeriod().recoveryGrace() : Duration::zero();
 }
 
 } // namespace Ibisturn
--- a/Libraries/LibPlatform/FleetState.h
+++ b/Libraries/LibPlatform/FleetState.h
@@ -7,6 +7,7 @@
 #include <LibPlatform/DocumentReader.h>
 #include <LibPlatform/EntryFollower.h>
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -22,10 +23,19 @@
 /// The key of a quarantined prompt part.
 std::string quarantineKeyOf(const std::string& ownPrefix, const ServicePart& part);
 
-/// A prompt part was quarantined by an instance, or its quarantine was deleted or has expired.
+/// What became of the entry of a quarantined prompt part.
+enum class QuarantineEntry : std::uint8_t {
+    /// An instance wrote it.
+    Written,
+    /// It was deleted or has expired.
+    Deleted,
+    /// The store has lost it by coming back from an older copy.
+    Lost,
+};
+
 struct QuarantineChange {
     ServicePart part;
-    bool isQuarantined { false };
+    QuarantineEntry entry { QuarantineEntry::Written };
 };
 
 /// The state of the fleet as one instance has received it from the store, directly or through other instances: the
@@ -94,6 +104,13 @@
     /// The largest number of instances that the fleet has had, according to the store.
     std::size_t fleetSize() const { return fleetSize_; }
 
+    /// The number that the store has now; less than fleetSize() if it has lost that by coming back from an older copy.
+    std::size_t storedFleetSize() const { return storedFleetSize_; }
+
+    /// Whether the copy of some prefix is of an earlier era than `era`, in which the store has answered. An earlier copy may have
+    /// entries that the store has lost, and lack later ones whose revisions have lower numbers.
+    bool isBehindEra(StoreEra era) const;
+
     /// The revision up to which all changes have been received, for each of prefixes(). Each prefix is watched separately,
     /// so one may lag behind another.
     const std::vector<Revision>& positions() const { return positions_; }
@@ -102,7 +119,8 @@
     std::optional<Revision> positionOf(const std::string& prefix) const;
 
     /// Answers a peer that requests the changes after `positions`: what this instance has received from the store or from other
-    /// peers. Missing positions count as zero.
+    /// peers. Missing positions count as zero. The answer is empty while a peer of an earlier era has time to list the store itself, since
+    /// all instances would ask for everything at once.
     StoreUpdate updateAfter(TimePoint now, const std::vector<Revision>& positions) const;
 
 private:
@@ -110,10 +128,24 @@
         Member member;
         std::optional<TimePoint> removedAt;
         TimePoint lastMessageAt {};
+        /// How long it is kept after its entry was removed, while the store is available.
+        Duration grace {};
+    };
+    /// A change of an older copy of the store that takes effect unless the entry's owner writes or deletes it until then.
+    struct DeferredChange {
+        RecordChange change;
+        /// Since when the owner could have written the entry, and how long it has time for that.
+        TimePoint since {};
+        Duration wait {};
     };
 
     bool isExpired(const KnownMember& known, TimePoint now) const;
-    void apply(TimePoint now, const RecordChange& change);
+    void apply(TimePoint now, const AppliedChange& applied);
+    void apply(TimePoint now, const RecordChange& change, EntryOrigin origin);
+    std::optional<Duration> deferralOf(const AppliedChange& applied) const;
+    void applyDeferred(TimePoint now);
+    void defer(TimePoint now, const RecordChange& change, Duration wait);
+    void onPosition(TimePoint now, std::size_t index, Revision position);
     void applyChanges(TimePoint now, const std::vector<RecordChange>& changes);
     bool applyExistingKeys(TimePoint now, std::size_t index, Revision position, const std::vector<std::string>& keys);
     bool isObsolete(const RecordChange& change) const;
@@ -121,11 +153,13 @@
     /// The number of the prefix that `key` is below; unset if none is followed.
     std::optional<std::size_t> indexOf(std::string_view key) const;
     void applyOperatorEntry(TimePoint now, const RecordChange& change);
+    void applyConfiguration(TimePoint now, const RecordChange& change);
+    void adopt(const RecordChange& change, ConfigurationDocument document);
     std::optional<RegisteredServer> readServer(const RecordChange& change) const;
-    void applyServerEntry(TimePoint now, const RecordChange& change);
-    void applyInstanceEntry(TimePoint now, const RecordChange& change);
-    void applyFleetSize(const std::string& value);
-    void applyQuarantine(const RecordChange& change);
+    void applyServerEntry(TimePoint now, const RecordChange& change, EntryOrigin origin);
+    void applyInstanceEntry(TimePoint now, const RecordChange& change, EntryOrigin origin);
+    void applyFleetSize(const std::optional<std::string>& value);
+    void applyQuarantine(const RecordChange& change, EntryOrigin origin);
     /// How current the registry is, for log lines.
     std::string storeState(TimePoint now) const;
 
@@ -136,11 +170,17 @@
     StoreMirror mirror_;
     BackendRegistry registry_;
     SnapshotPointer snapshot_;
+    /// The operators' version of the configuration in force.
+    std::int64_t configurationVersion_ { 0 };
     std::optional<CallerLimits> callerLimits_;
     std::set<std::string> listed_;
     std::set<DataCentreId> evacuated_;
     std::map<std::string, KnownMember> members_;
+    std::map<std::string, DeferredChange> deferred_;
+    /// When the first prefix was listed in the present era of the store.
+    TimePoint eraSince_ {};
     std::size_t fleetSize_ { 0 };
+    std::size_t storedFleetSize_ { 0 };
     std::vector<QuarantineChange> quarantineChanges_;
     /// In the order of prefixes_.
     std::vector<Revision> positions_;
--- a/Libraries/LibPlatform/InstanceLease.cpp
+++ b/Libraries/LibPlatform/InstanceLease.cpp
@@ -14,8 +14,7 @@
 namespace {
 
 constexpr Log leaseLog("lease");
-/// The entry of an instance that no longer renews it expires within this time; tolerates three failed renewals.
-constexpr Duration leaseTerm = std::chrono::milliseconds(4500);
+/// The term of the lease tolerates three failed renewals.
 constexpr Duration renewalPeriod = std::chrono::milliseconds(1400);
 constexpr Duration retryDelay = std::chrono::milliseconds(300);
 
@@ -60,6 +59,9 @@
     if (!lease_)
         co_return;
     try {
+        // The store may have come back from an older copy without this instance's knowledge, and given the number of the lease to another
+        // one. The reply tells.
+        co_await store_.renewLease(*lease_);
         co_await store_.endLease(*lease_);
         lease_.reset();
     } catch (const std::exception& error) {
@@ -68,11 +70,16 @@
     }
 }
 
+std::optional<LeaseId> InstanceLease::lease() const
+{
+    return lease_ && lease_->era == store_.era() ? lease_ : std::nullopt;
+}
+
 std::optional<LockTerm> InstanceLease::term() const
 {
-    if (!lease_ || isLeaving_)
+    if (!lease() || isLeaving_)
         return std::nullopt;
-    return LockTerm { LockTermId(lease_->count()), termEnd_ };
+    return LockTerm { term_, termEnd_ };
 }
 
 // A lease runs from the arrival of the call that grants or renews it, which is not before the call is made.
@@ -92,9 +99,10 @@
     writes.push_back({ key_, formatMember(self_), std::nullopt, lease });
     co_await store_.transact(std::move(writes));
     lease_ = lease;
+    term_ += LockTermId(1);
     termEnd_ = calledAt + leaseTerm;
     answeredAt_ = SteadyClock().now();
-    leaseLog.info("Instance entry written.", { { "key", key_ }, { "lease", lease } });
+    leaseLog.info("Instance entry written.", { { "key", key_ }, { "lease", lease.number }, { "store_era", lease.era } });
 }
 
 std::string formatMember(const Member& member)
--- a/Libraries/LibPlatform/InstanceLease.h
+++ b/Libraries/LibPlatform/InstanceLease.h
@@ -22,7 +22,13 @@
     /// Removes the entry.
     Task<void> leave();
 
-    /// The lease, and until when the store certainly keeps what is written under it; unset without a lease, and once the
+    /// How long after its last renewal the store keeps what is written under the lease.
+    static constexpr Duration leaseTerm = std::chrono::milliseconds(4500);
+
+    /// The lease; unset if there is none, or if the store has lost it by coming back from an older copy.
+    std::optional<LeaseId> lease() const;
+
+    /// The term of the lease, and until when the store certainly keeps what is written under it; unset without a lease, and once the
     /// instance is leaving.
     std::optional<LockTerm> term() const;
 
@@ -37,6 +43,7 @@
     std::string key_;
     Member self_;
     std::optional<LeaseId> lease_;
+    LockTermId term_;
     TimePoint termEnd_ {};
     std::optional<TimePoint> answeredAt_;
     bool isLeaving_ { false };
--- a/Libraries/LibPlatform/StoreClient.h
+++ b/Libraries/LibPlatform/StoreClient.h
@@ -3,12 +3,16 @@
 #include <LibConfiguration/Settings.h>
 #include <LibCore/Error.h>
 #include <LibCore/Quantity.h>
+#include <LibCore/Revision.h>
 #include <LibKernel/Asio.h>
 #include <LibKernel/PluginRegistry.h>
 
+#include <compare>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Ibisturn {
@@ -26,8 +30,13 @@
     std::vector<StoreEntry> entries;
 };
 
-/// A lease of the store; keys attached to it are deleted when it expires.
-using LeaseId = Quantity<struct LeaseTag, std::int64_t>;
+/// A lease of the store; keys attached to it are deleted when it expires. It ends with the era in which it was granted.
+struct LeaseId {
+    std::int64_t number { 0 };
+    StoreEra era {};
+
+    constexpr auto operator<=>(const LeaseId&) const = default;
+};
 
 /// A change of one key. It takes effect only if the key's revision is `expected`: zero requires that the key does not exist,
 /// and unset allows any.
@@ -69,11 +78,11 @@
     TimePoint asOf {};
 };
 
-/// The store has compacted the changes that a watch was to start with.
-class HistoryCompacted final : public Error {
+/// The store no longer has the changes that a watch was to start with, or has come back from an older copy that never had them.
+class HistoryUnavailable final : public Error {
 public:
-    HistoryCompacted()
-        : Error(ResultCode::StoreUnavailable, Ran::No, "The store no longer has the changes that the watch starts with")
+    explicit HistoryUnavailable(std::string reason)
+        : Error(ResultCode::StoreUnavailable, Ran::No, std::move(reason))
     {
     }
 };
@@ -84,26 +93,30 @@
 public:
     virtual ~StoreClient() = default;
 
-    /// Reads all entries below `prefix`. Throws Error with StoreUnavailable.
+    /// The newest era in which the store has answered; always the first one for a store that never comes back from an older copy.
+    virtual StoreEra era() const { return {}; }
+
+    /// Reads all entries below `prefix`, all in one era. Throws Error with StoreUnavailable.
     virtual Task<StoreRange> range(std::string prefix) = 0;
 
-    /// Writes all of `writes` or none. Throws Error with StoreUnavailable if nothing was written and with
-    /// WriteOutcomeUnknown if the reply was lost.
+    /// Writes all of `writes` or none. A write that expects a revision of an earlier era conflicts, and one under a lease of an earlier
+    /// era fails.
+    /// Throws Error with StoreUnavailable if nothing was written and with WriteOutcomeUnknown if the reply was lost.
     virtual Task<StoreWriteResult> transact(std::vector<StoreWrite> writes) = 0;
 
     /// Grants a lease that expires after `timeToLive`. Throws Error with StoreUnavailable.
     virtual Task<LeaseId> grantLease(Duration timeToLive) = 0;
 
-    /// Renews a lease. Throws Error with RecordNotFound if it has ended, and with StoreUnavailable.
+    /// Renews a lease. Throws Error with RecordNotFound if it has ended, also with its era, and with StoreUnavailable.
     virtual Task<void> renewLease(LeaseId lease) = 0;
 
     /// Ends a lease and removes its keys. Throws Error with StoreUnavailable.
     virtual Task<void> endLease(LeaseId lease) = 0;
 
-    /// Passes on changes below `prefix` starting at revision `from` until the watch breaks; then throws Error, or
-    /// HistoryCompacted. Without changes, `onChanges` is called soon after the start and then about once in `confirmationPeriod`,
+    /// Passes on the changes below `prefix` after revision `after` until the watch breaks; then throws Error, or
+    /// HistoryUnavailable. Without changes, `onChanges` is called soon after the start and then about once in `confirmationPeriod`,
     /// if the store can confirm that there are none. An exception from `onChanges` ends the watch.
-    virtual Task<void> watch(std::string prefix, Revision from, Duration confirmationPeriod, std::function<void(StoreChanges)> onChanges) = 0;
+    virtual Task<void> watch(std::string prefix, Revision after, Duration confirmationPeriod, std::function<void(StoreChanges)> onChanges) = 0;
 };
 
 using StoreClientRegistry = PluginRegistry<StoreClient, const Settings&>;
--- a/Plugins/EtcdStoreClient.cpp
+++ b/Plugins/EtcdStoreClient.cpp
@@ -51,7 +51,7 @@
     const auto key = encodeBase64(plainKey);
     if (expected == Revision(0))
         return { { "key", key }, { "target", "CREATE" }, { "result", "EQUAL" }, { "create_revision", "0" } };
-    return { { "key", key }, { "target", "MOD" }, { "result", "EQUAL" }, { "mod_revision", std::to_string(expected.count()) } };
+    return { { "key", key }, { "target", "MOD" }, { "result", "EQUAL" }, { "mod_revision", std::to_string(expected.number()) } };
 }
 
 nlohmann::json makeOperation(const StoreWrite& write)
@@ -61,7 +61,7 @@
         return { { "request_delete_range", { { "key", key } } } };
     nlohmann::json put { { "key", key }, { "value", encodeBase64(*write.value) } };
     if (write.lease)
-        put["lease"] = std::to_string(write.lease->count());
+        put["lease"] = std::to_string(write.lease->number);
     return { { "request_put", std::move(put) } };
 }
 
@@ -147,12 +147,12 @@
         const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(timeToLive).count();
         const nlohmann::json body { { "TTL", std::to_string(seconds) } };
         const nlohmann::json reply = co_await call("/v3/lease/grant", body.dump(), ResultCode::StoreUnavailable);
-        co_return LeaseId(readRevision(reply, "ID").count());
+        co_return LeaseId { readRevision(reply, "ID").number() };
     }
 
     Task<void> renewLease(LeaseId lease) override
     {
-        const nlohmann::json body { { "ID", std::to_string(lease.count()) } };
+        const nlohmann::json body { { "ID", std::to_string(lease.number) } };
         const nlohmann::json reply = co_await call("/v3/lease/keepalive", body.dump(), ResultCode::StoreUnavailable);
         const auto result = reply.find("result");
         if (result == reply.end() || readRevision(*result, "TTL") == Revision(0))
@@ -161,13 +161,13 @@
 
     Task<void> endLease(LeaseId lease) override
     {
-        const nlohmann::json body { { "ID", std::to_string(lease.count()) } };
+        const nlohmann::json body { { "ID", std::to_string(lease.number) } };
         co_await call("/v3/lease/revoke", body.dump(), ResultCode::StoreUnavailable);
     }
 
-    Task<void> watch(std::string prefix, Revision from, Duration /*confirmationPeriod*/, std::function<void(StoreChanges)> onChanges) override
+    Task<void> watch(std::string prefix, Revision after, Duration /*confirmationPeriod*/, std::function<void(StoreChanges)> onChanges) override
     {
-        const nlohmann::json body { { "create_request", { { "key", encodeBase64(prefix) }, { "range_end", encodeBase64(endOfPrefix(prefix)) }, { "start_revision", std::to_string(from.count()) }, { "progress_notify", true } } } };
+        const nlohmann::json body { { "create_request", { { "key", encodeBase64(prefix) }, { "range_end", encodeBase64(endOfPrefix(prefix)) }, { "start_revision", std::to_string(after.next().number()) }, { "progress_notify", true } } } };
         HttpCall request = makeCall("/v3/watch", body.dump());
         request.timeout = watchTimeout;
         std::function<void(std::string_view)> onLine = [&onChanges](std::string_view line) { onChanges(readWatchLine(line)); };
--- a/Programs/ibisturn/ControlCommand.cpp
+++ b/Programs/ibisturn/ControlCommand.cpp
@@ -104,7 +104,7 @@
     auto changes = nlohmann::json::array();
     for (const auto& edit : edits) {
         auto record = edit.after ? nlohmann::json::parse(*edit.after) : nlohmann::json(nullptr);
-        changes.push_back({ { "kind", edit.name.kind }, { "name", edit.name.name }, { "record", std::move(record) }, { "revision", edit.currentRevision.count() } });
+        changes.push_back({ { "kind", edit.name.kind }, { "name", edit.name.name }, { "record", std::move(record) }, { "revision", edit.currentRevision.number() } });
     }
     auto call = makeCall(options, "POST", "/v1/changes");
     call.headers.push_back({ "Idempotency-Key", generateChangeId() });
--- a/Programs/ibisturn/FleetControlPlane.cpp
+++ b/Programs/ibisturn/FleetControlPlane.cpp
@@ -204,7 +204,8 @@
     storeFeed_.setReportPeriod(statusExchange_.period());
     storeFeed_.advance(now, statusExchange_.rank(), fleetState_.positions());
     fleetState_.setConfirmedAt(storeFeed_.confirmedAt());
-    const bool isFollowing = storeFeed_.isFollowing() || !fleetState_.isComplete();
+    // Every instance lists the store itself after it has come back from an older copy.
+    const bool isFollowing = storeFeed_.isFollowing() || !fleetState_.isComplete() || fleetState_.isBehindEra(store_.era());
     for (const auto& follower : followers_)
         follower->setSuspended(!isFollowing);
     // The instance may know nothing of the latest changes while the store serves all others, so that no entry expires.
@@ -266,7 +267,8 @@
     const auto size = std::max(view.instances.size(), fleetState_.fleetSize());
     tables_.serviceRetries.setInstances(size);
     tables_.allowance.setInstanceCount(size);
-    if (view.instances.size() > fleetState_.fleetSize() && view.instances.front().id == own.id && now >= nextFleetSizeWrite_) {
+    const bool isSizeUnknownToStore = view.instances.size() > fleetState_.fleetSize() || fleetState_.fleetSize() > fleetState_.storedFleetSize();
+    if (isSizeUnknownToStore && view.instances.front().id == own.id && now >= nextFleetSizeWrite_) {
         nextFleetSizeWrite_ = now + fleetSizeWritePeriod;
         spawnDetached(context_, storeFleetSize(size), "fleet size");
     }
@@ -276,23 +278,29 @@
 
 void FleetControlPlane::lockColdServers(TimePoint now)
 {
+    if (const auto era = store_.era(); era != storeEra_) {
+        fleetLog.info("The store is in a new era.", { { "store_era", era }, { "before", storeEra_ } });
+        // A process that has just started can't tell how long ago the era began.
+        coldServerLocks_.onLocksLost(now, InstanceLease::leaseTerm);
+        storeEra_ = era;
+    }
     coldServerLocks_.setTerm(lease_.term());
     const auto cold = tables_.placement.with([&](PlacementTable& table) {
         table.setColdServersHeld(coldServerLocks_.held());
         return table.coldServers(now);
     });
     for (auto& server : coldServerLocks_.advance(now, cold))
-        spawnDetached(context_, lockColdServer(std::move(server), *coldServerLocks_.term()), "cold server lock");
+        spawnDetached(context_, lockColdServer(std::move(server), *lease_.lease(), *coldServerLocks_.term()), "cold server lock");
     auto stale = coldServerLocks_.takeStale(now);
     if (!stale.empty())
         spawnDetached(context_, deleteLocks(std::move(stale)), "lock deletion");
 }
 
-Task<void> FleetControlPlane::lockColdServer(BackendServerId server, LockTermId term)
+Task<void> FleetControlPlane::lockColdServer(BackendServerId server, LeaseId lease, LockTermId term)
 {
-    const auto holder = fmt::format("{} {}", tables_.settings.identity.instance, incarnation_);
+    const auto holder = fmt::format("{} {} {}@{}", tables_.settings.identity.instance, incarnation_, lease.number, lease.era);
     std::vector<StoreWrite> writes;
-    writes.push_back({ coldLockKeyOf(tables_.settings.storePrefix, server), holder, Revision(0), LeaseId(term.count()) });
+    writes.push_back({ coldLockKeyOf(tables_.settings.storePrefix, server), holder, Revision(0), lease });
     LockAttempt attempt;
     std::string reason;
     try {
@@ -309,7 +317,7 @@
     } catch (const std::exception& error) {
         reason = error.what();
     }
-    fleetLog.info("Lock of a cold backend server.", { { "server", server }, { "held", attempt.outcome == LockOutcome::Held }, { "lease", term }, { "reason", reason } });
+    fleetLog.info("Lock of a cold backend server.", { { "server", server }, { "held", attempt.outcome == LockOutcome::Held }, { "lease", lease.number }, { "store_era", lease.era }, { "reason", reason } });
     coldServerLocks_.onAttempt(SteadyClock().now(), server, term, attempt);
 }
 
@@ -331,10 +339,12 @@
 {
     auto& quarantine = tables_.quarantine;
     for (const auto& change : fleetState_.takeQuarantineChanges()) {
-        if (change.isQuarantined)
+        if (change.entry == QuarantineEntry::Written)
             quarantine.onStored(now, change.part);
-        else
+        else if (change.entry == QuarantineEntry::Deleted)
             quarantine.onDeleted(change.part);
+        else
+            quarantine.onLost(now, change.part);
     }
     for (const auto& part : quarantine.advance(now))
         fleetLog.warning("Backend servers crash on a prompt part; it is quarantined.", { { "part", formatPart(part) }, { "crashes", quarantine.describeCrashes(now, part) } });
@@ -369,7 +379,8 @@
     metrics.set("ibisturn_instances_live", static_cast<double>(live));
     metrics.set("ibisturn_backend_servers_usable", static_cast<double>(fleetState_.registry().usable().size()));
     metrics.set("ibisturn_backend_servers_restart_suspected", static_cast<double>(tables_.placement.with([now](PlacementTable& table) { return table.suspectedRestarts(now); })));
-    metrics.set("ibisturn_configuration_revision", appliedSnapshot_ ? static_cast<double>(appliedSnapshot_->revision().count()) : 0);
+    metrics.set("ibisturn_configuration_revision", appliedSnapshot_ ? static_cast<double>(appliedSnapshot_->revision().number()) : 0);
+    metrics.set("ibisturn_store_era", static_cast<double>(store_.era().count()));
     metrics.set("ibisturn_store_away_seconds", unavailableSince ? std::chrono::duration<double>(now - *unavailableSince).count() : 0);
 }
 
--- a/Programs/ibisturn/FleetControlPlane.h
+++ b/Programs/ibisturn/FleetControlPlane.h
@@ -57,7 +57,7 @@
     void requestStoreUpdates(TimePoint now);
     void send(const PeerAction& action);
     Task<void> storeFleetSize(std::size_t size);
-    Task<void> lockColdServer(BackendServerId server, LockTermId term);
+    Task<void> lockColdServer(BackendServerId server, LeaseId lease, LockTermId term);
     Task<void> storeQuarantine(ServicePart part);
     Task<void> deleteLocks(std::vector<StoredLock> locks);
     LocalStatus localStatus(TimePoint now) const;
@@ -69,6 +69,8 @@
     FleetState fleetState_;
     Incarnation incarnation_;
     InstanceLease lease_;
+    /// The era of the store as last seen; the first one before the store has answered.
+    StoreEra storeEra_;
     ColdServerLocks coldServerLocks_;
     ControlLinks links_;
     std::vector<std::unique_ptr<EntryFollower>> followers_;
--- a/Tests/LibDecision/BackendRegistryTest.cpp
+++ b/Tests/LibDecision/BackendRegistryTest.cpp
@@ -167,4 +167,62 @@
     EXPECT_EQ(registry.version(), before);
 }
 
+// A store that has come back from an older copy may have the entry that a leaving server wrote before.
+TEST(BackendRegistry, AnEntryOfAnOlderCopyDoesNotReviveALeavingServer)
+{
+    BackendRegistry registry;
+    registry.onEntry(at(0s), server("a", 1));
+    auto leaving = server("a", 3);
+    leaving.state = RegistrationState::Draining;
+    registry.onEntry(at(1s), leaving);
+    EXPECT_FALSE(registry.onEntry(at(2s), server("a", 2), EntryOrigin::OlderCopy));
+    EXPECT_EQ(usableAfter(registry, 2s), 0U);
+    EXPECT_EQ(usableAfter(registry, 60s), 0U);
+    // A later process of the server.
+    auto restarted = server("a", 1);
+    restarted.started = StartTime(2000);
+    registry.onEntry(at(61s), restarted, EntryOrigin::OlderCopy);
+    EXPECT_EQ(usableAfter(registry, 61s), 1U);
+}
+
+TEST(BackendRegistry, AnEntryOfAnOlderCopyRevivesARemovedServerOnlyIfItLasts)
+{
+    BackendRegistry registry;
+    registry.onEntry(at(0s), server("gone", 5));
+    registry.onEntry(at(0s), server("lapsed", 5));
+    registry.onRemoved(at(1s), BackendServerId("gone"));
+    registry.onRemoved(at(1s), BackendServerId("lapsed"));
+    EXPECT_EQ(usableAfter(registry, 8s), 0U);
+    registry.onEntry(at(9s), server("gone", 5), EntryOrigin::OlderCopy);
+    registry.onEntry(at(9s), server("lapsed", 4), EntryOrigin::OlderCopy);
+    EXPECT_EQ(usableAfter(registry, 10s), 0U);
+    // Nobody renews the entry of the server that is gone.
+    registry.onRemoved(at(13s), BackendServerId("gone"));
+    EXPECT_EQ(usableAfter(registry, 30s), 1U);
+    EXPECT_EQ(registry.usable().front().server.id, BackendServerId("lapsed"));
+}
+
+TEST(BackendRegistry, AServerThatWritesItsEntryAgainIsUsedAtOnce)
+{
+    BackendRegistry registry;
+    registry.onEntry(at(0s), server("a", 5));
+    registry.onRemoved(at(1s), BackendServerId("a"));
+    EXPECT_EQ(usableAfter(registry, 8s), 0U);
+    registry.onEntry(at(9s), server("a", 5), EntryOrigin::OlderCopy);
+    registry.onEntry(at(9500ms), server("a", 6));
+    EXPECT_EQ(usableAfter(registry, 9500ms), 1U);
+}
+
+TEST(BackendRegistry, AServerThatAnOlderCopyLacksIsUsedUntilItHasHadTimeToWriteItsEntryAgain)
+{
+    BackendRegistry registry;
+    registry.onEntry(at(0s), server("a"));
+    registry.onEntry(at(0s), server("b"));
+    registry.onRemoved(at(5s), BackendServerId("a"), EntryOrigin::OlderCopy);
+    registry.onRemoved(at(5s), BackendServerId("b"), EntryOrigin::OlderCopy);
+    EXPECT_EQ(usableAfter(registry, 5s + RemovalLimits().recoveryGrace - 1ms), 2U);
+    registry.onEntry(at(6900ms), server("b", 2));
+    EXPECT_EQ(usableAfter(registry, 5s + RemovalLimits().recoveryGrace), 1U);
+}
+
 } // namespace Ibisturn::Testing
--- a/Tests/LibDecision/ChangePlanTest.cpp
+++ b/Tests/LibDecision/ChangePlanTest.cpp
@@ -42,7 +42,7 @@
             if ((found == entries_.end() ? Revision(0) : found->second.revision) != write.expected)
                 return false;
         }
-        revision_ = revision_ + Revision(1);
+        revision_ = revision_.next();
         for (const auto& write : change.writes) {
             if (write.value)
                 entries_[write.key] = { write.key, *write.value, revision_ };
--- a/Tests/LibDecision/ColdServerScheduleTest.cpp
+++ b/Tests/LibDecision/ColdServerScheduleTest.cpp
@@ -45,10 +45,12 @@
     IgnoreEndOfTerm,
     /// Requests are not checked again when their connection is ready.
     IgnoreConfirmation,
+    /// Instances lock a server at once after the store has lost the locks of others.
+    IgnoreLostLocks,
 };
 
 /// Instances that send as many requests as they may to cold backend servers, while instances are stopped, started, killed and
-/// frozen, see different members, and lose replies of the store, which is unavailable at times.
+/// frozen, see different members, and lose replies of the store, which is unavailable at times and comes back from an older copy.
 class ColdServerSimulation {
 public:
     ColdServerSimulation(std::uint64_t seed, Mutation mutation)
@@ -93,6 +95,7 @@
     struct Call {
         TimePoint arrivesAt;
         BackendServerId server;
+        LeaseId lease;
         LockTermId term;
     };
     struct Instance {
@@ -102,6 +105,9 @@
         ColdServerLocks locks;
         PlacementTable table { region };
         std::optional<LeaseId> lease;
+        std::int64_t leases { 0 };
+        /// The store's era as the instance knows it.
+        StoreEra era;
         TimePoint leaseEnd {};
         TimePoint nextRenewal {};
         bool isDraining { false };
@@ -148,6 +154,11 @@
         }
         if (chance(0.002))
             storeDownUntil_ = now_ + randomDuration(4s);
+        if (chance(0.001)) {
+            const auto kept = static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(store_.revision().number() + 1));
+            store_.restore(now_, Revision(kept, store_.era()));
+            storeDownUntil_ = now_ + randomDuration(2s);
+        }
         auto& instance = instances_[random_() % instanceCount];
         const auto index = static_cast<std::size_t>(&instance - instances_.data());
         if (chance(0.004))
@@ -186,12 +197,12 @@
         renew(instance);
         std::optional<LockTerm> term;
         if (instance.lease && !instance.isDraining)
-            term = LockTerm { LockTermId(instance.lease->count()), mutation_ == Mutation::IgnoreEndOfTerm ? TimePoint::max() : instance.leaseEnd };
+            term = LockTerm { LockTermId(instance.leases), mutation_ == Mutation::IgnoreEndOfTerm ? TimePoint::max() : instance.leaseEnd };
         instance.locks.setTerm(term);
         answerCalls(instance);
         const auto cold = instance.table.coldServers(now_);
         for (auto& server : instance.locks.advance(now_, cold))
-            instance.calls.push_back({ now_ + randomDuration(150ms), server, *instance.locks.term() });
+            instance.calls.push_back({ now_ + randomDuration(150ms), server, *instance.lease, *instance.locks.term() });
         auto held = instance.locks.held();
         if (mutation_ == Mutation::WithoutLocks) {
             for (const auto& server : cold)
@@ -208,9 +219,14 @@
         if (instance.isDraining || now_ < instance.nextRenewal || !reachesStore(instance))
             return;
         instance.nextRenewal = now_ + renewalPeriod;
-        const bool isKept = instance.lease && !ended_.contains(*instance.lease) && store_.renew(now_, *instance.lease);
-        if (!isKept)
+        if (instance.era != store_.era() && mutation_ != Mutation::IgnoreLostLocks)
+            instance.locks.onLocksLost(now_, leaseTerm);
+        instance.era = store_.era();
+        const bool isKept = instance.lease && instance.lease->era == store_.era() && !ended_.contains(*instance.lease) && store_.renew(now_, *instance.lease);
+        if (!isKept) {
             instance.lease = store_.grant(now_, leaseTerm);
+            ++instance.leases;
+        }
         instance.leaseEnd = now_ + leaseTerm;
     }
 
@@ -232,15 +248,16 @@
 
     LockAttempt write(const Instance& instance, const Call& call)
     {
-        const LeaseId lease(call.term.count());
+        const auto lease = call.lease;
         const auto key = "locks/" + call.server.value();
         const auto current = store_.list(key, store_.revision());
+        const auto holder = fmt::format("{}/{}", instance.process, lease.number);
         if (!current.empty())
-            return current.front().value == instance.process ? LockAttempt { LockOutcome::Held, current.front().revision } : LockAttempt { LockOutcome::HeldByOther, {} };
-        if (ended_.contains(lease) || !store_.renew(now_, lease))
+            return current.front().value == holder ? LockAttempt { LockOutcome::Held, current.front().revision } : LockAttempt { LockOutcome::HeldByOther, {} };
+        if (lease.era != store_.era() || ended_.contains(lease) || !store_.renew(now_, lease))
             return {};
         leaseOf_[key] = lease;
-        return { LockOutcome::Held, store_.put(key, instance.process, lease) };
+        return { LockOutcome::Held, store_.put(key, holder, lease) };
     }
 
     void send(Instance& instance)
@@ -321,6 +338,11 @@
     EXPECT_TRUE(isDetected(Mutation::IgnoreEndOfTerm));
 }
 
+TEST(ColdServerSchedule, DetectsServersLockedAgainBeforeTheHoldersOfLostLocksKnow)
+{
+    EXPECT_TRUE(isDetected(Mutation::IgnoreLostLocks));
+}
+
 TEST(ColdServerSchedule, DetectsRequestsThatAreNotCheckedBeforeTheyAreSent)
 {
     EXPECT_TRUE(isDetected(Mutation::IgnoreConfirmation));
--- a/Tests/LibDecision/ConfigurationWorld.h
+++ b/Tests/LibDecision/ConfigurationWorld.h
@@ -95,7 +95,7 @@
     Revision write(const std::string& name, const std::optional<std::string>& value)
     {
         const auto previous = commits_.rbegin()->first;
-        position_ = position_ + Revision(static_cast<std::int64_t>(1 + pick(3)));
+        position_ = Revision(position_.number() + static_cast<std::int64_t>(1 + pick(3)));
         auto records = commits_.rbegin()->second.records;
         const auto key = "/i/records/keys/" + name;
         if (value)
--- a/Tests/LibDecision/StoreFeedTest.cpp
+++ b/Tests/LibDecision/StoreFeedTest.cpp
@@ -110,4 +110,22 @@
     EXPECT_FALSE(feed.sourceOf(at(9s), { Revision(5), Revision(8) }));
 }
 
+// All instances taking a full copy from the one that follows the store would take many times as long as listing the store.
+TEST(StoreFeed, InstancesHaveTimeToListAStoreThatCameBackThemselves)
+{
+    StoreFeed feed(at(0s));
+    const std::vector<Revision> own { Revision(500) };
+    feed.onStatus(at(0s), at(0s), first, 0, { true, 100ms, { Revision(500) } });
+    const auto status = StoreFeedStatus { true, 100ms, { Revision(40, StoreEra(1)) } };
+    Duration time = 1s;
+    for (; time < 2900ms; time += 100ms) {
+        feed.onStatus(at(time), at(time), first, 0, status);
+        feed.advance(at(time), 1, own);
+        EXPECT_FALSE(feed.sourceOf(at(time), own));
+    }
+    feed.onStatus(at(3100ms), at(3100ms), first, 0, status);
+    EXPECT_EQ(feed.sourceOf(at(3100ms), own), first);
+    EXPECT_EQ(feed.sourceOf(at(3400ms), { Revision(40, StoreEra(1)) }), std::nullopt);
+}
+
 } // namespace Ibisturn::Testing
--- a/Tests/LibDecision/StoreMirrorTest.cpp
+++ b/Tests/LibDecision/StoreMirrorTest.cpp
@@ -86,4 +86,24 @@
     });
 }
 
+// Guards against a store that came back from an older copy and whose changes were taken for old ones, since their revisions are lower.
+TEST(StoreMirror, ALaterEraComesBeforeAHigherNumber)
+{
+    StoreMirror mirror;
+    mirror.apply(written("a/x", 50));
+    mirror.apply(written("a/lost", 49));
+    const auto back = [](const std::string& key, std::int64_t number) { return RecordChange { key, "new", Revision(number, StoreEra(1)) }; };
+    const auto newChanges = mirror.applyListing("a/", Revision(30, StoreEra(1)), { back("a/x", 20) });
+    ASSERT_EQ(newChanges.size(), 2U);
+    EXPECT_EQ(mirror.find("a/x")->value, "new");
+    EXPECT_TRUE(newChanges[0].isFromOlderCopy());
+    EXPECT_FALSE(mirror.find("a/lost")->value);
+    EXPECT_TRUE(newChanges[1].isFromOlderCopy());
+    EXPECT_EQ(newChanges[1].previous->revision, Revision(49));
+    const auto next = mirror.apply(back("a/x", 31));
+    ASSERT_TRUE(next);
+    EXPECT_FALSE(next->isFromOlderCopy());
+    EXPECT_FALSE(mirror.apply(written("a/x", 60)));
+}
+
 } // namespace Ibisturn::Testing
--- a/Tests/LibPlatform/FleetScheduleTest.cpp
+++ b/Tests/LibPlatform/FleetScheduleTest.cpp
@@ -31,7 +31,11 @@
 /// Suppresses the log, since each schedule would write thousands of lines.
 class FleetSchedule : public testing::Test {
 protected:
-    void SetUp() override { setLogLevel(LogLevel::Error); }
+    void SetUp() override
+    {
+        if (!std::getenv("FLEET_LOG"))
+            setLogLevel(LogLevel::Error);
+    }
     void TearDown() override { setLogLevel(LogLevel::Info); }
 };
 
@@ -57,6 +61,11 @@
     EXPECT_TRUE(isDetected(FleetMutation::IgnoreUnavailableStore));
 }
 
+TEST_F(FleetSchedule, DetectsRevisionsOrderedWithoutTheErasOfTheStore)
+{
+    EXPECT_TRUE(isDetected(FleetMutation::IgnoreEras));
+}
+
 TEST_F(FleetSchedule, DetectsThatPeersAreNotQueried)
 {
     EXPECT_TRUE(isDetected(FleetMutation::NeverQueryPeers));
--- a/Tests/Model/FleetSimulation.h
+++ b/Tests/Model/FleetSimulation.h
@@ -24,12 +24,14 @@
     IgnoreUnavailableStore,
     /// Peers are never queried.
     NeverQueryPeers,
+    /// Revisions are ordered by their numbers alone, although the store comes back from older copies.
+    IgnoreEras,
 };
 
 /// Simulates, in virtual time, the store, backend servers that renew their entries, an operator who changes the
 /// configuration, and instances that follow the store with the product's own code. Seeded faults: the store is unavailable
 /// to all or some instances, leases expire meanwhile, history is compacted, reads are stale, watches are slow, replies are
-/// lost, links between instances are cut, instances freeze and restart, servers leave and crash.
+/// lost, links between instances are cut, instances freeze and restart, servers leave and crash, the store comes back from an older copy.
 /// Thread safety: one thread.
 class FleetSimulation {
 public:
@@ -63,19 +65,27 @@
         /// Since when it follows the store without a fault, and since when it can get updates from peers that do.
         TimePoint followsStoreSince {};
         TimePoint reachesPeersSince {};
-        Revision configuration;
+        /// The number of the configuration in force; zero before the first.
+        std::size_t configuration { 0 };
         std::set<std::string> everUsable;
+        /// Servers that it has used, and of whose leaving it has had the time to learn.
+        std::set<std::string> knownToLeave;
     };
     struct Server {
         std::optional<LeaseId> lease;
         TimePoint nextHeartbeat {};
         std::optional<TimePoint> leavingSince;
         std::optional<TimePoint> crashedAt;
+        std::int64_t sequence { 0 };
     };
     struct Change {
         TimePoint at;
         Revision revision;
     };
+    /// A configuration, named by its position from one, and when the store acknowledged it for the last time.
+    struct Configuration {
+        TimePoint at;
+    };
 
     bool chance(double probability) { return std::uniform_real_distribution<>(0, 1)(random_) < probability; }
     Duration randomDuration(Duration max) { return Duration(static_cast<Duration::rep>(std::uniform_real_distribution<>(0, 1)(random_) * static_cast<double>(max.count()))); }
@@ -87,6 +97,10 @@
 
     void start(std::size_t index);
     void injectFaults();
+    void restoreStore();
+    void writeConfiguration();
+    void writeEntry(const std::string& key, Server& server);
+    std::size_t configurationOf(const Instance& instance) const;
     void applyOperatorChanges();
     void sendHeartbeats();
     void advanceWatches(Instance& instance);
@@ -105,7 +119,10 @@
     TimePoint now_;
     TimePoint storeDownUntil_ {};
     TimePoint storeLastDownAt_ {};
+    TimePoint storeLastReturnedAt_ {};
     bool doLeasesExpire_ { false };
+    /// When the operator writes again what the store has lost; unset if it has lost nothing.
+    std::optional<TimePoint> operatorWritesAgainAt_;
     TimePoint partitionedUntil_ {};
     std::set<std::size_t> partition_;
     std::vector<Instance> instances_;
@@ -113,7 +130,7 @@
     std::size_t serverCount_ { 0 };
     /// The store's revision at each step, for stale reads.
     std::vector<Change> revisions_;
-    std::vector<Change> configurations_;
+    std::vector<Configuration> configurations_;
     std::string violation_;
 };
 
--- a/Tests/Model/StoreModel.h
+++ b/Tests/Model/StoreModel.h
@@ -11,7 +11,8 @@
 
 namespace Ibisturn::Model {
 
-/// The platform's store in virtual time: revisions, leases, a history that can be compacted, and reads at an older revision.
+/// The platform's store in virtual time: revisions, leases, a history that can be compacted, reads at an older revision, and a return
+/// from an older copy.
 /// Thread safety: one thread.
 class StoreModel {
 public:
@@ -36,25 +37,46 @@
     /// Drops the history so far, so that watches can't start before the present revision.
     void compact() { compactedRevision_ = revision(); }
 
+    /// Goes back to how the store was at `revision` of the present era, and begins the next one. Leases that were granted later are gone, the
+    /// others run anew from `now`.
+    void restore(TimePoint now, Revision revision);
+
+    /// Hides the eras from those who read, as if the store did not tell them.
+    void hideEras() { areErasHidden_ = true; }
+
+    StoreEra era() const { return areErasHidden_ ? StoreEra() : era_; }
+
     /// The revision of the last change.
-    Revision revision() const { return Revision(static_cast<std::int64_t>(history_.size())); }
+    Revision revision() const { return Revision(static_cast<std::int64_t>(history_.size()), era()); }
 
     /// All entries below `prefix` as they were at `position`.
     std::vector<RecordChange> list(const std::string& prefix, Revision position) const;
 
     /// The changes below `prefix` after revision `after`, up to and including `upTo`; nothing if some of that history has been
-    /// compacted.
+    /// compacted, or is of another era.
     std::optional<std::vector<RecordChange>> changes(const std::string& prefix, Revision after, Revision upTo) const;
 
 private:
     struct Lease {
         Duration timeToLive {};
         TimePoint expiresAt;
+        /// How many changes there were when it was granted.
+        std::size_t grantedAfter { 0 };
+        /// How many there were when it expired; unset while it lasts. A copy made before has it.
+        std::optional<std::size_t> endedAfter;
         std::vector<std::string> keys;
     };
 
+    struct Written {
+        RecordChange change;
+        std::optional<LeaseId> lease;
+    };
+    RecordChange withEra(const RecordChange& change) const { return { change.key, change.value, Revision(change.revision.number(), era()) }; }
+
     /// One change for each revision.
-    std::vector<RecordChange> history_;
+    std::vector<Written> history_;
+    StoreEra era_;
+    bool areErasHidden_ { false };
     Revision compactedRevision_;
     std::map<LeaseId, Lease> leases_;
     std::map<std::string, LeaseId> leaseByKey_;
--- a/Tests/Process/FleetTest.sh
+++ b/Tests/Process/FleetTest.sh
@@ -201,6 +201,28 @@
 put op/config "$(configuration 9 '["guide-key","last-key"]')"
 await "the store is not followed again" eval 'KEY=last-key answers omaheke /seats/9 last-1 200'
 
+# The store comes back from an older copy. What it had acknowledged stays in force, and what it acknowledges from then on comes into
+# force, although its revisions are lower than those seen before.
+for version in 10 11 12 13; do put op/config "$(configuration $version '["guide-key","last-key"]')"; done
+store_faults '{"copy":true}'
+for version in 14 15 16; do put op/config "$(configuration $version '["guide-key","late-key"]')"; done
+await "the configuration before the return is not in force" eval 'KEY=late-key answers khomas /seats/10 late-1 200'
+await "the configuration before the return is not in force in the other region" eval 'KEY=late-key answers omaheke /seats/10 late-2 200'
+store_faults '{"down":true}'
+sleep 1
+store_faults '{"restore":true,"down":false}'
+for count in $(seq 10); do
+    sleep 0.2
+    expect "a key of the configuration that the store has lost" '^200$' "$(KEY=late-key send_request khomas /seats/11 "kept-$count")"
+    expect "a key of the configuration that the store has lost, in the other region" '^200$' "$(KEY=late-key send_request omaheke /seats/11 "kept-far-$count")"
+    expect "a key that a lost configuration withdrew" '^401$' "$(KEY=last-key send_request khomas /seats/11 "withdrawn-$count")"
+done
+put op/config "$(configuration 16 '["guide-key","late-key"]')"
+put op/config "$(configuration 17 '["guide-key","newest-key"]')"
+await "the configuration after the return is not in force" eval 'KEY=newest-key answers khomas /seats/12 newest-1 200'
+await "the configuration after the return is not in force in the other region" eval 'KEY=newest-key answers omaheke /seats/12 newest-2 200'
+expect "a key that was withdrawn after the return" '^401$' "$(KEY=late-key send_request khomas /seats/13 "withdrawn-again")"
+
 # A draining instance is removed from the directory and completes the requests that it has accepted.
 send_request omaheke /stream/9 drained-1 -d prompt >"$WORK/drained" &
 drained=$!
@@ -230,11 +252,13 @@
 expect_log_line 'request: Attempt failed\. request=lost-1 place=app-k code=outcome_unknown ran=unknown refused=false next=end service=app '
 expect_log_line 'caller: Request failed\. request=lost-1 code=outcome_unknown ran=unknown '
 expect_log_line 'store: Store lost\. prefix=op/ reason='
+expect_log_line 'fleet: The store came back from an older copy\. prefix=op/ known=[0-9]+@1 position=[0-9]+@2 configuration_version=16'
+expect_log_line 'fleet: Configuration of an older copy not taken\. revision=[0-9]+@2 version=13 in_force=[0-9]+@1 version_in_force=16'
 expect_log_line 'store: Store regained\. prefix=op/ revision=[0-9]+'
 
 curl -sS "http://$khomas_metrics/metrics" >"$WORK/metrics"
 for metric in 'ibisturn_requests_total\{result="ok"\}' 'ibisturn_attempts_failed_total\{result="outcome_unknown"\}' 'ibisturn_request_seconds_bucket\{le="0\.1"\}' \
-    'ibisturn_first_part_seconds_count' 'ibisturn_instances_live' 'ibisturn_backend_servers_usable' 'ibisturn_configuration_revision' 'ibisturn_store_away_seconds' 'ibisturn_log_lines_dropped'; do
+    'ibisturn_first_part_seconds_count' 'ibisturn_instances_live' 'ibisturn_backend_servers_usable' 'ibisturn_configuration_revision' 'ibisturn_store_away_seconds' 'ibisturn_store_era' 'ibisturn_log_lines_dropped'; do
     grep -qE "^$metric [0-9]" "$WORK/metrics" || fail "missing metric $metric"
 done
 if grep -qE 'guide-key|new-key|small-key' "$WORK"/khomas.log "$WORK"/omaheke.log; then
--- a/Tests/StandIns/StandInPlatformStore.cpp
+++ b/Tests/StandIns/StandInPlatformStore.cpp
@@ -76,6 +76,7 @@
         {
             const std::scoped_lock lock(mutex_);
             expireLeases();
+            responder.addHeader("Store-Era", std::to_string(era_));
             if (isDown_ && target.starts_with("/-/"))
                 return responder.send(503, jsonType, "{}");
         }
@@ -89,12 +90,12 @@
     const std::scoped_lock lock(mutex_);
     const auto& prefix = query.at("PathPrefix");
     const auto after = query.find("after");
-    auto item = after == query.end() ? items_.lower_bound(prefix) : items_.upper_bound(after->second);
+    auto item = after == query.end() ? data_.items.lower_bound(prefix) : data_.items.upper_bound(after->second);
     auto items = Json::array();
-    for (; item != items_.end() && item->first.starts_with(prefix) && items.size() < pageSize_; ++item)
+    for (; item != data_.items.end() && item->first.starts_with(prefix) && items.size() < pageSize_; ++item)
         items.push_back(toJson(item->first, item->second));
-    const bool hasMore = item != items_.end() && item->first.starts_with(prefix);
-    responder.send(200, jsonType, Json { { "items", std::move(items) }, { "MorePages", hasMore }, { "CurrentRev", revision_ } }.dump());
+    const bool hasMore = item != data_.items.end() && item->first.starts_with(prefix);
+    responder.send(200, jsonType, Json { { "items", std::move(items) }, { "MorePages", hasMore }, { "CurrentRev", data_.revision } }.dump());
 }
 
 void StandInPlatformStore::watch(const HttpRequest& /*request*/, const Query& query, Responder& responder)
@@ -103,14 +104,17 @@
     const auto after = integerParameter(query, "after");
     const auto deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds(integerParameter(query, "WaitMs"));
     std::unique_lock lock(mutex_);
+    const auto era = era_;
     auto events = Json::array();
     while (events.empty()) {
         expireLeases();
-        if (after < compactedRevision_)
+        if (era != era_)
+            return responder.disconnect();
+        if (after < data_.compactedRevision || after > data_.revision)
             return responder.send(410, jsonType, "{}");
         if (isDown_)
             return responder.send(503, jsonType, "{}");
-        for (const auto& event : events_) {
+        for (const auto& event : data_.events) {
             if (event.item.revision <= after || !event.key.starts_with(prefix))
                 continue;
             if (event.isDeletion)
@@ -123,7 +127,7 @@
         if (events.empty())
             changed_.wait_for(lock, leasePollInterval);
     }
-    responder.send(200, jsonType, Json { { "events", std::move(events) }, { "CurrentRev", revision_ } }.dump());
+    responder.send(200, jsonType, Json { { "events", std::move(events) }, { "CurrentRev", data_.revision } }.dump());
 }
 
 void StandInPlatformStore::transact(const HttpRequest& request, const Query& /*query*/, Responder& responder)
@@ -134,14 +138,14 @@
     bool isSatisfied = true;
     for (const auto& comparison : body.value("ExpectedRev", Json::array())) {
         const auto key = comparison.at("Key").get<std::string>();
-        const auto found = items_.find(key);
-        isSatisfied = isSatisfied && (found == items_.end() ? 0 : found->second.revision) == comparison.at("Revision").get<std::int64_t>();
-        current.push_back(found == items_.end() ? Json { { "Key", key }, { "Revision", 0 } } : toJson(key, found->second));
+        const auto found = data_.items.find(key);
+        isSatisfied = isSatisfied && (found == data_.items.end() ? 0 : found->second.revision) == comparison.at("Revision").get<std::int64_t>();
+        current.push_back(found == data_.items.end() ? Json { { "Key", key }, { "Revision", 0 } } : toJson(key, found->second));
     }
     if (!isSatisfied)
         return responder.send(412, jsonType, Json { { "items", std::move(current) } }.dump());
     for (const auto& item : body.value("Puts", Json::array())) {
-        if (item.value("Lease", std::int64_t(0)) != 0 && !leases_.contains(item.at("Lease").get<std::int64_t>()))
+        if (item.value("Lease", std::int64_t(0)) != 0 && !data_.leases.contains(item.at("Lease").get<std::int64_t>()))
             return responder.send(404, jsonType, "{}");
     }
     for (const auto& item : body.value("Puts", Json::array()))
@@ -152,22 +156,22 @@
         --repliesToDrop_;
         return responder.disconnect();
     }
-    responder.send(200, jsonType, Json { { "Revision", revision_ } }.dump());
+    responder.send(200, jsonType, Json { { "Revision", data_.revision } }.dump());
 }
 
 void StandInPlatformStore::grant(const HttpRequest& request, const Query& /*query*/, Responder& responder)
 {
     const auto timeToLive = Json::parse(request.body()).at("TtlMs").get<std::int64_t>();
     const std::scoped_lock lock(mutex_);
-    leases_[++lastLease_] = { std::chrono::milliseconds(timeToLive), std::chrono::steady_clock::now() + std::chrono::milliseconds(timeToLive) };
-    responder.send(200, jsonType, Json { { "Lease", lastLease_ }, { "TtlMs", timeToLive } }.dump());
+    data_.leases[++data_.lastLease] = { std::chrono::milliseconds(timeToLive), std::chrono::steady_clock::now() + std::chrono::milliseconds(timeToLive) };
+    responder.send(200, jsonType, Json { { "Lease", data_.lastLease }, { "TtlMs", timeToLive } }.dump());
 }
 
 void StandInPlatformStore::keepAlive(const HttpRequest& request, const Query& /*query*/, Responder& responder)
 {
     const std::scoped_lock lock(mutex_);
-    const auto found = leases_.find(std::stoll(suffixAfter(targetOf(request), "/-/kv-keep/")));
-    if (found == leases_.end())
+    const auto found = data_.leases.find(std::stoll(suffixAfter(targetOf(request), "/-/kv-keep/")));
+    if (found == data_.leases.end())
         return responder.send(404, jsonType, "{}");
     found->second.expires = std::chrono::steady_clock::now() + found->second.timeToLive;
     responder.send(200, jsonType, Json { { "TtlMs", found->second.timeToLive.count() } }.dump());
@@ -176,8 +180,8 @@
 void StandInPlatformStore::endLease(const HttpRequest& request, const Query& /*query*/, Responder& responder)
 {
     const std::scoped_lock lock(mutex_);
-    const auto found = leases_.find(std::stoll(suffixAfter(targetOf(request), "/-/kv-lease-end/")));
-    if (found == leases_.end())
+    const auto found = data_.leases.find(std::stoll(suffixAfter(targetOf(request), "/-/kv-lease-end/")));
+    if (found == data_.leases.end())
         return responder.send(404, jsonType, "{}");
     found->second.expires = {};
     expireLeases();
@@ -188,14 +192,14 @@
 {
     const std::scoped_lock lock(mutex_);
     put(suffixAfter(targetOf(request), "/entries/"), request.body(), 0);
-    responder.send(200, jsonType, Json { { "Revision", revision_ } }.dump());
+    responder.send(200, jsonType, Json { { "Revision", data_.revision } }.dump());
 }
 
 void StandInPlatformStore::remove(const HttpRequest& request, const Query& /*query*/, Responder& responder)
 {
     const std::scoped_lock lock(mutex_);
     erase(suffixAfter(targetOf(request), "/entries/"));
-    responder.send(200, jsonType, Json { { "Revision", revision_ } }.dump());
+    responder.send(200, jsonType, Json { { "Revision", data_.revision } }.dump());
 }
 
 void StandInPlatformStore::setFaults(const HttpRequest& request, const Query& /*query*/, Responder& responder)
@@ -206,48 +210,61 @@
     repliesToDrop_ = body.value("lost", repliesToDrop_);
     pageSize_ = body.value("page", pageSize_);
     if (body.value("compact", false)) {
-        compactedRevision_ = ++revision_;
-        events_.clear();
+        data_.compactedRevision = ++data_.revision;
+        data_.events.clear();
     }
+    if (body.value("copy", false))
+        copy_ = data_;
+    if (body.value("restore", false))
+        restoreCopy();
     changed_.notify_all();
     responder.send(200, jsonType, "{}");
 }
 
+void StandInPlatformStore::restoreCopy()
+{
+    data_ = copy_;
+    ++era_;
+    const auto now = std::chrono::steady_clock::now();
+    for (auto& [id, lease] : data_.leases)
+        lease.expires = now + lease.timeToLive;
+}
+
 void StandInPlatformStore::put(const std::string& key, const std::string& value, std::int64_t lease)
 {
-    auto& item = items_[key];
-    ++revision_;
-    item = { value, revision_, item.created == 0 ? revision_ : item.created, lease };
-    events_.push_back({ key, item, false });
+    auto& item = data_.items[key];
+    ++data_.revision;
+    item = { value, data_.revision, item.created == 0 ? data_.revision : item.created, lease };
+    data_.events.push_back({ key, item, false });
     changed_.notify_all();
 }
 
 void StandInPlatformStore::erase(const std::string& key)
 {
-    if (items_.erase(key) == 0)
+    if (data_.items.erase(key) == 0)
         return;
     Item deletion;
-    deletion.revision = ++revision_;
-    events_.push_back({ key, deletion, true });
+    deletion.revision = ++data_.revision;
+    data_.events.push_back({ key, deletion, true });
     changed_.notify_all();
 }
 
 void StandInPlatformStore::expireLeases()
 {
     const auto now = std::chrono::steady_clock::now();
-    for (auto lease = leases_.begin(); lease != leases_.end();) {
+    for (auto lease = data_.leases.begin(); lease != data_.leases.end();) {
         if (lease->second.expires > now) {
             ++lease;
             continue;
         }
         std::vector<std::string> keys;
-        for (const auto& [key, item] : items_) {
+        for (const auto& [key, item] : data_.items) {
             if (item.lease == lease->first)
                 keys.push_back(key);
         }
         for (const auto& key : keys)
             erase(key);
-        lease = leases_.erase(lease);
+        lease = data_.leases.erase(lease);
     }
 }
 
--- a/Tests/StandIns/StandInPlatformStore.h
+++ b/Tests/StandIns/StandInPlatformStore.h
@@ -15,7 +15,8 @@
 /// An in-memory implementation of the platform's metadata store, following its published protocol. Tests make the writes
 /// of operators and replicas with `PUT` and `DELETE /entries/KEY`, and inject faults with `POST /faults`: `down` refuses
 /// every call, `lost` drops the replies of this many transactions after they took effect, `compact` discards the
-/// history, and `page` sets the maximum page size of listings.
+/// history, `page` sets the maximum page size of listings, `copy` makes a copy of everything, and `restore` goes back to the last
+/// copy in a new era: what was written since is lost, and revisions and leases are given out again.
 /// Thread safety: all methods from any thread.
 class StandInPlatformStore {
 public:
@@ -40,6 +41,15 @@
         std::chrono::milliseconds timeToLive {};
         std::chrono::steady_clock::time_point expires;
     };
+    /// All that is lost or kept together when the store goes back to a copy.
+    struct Data {
+        std::int64_t revision { 7 };
+        std::int64_t compactedRevision { 0 };
+        std::int64_t lastLease { 100 };
+        std::map<std::string, Item> items;
+        std::map<std::int64_t, Lease> leases;
+        std::vector<Event> events;
+    };
     using Query = std::map<std::string, std::string>;
     using Handle = void (StandInPlatformStore::*)(const HttpRequest&, const Query&, Responder&);
     struct Operation {
@@ -58,6 +68,7 @@
     void write(const HttpRequest& request, const Query& query, Responder& responder);
     void remove(const HttpRequest& request, const Query& query, Responder& responder);
     void setFaults(const HttpRequest& request, const Query& query, Responder& responder);
+    void restoreCopy();
     void put(const std::string& key, const std::string& value, std::int64_t lease);
     void erase(const std::string& key);
     void expireLeases();
@@ -65,12 +76,9 @@
 
     std::mutex mutex_;
     std::condition_variable changed_;
-    std::int64_t revision_ { 7 };
-    std::int64_t compactedRevision_ { 0 };
-    std::int64_t lastLease_ { 100 };
-    std::map<std::string, Item> items_;
-    std::map<std::int64_t, Lease> leases_;
-    std::vector<Event> events_;
+    Data data_;
+    Data copy_;
+    std::int64_t era_ { 1 };
     bool isDown_ { false };
     std::uint32_t repliesToDrop_ { 0 };
     std::size_t pageSize_ { 500 };
--- a/Tests/Support/UnreachableStore.h
+++ b/Tests/Support/UnreachableStore.h
@@ -13,7 +13,7 @@
     Task<LeaseId> grantLease(Duration /*timeToLive*/) override { return fail<LeaseId>(); }
     Task<void> renewLease(LeaseId /*lease*/) override { return fail<void>(); }
     Task<void> endLease(LeaseId /*lease*/) override { return fail<void>(); }
-    Task<void> watch(std::string /*prefix*/, Revision /*from*/, Duration /*confirmationPeriod*/, std::function<void(StoreChanges)> /*onChanges*/) override { return fail<void>(); }
+    Task<void> watch(std::string /*prefix*/, Revision /*after*/, Duration /*confirmationPeriod*/, std::function<void(StoreChanges)> /*onChanges*/) override { return fail<void>(); }
 
 private:
     template <typename Result>
