Soak: Play a store that comes back from an older copy

A scenario of returns with added routes, which an instance must know 3 s after their acknowledgement and never again not know until it is disrupted; another one beside stops, kills, pauses and releases.

--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Plays seeded scenarios with the real program under a stand-in platform, and counts FAULT and LOST as the platform's rules do.
 
-FAULT: a process ended, and not by a SIGTERM or SIGKILL of the schedule. LOST: a request from a kept connection was passed on to a sound replica
+FAULT: a process ended, and not by a SIGTERM or SIGKILL of the schedule, or an instance did not know a confirmed configuration in time. LOST: a request from a kept connection was passed on to a sound replica
 and its connection ended without an answer; around a planned stop or a SIGHUP also any request that a sound replica ran and that has no complete answer.
 Not counted are requests within STABLE_S of a SIGKILL or a pause, those that end after the grace, and those that a faulty replica spoiled. Exits with 1 if a FAULT or more than MOST_LOST occurred.
 """
@@ -37,13 +37,15 @@
 Scenario = collections.namedtuple("Scenario", "faults silent large schedule")
 
 
-def configuration():
+def configuration(version=1, added=()):
+    """The operator's configuration; `added` are the numbers of further routes."""
+
     def route(name, path, kind, service, attempts, **more):
         return dict({"Name": name, "Host": HOST, "PathPrefix": path, "Kind": kind, "TimeoutMs": 5000, "TargetLatencyMs": 500, "Priority": 1, "Service": service,
             "MaxAttempts": attempts, "Public": False, "Sticky": False, "Resumable": False, "HomeRegions": []}, **more)
 
-    return {"Version": 1,
-        "Routes": [route("plain", "/stream/plain/", "stream", "model", 1, Sticky=True, GapAimMs=300), route("again", "/stream/again/", "stream", "model", 2, Sticky=True, Resumable=True, GapAimMs=300),
+    return {"Version": version,
+        "Routes": [route("added-%d" % number, "/added/%d/" % number, "idempotent", "app", 2) for number in added] + [route("plain", "/stream/plain/", "stream", "model", 1, Sticky=True, GapAimMs=300), route("again", "/stream/again/", "stream", "model", 2, Sticky=True, Resumable=True, GapAimMs=300),
             route("seats", "/seats/", "idempotent", "app", 2), route("book", "/book/", "non_idempotent", "app", 1)],
         "Services": [{"Name": "model", "HealthPath": "/health", "MaxConns": 600, "Protocol": "h1", "Tls": False, "ColdS": 0.0, "ColdPerS": 0.0,
                 "Engine": {"Slots": 64, "KvCapacity": 680435, "KvTokenBytes": 35136, "LinkMbps": 1100000.0, "Stride": 7, "Models": [{"Name": "m"}]}},
@@ -102,6 +104,24 @@
         connection.getresponse().read()
         connection.close()
 
+    def setStore(self, **faults):
+        connection = http.client.HTTPConnection(self.store, timeout=5)
+        connection.request("POST", "/faults", body=json.dumps(faults))
+        connection.getresponse().read()
+        connection.close()
+
+    def statusOf(self, instance, path):
+        """The status of one request to an instance; 0 if it does not answer."""
+        connection = http.client.HTTPConnection("127.0.0.1", instance.ports["front"], timeout=5)
+        try:
+            connection.request("GET", path, headers={"Host": HOST, "Authorization": "Bearer " + KEY, "X-Ibisturn-Deadline-Ms": "3000",
+                "X-Ibisturn-Request-Id": "%016x" % random.getrandbits(64)})
+            return connection.getresponse().status
+        except (OSError, http.client.HTTPException):
+            return 0
+        finally:
+            connection.close()
+
     def addReplica(self, service, faults=()):
         self.replicaCount_ += 1
         name = "i-%s-%d" % (service, self.replicaCount_)
@@ -277,6 +297,62 @@
         run.release()
 
 
+def require_routes(run, added, acknowledged, when):
+    """Each instance that was not disrupted lately knows the added routes: those known before at once, the others APPLY_S after their acknowledgement."""
+    for instance in run.instances:
+        if any(time.monotonic() - at < STABLE_S for at, _ in instance.signals):
+            continue
+        for number in added:
+            if time.monotonic() < acknowledged[number] + APPLY_S:
+                continue
+            status = run.statusOf(instance, "/added/%d/" % number)
+            if status in (401, 403, 404):
+                run.problem("%s answers %d on the added route %d, acknowledged %.1f s before, %s" % (instance.name, status, number, time.monotonic() - acknowledged[number], when))
+
+
+def play_store_returns(run, end):
+    """The store is away for a moment and comes back from a copy that lacks the last configurations, which the operator then writes again."""
+    added, acknowledged = [], {}
+
+    def add():
+        added.append(len(added) + 1)
+        run.put("op/config", configuration(len(added) + 1, added))
+        acknowledged[added[-1]] = time.monotonic()
+
+    add()
+    while time.monotonic() + APPLY_S + 7 < end:
+        run.setStore(copy=True)
+        for _ in range(run.random.randint(1, 3)):
+            time.sleep(run.random.uniform(0.1, 0.7))
+            add()
+        time.sleep(run.random.choice([0.1, APPLY_S + 0.2]))
+        require_routes(run, added, acknowledged, "before the store is away")
+        run.setStore(down=True)
+        time.sleep(run.random.uniform(0.1, 2.0))
+        run.setStore(restore=True, down=False)
+        writesAgainAt = time.monotonic() + run.random.uniform(0.05, 2.0)
+        while time.monotonic() < writesAgainAt:
+            require_routes(run, added, acknowledged, "after the store's return")
+            time.sleep(0.1)
+        run.put("op/config", configuration(len(added) + 1, added))
+        # What an instance had not learned before the return is acknowledged anew.
+        for number in added:
+            if time.monotonic() < acknowledged[number] + APPLY_S + STABLE_S:
+                acknowledged[number] = time.monotonic()
+        add()
+        time.sleep(APPLY_S + 0.2)
+        require_routes(run, added, acknowledged, "after the operator has written again")
+
+
+def play_store_returns_beside(run, end):
+    """Returns of the store while instances stop, are killed and paused, and replicas are replaced."""
+    threads = [threading.Thread(target=play, args=(run, end)) for play in (play_store_returns, play_terms, play_kills, play_pauses, play_releases)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
 def play_all(run, end):
     """Everything at once, overlapping."""
     threads = [threading.Thread(target=play, args=(run, end)) for play in (play_terms, play_kills, play_pauses, play_hups, play_releases)]
@@ -330,6 +406,8 @@
     "releases": Scenario((), False, False, play_releases),
     "large-bodies": Scenario((), False, True, None),
     "port-in-use": Scenario((), False, False, play_port_in_use),
+    "store-returns": Scenario((), False, False, play_store_returns),
+    "store-returns-beside": Scenario((), False, False, play_store_returns_beside),
     "all": Scenario(tuple(PLAIN_FAULTS + CONTROL_FAULTS), True, False, play_all),
 })
 
