--- a/Programs/ibisturn/FleetControlPlane.cpp
+++ b/Programs/ibisturn/FleetControlPlane.cpp
@@ -21,6 +21,8 @@
 /// Larger answers to requests for the store's changes are not repeated within this time.
 constexpr std::size_t largeAnswerBytes = 64UL * 1024;
 constexpr Duration largeAnswerTime = std::chrono::milliseconds(1000);
+/// The platform's store numbers its eras from one.
+constexpr StoreEra firstEra { 1 };
 constexpr Duration membershipPeriod = std::chrono::milliseconds(250);
 /// How often the store confirms that a quiet prefix is unchanged. Operators' changes and leaving backend servers must take
 /// effect within seconds, so a copy that is no longer current must be noticed in a part of the time for which a leaving backend
@@ -292,8 +294,10 @@
 {
     if (const auto era = store_.era(); era != storeEra_) {
         fleetLog.info("The store is in a new era.", { { "store_era", era }, { "before", storeEra_ } });
-        // A process that has just started can't tell how long ago the era began.
-        coldServerLocks_.onLocksLost(now, InstanceLease::leaseTerm);
+        // A process that has just started can't tell how long ago the era began, unless it is the first one.
+        const bool hasJustStarted = storeEra_ == StoreEra();
+        if (!hasJustStarted || era > firstEra)
+            coldServerLocks_.onLocksLost(now, InstanceLease::leaseTerm);
         storeEra_ = era;
     }
     coldServerLocks_.setTerm(lease_.term());
--- a/Programs/ibisturn/FleetControlPlane.h
+++ b/Programs/ibisturn/FleetControlPlane.h
@@ -70,7 +70,7 @@
     FleetState fleetState_;
     Incarnation incarnation_;
     InstanceLease lease_;
-    /// The era of the store as last seen; the first one before the store has answered.
+    /// The era of the store as last seen; zero before the store has answered.
     StoreEra storeEra_;
     ColdServerLocks coldServerLocks_;
     ControlLinks links_;
