Tests: Take ports of Process.Fleet outside of the range of outgoing connections

The instance's log has "The address is in use; trying again. listener=peers address=127.0.0.1:55519": the script asked the kernel for a free port and closed it again, and an outgoing connection of a test that ran beside it got that port before the instance listened. Nothing that the test checks changes.

--- a/Tests/Process/FleetTest.sh
+++ b/Tests/Process/FleetTest.sh
@@ -36,8 +36,24 @@
     printf -v "$variable" '%s' "$(grep '^listening ' "$log" | cut -d' ' -f2)"
 }
 
+# A port outside of the range of outgoing connections, one of which could take it before the instance listens.
 free_port() {
-    python3 -c 'import socket; s = socket.socket(); s.bind(("127.0.0.1", 0)); print(s.getsockname()[1])'
+    python3 - <<'PYTHON'
+import random, socket
+with open("/proc/sys/net/ipv4/ip_local_port_range", encoding="utf-8") as file:
+    first, last = (int(word) for word in file.read().split())
+while True:
+    port = random.randint(10000, 65000)
+    if first <= port <= last:
+        continue
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            continue
+    print(port)
+    break
+PYTHON
 }
 
 # Starts the instance $1 in region $2 and sets ${1}_callers, _ready, _directory, _metrics and _pid.
