--- a/Libraries/LibPlatform/StoreClient.h
+++ b/Libraries/LibPlatform/StoreClient.h
@@ -12,7 +12,6 @@
 #include <functional>
 #include <optional>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace Ibisturn {
@@ -81,8 +80,8 @@
 /// The store no longer has the changes that a watch was to start with, or has come back from an older copy that never had them.
 class HistoryUnavailable final : public Error {
 public:
-    explicit HistoryUnavailable(std::string reason)
-        : Error(ResultCode::StoreUnavailable, Ran::No, std::move(reason))
+    explicit HistoryUnavailable(const std::string& reason)
+        : Error(ResultCode::StoreUnavailable, Ran::No, reason)
     {
     }
 };
