--- a/Tests/LibPlatform/FleetScheduleTest.cpp
+++ b/Tests/LibPlatform/FleetScheduleTest.cpp
@@ -31,11 +31,7 @@
 /// Suppresses the log, since each schedule would write thousands of lines.
 class FleetSchedule : public testing::Test {
 protected:
-    void SetUp() override
-    {
-        if (!std::getenv("FLEET_LOG"))
-            setLogLevel(LogLevel::Error);
-    }
+    void SetUp() override { setLogLevel(LogLevel::Error); }
     void TearDown() override { setLogLevel(LogLevel::Info); }
 };
 
