StoreMirror: Move deletions of an earlier era to the listing's era

Found by a reader of the change for a store that comes back from an older copy. A key that had been removed before the store came back, and that the copy lacked too, kept the revision of its removal. The next write of the key, at any time in the new era, then counted as a change of the older copy: an evacuation took effect 2.5 s late everywhere, and an instance that had been away was not a member for 8 s although it was ready.

Ruled out: deletions that the listing itself finds, which get its position already, and keys that exist, whose revisions are of the new era.

A listing of a later era now moves the deletions that it confirms to its position. Nothing is reported for them, since nothing has changed.

New test: without the change, no evacuation and no member at 60 s, 49 s after the return; with it, both at once.

--- a/Libraries/LibDecision/Registry/StoreMirror.cpp
+++ b/Libraries/LibDecision/Registry/StoreMirror.cpp
@@ -30,8 +30,14 @@
     }
     for (auto entry = changes_.lower_bound(prefix); entry != changes_.end() && entry->first.starts_with(prefix); ++entry) {
         auto& known = entry->second;
-        if (!known.value || known.revision > position || present.contains(known.key))
+        if (known.revision > position || present.contains(known.key))
             continue;
+        if (!known.value) {
+            // The store lacks the key in this era too, so its next change is not one of an older copy.
+            if (known.revision.era() < position.era())
+                known.revision = position;
+            continue;
+        }
         RecordChange deletion { known.key, std::nullopt, position };
         newChanges.push_back({ deletion, std::exchange(known, deletion) });
     }
--- a/Libraries/LibDecision/Registry/StoreMirror.h
+++ b/Libraries/LibDecision/Registry/StoreMirror.h
@@ -31,7 +31,8 @@
     std::optional<AppliedChange> apply(const RecordChange& change);
 
     /// Applies a listing of all keys below `prefix`, whose first page was read at `position`, and returns the new changes.
-    /// A key that is missing was deleted unless a later change of it is known.
+    /// A key that is missing was deleted unless a later change of it is known. A deletion known from an earlier era counts as one of
+    /// this era then.
     std::vector<AppliedChange> applyListing(std::string_view prefix, Revision position, const std::vector<RecordChange>& listed);
 
     /// The newest change of `key`, or null.
--- a/Tests/LibPlatform/FleetStateTest.cpp
+++ b/Tests/LibPlatform/FleetStateTest.cpp
@@ -328,6 +328,20 @@
     EXPECT_EQ(ids(), (std::vector<std::string> { "new", "old" }));
 }
 
+// Guards against changes long after the store's return that wait as if they were those of the copy.
+TEST_F(FleetStateTest, WhatWasRemovedBeforeTheStoreCameBackTakesEffectAtOnceWhenItIsWrittenAgain)
+{
+    list(connected_, 0s, 90, { written("op/config", "c1", 10), written("op/evacuate/khomas-a", "", 80), written("own/instances/i1", entryOf("i1"), 70) });
+    connected_.onChanges(at(1s), { deleted("op/evacuate/khomas-a", 91), deleted("own/instances/i1", 92) });
+    connected_.advance(at(10s));
+    listAgain(connected_, 11s, 40, { written("op/config", "c1", 10) });
+    connected_.advance(at(60s));
+    connected_.onChanges(at(60s), { inNextEra(written("op/evacuate/khomas-a", "", 41)), inNextEra(written("own/instances/i1", entryOf("i1"), 42)) });
+    connected_.advance(at(60s));
+    EXPECT_TRUE(connected_.registry().isEvacuated(DataCentreId("khomas-a")));
+    EXPECT_EQ(connected_.members().size(), 1U);
+}
+
 TEST_F(FleetStateTest, FleetSizeAndQuarantinesThatAnOlderCopyLacksAreToBeWrittenAgain)
 {
     const ServicePart part { ServiceId("model"), 0x12ab };
