FleetState: Keep deferred changes deferred when the store comes back once more

While a change of an older copy waited for its owner, the store came back a second time with the same copy. The change was then compared with the mirror, which has the copy's value and not what is in force, so it seemed to be known already and took effect at once: an evacuation that had ended began again, with its servers taken for cold for 4 s, and an instance that was gone became a member.

Ruled out: backend servers, which are compared with what their process said last, and configurations, which are compared with the version in force.

A change that equals the one that is still deferred is now deferred anew.

New test with two returns one second apart: without the change the ended evacuation is in force and the instance a member; with it neither.

--- a/Libraries/LibPlatform/FleetState.cpp
+++ b/Libraries/LibPlatform/FleetState.cpp
@@ -258,8 +258,8 @@
 void FleetState::apply(TimePoint now, const AppliedChange& applied)
 {
     const auto& change = applied.change;
-    deferred_.erase(change.key);
     const auto deferral = deferralOf(applied);
+    deferred_.erase(change.key);
     if (!deferral) {
         apply(now, change, applied.isFromOlderCopy() ? EntryOrigin::OlderCopy : EntryOrigin::Owner);
         return;
@@ -279,7 +279,12 @@
 std::optional<Duration> FleetState::deferralOf(const AppliedChange& applied) const
 {
     const auto& change = applied.change;
-    if (!applied.isFromOlderCopy() || change.value == applied.previous->value)
+    if (!applied.isFromOlderCopy())
+        return std::nullopt;
+    // What is still deferred is not in force, also if a later copy has the same.
+    const auto found = deferred_.find(change.key);
+    const bool isDeferred = found != deferred_.end() && found->second.change.value == change.value;
+    if (change.value == applied.previous->value && !isDeferred)
         return std::nullopt;
     if (reader_.evacuatedDataCentre(change.key))
         return operatorsGrace;
--- a/Tests/LibPlatform/FleetStateTest.cpp
+++ b/Tests/LibPlatform/FleetStateTest.cpp
@@ -35,12 +35,13 @@
         return change;
     }
 
-    /// Applies a listing of a store that has come back from an older copy, which contains only `entries`.
-    void listAgain(FleetState& state, Duration time, std::int64_t position, std::vector<RecordChange> entries)
+    /// Applies a listing of a store that has come back from an older copy, which contains only `entries`, for the first time or in a
+    /// later `era`.
+    void listAgain(FleetState& state, Duration time, std::int64_t position, std::vector<RecordChange> entries, StoreEra era = StoreEra(1))
     {
         for (auto& entry : entries)
-            entry = inNextEra(entry);
-        list(state, time, Revision(position, StoreEra(1)), entries);
+            entry.revision = Revision(entry.revision.number(), era);
+        list(state, time, Revision(position, era), entries);
     }
 
     /// Applies a listing of each prefix that contains only `entries`.
@@ -328,6 +329,22 @@
     EXPECT_EQ(ids(), (std::vector<std::string> { "new", "old" }));
 }
 
+// Guards against a second return that brings into force at once what had been deferred after the first one.
+TEST_F(FleetStateTest, WhatAnOlderCopyHasStaysDeferredIfTheStoreComesBackOnceMore)
+{
+    list(connected_, 0s, 90, { written("op/config", "c1", 10), written("op/evacuate/khomas-a", "", 80), written("op/evacuate/erongo-a", "", 20), written("own/instances/gone", entryOf("gone"), 30) });
+    connected_.onChanges(at(1s), { deleted("op/evacuate/erongo-a", 91), deleted("own/instances/gone", 92) });
+    connected_.advance(at(2s));
+    const std::vector<RecordChange> copy { written("op/config", "c1", 10), written("op/evacuate/erongo-a", "", 20), written("own/instances/gone", entryOf("gone"), 30) };
+    listAgain(connected_, 2s, 40, copy);
+    connected_.advance(at(3s));
+    listAgain(connected_, 3s, 40, copy, StoreEra(2));
+    connected_.advance(at(3s));
+    EXPECT_TRUE(connected_.registry().isEvacuated(DataCentreId("khomas-a")));
+    EXPECT_FALSE(connected_.registry().isEvacuated(DataCentreId("erongo-a")));
+    EXPECT_TRUE(connected_.members().empty());
+}
+
 // Guards against changes long after the store's return that wait as if they were those of the copy.
 TEST_F(FleetStateTest, WhatWasRemovedBeforeTheStoreCameBackTakesEffectAtOnceWhenItIsWrittenAgain)
 {
