FleetState: End deferrals of operators' entries only on a confirmation

What an older copy says of evacuations and of a lower configuration version takes effect if the operator has not written it again within a time. The time passed on this instance's clock alone, also while its watch of the operators' entries hung but its lease was renewed, which is how a large configuration over a slow link looks. The operator's repetition was then not heard, and an evacuation ended after 2.5 s, or after 30 s a lower configuration replaced the confirmed one.

Ruled out: entries of instances, which are not confirmed by the store as often and whose deferral only delays a member.

Such a deferral now ends when the store has confirmed, after its time, that no change is missing here. Confirmations come once or twice a second while the store is followed.

New test: without the change the evacuation ends at 20 s although the last confirmation is of 4 s, half a second before the time is over; with it the evacuation stays until the confirmation of 5 s. One existing test now confirms, as the store does, before it expects a deferral to have ended.

--- a/Libraries/LibPlatform/FleetState.cpp
+++ b/Libraries/LibPlatform/FleetState.cpp
@@ -71,6 +71,12 @@
     registry_.setLimits(limits);
 }
 
+void FleetState::setConfirmedAt(const std::optional<TimePoint>& confirmedAt)
+{
+    confirmedAt_ = confirmedAt;
+    registry_.setConfirmedAt(confirmedAt);
+}
+
 void FleetState::onListing(TimePoint now, const EntryFollower::Listing& listing)
 {
     const auto index = indexOf(listing.prefix);
@@ -301,6 +307,16 @@
     return member && found != members_.end() && found->second.member.incarnation == member->incarnation;
 }
 
+// An operator may have written the entry again without this instance having heard of it, unless the store has confirmed since that nothing
+// is missing.
+bool FleetState::isDue(const DeferredChange& deferred, TimePoint now) const
+{
+    const auto end = deferred.since + deferred.wait;
+    if (deferred.change.key.starts_with(reader_.operatorsPrefix()))
+        return confirmedAt_ && *confirmedAt_ >= end;
+    return now >= end;
+}
+
 void FleetState::applyDeferred(TimePoint now)
 {
     std::vector<RecordChange> due;
@@ -308,7 +324,7 @@
         // While the store is unavailable, nobody can write.
         if (unavailableSince())
             deferred.since = now;
-        if (now - deferred.since >= deferred.wait)
+        if (isDue(deferred, now))
             due.push_back(deferred.change);
     }
     for (const auto& change : due) {
--- a/Libraries/LibPlatform/FleetState.h
+++ b/Libraries/LibPlatform/FleetState.h
@@ -61,8 +61,9 @@
     /// An instance announced that it accepts requests. If its entry has expired nevertheless, it can't reach the store.
     void onPeerMessage(TimePoint now, const InstanceId& instance);
 
-    /// The store confirmed at `confirmedAt` all changes that have been applied; unset if it never has.
-    void setConfirmedAt(const std::optional<TimePoint>& confirmedAt) { registry_.setConfirmedAt(confirmedAt); }
+    /// The store confirmed at `confirmedAt` that all changes of operators' and backend servers' entries have been applied; unset if it
+    /// never has.
+    void setConfirmedAt(const std::optional<TimePoint>& confirmedAt);
 
     /// The store became unavailable, or is available again, for one prefix.
     void onStoreUnavailable(TimePoint now);
@@ -144,6 +145,7 @@
     void apply(TimePoint now, const RecordChange& change, EntryOrigin origin);
     std::optional<Duration> deferralOf(const AppliedChange& applied) const;
     bool isKnownProcess(const RecordChange& entry) const;
+    bool isDue(const DeferredChange& deferred, TimePoint now) const;
     void applyDeferred(TimePoint now);
     void defer(TimePoint now, const RecordChange& change, Duration wait);
     void onPosition(TimePoint now, std::size_t index, Revision position);
@@ -178,6 +180,8 @@
     std::set<DataCentreId> evacuated_;
     std::map<std::string, KnownMember> members_;
     std::map<std::string, DeferredChange> deferred_;
+    /// When the store last confirmed that all changes of operators' and backend servers' entries have been applied.
+    std::optional<TimePoint> confirmedAt_;
     /// When the first prefix was listed in the present era of the store.
     TimePoint eraSince_ {};
     std::size_t fleetSize_ { 0 };
--- a/Tests/LibPlatform/FleetStateTest.cpp
+++ b/Tests/LibPlatform/FleetStateTest.cpp
@@ -304,6 +304,7 @@
     EXPECT_TRUE(connected_.registry().isEvacuated(DataCentreId("omaheke-a")));
     EXPECT_FALSE(connected_.registry().isEvacuated(DataCentreId("erongo-a")));
     connected_.onChanges(at(3s), { inNextEra(written("op/evacuate/khomas-a", "", 41)), inNextEra(deleted("op/evacuate/erongo-a", 42)) });
+    connected_.setConfirmedAt(at(30s));
     connected_.advance(at(30s));
     EXPECT_TRUE(connected_.registry().isEvacuated(DataCentreId("khomas-a")));
     EXPECT_FALSE(connected_.registry().isEvacuated(DataCentreId("omaheke-a")));
@@ -329,6 +330,20 @@
     EXPECT_EQ(ids(), (std::vector<std::string> { "new", "old" }));
 }
 
+// Guards against an instance whose watch of the operators' entries hangs and that takes the copy's for confirmed.
+TEST_F(FleetStateTest, EvacuationsOfAnOlderCopyStayDeferredUntilTheStoreConfirmsThatNobodyWroteThem)
+{
+    list(connected_, 0s, 90, { written("op/config", "c1", 10), written("op/evacuate/khomas-a", "", 80) });
+    connected_.setConfirmedAt(at(1s));
+    listAgain(connected_, 2s, 40, { written("op/config", "c1", 10) });
+    connected_.setConfirmedAt(at(4s));
+    connected_.advance(at(20s));
+    EXPECT_TRUE(connected_.registry().isEvacuated(DataCentreId("khomas-a")));
+    connected_.setConfirmedAt(at(5s));
+    connected_.advance(at(21s));
+    EXPECT_FALSE(connected_.registry().isEvacuated(DataCentreId("khomas-a")));
+}
+
 // Guards against a second return that brings into force at once what had been deferred after the first one.
 TEST_F(FleetStateTest, WhatAnOlderCopyHasStaysDeferredIfTheStoreComesBackOnceMore)
 {
