FleetState: Stay in the era when all entries are requested again

An instance that learns from a peer of an entry that it lacks requests all entries again by going back to position zero. That position was also of the era before the first, so the instance counted as behind the store's era: its followers went on, its log said that the store had come back from an older copy, and pending deferrals started anew.

The position now goes back to zero within its era.

New test: without the change the instance is behind the era, with it not.

--- a/Libraries/LibPlatform/FleetState.cpp
+++ b/Libraries/LibPlatform/FleetState.cpp
@@ -145,7 +145,7 @@
         const auto* known = mirror_.find(key);
         if (!known && positions_[index] < position) {
             fleetLog.warning("Entry of a peer is unknown; requesting all entries again.", { { "key", key }, { "position", positions_[index] } });
-            positions_[index] = Revision();
+            positions_[index] = Revision(0, positions_[index].era());
             return false;
         }
         if (known)
--- a/Tests/LibPlatform/FleetStateTest.cpp
+++ b/Tests/LibPlatform/FleetStateTest.cpp
@@ -330,6 +330,21 @@
     EXPECT_EQ(ids(), (std::vector<std::string> { "new", "old" }));
 }
 
+// Guards against an instance that takes a gap in its peers' changes for a return of the store, and follows the store on account of it.
+TEST_F(FleetStateTest, RequestingAllEntriesAgainDoesNotLeadBackToAnEarlierEra)
+{
+    list(connected_, 0s, 90, {});
+    listAgain(connected_, 2s, 40, {});
+    StoreUpdate update;
+    update.view = StoreView::Partial;
+    update.positions.assign(connected_.prefixes().size(), Revision(50, StoreEra(1)));
+    update.listedPrefixes = { 1 };
+    update.existingKeys = { "servers/unknown" };
+    connected_.onPeerUpdate(at(3s), update);
+    EXPECT_EQ(connected_.positions()[1].number(), 0);
+    EXPECT_FALSE(connected_.isBehindEra(StoreEra(1)));
+}
+
 // Guards against an instance whose watch of the operators' entries hangs and that takes the copy's for confirmed.
 TEST_F(FleetStateTest, EvacuationsOfAnOlderCopyStayDeferredUntilTheStoreConfirmsThatNobodyWroteThem)
 {
