StoreClient: Let the platform's client say whether the store has come back

The control plane compared the store's era with the number of the first one, which only the platform's protocol defines: a process that has just started may lock cold servers at once unless the store has ever come back from an older copy.

Ruled out: letting eras count from zero inside, since the protocol does not say which number the first era has. A doc comment of ServerRate loses a word that was left over.

--- a/Libraries/LibDecision/ServerRates/ServerRate.h
+++ b/Libraries/LibDecision/ServerRates/ServerRate.h
@@ -8,7 +8,7 @@
 namespace Ibisturn {
 
 /// How long the work of one backend server takes, relative to what its service needs on average. Three things are kept apart: the
-/// lasting speed of the server, its the present slowdown as this instance has measured it, and what the server itself reports of the present.
+/// lasting speed of the server, its present slowdown as this instance has measured it, and what the server itself reports of the present.
 /// A slowdown fades without new measurements, so that a server that recovers is used again.
 /// Thread safety: one thread at a time.
 class ServerRate {
--- a/Libraries/LibPlatform/StoreClient.h
+++ b/Libraries/LibPlatform/StoreClient.h
@@ -95,6 +95,9 @@
     /// The newest era in which the store has answered; always the first one for a store that never comes back from an older copy.
     virtual StoreEra era() const { return {}; }
 
+    /// Whether the store has come back from an older copy at least once before era().
+    virtual bool hasComeBack() const { return false; }
+
     /// Reads all entries below `prefix`, all in one era. Throws Error with StoreUnavailable.
     virtual Task<StoreRange> range(std::string prefix) = 0;
 
--- a/Programs/ibisturn/FleetControlPlane.cpp
+++ b/Programs/ibisturn/FleetControlPlane.cpp
@@ -21,8 +21,6 @@
 /// Larger answers to requests for the store's changes are not repeated within this time.
 constexpr std::size_t largeAnswerBytes = 64UL * 1024;
 constexpr Duration largeAnswerTime = std::chrono::milliseconds(1000);
-/// The platform's store numbers its eras from one.
-constexpr StoreEra firstEra { 1 };
 constexpr Duration membershipPeriod = std::chrono::milliseconds(250);
 /// How often the store confirms that a quiet prefix is unchanged. Operators' changes and leaving backend servers must take
 /// effect within seconds, so a copy that is no longer current must be noticed in a part of the time for which a leaving backend
@@ -294,9 +292,8 @@
 {
     if (const auto era = store_.era(); era != storeEra_) {
         fleetLog.info("The store is in a new era.", { { "store_era", era }, { "before", storeEra_ } });
-        // A process that has just started can't tell how long ago the era began, unless it is the first one.
-        const bool hasJustStarted = storeEra_ == StoreEra();
-        if (!hasJustStarted || era > firstEra)
+        // A process that has just started can't tell how long ago the era began, unless the store has never come back.
+        if (store_.hasComeBack())
             coldServerLocks_.onLocksLost(now, InstanceLease::leaseTerm);
         storeEra_ = era;
     }
