LibHTTP: Send a forwarded request only to the instance it is for

What callers would see: the body of a request with home regions reaches an instance of another region. The client of forwarded requests discarded the hello of the other side, so whoever had the member's address by then got the request, and idle connections were found by address alone, so they were also used for the next instance at that address.

Ruled out: control connections, which compare the instance of the hello already.

A new connection, also one that is opened ahead of a request, is used only if the hello names the member's id, and its region if it names one; otherwise the request fails as not run with PeerUnreachable, before any frame is sent. Idle connections are kept by id, region and address. A stand-in for a peer in the tests now has the region that its hello names.

Tests, before -> after: RequestForAnInstanceWhoseAddressAnotherOneHasIsNotSent, RequestForAnInstanceThatNamesAnotherRegionIsNotSent and IdleConnectionIsUsedForItsInstanceOnly of PeerClientTest failed (the requests were answered by the other instance) -> pass.

--- a/Libraries/LibHTTP/Peers/PeerClient.cpp
+++ b/Libraries/LibHTTP/Peers/PeerClient.cpp
@@ -70,8 +70,8 @@
 
 Task<void> PeerClient::run(const Member& peer, ForwardMessage message, const GatewayRequest& gatewayRequest, AnswerSink& sink)
 {
-    const Endpoint endpoint = peer.peers;
-    ConnectionPointer connection = co_await acquireConnection(peer, gatewayRequest.deadline);
+    const Target target = targetOf(peer);
+    ConnectionPointer connection = co_await acquireConnection(target, gatewayRequest.deadline);
     const Cancellation::Scope closing(gatewayRequest.cancellation, [&connection] { connection->close(); });
     const RequestId request(++lastRequest_);
     if (gatewayRequest.beforeSend)
@@ -87,13 +87,12 @@
     // The frame may have arrived, so only the receiver can report that the request did not run.
     if (!problem.empty())
         throw PeerConnectionError(ResultCode::OutcomeUnknown, Ran::Unknown, "The connection to the peer failed: " + problem);
-    keepIdle(endpoint, std::move(connection));
+    keepIdle(target, std::move(connection));
 }
 
-Task<PeerClient::ConnectionPointer> PeerClient::acquireConnection(const Member& peer, TimePoint deadline)
+Task<PeerClient::ConnectionPointer> PeerClient::acquireConnection(Target target, TimePoint deadline)
 {
-    const Endpoint endpoint = peer.peers;
-    auto& idle = idle_[endpoint];
+    auto& idle = idle_[target];
     while (!idle.empty()) {
         ConnectionPointer connection = std::move(idle.back());
         idle.pop_back();
@@ -101,60 +100,65 @@
         if (probeSocket(connection->socket()) != SocketState::Closed)
             co_return connection;
     }
-    RegionId region = peer.region;
-    co_return co_await openConnection(endpoint, std::move(region), deadline);
+    co_return co_await openConnection(std::move(target), deadline);
 }
 
-Task<PeerClient::ConnectionPointer> PeerClient::openConnection(Endpoint endpoint, RegionId region, TimePoint deadline)
+Task<PeerClient::ConnectionPointer> PeerClient::openConnection(Target target, TimePoint deadline)
 {
     const auto timeout = [this, deadline] { return std::min(limits_.connectTimeout, deadline - SteadyClock().now()); };
-    auto connection = std::make_unique<PeerConnection>(co_await PeerConnection::connect(endpoint, timeout(), limits_.frame));
+    auto connection = std::make_unique<PeerConnection>(co_await PeerConnection::connect(target.endpoint, timeout(), limits_.frame));
     bool failed = false;
     HelloMessage hello = self_;
+    HelloMessage other;
     const auto started = SteadyClock().now();
     try {
-        co_await connection->handshake(std::move(hello), timeout());
+        other = co_await connection->handshake(std::move(hello), timeout());
     } catch (const boost::system::system_error&) {
         failed = true;
     }
     if (failed)
         throw PeerConnectionError(ResultCode::PeerUnreachable, Ran::No, "The peer did not complete the handshake");
+    // A request may be forbidden to reach the instance that has the address by now, or its region.
+    if (other.instance != target.instance.value())
+        throw PeerConnectionError(ResultCode::PeerUnreachable, Ran::No, "Another instance has the peer's address");
+    if (!other.region.empty() && other.region != target.region.value())
+        throw PeerConnectionError(ResultCode::PeerUnreachable, Ran::No, "The peer is in another region than its entry says");
     if (onRoundTrip_)
-        onRoundTrip_(region, SteadyClock().now() - started);
+        onRoundTrip_(target.region, SteadyClock().now() - started);
     co_return connection;
 }
 
 Task<void> PeerClient::keepWarm(Member peer, std::size_t count)
 {
-    const Endpoint endpoint = peer.peers;
-    auto& idle = idle_[endpoint];
+    const Target target = targetOf(peer);
+    auto& idle = idle_[target];
     std::erase_if(idle, [](const ConnectionPointer& connection) { return probeSocket(connection->socket()) == SocketState::Closed; });
-    if (idle.size() >= count || !warming_.insert(endpoint).second)
+    if (idle.size() >= count || !warming_.insert(target).second)
         co_return;
     try {
-        ConnectionPointer connection = co_await openConnection(endpoint, peer.region, TimePoint::max());
-        idle_[endpoint].push_back(std::move(connection));
+        ConnectionPointer connection = co_await openConnection(target, TimePoint::max());
+        idle_[target].push_back(std::move(connection));
     } catch (const Error& error) {
         // A request that needs the connection will report the failure itself.
         peerLog.debug("Peer unreachable.", { { "peer", peer.id }, { "reason", error.what() } });
     }
-    warming_.erase(endpoint);
+    warming_.erase(target);
 }
 
-void PeerClient::keepIdle(const Endpoint& endpoint, ConnectionPointer connection)
+void PeerClient::keepIdle(const Target& target, ConnectionPointer connection)
 {
-    auto& idle = idle_[endpoint];
+    auto& idle = idle_[target];
     if (idle.size() < maxIdlePerPeer)
         idle.push_back(std::move(connection));
 }
 
 void PeerClient::sweepIdle(const MembershipView& membership)
 {
-    std::set<Endpoint> used;
+    std::set<Target> used;
     for (const auto& member : membership.instances)
-        used.insert(member.peers);
+        used.insert(targetOf(member));
     std::erase_if(idle_, [&used](const auto& entry) { return !used.contains(entry.first); });
-    for (auto& [endpoint, connections] : idle_)
+    for (auto& [target, connections] : idle_)
         std::erase_if(connections, [](const ConnectionPointer& connection) { return probeSocket(connection->socket()) == SocketState::Closed; });
 }
 
--- a/Libraries/LibHTTP/Peers/PeerClient.h
+++ b/Libraries/LibHTTP/Peers/PeerClient.h
@@ -43,23 +43,33 @@
     /// is being opened at a time.
     Task<void> keepWarm(Member peer, std::size_t count);
 
-    /// Closes the idle connections to instances that are no members any more, and those that have been closed.
+    /// Closes the idle connections to instances that are no members any more or have another address, and those that have been closed.
     void sweepIdle(const MembershipView& membership);
 
 private:
     using ConnectionPointer = std::unique_ptr<PeerConnection>;
 
-    Task<ConnectionPointer> acquireConnection(const Member& peer, TimePoint deadline);
-    Task<ConnectionPointer> openConnection(Endpoint endpoint, RegionId region, TimePoint deadline);
-    void keepIdle(const Endpoint& endpoint, ConnectionPointer connection);
+    /// Whom a connection reaches. An address may pass from one instance to another, in whatever region.
+    struct Target {
+        InstanceId instance;
+        RegionId region;
+        Endpoint endpoint;
+
+        auto operator<=>(const Target&) const = default;
+    };
+
+    static Target targetOf(const Member& peer) { return { peer.id, peer.region, peer.peers }; }
+    Task<ConnectionPointer> acquireConnection(Target target, TimePoint deadline);
+    Task<ConnectionPointer> openConnection(Target target, TimePoint deadline);
+    void keepIdle(const Target& target, ConnectionPointer connection);
     Task<void> relayAnswer(PeerConnection& connection, RequestId request, AnswerSink& sink);
 
     HelloMessage self_;
     Limits limits_;
     RoundTripCallback onRoundTrip_;
     std::uint64_t lastRequest_ { 0 };
-    std::map<Endpoint, std::vector<ConnectionPointer>> idle_;
-    std::set<Endpoint> warming_;
+    std::map<Target, std::vector<ConnectionPointer>> idle_;
+    std::set<Target> warming_;
 };
 
 } // namespace Ibisturn
--- a/Tests/LibHTTP/PeerClientTest.cpp
+++ b/Tests/LibHTTP/PeerClientTest.cpp
@@ -53,6 +53,7 @@
     {
         Member member;
         member.id = InstanceId("peer");
+        member.region = RegionId("region");
         member.peers = { "127.0.0.1", acceptor_.local_endpoint().port() };
         return member;
     }
@@ -89,6 +90,72 @@
     bool hasEnded_ { false };
 };
 
+/// An address that passes from one instance to another: answers each request, on any number of connections. A connection is served by
+/// the instance that has the address when it is opened.
+class ReassignedAddress {
+public:
+    explicit ReassignedAddress(Asio::io_context& context)
+        : acceptor_(context, Asio::ip::tcp::endpoint(Asio::ip::address_v4::loopback(), 0))
+    {
+        Asio::co_spawn(context, accept(), Asio::detached);
+    }
+
+    /// The instance `id` in `region` at this address.
+    Member member(const std::string& id, const std::string& region = "region") const
+    {
+        Member member;
+        member.id = InstanceId(id);
+        member.region = RegionId(region);
+        member.peers = { "127.0.0.1", acceptor_.local_endpoint().port() };
+        return member;
+    }
+
+    void assignTo(HelloMessage owner) { owner_ = std::move(owner); }
+
+    /// How many requests have reached the instance `id`.
+    std::size_t requestsAt(const std::string& id) const
+    {
+        const auto found = requests_.find(id);
+        return found == requests_.end() ? 0 : found->second;
+    }
+
+    std::size_t connections() const { return connections_; }
+
+private:
+    Task<void> accept()
+    {
+        for (;;) {
+            auto socket = co_await acceptor_.async_accept(Asio::use_awaitable);
+            Asio::co_spawn(acceptor_.get_executor(), serve(std::move(socket), owner_), Asio::detached);
+        }
+    }
+
+    Task<void> serve(Asio::ip::tcp::socket socket, HelloMessage owner)
+    {
+        ++connections_;
+        PeerConnection connection(boost::beast::tcp_stream(std::move(socket)), ByteCount(frameLimit));
+        const std::string id = owner.instance;
+        try {
+            co_await connection.handshake(std::move(owner), timeout);
+            for (;;) {
+                const Frame frame = co_await connection.read(timeout);
+                ++requests_[id];
+                PeerMessage head = answerHead(0);
+                PeerMessage end = AnswerEndMessage {};
+                co_await connection.write(frame.request, std::move(head), timeout);
+                co_await connection.write(frame.request, std::move(end), timeout);
+            }
+        } catch (const boost::system::system_error&) {
+            co_return;
+        }
+    }
+
+    Asio::ip::tcp::acceptor acceptor_;
+    HelloMessage owner_ { "peer", "region", "data-centre", 0 };
+    std::map<std::string, std::size_t> requests_;
+    std::size_t connections_ { 0 };
+};
+
 class PeerClientTest : public testing::Test {
 protected:
     /// Forwards one request to a peer that answers with `frames`, expects an error that leaves it open whether the request ran, and
@@ -97,10 +164,8 @@
     {
         Asio::io_context context(1);
         EndlessPeer peer(context, std::move(frames));
-        PeerClient client({ "self", "region", "data-centre", 0 }, { timeout, timeout, ByteCount(frameLimit) });
-        GatewayRequest request;
-        request.cancellation = std::make_shared<Cancellation>();
-        request.deadline = SteadyClock().now() + 10s;
+        PeerClient client = makeClient();
+        const GatewayRequest request = makeRequest();
         std::optional<Error> failure;
         Asio::co_spawn(context, run(client, peer.member(), request, sink, failure), Asio::detached);
         while (!peer.hasEnded())
@@ -111,6 +176,42 @@
         EXPECT_FALSE(sink.hasEnded);
     }
 
+    static PeerClient makeClient() { return { { "self", "region", "data-centre", 0 }, { timeout, timeout, ByteCount(frameLimit) } }; }
+
+    static GatewayRequest makeRequest()
+    {
+        GatewayRequest request;
+        request.cancellation = std::make_shared<Cancellation>();
+        request.deadline = SteadyClock().now() + 10s;
+        return request;
+    }
+
+    static void complete(Asio::io_context& context, Task<void> task)
+    {
+        auto done = Asio::co_spawn(context, std::move(task), Asio::use_future);
+        while (done.wait_for(0s) != std::future_status::ready)
+            context.run_one();
+        done.get();
+    }
+
+    /// Forwards a request to `peer` and returns why it failed; unset if it was answered.
+    static std::optional<Error> forward(Asio::io_context& context, PeerClient& client, Member peer)
+    {
+        const GatewayRequest request = makeRequest();
+        RecordingSink sink;
+        std::optional<Error> failure;
+        complete(context, run(client, std::move(peer), request, sink, failure));
+        EXPECT_EQ(sink.hasEnded, !failure);
+        return failure;
+    }
+
+    static void expectNotRun(const std::optional<Error>& failure)
+    {
+        ASSERT_TRUE(failure);
+        EXPECT_EQ(failure->code(), ResultCode::PeerUnreachable) << failure->what();
+        EXPECT_EQ(failure->ran(), Ran::No) << failure->what();
+    }
+
     static Task<void> run(PeerClient& client, Member peer, const GatewayRequest& request, RecordingSink& sink, std::optional<Error>& failure)
     {
         try {
@@ -163,4 +264,55 @@
     EXPECT_TRUE(sink.body.empty());
 }
 
+// Guards against a body that reaches an instance, and its region, that nobody has chosen, because the address of the chosen one has passed on.
+TEST_F(PeerClientTest, RequestForAnInstanceWhoseAddressAnotherOneHasIsNotSent)
+{
+    Asio::io_context context(1);
+    ReassignedAddress address(context);
+    address.assignTo({ "other", "other-region", "data-centre", 0 });
+    PeerClient client = makeClient();
+    expectNotRun(forward(context, client, address.member("peer")));
+    complete(context, client.keepWarm(address.member("peer"), 1));
+    expectNotRun(forward(context, client, address.member("peer")));
+    EXPECT_EQ(address.requestsAt("other"), 0U);
+    EXPECT_FALSE(forward(context, client, address.member("other", "other-region")));
+    EXPECT_EQ(address.requestsAt("other"), 1U);
+}
+
+// Guards against a body that reaches another region than the one for which it was permitted.
+TEST_F(PeerClientTest, RequestForAnInstanceThatNamesAnotherRegionIsNotSent)
+{
+    Asio::io_context context(1);
+    ReassignedAddress address(context);
+    address.assignTo({ "peer", "other-region", "data-centre", 0 });
+    PeerClient client = makeClient();
+    expectNotRun(forward(context, client, address.member("peer")));
+    EXPECT_EQ(address.requestsAt("peer"), 0U);
+    address.assignTo({ "peer", "", "", 0 });
+    EXPECT_FALSE(forward(context, client, address.member("peer")));
+    EXPECT_EQ(address.requestsAt("peer"), 1U);
+}
+
+// Guards against a request that is sent on an idle connection to the instance that had the address before, in whatever region.
+TEST_F(PeerClientTest, IdleConnectionIsUsedForItsInstanceOnly)
+{
+    Asio::io_context context(1);
+    ReassignedAddress address(context);
+    PeerClient client = makeClient();
+    EXPECT_FALSE(forward(context, client, address.member("peer")));
+    EXPECT_FALSE(forward(context, client, address.member("peer")));
+    EXPECT_EQ(address.connections(), 1U);
+    address.assignTo({ "successor", "other-region", "data-centre", 0 });
+    EXPECT_FALSE(forward(context, client, address.member("successor", "other-region")));
+    EXPECT_EQ(address.requestsAt("peer"), 2U);
+    EXPECT_EQ(address.requestsAt("successor"), 1U);
+    EXPECT_EQ(address.connections(), 2U);
+    address.assignTo({ "third", "region", "data-centre", 0 });
+    complete(context, client.keepWarm(address.member("third"), 1));
+    EXPECT_EQ(address.connections(), 3U);
+    EXPECT_FALSE(forward(context, client, address.member("third")));
+    EXPECT_EQ(address.requestsAt("third"), 1U);
+    EXPECT_EQ(address.connections(), 3U);
+}
+
 } // namespace Ibisturn
