LibHTTP: Write answers to control messages as patiently as the messages

What callers would see: instances that share a slow link with many others keep an old configuration. Answers on control connections were written with the timeout for connecting, 500 ms for each 64 KiB, which is about 1 Mbit/s. When an instance on a link of 10 Mbit/s answers 20 peers at once, each gets half of that, so all answers fail, together with the connections that carry reports.

Ruled out: the other direction, which has 2 s for each 64 KiB.

Both directions use one constant of 2 s now.

Test, before -> after: SlowPeer.ReceivesALargeAnswerWhole, a peer that reads 64 KiB each 0.6 s and is sent 1 MiB: connection closed after 8 s, in 3 of 3 runs -> passes in 9.6 to 9.8 s, in 3 of 3 runs.

--- a/Libraries/LibHTTP/Peers/PeerServer.cpp
+++ b/Libraries/LibHTTP/Peers/PeerServer.cpp
@@ -114,12 +114,12 @@
     co_await connection.write(frame.request, std::move(message), timeout);
 }
 
-Task<void> serveControl(PeerConnection& connection, InstanceId from, ControlEvent event, InstanceTables& tables, ControlReceiver& control)
+Task<void> serveControl(PeerConnection& connection, InstanceId from, ControlEvent event, ControlReceiver& control)
 {
     const std::vector<PeerAction> answers = co_await control.receive(std::move(from), std::move(event));
     for (const auto& answer : answers) {
         PeerMessage message = toPeerMessage(answer);
-        co_await connection.write(RequestId(0), std::move(message), tables.settings.connectTimeout);
+        co_await connection.write(RequestId(0), std::move(message), controlWriteTimeout);
     }
 }
 
@@ -156,7 +156,7 @@
             continue;
         }
         InstanceId from(other.instance);
-        co_await serveControl(connection, std::move(from), std::move(*event), tables, control);
+        co_await serveControl(connection, std::move(from), std::move(*event), control);
     }
 }
 
--- a/Libraries/LibPeer/PeerConnection.h
+++ b/Libraries/LibPeer/PeerConnection.h
@@ -12,6 +12,10 @@
 
 namespace Ibisturn {
 
+/// How long a part of a control message may stall on the way, in either direction of a control connection. Many peers may share the link
+/// that it goes over.
+constexpr Duration controlWriteTimeout = std::chrono::seconds(2);
+
 /// One TCP connection between two instances. It carries one request at a time, so that TCP flow control
 /// for a slow reader affects only that reader's stream.
 /// Thread safety: one coroutine at a time, on the worker of the socket.
--- a/Programs/ibisturn/ControlPlane.cpp
+++ b/Programs/ibisturn/ControlPlane.cpp
@@ -8,12 +8,6 @@
 
 namespace Ibisturn {
 
-namespace {
-
-constexpr Duration writeTimeout = std::chrono::seconds(2);
-
-} // namespace
-
 ControlPlane::ControlPlane(Asio::io_context& context, InstanceTables& tables, StoreClient& store)
     : context_(context)
     , tables_(tables)
@@ -21,7 +15,7 @@
           store, tables.settings.identity, tables.settings.storePrefix,
           [this](SnapshotPointer snapshot) { tables_.configuration.set(std::move(snapshot)); },
           [this](const PeerAction& action) { send(action); })
-    , links_(context, makeHelloMessage(tables.settings.identity), { tables.settings.connectTimeout, writeTimeout, tables.settings.idleTimeout }, *this)
+    , links_(context, makeHelloMessage(tables.settings.identity), { tables.settings.connectTimeout, controlWriteTimeout, tables.settings.idleTimeout }, *this)
 {
 }
 
--- a/Programs/ibisturn/FleetControlPlane.cpp
+++ b/Programs/ibisturn/FleetControlPlane.cpp
@@ -15,7 +15,6 @@
 namespace {
 
 constexpr Log fleetLog("fleet");
-constexpr Duration writeTimeout = std::chrono::seconds(2);
 /// Minimum time between two writes of the fleet size to the store.
 constexpr Duration fleetSizeWritePeriod = std::chrono::seconds(2);
 /// Larger answers to requests for the store's changes are not repeated within this time.
@@ -70,7 +69,7 @@
     , fleetState_(reader, tables.settings.storePrefix, removalLimits(*tables.settings.fleet))
     , incarnation_(generateIncarnation())
     , lease_(store, instancesPrefixOf(tables.settings.storePrefix), self())
-    , links_(context, makeHelloMessage(tables.settings.identity), { tables.settings.connectTimeout, writeTimeout, tables.settings.idleTimeout }, *this)
+    , links_(context, makeHelloMessage(tables.settings.identity), { tables.settings.connectTimeout, controlWriteTimeout, tables.settings.idleTimeout }, *this)
     , statusExchange_(
           tables.settings.identity.instance, tables.settings.identity.region, incarnation_, [this](TimePoint now) { return localStatus(now); }, SteadyClock().now())
     , startedAt_(SteadyClock().now())
--- a/Tests/Support/LoopbackInstance.h
+++ b/Tests/Support/LoopbackInstance.h
@@ -8,6 +8,7 @@
 
 #include <memory>
 #include <utility>
+#include <vector>
 
 namespace Ibisturn::Testing {
 
@@ -19,21 +20,27 @@
     return settings;
 }
 
-/// Accepts control messages and replies to none. Thread safety: any thread.
-class NullControlReceiver final : public ControlReceiver {
+/// Replies to each control message with the same messages. Thread safety: any thread.
+class FixedControlReceiver final : public ControlReceiver {
 public:
-    Task<std::vector<PeerAction>> receive(InstanceId /*from*/, ControlEvent /*event*/) override
+    explicit FixedControlReceiver(std::vector<PeerAction> replies)
+        : replies_(std::move(replies))
     {
-        co_return std::vector<PeerAction>();
     }
+
+    Task<std::vector<PeerAction>> receive(InstanceId /*from*/, ControlEvent /*event*/) override { co_return replies_; }
+
+private:
+    const std::vector<PeerAction> replies_;
 };
 
-/// An instance with one worker that listens for callers and peers. The test sets configuration and membership
-/// directly. Thread safety: the creating thread.
+/// An instance with one worker that listens for callers and peers, and replies to control messages with `controlReplies`. The test
+/// sets configuration and membership directly. Thread safety: the creating thread.
 class LoopbackInstance {
 public:
-    explicit LoopbackInstance(const Settings& settings)
+    explicit LoopbackInstance(const Settings& settings, std::vector<PeerAction> controlReplies = {})
         : tables_(settings, nullptr)
+        , control_(std::move(controlReplies))
         , claims_(settings, store_, worker_.context().get_executor())
         , runner_(tables_, claims_)
     {
@@ -62,7 +69,7 @@
 private:
     InstanceTables tables_;
     LoopbackThread worker_;
-    NullControlReceiver control_;
+    FixedControlReceiver control_;
     UnreachableStore store_;
     ClaimService claims_;
     RequestRunner runner_;
