LibDecision: Answer new requests for changes right after a large answer

What callers would see: a request is sent to a backend server that has left up to 1 s before, because it left right after a large change of the configuration. After a large answer, every request of the same peer for the store's changes stayed unanswered for 1 s, also one whose positions show that the answer has arrived.

Only a request with the same positions as the one that got the large answer is a repeated one now. A request with earlier positions comes from a new process, which has lost the answer, and is answered as well. The decision is a class of its own, LargeAnswers.

--- a/Programs/ibisturn/FleetControlPlane.cpp
+++ b/Programs/ibisturn/FleetControlPlane.cpp
@@ -6,7 +6,6 @@
 #include <LibPeer/Hello.h>
 
 #include <algorithm>
-#include <numeric>
 #include <set>
 #include <utility>
 
@@ -17,9 +16,6 @@
 constexpr Log fleetLog("fleet");
 /// Minimum time between two writes of the fleet size to the store.
 constexpr Duration fleetSizeWritePeriod = std::chrono::seconds(2);
-/// Larger answers to requests for the store's changes are not repeated within this time.
-constexpr std::size_t largeAnswerBytes = 64UL * 1024;
-constexpr Duration largeAnswerTime = std::chrono::milliseconds(1000);
 /// The platform's store numbers its eras from one.
 constexpr StoreEra firstEra { 1 };
 constexpr Duration membershipPeriod = std::chrono::milliseconds(250);
@@ -200,14 +196,10 @@
     }
     if (update.requestAfter.empty())
         return {};
-    // A large answer takes a while over a slow link. A request that is repeated meanwhile must not be answered with all of it again.
-    std::erase_if(largeAnswers_, [now](const auto& answer) { return now - answer.second >= largeAnswerTime; });
-    if (largeAnswers_.contains(from))
+    if (largeAnswers_.isRepeated(now, from, update.requestAfter))
         return {};
     auto answer = fleetState_.updateAfter(now, update.requestAfter);
-    const auto addSize = [](std::size_t sum, const RecordChange& change) { return sum + change.value.value_or(std::string()).size(); };
-    if (std::accumulate(answer.changes.begin(), answer.changes.end(), std::size_t(0), addSize) > largeAnswerBytes)
-        largeAnswers_[from] = now;
+    largeAnswers_.onAnswer(now, from, update.requestAfter, answer);
     return { SendStoreUpdate { from, std::move(answer) } };
 }
 
--- a/Programs/ibisturn/FleetControlPlane.h
+++ b/Programs/ibisturn/FleetControlPlane.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibDecision/Dissemination/LargeAnswers.h>
 #include <LibDecision/Dissemination/StatusExchange.h>
 #include <LibDecision/Dissemination/StoreFeed.h>
 #include <LibDecision/Membership/EntryDirectory.h>
@@ -10,7 +11,6 @@
 #include <LibPlatform/InstanceLease.h>
 #include <LibPlatform/PeerUpdateRequests.h>
 
-#include <map>
 #include <memory>
 #include <vector>
 
@@ -81,8 +81,7 @@
     TimePoint nextMembershipUpdate_ {};
     TimePoint nextFleetSizeWrite_ {};
     PeerUpdateRequests updateRequests_;
-    /// When other instances were last sent a large answer.
-    std::map<InstanceId, TimePoint> largeAnswers_;
+    LargeAnswers largeAnswers_;
     StatusExchange statusExchange_;
     std::uint64_t appliedStatusVersion_ { 0 };
     TimePoint startedAt_;
