LibDecision: Take no confirmation from an instance in an earlier era

What callers would see: beside instances of a version without eras, an instance serves by an old configuration for good. The positions of such a peer decode as era zero, so they are never ahead of those of an instance with eras. That instance took this for having all that the peer has: it counted the peer's confirmations as its own, and neither followed the store nor requested the changes.

Ruled out: numbers of peers that are in the same era, which compare as before.

A status whose positions are of an earlier era than this instance's, in any followed prefix, confirms nothing, and does not keep this instance from following the store: neither as a status, nor as one of a follower, nor as one of a better follower to hand back to. When a store returns, an instance that learns of the new era long before all of its region's collectors may therefore follow the store for a few seconds. Beside collectors without eras, every instance with eras follows the store.

Tests, before -> after (StoreFeedTest): AnInstanceInAnEarlierEraNeitherConfirmsNorKeepsOthersFromFollowing and AnInstanceThatIsPartlyInAnEarlierEraDoesNotConfirm failed -> pass.

--- a/Libraries/LibDecision/Dissemination/StoreFeed.cpp
+++ b/Libraries/LibDecision/Dissemination/StoreFeed.cpp
@@ -32,6 +32,18 @@
     return false;
 }
 
+/// Whether the sender of `positions` may lack what the store said in the era of `others`. An instance of a version that knows no eras
+/// sends positions of era zero.
+bool isOfEarlierEra(const std::vector<Revision>& positions, const std::vector<Revision>& others)
+{
+    for (std::size_t index = 0; index < others.size(); ++index) {
+        const auto era = index < positions.size() ? positions[index].era() : StoreEra();
+        if (era < others[index].era())
+            return true;
+    }
+    return false;
+}
+
 StoreEra newestEra(const std::vector<Revision>& positions)
 {
     const auto newest = std::max_element(positions.begin(), positions.end());
@@ -56,11 +68,13 @@
 
 void StoreFeed::onStatus(TimePoint now, TimePoint sentAt, const InstanceId& from, std::size_t rank, const StoreFeedStatus& status)
 {
-    lastStatusAt_ = std::max(lastStatusAt_, now);
     auto& peer = peers_[from];
-    if (status.isFollowing)
+    const bool isCounted = !isOfEarlierEra(status.positions, positions_);
+    if (isCounted)
+        lastStatusAt_ = std::max(lastStatusAt_, now);
+    if (isCounted && status.isFollowing)
         lastFollowerAt_ = std::max(lastFollowerAt_, now);
-    else if (peer.status.isFollowing)
+    else if (isCounted && peer.status.isFollowing)
         lastFollowerAt_ = std::min(lastFollowerAt_, now - silence() + recoveryTime);
     const auto isSameEra = peer.receivedAt != TimePoint() && newestEra(peer.status.positions) == newestEra(status.positions);
     peer = { now, sentAt, rank, status, isSameEra ? peer.eraSince : now };
@@ -69,7 +83,8 @@
 void StoreFeed::advance(TimePoint now, std::size_t rank, const std::vector<Revision>& positions)
 {
     std::erase_if(peers_, [this, now](const auto& entry) { return now - entry.second.receivedAt > silence(); });
-    takeConfirmations(positions);
+    positions_ = positions;
+    takeConfirmations();
     if (rank == 0) {
         isFollowing_ = true;
         return;
@@ -160,15 +175,16 @@
 {
     return std::any_of(peers_.begin(), peers_.end(), [this, now, rank](const auto& entry) {
         const auto& peer = entry.second;
-        return now - peer.receivedAt <= silence() && peer.rank < rank && peer.status.isFollowing;
+        return now - peer.receivedAt <= silence() && peer.rank < rank && peer.status.isFollowing && !isOfEarlierEra(peer.status.positions, positions_);
     });
 }
 
-// What the store confirmed to another instance holds for this one's copy once it has all that the other one has.
-void StoreFeed::takeConfirmations(const std::vector<Revision>& positions)
+// What the store confirmed to another instance holds for this one's copy once it has all that the other one has, unless it was about an
+// earlier copy of the store.
+void StoreFeed::takeConfirmations()
 {
     for (const auto& [id, peer] : peers_) {
-        if (peer.status.age && !isAhead(peer.status.positions, positions))
+        if (peer.status.age && !isAhead(peer.status.positions, positions_) && !isOfEarlierEra(peer.status.positions, positions_))
             confirmedAt_ = std::max(confirmedAt_, std::optional(peer.sentAt - *peer.status.age));
     }
 }
--- a/Libraries/LibDecision/Dissemination/StoreFeed.h
+++ b/Libraries/LibDecision/Dissemination/StoreFeed.h
@@ -17,7 +17,8 @@
 /// Decides whether this instance follows the store itself or learns its changes from other instances, so that the number
 /// of calls to the store does not grow with the fleet. The first collector of a region follows the store; the next ones in
 /// rank take over one after the other once they hear from nobody who does. An instance that hears from nobody at all, or that stays behind
-/// those it hears from, follows the store in any case.
+/// those it hears from, follows the store in any case. One that hears only from instances that are still in an earlier era hears from nobody in this
+/// sense: they know nothing of the store's changes since.
 /// Thread safety: one thread at a time.
 class StoreFeed {
 public:
@@ -71,14 +72,17 @@
     std::optional<TimePoint> ownConfirmation() const;
     bool isConfirmedByStore(TimePoint now) const;
     bool followsBetter(TimePoint now, std::size_t rank) const;
-    void takeConfirmations(const std::vector<Revision>& positions);
+    void takeConfirmations();
     bool staysBehind(TimePoint now, const std::vector<Revision>& positions);
 
     StoreFeedLimits limits_;
     Duration reportPeriod_ { std::chrono::milliseconds(100) };
     std::map<InstanceId, Peer> peers_;
+    /// This instance's own, when it last decided.
+    std::vector<Revision> positions_;
+    /// When a status last came from an instance that is not in an earlier era than this one.
     TimePoint lastStatusAt_;
-    /// When a status last came from an instance that follows the store.
+    /// When such a status last came from an instance that follows the store.
     TimePoint lastFollowerAt_;
     /// By the prefix's number; none after a failed call.
     std::map<std::size_t, TimePoint> ownConfirmations_;
--- a/Tests/LibDecision/StoreFeedTest.cpp
+++ b/Tests/LibDecision/StoreFeedTest.cpp
@@ -168,4 +168,44 @@
     }
 }
 
+// An instance of a version that knows no eras sends positions without them. Guards against one in a later era that keeps an old
+// configuration for good, because it takes the other's higher numbers for older ones and itself for current.
+TEST(StoreFeed, AnInstanceInAnEarlierEraNeitherConfirmsNorKeepsOthersFromFollowing)
+{
+    const std::vector<Revision> own { Revision(5, StoreEra(1)) };
+    const StoreFeedStatus earlier { true, 100ms, { Revision(9) } };
+    StoreFeed next(at(0s));
+    StoreFeed later(at(0s));
+    Duration time = 0s;
+    for (; time <= 3s; time += 100ms) {
+        for (auto* feed : { &next, &later }) {
+            feed->onStatus(at(time), at(time), first, 0, earlier);
+            feed->advance(at(time), feed == &next ? 1 : 90, own);
+            EXPECT_FALSE(feed->confirmedAt());
+            EXPECT_FALSE(feed->status(at(time), own).age);
+        }
+    }
+    EXPECT_TRUE(next.isFollowing());
+    EXPECT_TRUE(later.isFollowing());
+    for (; time <= 6s; time += 100ms) {
+        next.onStatus(at(time), at(time), first, 0, earlier);
+        next.onConfirmed(at(time), 0);
+        next.advance(at(time), 1, own);
+        EXPECT_TRUE(next.isFollowing());
+    }
+}
+
+// Guards against a confirmation of a copy of which a part is still of the earlier era.
+TEST(StoreFeed, AnInstanceThatIsPartlyInAnEarlierEraDoesNotConfirm)
+{
+    StoreFeed feed(at(0s));
+    const std::vector<Revision> own { Revision(5, StoreEra(1)), Revision(7, StoreEra(1)) };
+    feed.onStatus(at(0s), at(0s), first, 0, { true, 100ms, { Revision(5, StoreEra(1)), Revision(9) } });
+    feed.advance(at(0s), 1, own);
+    EXPECT_FALSE(feed.confirmedAt());
+    feed.onStatus(at(1s), at(1s), first, 0, { true, 100ms, own });
+    feed.advance(at(1s), 1, own);
+    EXPECT_EQ(feed.confirmedAt(), at(900ms));
+}
+
 } // namespace Ibisturn::Testing
