LibDecision: Weigh routes by the requests seen on them in the directory

Callers whose own region has no instance to use, for example while all of its instances restart, were led to the region that most routes of their host permit. With one busy route that may run in two regions and many rarely used ones that may run in a third, all callers were led to the third region, where nearly none of their requests may run.

Each instance now counts the requests of its callers by route over the last 30 to 60 s (RouteDemand), and a route with home regions weighs as many as its requests. If none has been seen on any route with home regions of the host, routes count as before. Regions that all routes with a weight permit rank before suspected instances of the caller's own region: a route that nobody asks for would otherwise keep callers with instances that probably do not answer.

A request counts once its key is accepted, so requests without a valid key do not lead other callers. Forwarded requests do not count: the callers of their sender are led by its directory.

Tests: Process.Fleet before: the directory named the region of two unused routes where one busy route permits the other region; after: ok.

--- a/Libraries/LibDecision/Membership/EntryDirectory.cpp
+++ b/Libraries/LibDecision/Membership/EntryDirectory.cpp
@@ -88,7 +88,7 @@
     SuspectedInOtherRegion,
 };
 
-/// The rank, and among regions of one rank the number of routes that don't permit the instance's region; the lowest pair is best.
+/// The rank, and among regions of one rank the weight of the routes that don't permit the instance's region; the lowest pair is best.
 std::pair<EntryRank, std::size_t> rankOf(const Member& member, const CallerLocation& caller, const HostRegions& regions)
 {
     const bool isSuspected = member.state == MemberState::Suspected;
@@ -97,7 +97,7 @@
     if (member.region == caller.region)
         return { isSuspected ? EntryRank::SuspectedInRegion : EntryRank::Region, 0 };
     const auto found = regions.permittedBy.find(member.region);
-    const auto refusedBy = regions.routes - (found == regions.permittedBy.end() ? 0 : found->second);
+    const auto refusedBy = regions.weight - (found == regions.permittedBy.end() ? 0 : found->second);
     if (refusedBy == 0)
         return { isSuspected ? EntryRank::SuspectedInHomeRegion : EntryRank::HomeRegion, 0 };
     return { isSuspected ? EntryRank::SuspectedInOtherRegion : EntryRank::OtherRegion, refusedBy };
--- a/Libraries/LibDecision/Membership/EntryDirectory.h
+++ b/Libraries/LibDecision/Membership/EntryDirectory.h
@@ -38,9 +38,11 @@
 };
 
 /// The instances that callers at `caller` should use for a host whose routes permit `regions`. Returns the first of these groups that is
-/// not empty: live instances in the caller's data centre, in its region, in the regions that all of the host's routes permit; suspected
-/// ones in the same order; and last the live and then the suspected instances of the region that most of the routes with home regions
-/// permit, of the one that the next most permit, and so on. Leaving instances are never returned.
+/// not empty: live instances in the caller's data centre, in its region, in the regions that all routes with a weight permit; suspected
+/// ones in the same order; and last the live and then the suspected instances of the region that routes of the largest weight permit, of
+/// the one with the next largest, and so on. Leaving instances are never returned.
+/// A route without a weight has not been asked for, and does not keep callers with suspected instances of their own region while a region
+/// that may run all of their requests has live ones.
 /// Thread safety: any thread.
 std::vector<Member> entriesNear(const MembershipView& membership, const CallerLocation& caller, const HostRegions& regions);
 
--- a/Libraries/LibDecision/Routing/HomeRegions.cpp
+++ b/Libraries/LibDecision/Routing/HomeRegions.cpp
@@ -11,6 +11,13 @@
     return std::find(regions.begin(), regions.end(), region) != regions.end();
 }
 
+void addRoute(HostRegions& regions, const Route& route, std::size_t weight)
+{
+    regions.weight += weight;
+    for (const auto& region : route.policy->homeRegions)
+        regions.permittedBy[region] += weight;
+}
+
 } // namespace
 
 bool permitsRegion(const HomeRegions& homeRegions, const RegionId& region)
@@ -45,17 +52,18 @@
     return intersectionOf(accepted, homeRegionsFor(snapshot, workspace, route));
 }
 
-HostRegions regionsOfHost(const Snapshot& snapshot, std::string_view host)
+HostRegions regionsOfHost(const Snapshot& snapshot, std::string_view host, const RouteDemand& demand, TimePoint now)
 {
-    HostRegions regions;
+    HostRegions byRequests;
+    HostRegions byRoutes;
     for (const auto& route : snapshot.routes()) {
         if (!route.policy || route.policy->host != host || route.policy->homeRegions.empty())
             continue;
-        ++regions.routes;
-        for (const auto& region : route.policy->homeRegions)
-            ++regions.permittedBy[region];
+        addRoute(byRoutes, route, 1);
+        if (const auto requests = demand.requests(now, route.id); requests > 0)
+            addRoute(byRequests, route, requests);
     }
-    return regions;
+    return byRequests.weight > 0 ? byRequests : byRoutes;
 }
 
 } // namespace Ibisturn
--- a/Libraries/LibDecision/Routing/HomeRegions.h
+++ b/Libraries/LibDecision/Routing/HomeRegions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibConfiguration/Snapshot.h>
+#include <LibDecision/Routing/RouteDemand.h>
 
 #include <cstddef>
 #include <map>
@@ -29,15 +30,18 @@
 /// Thread safety: any thread.
 HomeRegions homeRegionsInForce(const Snapshot& snapshot, const WorkspaceId& workspace, const RouteId& route, const HomeRegions& accepted);
 
-/// Which regions the routes of one host permit.
+/// Which regions the routes of one host permit, in terms of the weights of these routes.
 struct HostRegions {
-    /// The number of routes that have home regions.
-    std::size_t routes { 0 };
-    /// How many of them permit a region; a region that none permits is missing.
+    /// The sum of the weights of all routes that have home regions; zero permits every region.
+    std::size_t weight { 0 };
+    /// The weights of those that permit a region; a region that none permits is missing.
     std::map<RegionId, std::size_t> permittedBy;
 };
 
-/// The regions that the routes of `host` permit. Thread safety: any thread.
-HostRegions regionsOfHost(const Snapshot& snapshot, std::string_view host);
+/// The regions that the routes of `host` permit. A route with home regions weighs as many as the requests that `demand` has for it, so one
+/// that nobody asks for does not count: where its requests may run is irrelevant to callers who send none. If no request has been seen on
+/// any of these routes, each weighs one. Routes without home regions do not count.
+/// Thread safety: that of `demand`.
+HostRegions regionsOfHost(const Snapshot& snapshot, std::string_view host, const RouteDemand& demand, TimePoint now);
 
 } // namespace Ibisturn
--- a/Libraries/LibHTTP/Callers/RoutedSession.cpp
+++ b/Libraries/LibHTTP/Callers/RoutedSession.cpp
@@ -192,6 +192,7 @@
         if (!route)
             throw Error(ResultCode::RouteNotFound, Ran::No, "No route serves this host and path");
         request.workspace = workspaceOf(*snapshot, *route, head);
+        tables_.routeDemand.record(arrived, route->id);
         if (!isRoutableMethod(request.method))
             throw Error(ResultCode::MalformedRequest, Ran::No, "The path does not allow this method");
         request.routed = makeRouted(*snapshot, *route, request.workspace, head, arrived);
--- a/Libraries/LibHTTP/Requests/InstanceTables.h
+++ b/Libraries/LibHTTP/Requests/InstanceTables.h
@@ -9,6 +9,7 @@
 #include <LibDecision/Membership/MembershipView.h>
 #include <LibDecision/Quarantine/PromptQuarantine.h>
 #include <LibDecision/Requests/FleetRetryBudget.h>
+#include <LibDecision/Routing/RouteDemand.h>
 #include <LibHTTP/Backends/BackendDialect.h>
 #include <LibHTTP/Backends/LoadTable.h>
 #include <LibHTTP/Backends/SharedAdmissionControl.h>
@@ -61,6 +62,8 @@
     FleetAllowance allowance;
     /// For requests on routes with a policy. Used by one worker.
     PromptQuarantine quarantine;
+    /// The requests of callers on routes with a policy, without those that peers forward. Used by one worker.
+    RouteDemand routeDemand;
     const BackendDialect* backendDialect { &openAiBackendDialect() };
     LoadTable load;
     SharedHealthTable health;
--- a/Programs/ibisturn/FleetControlPlane.cpp
+++ b/Programs/ibisturn/FleetControlPlane.cpp
@@ -147,7 +147,7 @@
         return {};
     // Until a configuration is known, any region may be outside the home regions of the host's requests, so none is treated
     // as a home region.
-    const auto regions = appliedSnapshot_ ? regionsOfHost(*appliedSnapshot_, host) : HostRegions { 1, {} };
+    const auto regions = appliedSnapshot_ ? regionsOfHost(*appliedSnapshot_, host, tables_.routeDemand, SteadyClock().now()) : HostRegions { 1, {} };
     return entriesNear(*membership, caller, regions);
 }
 
--- a/Tests/LibDecision/FleetRequestsTest.cpp
+++ b/Tests/LibDecision/FleetRequestsTest.cpp
@@ -4,6 +4,7 @@
 #include <LibDecision/Requests/ServiceChoice.h>
 #include <LibDecision/Routing/HomeRegions.h>
 
+#include <random>
 #include <set>
 
 #include <fmt/format.h>
@@ -49,6 +50,28 @@
     return names;
 }
 
+Record routeOf(const std::string& name, const std::string& host, std::vector<RegionId> homeRegions)
+{
+    Route route;
+    route.id = RouteId(name);
+    route.pathPrefix = "/" + name + "/";
+    route.policy.emplace();
+    route.policy->host = host;
+    route.policy->homeRegions = std::move(homeRegions);
+    return { "routes", name, Revision(1), route };
+}
+
+/// The requests that an instance has seen at the beginning of a test.
+RouteDemand demandOf(const std::map<std::string, int>& requests)
+{
+    RouteDemand demand;
+    for (const auto& [route, count] : requests) {
+        for (int index = 0; index < count; ++index)
+            demand.record(at(0s), RouteId(route));
+    }
+    return demand;
+}
+
 } // namespace
 
 TEST(RequestLifecycle, ARefusalByTheBackendServerProvesThatNothingRan)
@@ -187,31 +210,79 @@
 
 TEST(HomeRegions, OfAHostAreThoseOfAllItsRoutes)
 {
-    const auto route = [](const std::string& name, const std::string& host, std::vector<RegionId> homeRegions) {
-        Route made;
-        made.id = RouteId(name);
-        made.pathPrefix = "/" + name + "/";
-        made.policy.emplace();
-        made.policy->host = host;
-        made.policy->homeRegions = std::move(homeRegions);
-        return Record { "routes", name, Revision(1), made };
-    };
     const RegionId khomas("khomas");
     const RegionId omaheke("omaheke");
     const RegionId erongo("erongo");
-    const Snapshot snapshot(Revision(1), { route("a", "guide.example", { khomas, omaheke }), route("b", "guide.example", {}), route("c", "guide.example", { omaheke, erongo }), route("d", "open.example", {}), route("e", "split.example", { khomas }), route("f", "split.example", { erongo }) });
-    const auto guide = regionsOfHost(snapshot, "guide.example");
-    EXPECT_EQ(guide.routes, 2U);
+    const Snapshot snapshot(Revision(1), { routeOf("a", "guide.example", { khomas, omaheke }), routeOf("b", "guide.example", {}), routeOf("c", "guide.example", { omaheke, erongo }), routeOf("d", "open.example", {}), routeOf("e", "split.example", { khomas }), routeOf("f", "split.example", { erongo }) });
+    const auto guide = regionsOfHost(snapshot, "guide.example", RouteDemand(), at(0s));
+    EXPECT_EQ(guide.weight, 2U);
     EXPECT_EQ(guide.permittedBy, (std::map<RegionId, std::size_t> { { khomas, 1 }, { omaheke, 2 }, { erongo, 1 } }));
-    const auto split = regionsOfHost(snapshot, "split.example");
-    EXPECT_EQ(split.routes, 2U);
+    const auto split = regionsOfHost(snapshot, "split.example", RouteDemand(), at(0s));
+    EXPECT_EQ(split.weight, 2U);
     EXPECT_EQ(split.permittedBy, (std::map<RegionId, std::size_t> { { khomas, 1 }, { erongo, 1 } }));
     for (const auto* host : { "open.example", "unknown.example" }) {
-        EXPECT_EQ(regionsOfHost(snapshot, host).routes, 0U);
-        EXPECT_TRUE(regionsOfHost(snapshot, host).permittedBy.empty());
+        EXPECT_EQ(regionsOfHost(snapshot, host, RouteDemand(), at(0s)).weight, 0U);
+        EXPECT_TRUE(regionsOfHost(snapshot, host, RouteDemand(), at(0s)).permittedBy.empty());
     }
 }
 
+TEST(HomeRegions, OfAHostWeighAsManyRequestsAsWereSeen)
+{
+    const RegionId khomas("khomas");
+    const RegionId omaheke("omaheke");
+    const RegionId erongo("erongo");
+    const Snapshot snapshot(Revision(1), { routeOf("a", "guide.example", { khomas, omaheke }), routeOf("b", "guide.example", { erongo }), routeOf("c", "guide.example", { omaheke, erongo }), routeOf("d", "guide.example", {}), routeOf("e", "other.example", { khomas }) });
+    const auto regions = regionsOfHost(snapshot, "guide.example", demandOf({ { "a", 7 }, { "c", 2 }, { "d", 100 }, { "e", 100 }, { "removed", 100 } }), at(1s));
+    EXPECT_EQ(regions.weight, 9U);
+    EXPECT_EQ(regions.permittedBy, (std::map<RegionId, std::size_t> { { khomas, 7 }, { omaheke, 9 }, { erongo, 2 } }));
+    // Requests on routes without home regions and on other hosts say nothing, nor do those of long ago.
+    const std::vector<HostRegions> withoutRequests { regionsOfHost(snapshot, "guide.example", demandOf({ { "d", 100 }, { "e", 100 } }), at(1s)), regionsOfHost(snapshot, "guide.example", demandOf({ { "a", 7 } }), at(1h)) };
+    for (const auto& byRoutes : withoutRequests) {
+        EXPECT_EQ(byRoutes.weight, 3U);
+        EXPECT_EQ(byRoutes.permittedBy, (std::map<RegionId, std::size_t> { { khomas, 1 }, { omaheke, 2 }, { erongo, 2 } }));
+    }
+}
+
+// Guards against callers led to the region of many routes that are rarely used, while nearly all their requests may run only elsewhere.
+TEST(HomeRegions, LeadCallersToTheRegionThatMayRunMostOfTheirRequests)
+{
+    const std::vector<RegionId> regions { RegionId("khomas"), RegionId("omaheke"), RegionId("erongo"), RegionId("north") };
+    MembershipView view;
+    view.instances = { member("k1", "khomas", MemberState::Leaving), member("o1", "omaheke"), member("e1", "erongo"), member("n1", "north") };
+    const CallerLocation caller { RegionId("khomas"), DataCentreId("khomas-a") };
+    std::mt19937 random(20261204);
+    for (const bool isSpread : { false, true }) {
+        std::vector<Record> routes { routeOf("busy", "guide.example", { regions[0], regions[1] }) };
+        std::map<std::string, int> requests { { "busy", 950 } };
+        for (int index = 0; index < 1400; ++index) {
+            // Most of those that are spread permit the region that the busy one does not.
+            const auto home = isSpread && index % 3 == 0 ? regions[random() % regions.size()] : regions[2];
+            const auto name = fmt::format("rare-{}", index);
+            routes.push_back(routeOf(name, "guide.example", { home }));
+            if (index % 28 == 0)
+                requests[name] = 1;
+        }
+        const Snapshot snapshot(Revision(1), routes);
+        EXPECT_EQ(namesOf(entriesNear(view, caller, regionsOfHost(snapshot, "guide.example", demandOf(requests), at(1s)))), std::vector<std::string> { "o1" });
+        EXPECT_EQ(namesOf(entriesNear(view, caller, regionsOfHost(snapshot, "guide.example", RouteDemand(), at(1s)))), std::vector<std::string> { "e1" });
+    }
+}
+
+// Guards against callers kept with suspected instances of their region by a route that none of them uses.
+TEST(HomeRegions, OfRoutesThatNobodyAsksForDoNotKeepCallersWithSuspectedInstances)
+{
+    const RegionId khomas("khomas");
+    const RegionId omaheke("omaheke");
+    const Snapshot snapshot(Revision(1), { routeOf("busy", "guide.example", { khomas, omaheke }), routeOf("unused", "guide.example", { RegionId("erongo") }) });
+    MembershipView view;
+    view.instances = { member("k1", "khomas", MemberState::Suspected), member("o1", "omaheke"), member("e1", "erongo") };
+    const CallerLocation caller { khomas, DataCentreId("khomas-a") };
+    const auto entriesWith = [&](const RouteDemand& demand) { return namesOf(entriesNear(view, caller, regionsOfHost(snapshot, "guide.example", demand, at(1s)))); };
+    EXPECT_EQ(entriesWith(demandOf({ { "busy", 20 } })), std::vector<std::string> { "o1" });
+    EXPECT_EQ(entriesWith(demandOf({ { "busy", 20 }, { "unused", 1 } })), std::vector<std::string> { "k1" });
+    EXPECT_EQ(entriesWith(RouteDemand()), std::vector<std::string> { "k1" });
+}
+
 TEST(HomeRegions, OfRouteAndWorkspaceBothBind)
 {
     Route route;
--- a/Tests/LibHTTP/RoutedRequestTest.cpp
+++ b/Tests/LibHTTP/RoutedRequestTest.cpp
@@ -319,6 +319,8 @@
         EXPECT_EQ(failure().has_value(), region != khomas);
     }
     EXPECT_EQ(server.requests(), 1U);
+    // They are requests of the sender's callers, whom this instance's directory does not lead.
+    EXPECT_EQ(tables_.routeDemand.size(), 0U);
 }
 
 // An instance of an older version does not tell the home regions, so only this instance's configuration can know them.
--- a/Tests/Platform/RoutedCallerTest.cpp
+++ b/Tests/Platform/RoutedCallerTest.cpp
@@ -227,6 +227,23 @@
     EXPECT_TRUE(answer.ends_with("\r\n\r\nok")) << answer;
 }
 
+// Guards against a directory that knows nothing of the requests that callers send, or that counts those which callers may not send.
+TEST_F(RoutedCallerTest, ARequestCountsOnceForItsRoute)
+{
+    ScriptedServer server(context_, { answerHead("Content-Length: 2\r\n") + "ok" });
+    setServers({ server.endpoint() });
+    const RouteId book("book");
+    ASSERT_TRUE(isSuccess(exchange(request)));
+    EXPECT_EQ(tables_.routeDemand.requests(SteadyClock().now(), book), 1U);
+    // A request that no server can take is sent to this instance all the same.
+    setServers({});
+    EXPECT_TRUE(exchange(request).starts_with("HTTP/1.1 503"));
+    EXPECT_EQ(tables_.routeDemand.requests(SteadyClock().now(), book), 2U);
+    tables_.configuration.set(configurationOfWorkspace({ khomas }));
+    EXPECT_TRUE(exchange(request).starts_with("HTTP/1.1 401"));
+    EXPECT_EQ(tables_.routeDemand.requests(SteadyClock().now(), book), 2U);
+}
+
 // Guards against an instance that relays a head which its backend server has not completed, as a success with a short body.
 TEST_F(RoutedCallerTest, AnAnswerThatEndsWithinItsHeadIsNoSuccess)
 {
--- a/Tests/Process/FleetTest.sh
+++ b/Tests/Process/FleetTest.sh
@@ -98,7 +98,10 @@
  {"Name":"stream","Host":"barn.example","PathPrefix":"/stream/","Kind":"stream","TimeoutMs":5000,"TargetLatencyMs":1000,"Service":"model","MaxAttempts":2,"Resumable":true},
  {"Name":"home","Host":"barn.example","PathPrefix":"/home/","Kind":"idempotent","TimeoutMs":5000,"TargetLatencyMs":1000,"Service":"model","MaxAttempts":2,"HomeRegions":["omaheke"]},
  {"Name":"book","Host":"barn.example","PathPrefix":"/book/","Kind":"non_idempotent","TimeoutMs":2000,"TargetLatencyMs":300,"Service":"app","MaxAttempts":1},
- {"Name":"seats","Host":"barn.example","PathPrefix":"/seats/","Kind":"idempotent","TimeoutMs":2000,"TargetLatencyMs":300,"Service":"app","MaxAttempts":2}],
+ {"Name":"seats","Host":"barn.example","PathPrefix":"/seats/","Kind":"idempotent","TimeoutMs":2000,"TargetLatencyMs":300,"Service":"app","MaxAttempts":2},
+ {"Name":"busy","Host":"fair.example","PathPrefix":"/busy/","Kind":"idempotent","TimeoutMs":2000,"TargetLatencyMs":300,"Service":"app","MaxAttempts":2,"HomeRegions":["khomas"]},
+ {"Name":"rare-1","Host":"fair.example","PathPrefix":"/rare-1/","Kind":"idempotent","TimeoutMs":2000,"TargetLatencyMs":300,"Service":"app","MaxAttempts":2,"HomeRegions":["omaheke"]},
+ {"Name":"rare-2","Host":"fair.example","PathPrefix":"/rare-2/","Kind":"idempotent","TimeoutMs":2000,"TargetLatencyMs":300,"Service":"app","MaxAttempts":2,"HomeRegions":["omaheke"]}],
  "Services":[{"Name":"model","MaxConns":100,"Engine":{"Slots":8,"KvCapacity":100000,"Stride":1}},{"Name":"app","MaxConns":100}],
  "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
  "Tenants":[{"Name":"guides","ApiKeys":$keys,"PlainTokens":1,"RatePerS":0},{"Name":"small","ApiKeys":["small-key"],"PlainTokens":1000,"RatePerS":100,"Burst":100}]}
@@ -109,7 +112,7 @@
 send_request() {
     local callers=${1}_callers path=$2 id=$3
     shift 3
-    curl -sS -m 10 -w '\n%{http_code}' "http://${!callers}$path" -H 'Host: barn.example' -H "X-Ibisturn-Request-Id: $id" \
+    curl -sS -m 10 -w '\n%{http_code}' "http://${!callers}$path" -H "Host: ${REQUEST_HOST:-barn.example}" -H "X-Ibisturn-Request-Id: $id" \
         -H 'X-Ibisturn-Deadline-Ms: 5000' -H "Authorization: Bearer ${KEY:-guide-key}" "$@" 2>"$WORK/curl" || true
 }
 
@@ -121,6 +124,8 @@
 runs_of() { curl -sS "http://$1/runs"; }
 is_ready() { [ "$(curl -s -o "$WORK/ready" -w '%{http_code}' "http://$1/-/ready")" = 200 ]; }
 resolve_names() { curl -sS "http://$1/-/resolve?Name=barn.example&Region=$2&Zone=$2-a"; }
+# The entries of a host with two rarely used routes of one region and a busy one of another, for callers of a third region.
+resolve_fair() { curl -sS "http://$1/-/resolve?Name=fair.example&Region=erongo&Zone=erongo-a"; }
 directory_lists_both() { resolve_names "$khomas_directory" khomas | grep -q "$khomas_callers" && resolve_names "$khomas_directory" omaheke | grep -q "$omaheke_callers"; }
 directory_omits() { ! resolve_names "$khomas_directory" omaheke | grep -q "$1"; }
 # Status 200 and 500 both show that the request reached a server; the stand-in fails the first requests that it runs.
@@ -171,6 +176,12 @@
 expect "a request from the other region" '^app-k tenant=guides' "$(send_request omaheke /seats/2 seat-2)"
 expect "a route with a home" '^model-o tenant=guides' "$(send_request khomas /home/1 home-1)"
 
+# Callers whose own region has no instance are led to the region that may run most of the requests seen, not to that of most routes.
+expect "the directory before any request" "^\{\"Addrs\":\[\"$omaheke_callers\"\]," "$(resolve_fair "$khomas_directory")"
+expect "a request on a busy route" '^200$' "$(REQUEST_HOST=fair.example send_request khomas /busy/1 busy-1)"
+expect "the directory after requests" "^\{\"Addrs\":\[\"$khomas_callers\"\]," "$(resolve_fair "$khomas_directory")"
+expect "the directory of an instance without requests" "^\{\"Addrs\":\[\"$omaheke_callers\"\]," "$(resolve_fair "$omaheke_directory")"
+
 # A stream that is truncated in the middle of an event is resumed at another replica.
 stream=$(send_request khomas /stream/1 stream-1 -d prompt)
 expect "a resumed stream" '^200$' "$stream"
