ibisturn: Let a directory that knows nothing name nobody

An instance that had not yet received its own prefix of the store named itself alone to callers of every region, since only a membership had to exist, and the first one holds nothing but the instance. Callers get 503, keep what they have and ask another instance.

A host that the configuration does not have was read as one whose routes have no home regions, so every region counted as a home region. It is treated like an instance without a configuration: no region counts as one. A host whose routes have no home regions still permits all.

Ruled out: a region that is cut off loses its directory. Listings are never forgotten, so an instance that was complete stays so; Process.Fleet checks that it stays ready and names both regions in an outage of the store. An instance that starts while the store is away was not ready before either, and refused requests for lack of a configuration.

Tests: Process.Fleet before: "the directory of an instance without the store answers" with its own address; after: ok.

--- a/Libraries/LibDecision/Routing/HomeRegions.cpp
+++ b/Libraries/LibDecision/Routing/HomeRegions.cpp
@@ -56,13 +56,19 @@
 {
     HostRegions byRequests;
     HostRegions byRoutes;
+    bool isKnown = false;
     for (const auto& route : snapshot.routes()) {
-        if (!route.policy || route.policy->host != host || route.policy->homeRegions.empty())
+        if (!route.policy || route.policy->host != host)
+            continue;
+        isKnown = true;
+        if (route.policy->homeRegions.empty())
             continue;
         addRoute(byRoutes, route, 1);
         if (const auto requests = demand.requests(now, route.id); requests > 0)
             addRoute(byRequests, route, requests);
     }
+    if (!isKnown)
+        return HostRegions::unknown();
     return byRequests.weight > 0 ? byRequests : byRoutes;
 }
 
--- a/Libraries/LibDecision/Routing/HomeRegions.h
+++ b/Libraries/LibDecision/Routing/HomeRegions.h
@@ -36,11 +36,15 @@
     std::size_t weight { 0 };
     /// The weights of those that permit a region; a region that none permits is missing.
     std::map<RegionId, std::size_t> permittedBy;
+
+    /// Of a host about whose routes nothing is known. Any region may be outside the home regions of its requests, so no region counts as
+    /// a home region. Thread safety: any thread.
+    static HostRegions unknown() { return { 1, {} }; }
 };
 
 /// The regions that the routes of `host` permit. A route with home regions weighs as many as the requests that `demand` has for it, so one
 /// that nobody asks for does not count: where its requests may run is irrelevant to callers who send none. If no request has been seen on
-/// any of these routes, each weighs one. Routes without home regions do not count.
+/// any of these routes, each weighs one. Routes without home regions do not count. HostRegions::unknown() if the host has no routes at all.
 /// Thread safety: that of `demand`.
 HostRegions regionsOfHost(const Snapshot& snapshot, std::string_view host, const RouteDemand& demand, TimePoint now);
 
--- a/Programs/ibisturn/FleetControlPlane.cpp
+++ b/Programs/ibisturn/FleetControlPlane.cpp
@@ -143,11 +143,9 @@
 std::vector<Member> FleetControlPlane::entries(std::string_view host, const CallerLocation& caller) const
 {
     const auto membership = tables_.membership.get();
-    if (!membership)
+    if (!membership || !isMembershipComplete_)
         return {};
-    // Until a configuration is known, any region may be outside the home regions of the host's requests, so none is treated
-    // as a home region.
-    const auto regions = appliedSnapshot_ ? regionsOfHost(*appliedSnapshot_, host, tables_.routeDemand, SteadyClock().now()) : HostRegions { 1, {} };
+    const auto regions = appliedSnapshot_ ? regionsOfHost(*appliedSnapshot_, host, tables_.routeDemand, SteadyClock().now()) : HostRegions::unknown();
     return entriesNear(*membership, caller, regions);
 }
 
@@ -287,6 +285,7 @@
         spawnDetached(context_, storeFleetSize(size), "fleet size");
     }
     setGauges(now, view);
+    isMembershipComplete_ = fleetState_.isComplete();
     tables_.membership.set(std::make_shared<const MembershipView>(std::move(view)));
 }
 
--- a/Programs/ibisturn/FleetControlPlane.h
+++ b/Programs/ibisturn/FleetControlPlane.h
@@ -39,7 +39,8 @@
     /// Whether this instance is ready for callers.
     bool isReady() const;
 
-    /// The instances that callers at `caller` should use for requests to `host`.
+    /// The instances that callers at `caller` should use for requests to `host`. None until the instance has received all that the store has,
+    /// as it knows no other instance before; callers then keep those that they have and ask another instance.
     std::vector<Member> entries(std::string_view host, const CallerLocation& caller) const;
 
     Task<std::vector<PeerAction>> receive(InstanceId from, ControlEvent event) override;
@@ -79,6 +80,8 @@
     SnapshotPointer appliedSnapshot_;
     std::uint64_t appliedRegistryVersion_ { 0 };
     TimePoint nextMembershipUpdate_ {};
+    /// Whether the membership was made from a complete state of the fleet. It follows that state with a delay.
+    bool isMembershipComplete_ { false };
     TimePoint nextFleetSizeWrite_ {};
     PeerUpdateRequests updateRequests_;
     /// When other instances were last sent a large answer.
--- a/Tests/Process/FleetTest.sh
+++ b/Tests/Process/FleetTest.sh
@@ -127,6 +127,8 @@
 # The entries of a host with two rarely used routes of one region and a busy one of another, for callers of a third region.
 resolve_fair() { curl -sS "http://$1/-/resolve?Name=fair.example&Region=erongo&Zone=erongo-a"; }
 directory_lists_both() { resolve_names "$khomas_directory" khomas | grep -q "$khomas_callers" && resolve_names "$khomas_directory" omaheke | grep -q "$omaheke_callers"; }
+# Without addresses, callers keep what they have and ask another instance.
+directory_refuses() { [ "$(curl -s -o "$WORK/resolved" -w '%{http_code}' "http://$1/-/resolve?Name=barn.example&Region=khomas&Zone=khomas-a")" = 503 ]; }
 directory_omits() { ! resolve_names "$khomas_directory" omaheke | grep -q "$1"; }
 # Status 200 and 500 both show that the request reached a server; the stand-in fails the first requests that it runs.
 reaches_application() { send_request "$1" /book/0 "known-$RANDOM" | tail -1 | grep -qE "200|500"; }
@@ -151,8 +153,15 @@
 
 start_stand_in STORE store platform-store
 store_faults '{"page":1}'
+store_faults '{"down":true}'
 start_instance khomas khomas
 await "the instance does not listen" curl -s -o "$WORK/probe" "http://$khomas_ready/-/ready"
+# An instance that has heard nothing of the store knows only itself.
+for _ in $(seq 10); do
+    directory_refuses "$khomas_directory" || fail "the directory of an instance without the store answers: $(cat "$WORK/resolved")"
+    sleep 0.1
+done
+store_faults '{"down":false}'
 is_ready "$khomas_ready" && fail "an instance without a configuration reports that it is ready"
 expect "without a configuration" '^503$' "$(send_request khomas /seats/1 none-1)"
 put op/config "$(configuration 3 '["guide-key"]')"
@@ -224,6 +233,8 @@
 sleep 5
 expect "with the store unavailable" '^200$' "$(send_request khomas /seats/7 away-1)"
 expect "with the store unavailable, in the other region" '^200$' "$(send_request omaheke /seats/8 away-2)"
+directory_lists_both || fail "the directory of an instance that lost the store does not name both"
+is_ready "$khomas_ready" || fail "an instance that lost the store is not ready"
 store_faults '{"down":false}'
 put op/config "$(configuration 9 '["guide-key","last-key"]')"
 await "the store is not followed again" eval 'KEY=last-key answers omaheke /seats/9 last-1 200'
