PeerConnection: Close a connection on which frames are missing

Each side now numbers its frames. A gap counts as a connection that has failed, so a stream is resumed after its last event, and another answer ends incomplete. Peers of an older version do not number theirs, and are not checked. The frames of an answer are encoded when they are written, since those of one that fails before its first part are dropped. The peer of PeerClientTest encodes each frame that it repeats, as a repeated number would end the connection before the fault that the test is about.

--- a/Libraries/LibHTTP/Peers/PeerServer.cpp
+++ b/Libraries/LibHTTP/Peers/PeerServer.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace Ibisturn {
 
@@ -36,13 +37,13 @@
             message.headers.push_back({ header.name, header.value });
         if (head.contentLength)
             message.contentLength = static_cast<std::int64_t>(*head.contentLength);
-        pending_ = connection_.encode(request_, std::move(message));
+        pending_.emplace_back(std::move(message));
         co_return;
     }
 
     Task<void> writePart(std::string_view part) override
     {
-        pending_ += connection_.encode(request_, AnswerPartMessage { std::string(part) });
+        pending_.emplace_back(AnswerPartMessage { std::string(part) });
         if (remaining_)
             *remaining_ -= std::min<std::uint64_t>(*remaining_, part.size());
         if (!remaining_ || *remaining_ > 0)
@@ -51,22 +52,25 @@
 
     Task<void> writeEnd() override
     {
-        pending_ += connection_.encode(request_, AnswerEndMessage {});
+        pending_.emplace_back(AnswerEndMessage {});
         co_await flush();
     }
 
 private:
     Task<void> flush()
     {
-        co_await connection_.writeBytes(pending_, timeout_);
+        std::string frames;
+        for (auto& message : pending_)
+            frames += connection_.encode(request_, std::move(message));
         pending_.clear();
+        co_await connection_.writeBytes(frames, timeout_);
     }
 
     PeerConnection& connection_;
     RequestId request_;
     Duration timeout_;
-    /// Encoded frames for the next write.
-    std::string pending_;
+    /// For the next write. Dropped if the answer fails before it.
+    std::vector<PeerMessage> pending_;
     /// Remaining bytes of the answer, if its length is known.
     std::optional<std::uint64_t> remaining_;
 };
--- a/Libraries/LibPeer/Frame.cpp
+++ b/Libraries/LibPeer/Frame.cpp
@@ -16,7 +16,8 @@
     std::uint8_t type { 0 };
     std::uint64_t incarnation { 0 };
     std::uint64_t request { 0 };
-    MSGPACK_DEFINE(version, type, incarnation, request)
+    std::uint64_t number { 0 };
+    MSGPACK_DEFINE(version, type, incarnation, request, number)
 };
 
 /// Receives what msgpack packs, without a further copy.
@@ -80,7 +81,7 @@
     StringBuffer buffer;
     buffer.bytes.assign(frameLengthBytes, '\0');
     const auto type = static_cast<std::uint8_t>(frame.message.index());
-    msgpack::pack(buffer, FrameHeader { frameVersion, type, frame.incarnation.count(), frame.request.count() });
+    msgpack::pack(buffer, FrameHeader { frameVersion, type, frame.incarnation.count(), frame.request.count(), frame.number });
     std::visit([&buffer](const auto& message) { msgpack::pack(buffer, message); }, frame.message);
     std::string bytes = std::move(buffer.bytes);
     const auto length = bytes.size() - frameLengthBytes;
@@ -105,7 +106,7 @@
     try {
         std::size_t offset = 0;
         const auto header = unpackHeader(bytes, offset);
-        return { Incarnation(header.incarnation), RequestId(header.request), header.type == forwardType };
+        return { Incarnation(header.incarnation), RequestId(header.request), header.type == forwardType, header.number };
     } catch (const msgpack::unpack_error&) {
         throw Error(ResultCode::MalformedFrame, Ran::No, "A frame is not valid msgpack");
     } catch (const msgpack::type_error&) {
@@ -122,7 +123,7 @@
         if (offset != bytes.size())
             throw Error(ResultCode::MalformedFrame, Ran::No, "A frame has bytes after its message");
         auto message = convertByType(header.type, *body, std::make_index_sequence<std::variant_size_v<PeerMessage>> {});
-        return { Incarnation(header.incarnation), RequestId(header.request), std::move(message) };
+        return { Incarnation(header.incarnation), RequestId(header.request), std::move(message), header.number };
     } catch (const msgpack::unpack_error&) {
         throw Error(ResultCode::MalformedFrame, Ran::No, "A frame is not valid msgpack");
     } catch (const msgpack::type_error&) {
--- a/Libraries/LibPeer/Frame.h
+++ b/Libraries/LibPeer/Frame.h
@@ -301,6 +301,8 @@
     Incarnation incarnation;
     RequestId request;
     PeerMessage message;
+    /// Counts the frames that the sender's side of the connection has sent, from one; zero from peers of an older version.
+    std::uint64_t number { 0 };
 };
 
 /// Encodes the frame with its length prefix. Thread safety: any thread.
@@ -315,6 +317,8 @@
     Incarnation incarnation;
     RequestId request;
     bool isForward { false };
+    /// See Frame.
+    std::uint64_t number { 0 };
 };
 
 /// The first bytes of a frame, after its length, that decodeFrameStart() needs at most.
--- a/Libraries/LibPeer/PeerConnection.cpp
+++ b/Libraries/LibPeer/PeerConnection.cpp
@@ -1,5 +1,6 @@
 #include <LibPeer/PeerConnection.h>
 
+#include <LibCore/Log.h>
 #include <LibCore/RandomIdentity.h>
 #include <LibKernel/GracefulClose.h>
 #include <LibKernel/SocketOptions.h>
@@ -13,6 +14,7 @@
 
 /// A part of a frame must be written within the timeout; a large frame may take longer over a slow link.
 constexpr std::size_t writePartBytes = 64UL * 1024;
+constexpr Log connectionLog("peer");
 constexpr std::size_t minReadBytes = 4UL * 1024;
 constexpr std::size_t maxRetainedBytes = 64UL * 1024;
 
@@ -49,6 +51,7 @@
     if (!hello)
         throw Error(ResultCode::MalformedFrame, Ran::No, "The first frame is not a hello message");
     peerIncarnation_ = frame.incarnation;
+    lastRead_ = frame.number;
     co_return std::move(*hello);
 }
 
@@ -58,9 +61,9 @@
     co_await writeBytes(bytes, timeout);
 }
 
-std::string PeerConnection::encode(RequestId request, PeerMessage message) const
+std::string PeerConnection::encode(RequestId request, PeerMessage message)
 {
-    return encodeFrame({ ownIncarnation_, request, std::move(message) });
+    return encodeFrame({ ownIncarnation_, request, std::move(message), ++lastEncoded_ });
 }
 
 Task<void> PeerConnection::writeBytes(const std::string& bytes, Duration timeout)
@@ -75,6 +78,7 @@
 {
     Frame frame = co_await readNextFrame(timeout);
     requireIncarnation(frame.incarnation);
+    requireNext(frame.number);
     co_return frame;
 }
 
@@ -86,12 +90,14 @@
         const auto start = decodeFrameStart(startBytes);
         requireIncarnation(start.incarnation);
         if (start.isForward && !admit(ByteCount(length))) {
+            requireNext(start.number);
             co_await discard(length);
             co_return start.request;
         }
     }
     Frame frame = co_await readFrame(length);
     requireIncarnation(frame.incarnation);
+    requireNext(frame.number);
     co_return frame;
 }
 
@@ -149,6 +155,16 @@
         throw Error(ResultCode::MalformedFrame, Ran::Unknown, "A frame belongs to another incarnation of the connection");
 }
 
+// After a cut that lasted somewhat longer than the user timeout, a connection has delivered later frames without those before them.
+void PeerConnection::requireNext(std::uint64_t number)
+{
+    const auto expected = std::exchange(lastRead_, number) + 1;
+    if (number == 0 || number == expected)
+        return;
+    connectionLog.warning("Frames of a peer are missing; the connection is closed.", { { "number", number }, { "expected", expected } });
+    throw boost::system::system_error(Asio::error::connection_aborted, "Frames of the peer are missing");
+}
+
 // Reads until the buffer has at least `length` bytes. The bytes stay in the buffer until the caller consumes them.
 Task<std::string_view> PeerConnection::readAtLeast(std::size_t length)
 {
--- a/Libraries/LibPeer/PeerConnection.h
+++ b/Libraries/LibPeer/PeerConnection.h
@@ -29,13 +29,14 @@
     /// Writes a message for `request`. Throws boost::system::system_error if the connection fails.
     Task<void> write(RequestId request, PeerMessage message, Duration timeout);
 
-    /// Encodes a message for `request` as a frame, for writeBytes().
-    std::string encode(RequestId request, PeerMessage message) const;
+    /// Encodes a message for `request` as the next frame, for writeBytes(). Precondition: frames are written in the order in which they are
+    /// encoded, and each of them is.
+    std::string encode(RequestId request, PeerMessage message);
 
     /// Writes frames that encode() returned. Throws boost::system::system_error if the connection fails.
     Task<void> writeBytes(const std::string& bytes, Duration timeout);
 
-    /// Reads the next frame. Throws boost::system::system_error if the connection fails, and Error if the
+    /// Reads the next frame. Throws boost::system::system_error if the connection fails or a frame is missing, and Error if the
     /// frame is malformed or belongs to another incarnation of the connection.
     Task<Frame> read(Duration timeout);
 
@@ -57,6 +58,7 @@
     Task<Frame> readFrame(std::size_t length);
     Task<void> discard(std::size_t length);
     void requireIncarnation(Incarnation incarnation) const;
+    void requireNext(std::uint64_t number);
     Task<std::string_view> readAtLeast(std::size_t length);
 
     boost::beast::tcp_stream stream_;
@@ -65,6 +67,9 @@
     std::size_t frameLimit_;
     Incarnation ownIncarnation_;
     Incarnation peerIncarnation_;
+    /// The numbers of the last frames that were encoded and read.
+    std::uint64_t lastEncoded_ { 0 };
+    std::uint64_t lastRead_ { 0 };
 };
 
 } // namespace Ibisturn
--- a/Tests/LibHTTP/PeerClientTest.cpp
+++ b/Tests/LibHTTP/PeerClientTest.cpp
@@ -18,10 +18,11 @@
 /// The peer gives up after this many copies of its last frame.
 constexpr std::size_t maxRepetitions = 100'000;
 
-/// Names the request that the peer answers, or another one.
+/// Names the request that the peer answers, or another one, or says that the frame gets lost.
 enum class FrameOf : std::uint8_t {
     Request,
     OtherRequest,
+    Nobody,
 };
 
 struct ScriptedFrame {
@@ -61,6 +62,11 @@
     bool hasEnded() const { return hasEnded_; }
 
 private:
+    static RequestId idOf(const ScriptedFrame& frame, RequestId request)
+    {
+        return frame.request == FrameOf::Request ? request : RequestId(request.count() + 1);
+    }
+
     Task<void> serve()
     {
         auto socket = co_await acceptor_.async_accept(Asio::use_awaitable);
@@ -69,14 +75,18 @@
             HelloMessage hello { "peer", "region", "data-centre", 0 };
             co_await connection.handshake(std::move(hello), timeout);
             const Frame request = co_await connection.read(timeout);
-            std::string last;
             for (const auto& frame : frames_) {
-                const auto id = frame.request == FrameOf::Request ? request.request : RequestId(request.request.count() + 1);
-                last = connection.encode(id, frame.message);
-                co_await connection.writeBytes(last, timeout);
+                if (frame.request == FrameOf::Nobody) {
+                    connection.encode(request.request, frame.message);
+                    continue;
+                }
+                const std::string bytes = connection.encode(idOf(frame, request.request), frame.message);
+                co_await connection.writeBytes(bytes, timeout);
+            }
+            for (std::size_t count = 0; count < maxRepetitions; ++count) {
+                const std::string bytes = connection.encode(idOf(frames_.back(), request.request), frames_.back().message);
+                co_await connection.writeBytes(bytes, timeout);
             }
-            for (std::size_t count = 0; count < maxRepetitions; ++count)
-                co_await connection.writeBytes(last, timeout);
         } catch (const boost::system::system_error& error) {
             isClosedByClient_ = error.code() != boost::beast::error::timeout;
         }
@@ -155,6 +165,21 @@
     expectCut({ { FrameOf::Request, AnswerEndMessage {} } }, sink);
 }
 
+// Guards against an event stream with a gap: a connection has delivered later frames of an answer without those before them.
+TEST_F(PeerClientTest, MissingPartEndsTheConnection)
+{
+    RecordingSink sink;
+    expectCut({ { FrameOf::Request, answerHead() }, { FrameOf::Request, answerPart(1) }, { FrameOf::Nobody, answerPart(2) }, { FrameOf::Request, answerPart(4) } }, sink);
+    EXPECT_EQ(sink.body.size(), 1U);
+}
+
+TEST_F(PeerClientTest, MissingLastPartEndsTheConnection)
+{
+    RecordingSink sink;
+    expectCut({ { FrameOf::Request, answerHead() }, { FrameOf::Nobody, answerPart(1) }, { FrameOf::Request, AnswerEndMessage {} } }, sink);
+    EXPECT_TRUE(sink.body.empty());
+}
+
 // Guards against a request that is sent again because the answer to it, which has come, is not readable.
 TEST_F(PeerClientTest, FrameOverTheLimitLeavesItOpenWhetherTheRequestRan)
 {
--- a/Tests/LibPeer/FrameTest.cpp
+++ b/Tests/LibPeer/FrameTest.cpp
@@ -94,7 +94,7 @@
 TEST(Frame, RoundTripsUnchanged)
 {
     forEachCase([](Random& random) {
-        const Frame frame { Incarnation(random()), RequestId(random()), makeMessage(random, randomBelow(random, messageKinds)) };
+        const Frame frame { Incarnation(random()), RequestId(random()), makeMessage(random, randomBelow(random, messageKinds)), random() };
         const auto bytes = encodeFrame(frame);
         ASSERT_EQ(decodeFrameLength(bytes, frameLimit), bytes.size() - frameLengthBytes);
         ASSERT_EQ(encodeFrame(decodeFrame(bytes.substr(frameLengthBytes))), bytes);
@@ -148,6 +148,14 @@
     });
 }
 
+// Guards against an instance that refuses all frames of one of an older version, which does not number them.
+TEST(Frame, HeaderWithoutNumberIsRead)
+{
+    const auto frame = decodeFrame(packHeader(frameVersion, 4) + emptyEnd);
+    EXPECT_TRUE(std::holds_alternative<AnswerEndMessage>(frame.message));
+    EXPECT_EQ(frame.number, 0U);
+}
+
 TEST(Frame, FieldsThatAreMissingOrOfAnotherTypeAreRefused)
 {
     forEachCase([](Random& random) {
