EntryDirectory: Name no instance outside the home regions while those of better regions are restarted

What callers saw: requests on routes with home regions were led by the directory to a third region, and answered 503 there.

Cause: in a planned restart, all instances of the home regions may be away for some seconds: they drain, and start again. The directory named what was left, in two ways. While instances drained, those of the third region whose own leaving was not known yet counted as the only live ones. The class of fault: an instance that is away for a moment, or not known yet, is treated as one that is gone.

The membership tracker remembers for 15 s in which regions an instance announced that it leaves, and whether it has itself run for that long without a suspension. While instances of a better region may thus be back, the directory names no region that fewer routes permit; it answers 503, and callers keep their last answer. A region that was lost without an announcement does not hold anybody back, except at instances that have just started. Own regions and home regions are named as before, and so is any region to hosts without home regions.

--- a/Libraries/LibDecision/Membership/EntryDirectory.cpp
+++ b/Libraries/LibDecision/Membership/EntryDirectory.cpp
@@ -88,6 +88,13 @@
     SuspectedInOtherRegion,
 };
 
+/// The number of routes with home regions that permit `region`.
+std::size_t permitsOf(const HostRegions& regions, const RegionId& region)
+{
+    const auto found = regions.permittedBy.find(region);
+    return found == regions.permittedBy.end() ? 0 : found->second;
+}
+
 /// The rank, and among regions of one rank the number of routes that don't permit the instance's region; the lowest pair is best.
 std::pair<EntryRank, std::size_t> rankOf(const Member& member, const CallerLocation& caller, const HostRegions& regions)
 {
@@ -96,13 +103,25 @@
         return { isSuspected ? EntryRank::SuspectedInDataCentre : EntryRank::DataCentre, 0 };
     if (member.region == caller.region)
         return { isSuspected ? EntryRank::SuspectedInRegion : EntryRank::Region, 0 };
-    const auto found = regions.permittedBy.find(member.region);
-    const auto refusedBy = regions.routes - (found == regions.permittedBy.end() ? 0 : found->second);
+    const auto refusedBy = regions.routes - permitsOf(regions, member.region);
     if (refusedBy == 0)
         return { isSuspected ? EntryRank::SuspectedInHomeRegion : EntryRank::HomeRegion, 0 };
     return { isSuspected ? EntryRank::SuspectedInOtherRegion : EntryRank::OtherRegion, refusedBy };
 }
 
+/// Whether a caller should rather wait than use `region`, because instances of a region that suits the host's routes better may be back
+/// shortly. Precondition: that region has no instance that the caller could use.
+bool isBetterRegionRestarting(const MembershipView& membership, const CallerLocation& caller, const HostRegions& regions, const RegionId& region)
+{
+    const auto isRestarting = [&membership](const RegionId& other) { return !membership.isSettled || membership.restartingRegions.contains(other); };
+    const auto permits = permitsOf(regions, region);
+    if (permits == 0 && isRestarting(caller.region))
+        return true;
+    return std::any_of(regions.permittedBy.begin(), regions.permittedBy.end(), [&](const auto& other) {
+        return other.first != caller.region && other.second > permits && isRestarting(other.first);
+    });
+}
+
 } // namespace
 
 std::vector<Member> entriesNear(const MembershipView& membership, const CallerLocation& caller, const HostRegions& regions)
@@ -120,6 +139,8 @@
         best = rank;
         entries.push_back(member);
     }
+    if (best && best->first >= EntryRank::OtherRegion && isBetterRegionRestarting(membership, caller, regions, entries.front().region))
+        return {};
     return entries;
 }
 
--- a/Libraries/LibDecision/Membership/EntryDirectory.h
+++ b/Libraries/LibDecision/Membership/EntryDirectory.h
@@ -40,7 +40,9 @@
 /// The instances that callers at `caller` should use for a host whose routes permit `regions`. Returns the first of these groups that is
 /// not empty: live instances in the caller's data centre, in its region, in the regions that all of the host's routes permit; suspected
 /// ones in the same order; and last the live and then the suspected instances of the region that most of the routes with home regions
-/// permit, of the one that the next most permit, and so on. Leaving instances are never returned.
+/// permit, of the one that the next most permit, and so on. Leaving instances are never returned. Nor is this last group while
+/// instances of a better region may be back shortly from a planned restart: of the caller's own, if none of these routes permits the group's,
+/// or of another one that more of them permit. Callers keep the last answer that they got.
 /// Thread safety: any thread.
 std::vector<Member> entriesNear(const MembershipView& membership, const CallerLocation& caller, const HostRegions& regions);
 
--- a/Libraries/LibDecision/Membership/MembershipTracker.cpp
+++ b/Libraries/LibDecision/Membership/MembershipTracker.cpp
@@ -11,6 +11,8 @@
 constexpr Duration initialSuspicion = std::chrono::seconds(2);
 constexpr std::uint32_t maxDoublings = 4;
 constexpr Duration maxTickGap = std::chrono::seconds(3);
+/// For how long an instance that leaves may be away, if it is restarted: a grace period for its requests, and its start.
+constexpr Duration maxRestartTime = std::chrono::seconds(15);
 
 } // namespace
 
@@ -68,6 +70,12 @@
 {
     const bool wasSuspended = lastTick_ && now - *lastTick_ > maxTickGap;
     lastTick_ = now;
+    for (const auto& member : view(now).instances) {
+        if (member.state == MemberState::Leaving)
+            restartingUntil_[member.region] = now + maxRestartTime;
+    }
+    if (!settledFrom_ || wasSuspended)
+        settledFrom_ = now + maxRestartTime;
     if (!wasSuspended)
         return;
     for (auto& [instance, evidence] : evidence_) {
@@ -89,6 +97,11 @@
         if (member.state == MemberState::Live && evidence.suspectedUntil && now < *evidence.suspectedUntil)
             member.state = MemberState::Suspected;
     }
+    for (const auto& [region, until] : restartingUntil_) {
+        if (now < until)
+            view.restartingRegions.insert(region);
+    }
+    view.isSettled = settledFrom_ && now >= *settledFrom_;
     return view;
 }
 
--- a/Libraries/LibDecision/Membership/MembershipTracker.h
+++ b/Libraries/LibDecision/Membership/MembershipTracker.h
@@ -31,8 +31,8 @@
     /// A call or a heartbeat to an instance ended.
     void onReachability(TimePoint now, const InstanceId& instance, Reachability reachability);
 
-    /// Must be called once a second. If much more time has passed, this process was suspended: timeouts that it then
-    /// observed say nothing about the other instances, so all suspicions are cleared.
+    /// Must be called once a second, and after each change of the live list. If much more time has passed, this process was suspended:
+    /// timeouts that it then observed say nothing about the other instances, so all suspicions are cleared.
     void tick(TimePoint now);
 
     /// The instances with their current states.
@@ -53,6 +53,10 @@
     MembershipView list_;
     std::map<InstanceId, Evidence> evidence_;
     std::optional<TimePoint> lastTick_;
+    /// Until when instances of a region that announced that they leave may be back.
+    std::map<RegionId, TimePoint> restartingUntil_;
+    /// Unset before the first tick.
+    std::optional<TimePoint> settledFrom_;
 };
 
 } // namespace Ibisturn
--- a/Libraries/LibDecision/Membership/MembershipView.h
+++ b/Libraries/LibDecision/Membership/MembershipView.h
@@ -36,6 +36,10 @@
     /// Sorted by id.
     std::vector<Member> instances;
     std::set<BackendServerId> leavingBackendServers;
+    /// Regions of which an instance has recently announced that it leaves. Those that left may be back shortly.
+    std::set<RegionId> restartingRegions;
+    /// Whether this process has run for long enough to know all restartingRegions.
+    bool isSettled { true };
 
     /// The instance named `id`, or null. Thread safety: any thread.
     const Member* find(const InstanceId& id) const;
--- a/Tests/LibDecision/FleetRequestsTest.cpp
+++ b/Tests/LibDecision/FleetRequestsTest.cpp
@@ -148,6 +148,66 @@
     EXPECT_EQ(namesOf(entriesNear(view, caller, homeRegions)), std::vector<std::string> { "e1" });
 }
 
+// Guards against callers led outside of the home regions by a planned restart of all instances, in which those of the home regions are away
+// for seconds and others are not yet, or are back before.
+TEST(EntryDirectory, LeadsNobodyOutsideTheHomesWhileTheirInstancesAreRestarted)
+{
+    MembershipView view;
+    view.instances = { member("e1", "erongo"), member("k1", "khomas", MemberState::Leaving), member("o1", "omaheke", MemberState::Leaving) };
+    view.restartingRegions = { RegionId("khomas"), RegionId("omaheke") };
+    const CallerLocation caller { RegionId("khomas"), DataCentreId("khomas-a") };
+    const CallerLocation guest { RegionId("erongo"), DataCentreId("erongo-a") };
+    const HostRegions homeRegions { 1, { { RegionId("khomas"), 1 }, { RegionId("omaheke"), 1 } } };
+    EXPECT_TRUE(entriesNear(view, caller, homeRegions).empty());
+    EXPECT_EQ(namesOf(entriesNear(view, guest, homeRegions)), std::vector<std::string> { "e1" });
+    EXPECT_EQ(namesOf(entriesNear(view, caller, HostRegions())), std::vector<std::string> { "e1" });
+    // The instances have left and are not back yet.
+    view.instances = { member("e1", "erongo") };
+    EXPECT_TRUE(entriesNear(view, caller, homeRegions).empty());
+    // The other home region is restarted, and the caller's own was lost.
+    view.restartingRegions = { RegionId("omaheke") };
+    EXPECT_TRUE(entriesNear(view, caller, homeRegions).empty());
+    // All home regions were lost, and nobody is expected back.
+    view.restartingRegions = { RegionId("erongo") };
+    EXPECT_EQ(namesOf(entriesNear(view, caller, homeRegions)), std::vector<std::string> { "e1" });
+    // A home region has instances.
+    view.instances.push_back(member("o1", "omaheke"));
+    view.restartingRegions = { RegionId("khomas"), RegionId("omaheke") };
+    EXPECT_EQ(namesOf(entriesNear(view, caller, homeRegions)), std::vector<std::string> { "o1" });
+}
+
+// Guards against an instance that is back first after a planned restart of all, does not know yet that others will be back, and leads
+// callers of all regions to itself.
+TEST(EntryDirectory, LeadsNobodyOutsideTheHomesRightAfterTheStart)
+{
+    MembershipView view;
+    view.instances = { member("e1", "erongo") };
+    view.isSettled = false;
+    const CallerLocation caller { RegionId("khomas"), DataCentreId("khomas-a") };
+    const HostRegions homeRegions { 1, { { RegionId("khomas"), 1 }, { RegionId("omaheke"), 1 } } };
+    EXPECT_TRUE(entriesNear(view, caller, homeRegions).empty());
+    // The home regions are not known before the first configuration.
+    EXPECT_TRUE(entriesNear(view, caller, HostRegions { 1, {} }).empty());
+    EXPECT_EQ(namesOf(entriesNear(view, caller, HostRegions())), std::vector<std::string> { "e1" });
+    EXPECT_EQ(namesOf(entriesNear(view, { RegionId("erongo"), DataCentreId("erongo-a") }, homeRegions)), std::vector<std::string> { "e1" });
+    view.instances.push_back(member("o1", "omaheke"));
+    EXPECT_EQ(namesOf(entriesNear(view, caller, homeRegions)), std::vector<std::string> { "o1" });
+}
+
+// A region that only some routes permit is better than none, and the caller's own region does not hold it back.
+TEST(EntryDirectory, LeadsCallersWhoseRegionIsRestartedToARegionThatSomeRoutesPermit)
+{
+    MembershipView view;
+    view.instances = { member("e1", "erongo"), member("o1", "omaheke") };
+    view.restartingRegions = { RegionId("khomas") };
+    const CallerLocation caller { RegionId("khomas"), DataCentreId("khomas-a") };
+    const HostRegions regions { 3, { { RegionId("khomas"), 3 }, { RegionId("omaheke"), 2 } } };
+    EXPECT_EQ(namesOf(entriesNear(view, caller, regions)), std::vector<std::string> { "o1" });
+    view.instances.pop_back();
+    view.restartingRegions = { RegionId("omaheke") };
+    EXPECT_TRUE(entriesNear(view, caller, regions).empty());
+}
+
 // Guards against callers led to a region that no route permits, because the routes of their host have no region in common that still has
 // instances.
 TEST(EntryDirectory, LeadsCallersWhoseRegionIsRestartedToTheRegionThatMostRoutesPermit)
--- a/Tests/LibDecision/MembershipTest.cpp
+++ b/Tests/LibDecision/MembershipTest.cpp
@@ -115,6 +115,44 @@
     EXPECT_EQ(stateOf(tracker, 0s), MemberState::Leaving);
 }
 
+// Guards against callers led outside of their home regions while instances there are restarted: the entries of those that have left are
+// gone before the new processes have written theirs.
+TEST(Membership, RegionsWhoseInstancesLeftAreRestartingForAWhile)
+{
+    MembershipTracker tracker;
+    tracker.onLiveList(nineInstances());
+    tracker.tick(at(0s));
+    EXPECT_TRUE(tracker.view(at(0s)).restartingRegions.empty());
+    tracker.onAnnouncement(one, Incarnation(1), MemberState::Leaving);
+    tracker.tick(at(1s));
+    const std::set<RegionId> restarting { RegionId("r1") };
+    EXPECT_EQ(tracker.view(at(1s)).restartingRegions, restarting);
+    auto list = nineInstances();
+    std::erase_if(list.instances, [](const Member& member) { return member.region == RegionId("r1") || member.region == RegionId("r2"); });
+    tracker.onLiveList(list);
+    for (Duration time = 2s; time <= 15s; time += 1s)
+        tracker.tick(at(time));
+    EXPECT_EQ(tracker.view(at(15s)).restartingRegions, restarting);
+    tracker.tick(at(16s));
+    EXPECT_TRUE(tracker.view(at(16s)).restartingRegions.empty());
+}
+
+TEST(Membership, IsSettledOnceInstancesThatLeftBeforeWouldBeBack)
+{
+    MembershipTracker tracker;
+    EXPECT_FALSE(tracker.view(at(0s)).isSettled);
+    Duration time {};
+    for (; time < 15s; time += 1s) {
+        tracker.tick(at(time));
+        EXPECT_FALSE(tracker.view(at(time)).isSettled);
+    }
+    tracker.tick(at(time));
+    EXPECT_TRUE(tracker.view(at(time)).isSettled);
+    // What left while the process was suspended is not known.
+    tracker.tick(at(60s));
+    EXPECT_FALSE(tracker.view(at(60s)).isSettled);
+}
+
 TEST(Membership, SuspicionExpiresAndGrowsWithEachFailure)
 {
     MembershipTracker tracker;
