EntryDirectory: Rank suspected instances by how many routes permit their region, as documented

Where no region is permitted by all routes of a host, every live instance came before every suspected one, so callers were led to a live instance in a region that no route permits although instances were left, only suspected, in one that most routes permit. The documented order, and that of hosts whose routes share a region, is by region first.

The test fails without the change.

--- a/Libraries/LibDecision/Membership/EntryDirectory.cpp
+++ b/Libraries/LibDecision/Membership/EntryDirectory.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <tuple>
 #include <utility>
 
 #include <xxhash.h>
@@ -76,7 +77,8 @@
 
 namespace {
 
-/// How close an instance is to a caller, from best to worst; suspected instances rank below live ones.
+/// How close an instance is to a caller, from best to worst; suspected instances rank below live ones. In regions that some routes don't
+/// permit, they come before live ones that fewer routes permit.
 enum class EntryRank {
     DataCentre,
     Region,
@@ -85,9 +87,12 @@
     SuspectedInRegion,
     SuspectedInHomeRegion,
     OtherRegion,
-    SuspectedInOtherRegion,
 };
 
+/// The rank, and among other regions the number of routes that don't permit the instance's region and whether it is suspected; the lowest
+/// is best.
+using EntryOrder = std::tuple<EntryRank, std::size_t, bool>;
+
 /// The number of routes with home regions that permit `region`.
 std::size_t permitsOf(const HostRegions& regions, const RegionId& region)
 {
@@ -95,18 +100,17 @@
     return found == regions.permittedBy.end() ? 0 : found->second;
 }
 
-/// The rank, and among regions of one rank the number of routes that don't permit the instance's region; the lowest pair is best.
-std::pair<EntryRank, std::size_t> rankOf(const Member& member, const CallerLocation& caller, const HostRegions& regions)
+EntryOrder orderOf(const Member& member, const CallerLocation& caller, const HostRegions& regions)
 {
     const bool isSuspected = member.state == MemberState::Suspected;
     if (member.dataCentre == caller.dataCentre)
-        return { isSuspected ? EntryRank::SuspectedInDataCentre : EntryRank::DataCentre, 0 };
+        return { isSuspected ? EntryRank::SuspectedInDataCentre : EntryRank::DataCentre, 0, false };
     if (member.region == caller.region)
-        return { isSuspected ? EntryRank::SuspectedInRegion : EntryRank::Region, 0 };
+        return { isSuspected ? EntryRank::SuspectedInRegion : EntryRank::Region, 0, false };
     const auto refusedBy = regions.routes - permitsOf(regions, member.region);
     if (refusedBy == 0)
-        return { isSuspected ? EntryRank::SuspectedInHomeRegion : EntryRank::HomeRegion, 0 };
-    return { isSuspected ? EntryRank::SuspectedInOtherRegion : EntryRank::OtherRegion, refusedBy };
+        return { isSuspected ? EntryRank::SuspectedInHomeRegion : EntryRank::HomeRegion, 0, false };
+    return { EntryRank::OtherRegion, refusedBy, isSuspected };
 }
 
 /// Whether a caller should rather wait than use `region`, because instances of a region that suits the host's routes better may be back
@@ -127,19 +131,19 @@
 std::vector<Member> entriesNear(const MembershipView& membership, const CallerLocation& caller, const HostRegions& regions)
 {
     std::vector<Member> entries;
-    std::optional<std::pair<EntryRank, std::size_t>> best;
+    std::optional<EntryOrder> best;
     for (const auto& member : membership.instances) {
         if (member.state == MemberState::Leaving)
             continue;
-        const auto rank = rankOf(member, caller, regions);
-        if (best && rank > *best)
+        const auto order = orderOf(member, caller, regions);
+        if (best && order > *best)
             continue;
-        if (!best || rank < *best)
+        if (!best || order < *best)
             entries.clear();
-        best = rank;
+        best = order;
         entries.push_back(member);
     }
-    if (best && best->first >= EntryRank::OtherRegion && isBetterRegionRestarting(membership, caller, regions, entries.front().region))
+    if (best && std::get<EntryRank>(*best) == EntryRank::OtherRegion && isBetterRegionRestarting(membership, caller, regions, entries.front().region))
         return {};
     return entries;
 }
--- a/Tests/LibDecision/FleetRequestsTest.cpp
+++ b/Tests/LibDecision/FleetRequestsTest.cpp
@@ -222,6 +222,9 @@
     EXPECT_EQ(namesOf(entriesNear(view, caller, regions)), std::vector<std::string> { "k1" });
     EXPECT_EQ(namesOf(entriesNear(view, { RegionId("west"), DataCentreId("west-a") }, regions)), std::vector<std::string> { "k1" });
     view.instances[0].state = MemberState::Leaving;
+    // A suspected instance in a region that most routes permit comes before a live one in a region that fewer permit.
+    view.instances[1].state = MemberState::Suspected;
+    EXPECT_EQ(namesOf(entriesNear(view, caller, regions)), std::vector<std::string> { "o1" });
     view.instances[1].state = MemberState::Leaving;
     EXPECT_EQ(namesOf(entriesNear(view, caller, regions)), std::vector<std::string> { "n1" });
     view.instances[3].state = MemberState::Leaving;
