IdleConnections: Keep a connection whose first bytes have just been read when a shutdown begins

Cause: a shutdown closes the connections that wait for a request, except those on which bytes are waiting to be read. A read that finds bytes at once takes them out of the socket, and its coroutine resumes only when its turn comes; with 150 requests under way and large configurations to read that takes a while. A shutdown that begins in between found an empty socket and closed it, with the request in the buffer. The class of fault: the state of a resource is probed while an operation on it has completed and nobody has been told.

The shutdown now cancels the wait instead of closing the socket. A read that has completed is not affected by that, and one that still waits ends with operation_aborted, on which the session closes its connection at once, as before.

How sure: the loss leaves no log line, as the request is never looked at.

--- a/Libraries/LibHTTP/Callers/CallerSession.cpp
+++ b/Libraries/LibHTTP/Callers/CallerSession.cpp
@@ -81,6 +81,8 @@
             const IdleConnections::Scope idle(runner_.idleConnections(), Beast::get_lowest_layer(stream_).socket());
             co_await Http::async_read_header(stream_, buffer_, parser, Asio::redirect_error(Asio::use_awaitable, error));
         }
+        if (error == Asio::error::operation_aborted)
+            Beast::get_lowest_layer(stream_).close();
         if (error)
             co_return co_await refuseHead(error);
         const InFlightRequest inFlight(tables_.requestsInFlight);
--- a/Libraries/LibHTTP/Callers/IdleConnections.h
+++ b/Libraries/LibHTTP/Callers/IdleConnections.h
@@ -17,13 +17,15 @@
     };
 
 public:
-    /// Closes the connections on which no byte of a request has arrived, so that their callers reconnect to other instances.
+    /// Ends the wait on connections on which no byte of a request has arrived, so that their callers reconnect to other instances. What
+    /// waits there receives operation_aborted and must close the connection. If bytes have been read already and their reader has not
+    /// resumed yet, it receives them.
     void close()
     {
         for (const auto& [number, socket] : state_->sockets) {
             boost::system::error_code ignored;
             if (probeSocket(*socket) != SocketState::Readable)
-                socket->close(ignored);
+                socket->cancel(ignored);
         }
     }
 
--- a/Libraries/LibHTTP/Callers/RoutedSession.cpp
+++ b/Libraries/LibHTTP/Callers/RoutedSession.cpp
@@ -153,6 +153,8 @@
         constexpr std::size_t firstRead = 4096;
         const auto count = co_await stream_.async_read_some(buffer_.prepare(firstRead), Asio::redirect_error(Asio::use_awaitable, error));
         buffer_.commit(count);
+        if (error == Asio::error::operation_aborted)
+            stream_.close();
     }
 
     Task<AfterRequest> refuseHead(boost::system::error_code error)
