--- a/Libraries/LibDecision/Membership/EntryDirectory.cpp
+++ b/Libraries/LibDecision/Membership/EntryDirectory.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <tuple>
 #include <utility>
 
 #include <xxhash.h>
@@ -19,6 +20,8 @@
 namespace {
 
 constexpr std::size_t forwardingEntriesPerRegion = 4;
+/// A region is good for a host if at most one in so many of its requests with home regions may not run there.
+constexpr std::size_t homeRegionShare = 20;
 
 /// Live members rank above suspected ones.
 std::pair<bool, std::uint64_t> rankOf(const Member& member, std::string_view subject)
@@ -76,7 +79,8 @@
 
 namespace {
 
-/// How close an instance is to a caller, from best to worst; suspected instances rank below live ones.
+/// How close an instance is to a caller, from best to worst; suspected instances rank below live ones. In regions that some routes don't
+/// permit, they come before live ones that fewer routes permit.
 enum class EntryRank {
     DataCentre,
     Region,
@@ -85,22 +89,41 @@
     SuspectedInRegion,
     SuspectedInHomeRegion,
     OtherRegion,
-    SuspectedInOtherRegion,
 };
 
-/// The rank, and among regions of one rank the weight of the routes that don't permit the instance's region; the lowest pair is best.
-std::pair<EntryRank, std::size_t> rankOf(const Member& member, const CallerLocation& caller, const HostRegions& regions)
+/// The rank, and among other regions the weight of the routes that don't permit the instance's region and whether it is suspected; the lowest
+/// is best.
+using EntryOrder = std::tuple<EntryRank, std::size_t, bool>;
+
+/// The weight of the routes with home regions that permit `region`.
+std::size_t permitsOf(const HostRegions& regions, const RegionId& region)
+{
+    const auto found = regions.permittedBy.find(region);
+    return found == regions.permittedBy.end() ? 0 : found->second;
+}
+
+EntryOrder orderOf(const Member& member, const CallerLocation& caller, const HostRegions& regions)
 {
     const bool isSuspected = member.state == MemberState::Suspected;
     if (member.dataCentre == caller.dataCentre)
-        return { isSuspected ? EntryRank::SuspectedInDataCentre : EntryRank::DataCentre, 0 };
+        return { isSuspected ? EntryRank::SuspectedInDataCentre : EntryRank::DataCentre, 0, false };
     if (member.region == caller.region)
-        return { isSuspected ? EntryRank::SuspectedInRegion : EntryRank::Region, 0 };
-    const auto found = regions.permittedBy.find(member.region);
-    const auto refusedBy = regions.weight - (found == regions.permittedBy.end() ? 0 : found->second);
-    if (refusedBy == 0)
-        return { isSuspected ? EntryRank::SuspectedInHomeRegion : EntryRank::HomeRegion, 0 };
-    return { isSuspected ? EntryRank::SuspectedInOtherRegion : EntryRank::OtherRegion, refusedBy };
+        return { isSuspected ? EntryRank::SuspectedInRegion : EntryRank::Region, 0, false };
+    const auto refusedBy = regions.weight - permitsOf(regions, member.region);
+    if (refusedBy * homeRegionShare <= regions.weight)
+        return { isSuspected ? EntryRank::SuspectedInHomeRegion : EntryRank::HomeRegion, 0, false };
+    return { EntryRank::OtherRegion, refusedBy, isSuspected };
+}
+
+/// Whether a caller should rather wait than use `region`, because instances of its own region, or of one that suits the host's routes better,
+/// may be back shortly. Precondition: these regions have no instance that the caller could use.
+bool isBetterRegionRestarting(const MembershipView& membership, const CallerLocation& caller, const HostRegions& regions, const RegionId& region)
+{
+    const auto isRestarting = [&membership](const RegionId& other) { return !membership.isSettled || membership.restartingRegions.contains(other); };
+    if (isRestarting(caller.region))
+        return true;
+    const auto permits = permitsOf(regions, region);
+    return std::any_of(regions.permittedBy.begin(), regions.permittedBy.end(), [&](const auto& other) { return other.second > permits && isRestarting(other.first); });
 }
 
 } // namespace
@@ -108,18 +131,20 @@
 std::vector<Member> entriesNear(const MembershipView& membership, const CallerLocation& caller, const HostRegions& regions)
 {
     std::vector<Member> entries;
-    std::optional<std::pair<EntryRank, std::size_t>> best;
+    std::optional<EntryOrder> best;
     for (const auto& member : membership.instances) {
         if (member.state == MemberState::Leaving)
             continue;
-        const auto rank = rankOf(member, caller, regions);
-        if (best && rank > *best)
+        const auto order = orderOf(member, caller, regions);
+        if (best && order > *best)
             continue;
-        if (!best || rank < *best)
+        if (!best || order < *best)
             entries.clear();
-        best = rank;
+        best = order;
         entries.push_back(member);
     }
+    if (best && std::get<EntryRank>(*best) == EntryRank::OtherRegion && isBetterRegionRestarting(membership, caller, regions, entries.front().region))
+        return {};
     return entries;
 }
 
--- a/Libraries/LibDecision/Membership/EntryDirectory.h
+++ b/Libraries/LibDecision/Membership/EntryDirectory.h
@@ -38,11 +38,13 @@
 };
 
 /// The instances that callers at `caller` should use for a host whose routes permit `regions`. Returns the first of these groups that is
-/// not empty: live instances in the caller's data centre, in its region, in the regions that all routes with a weight permit; suspected
-/// ones in the same order; and last the live and then the suspected instances of the region that routes of the largest weight permit, of
-/// the one with the next largest, and so on. Leaving instances are never returned.
+/// not empty: live instances in the caller's data centre, in its region, in the home regions of the host; suspected ones in the same order;
+/// and last the live and then the suspected instances of the region that routes of the largest weight permit, of the one with the next
+/// largest, and so on. A region counts as a home region of the host if routes of at most a twentieth of the weight do not permit it. Leaving
+/// instances are never returned. Nor is this last group while instances of the caller's own region, or of one that routes of a larger weight
+/// permit, may be back shortly from a planned restart. Callers keep the last answer that they got.
 /// A route without a weight has not been asked for, and does not keep callers with suspected instances of their own region while a region
-/// that may run all of their requests has live ones.
+/// that may run their requests has live ones.
 /// Thread safety: any thread.
 std::vector<Member> entriesNear(const MembershipView& membership, const CallerLocation& caller, const HostRegions& regions);
 
