EntryLog: Log the answers of the directory that lead callers out of their region

The write-up of the requests outside their home regions had to be read from the times at which instances drained and listened: no line said which answer had led a caller elsewhere, or on which rules and members it rested.

Each answer that names instances of another region, or nobody, now writes a line with the host, the caller's region, the weight of the routes that do not permit the region that is named, the regions being restarted and the configuration. All answers are counted by what they name. The lines count towards the rate limit of lines on single requests, so their volume is bounded. No decision changes.

--- a/Programs/ibisturn/FleetControlPlane.cpp
+++ b/Programs/ibisturn/FleetControlPlane.cpp
@@ -68,6 +68,7 @@
           tables.settings.identity.instance, tables.settings.identity.region, incarnation_, [this](TimePoint now) { return localStatus(now); }, SteadyClock().now())
     , startedAt_(SteadyClock().now())
     , storeFeed_(startedAt_, { confirmationPeriod(*tables.settings.fleet), 2 })
+    , entryLog_(tables.metrics)
 {
     std::size_t confirmedPrefixes = 0;
     for (const auto& prefix : fleetState_.prefixes()) {
@@ -135,11 +136,11 @@
 
 std::vector<Member> FleetControlPlane::entries(std::string_view host, const CallerLocation& caller) const
 {
-    const auto membership = tables_.membership.get();
-    if (!membership || !isMembershipComplete_)
-        return {};
+    const auto membership = isMembershipComplete_ ? tables_.membership.get() : nullptr;
     const auto regions = appliedSnapshot_ ? regionsOfHost(*appliedSnapshot_, host, tables_.routeDemand, SteadyClock().now()) : HostRegions::unknown();
-    return entriesNear(*membership, caller, regions);
+    auto entries = membership ? entriesNear(*membership, caller, regions) : std::vector<Member>();
+    entryLog_.record({ host, caller, regions, entries, membership.get(), appliedSnapshot_ ? appliedSnapshot_->revision() : Revision() });
+    return entries;
 }
 
 Task<std::vector<PeerAction>> FleetControlPlane::receive(InstanceId from, ControlEvent event)
--- a/Programs/ibisturn/FleetControlPlane.h
+++ b/Programs/ibisturn/FleetControlPlane.h
@@ -5,6 +5,7 @@
 #include <LibDecision/Dissemination/StoreFeed.h>
 #include <LibDecision/Membership/EntryDirectory.h>
 #include <LibDecision/Membership/MembershipTracker.h>
+#include <LibHTTP/Operators/EntryLog.h>
 #include <LibHTTP/Requests/InstanceTables.h>
 #include <LibPeer/ControlLinks.h>
 #include <LibPlatform/FleetState.h>
@@ -89,6 +90,7 @@
     std::uint64_t appliedStatusVersion_ { 0 };
     TimePoint startedAt_;
     StoreFeed storeFeed_;
+    EntryLog entryLog_;
 };
 
 } // namespace Ibisturn
