IdleConnections: Keep a connection whose first bytes have just been read when its descriptor is needed

The first bytes had been read, so the socket looked idle, but the coroutine that waited for them had not resumed yet; closing the socket lost them.

The wait is cancelled instead, which does not touch a read that has ended; a connection that is idle closes when its coroutine resumes, as in a shutdown.

IdleConnections.CloseLongestIdleSparesAConnectionWhoseFirstBytesHaveJustBeenRead failed before.

--- a/Libraries/LibHTTP/Callers/IdleConnections.h
+++ b/Libraries/LibHTTP/Callers/IdleConnections.h
@@ -29,7 +29,7 @@
         }
     }
 
-    /// Closes the connection that has been idle longest, of those on which no byte of a request has arrived; false if there is none.
+    /// As close(), for the connection that has been idle longest, of those on which no byte of a request has arrived; false if there is none.
     bool closeLongestIdle()
     {
         for (const auto& [number, socket] : state_->sockets) {
@@ -37,7 +37,7 @@
             if (!socket->is_open() || probeSocket(*socket) == SocketState::Readable)
                 continue;
             boost::system::error_code ignored;
-            socket->close(ignored);
+            socket->cancel(ignored);
             state_->sockets.erase(number);
             return true;
         }
--- a/Tests/LibHTTP/IdleConnectionsTest.cpp
+++ b/Tests/LibHTTP/IdleConnectionsTest.cpp
@@ -76,4 +76,35 @@
     EXPECT_EQ(connection.error(), Asio::error::operation_aborted);
 }
 
+// Guards against a request that is lost when its connection is closed to free a descriptor.
+TEST(IdleConnections, CloseLongestIdleSparesAConnectionWhoseFirstBytesHaveJustBeenRead)
+{
+    Asio::io_context context;
+    IdleConnections connections;
+    const AwaitedConnection connection(context, connections, "GET");
+    connections.closeLongestIdle();
+    context.run();
+    ASSERT_TRUE(connection.error());
+    EXPECT_FALSE(*connection.error());
+    EXPECT_EQ(connection.count(), 3U);
+    EXPECT_TRUE(connection.isOpen());
+}
+
+TEST(IdleConnections, CloseLongestIdleEndsTheWaitOfOneConnectionEachTime)
+{
+    Asio::io_context context;
+    IdleConnections connections;
+    const AwaitedConnection first(context, connections, "");
+    const AwaitedConnection second(context, connections, "");
+    EXPECT_TRUE(connections.closeLongestIdle());
+    EXPECT_EQ(connections.size(), 1U);
+    context.poll();
+    EXPECT_EQ(first.error(), Asio::error::operation_aborted);
+    EXPECT_FALSE(second.error());
+    EXPECT_TRUE(connections.closeLongestIdle());
+    context.run();
+    EXPECT_EQ(second.error(), Asio::error::operation_aborted);
+    EXPECT_FALSE(connections.closeLongestIdle());
+}
+
 } // namespace Ibisturn::Testing
