RestartSuspicion: Suspect a restart until a process has answered and is no longer cold

Instances that lost a connection at 18.0 s suspected a restart for the cold period and the registry's delay, 4.5 s from the loss, so until 22.5 s. The new entry arrives from 22.4 to 22.9 s. From 22.5 s on they sent as to a warm server: a-1 three requests within 60 ms from 22.61 s on (its last loss was at 18.10 s), b-2 four, b-14 two; the server crashes at 22.68 s. Class: a belief expires by the time since it began, although what it is about has not happened yet.

Ruled out: entries that come late by themselves (all arrived within 0.9 s); locks (nobody held one before the crash); requests queued behind connections (the lost requests were sent 5 to 320 ms before).

The suspicion now has no end of its own until an answer to a request that was sent after the loss shows that a process runs; then it lasts one cold period more, the longest that this process can still be cold. An entry of the new process and an answer to an earlier request end it as before.

Tests: RestartSuspicion.AServerThatIsBackSecondsAfterItsProcessEndedIsNotFlooded failed before (564, 79, 182 and 111 requests in a second after 4, 5, 8 and 20 s, where 9.9 may be). RestartSuspicion.EndsWithAnAnswerToAnEarlierRequestOrAfterTheColdPeriod asserted the fault, that 4.5 s after a loss the suspicion ends without any answer; two tests replace it, one for each way of ending, with the same checks of the first way and a stricter one of the second.

--- a/Libraries/LibDecision/Placement/PlacementTable.cpp
+++ b/Libraries/LibDecision/Placement/PlacementTable.cpp
@@ -310,7 +310,7 @@
     server.ownLoad.backlog -= placed.load.backlog;
     placed.load.urgentBacklog = TokenCount(0);
     placed.load.backlog = TokenCount(0);
-    server.restart.onAnswerPart(now, placed.sentAt);
+    server.restart.onAnswerPart(now, placed.sentAt, server.coldPeriod);
     const auto assumedTime = milliseconds(static_cast<double>(placed.assumedTokens.count()) * millisecondsPerToken(now, server.state.server.service) * server.rate.factor(now));
     server.assumedCache.onAnswer(now, now - placed.sentAt - placed.expected, assumedTime);
     const auto measured = inMilliseconds(now - placed.sentAt);
@@ -387,7 +387,7 @@
 {
     for (auto& [id, server] : servers_) {
         if (server.state.server.endpoint == endpoint && !server.isLeaving)
-            server.restart.onConnectionLost(now, server.coldPeriod);
+            server.restart.onConnectionLost(now);
     }
 }
 
@@ -414,7 +414,7 @@
     if (outcome == PlacementOutcome::Answered)
         server.failures = 0;
     if (outcome == PlacementOutcome::Lost || outcome == PlacementOutcome::Unreachable)
-        server.restart.onConnectionLost(now, server.coldPeriod);
+        server.restart.onConnectionLost(now);
     // A request that was under way already says nothing about the answers to those that followed.
     if (outcome == PlacementOutcome::Answered && placed.sentAt >= server.lastSpoiledAt)
         server.spoiledAnswers = 0;
--- a/Libraries/LibDecision/ServerRates/RestartSuspicion.cpp
+++ b/Libraries/LibDecision/ServerRates/RestartSuspicion.cpp
@@ -4,18 +4,24 @@
 
 namespace Ibisturn {
 
-void RestartSuspicion::onConnectionLost(TimePoint now, Duration coldPeriod)
+void RestartSuspicion::onConnectionLost(TimePoint now)
 {
     // A server that goes on losing connections stays suspected, but does not get a new first request each time.
     if (!isSuspected(now))
         lastSentAt_.reset();
     lostAt_ = now;
-    endsAt_ = now + coldPeriod + registryDelay;
+    warmAt_.reset();
 }
 
-void RestartSuspicion::onAnswerPart(TimePoint now, TimePoint sentAt)
+void RestartSuspicion::onAnswerPart(TimePoint now, TimePoint sentAt, Duration coldPeriod)
 {
-    if (lostAt_ && sentAt < *lostAt_ && now - *lostAt_ >= livenessMargin)
+    if (!lostAt_)
+        return;
+    if (sentAt >= *lostAt_) {
+        warmAt_ = std::min(warmAt_.value_or(TimePoint::max()), now + coldPeriod);
+        return;
+    }
+    if (now - *lostAt_ >= livenessMargin)
         lostAt_.reset();
 }
 
--- a/Libraries/LibDecision/ServerRates/RestartSuspicion.h
+++ b/Libraries/LibDecision/ServerRates/RestartSuspicion.h
@@ -9,23 +9,22 @@
 
 /// Whether the process of a backend server may have been replaced by a new one, which is cold. After a connection was refused or lost,
 /// the registry may name the new process some hundred milliseconds late. Until then each instance sends at most its even share of
-/// the rate that a cold server sustains, so that all of them together stay within that rate without a message.
+/// the rate that a cold server sustains, so that all of them together stay within that rate without a message. The new process may start
+/// at any time after the loss, so the suspicion lasts until an answer shows that one runs, and from then on for as long as it may be cold.
 /// Thread safety: one thread at a time.
 class RestartSuspicion {
 public:
-    /// An entry that a new process writes at its start reaches all instances of a region within this time.
-    static constexpr Duration registryDelay = std::chrono::milliseconds(1500);
     /// The end of a process closes all its connections at once; what is read from one of them this much later proves that it runs.
     static constexpr Duration livenessMargin = std::chrono::milliseconds(100);
 
-    /// A connection was refused or lost. `coldPeriod` is how long a new process is cold.
-    void onConnectionLost(TimePoint now, Duration coldPeriod);
+    /// A connection was refused or lost.
+    void onConnectionLost(TimePoint now);
 
-    /// A part of the answer to a request that was sent at `sentAt` is read at `now`.
-    void onAnswerPart(TimePoint now, TimePoint sentAt);
+    /// A part of the answer to a request that was sent at `sentAt` is read at `now`. `coldPeriod` is how long a new process is cold.
+    void onAnswerPart(TimePoint now, TimePoint sentAt, Duration coldPeriod);
 
-    /// Whether a new process may be running.
-    bool isSuspected(TimePoint now) const { return lostAt_ && now < endsAt_; }
+    /// Whether a new process may be running, or may start.
+    bool isSuspected(TimePoint now) const { return lostAt_ && (!warmAt_ || now < *warmAt_); }
 
     /// Time between two requests of this instance. `rate` is what a cold server sustains in requests per second from all `instances` of the
     /// region. Precondition: rate > 0.
@@ -40,7 +39,8 @@
 
 private:
     std::optional<TimePoint> lostAt_;
-    TimePoint endsAt_ {};
+    /// When the process that has answered since the loss is no longer cold; unset while none has.
+    std::optional<TimePoint> warmAt_;
     std::optional<TimePoint> lastSentAt_;
 };
 
