RoutedSession: Count what a connection holds besides the body of its request

What callers saw, in a trial of the users': clients that send trailers without end behind a chunked body, or bodies far over the limit, ended a process, which ran out of memory.

Cause: the memory budget counted bodies alone. Beast keeps a trailer, and the line before a chunk, in the receive buffer until they are complete, up to 80 kB for each connection, and what arrives while nobody reads stays in the kernel, 64 kB for each connection: during the answer, and for the 2 s for which a refused connection waits until its caller stops sending. With as many connections as the descriptors allow, this exceeds the memory of every kind of machine. Class: a resource that others fill, without an owner.

A connection that has a request, or that is being closed, now reserves 64 KiB from a budget of its own, and the buffer's growth before it grows; the budget is the 12 KiB for each descriptor that the plan of the memory has set aside for connections all along, a quarter of the memory at most. A request that gets no reservation is refused as not run (memory_used_up, with Retry-After) and, beyond 64 connections, closed at once. An idle connection gives its buffer back. Requests are read by a loop of ours, as Beast's reads do not tell before they extend the buffer.

Ruled out: a lower limit of trailers alone; stalled ones of any permitted size fill the memory as well, only with more connections.

--- a/Libraries/LibHTTP/Callers/RoutedSession.cpp
+++ b/Libraries/LibHTTP/Callers/RoutedSession.cpp
@@ -32,6 +32,8 @@
 constexpr Duration maxConfigurationWait = std::chrono::milliseconds(300);
 constexpr Duration configurationPollInterval = std::chrono::milliseconds(20);
 constexpr auto notReadyRetryAfter = std::chrono::milliseconds(300);
+/// What a connection that waits for a request may hold.
+constexpr std::size_t firstRead = 4096;
 /// A connection that is refused is given this long to send the head of its request, whose id the answer then carries.
 constexpr Duration refusalWait = std::chrono::milliseconds(500);
 
@@ -50,7 +52,13 @@
         auto after = AfterRequest::KeepAlive;
         while (after == AfterRequest::KeepAlive)
             after = co_await serveOne();
-        co_await closeGracefully(stream_, pendingInput_);
+        // What arrives meanwhile is held until it is read.
+        const bool isReserved = connectionMemory_.growTo(costOfConnection);
+        const auto refusal = isReserved ? std::nullopt : runner_.callerConnections().beginRefusal();
+        if (isReserved || refusal)
+            co_await closeGracefully(stream_, pendingInput_);
+        else
+            closeWithoutWaiting(stream_.socket());
     }
 
     /// Answers the first request, or a connection without one, that callers use all descriptors that they may use.
@@ -80,6 +88,11 @@
         co_await Http::async_read_header(stream_, buffer_, parser, Asio::redirect_error(Asio::use_awaitable, error));
         if (error)
             co_return;
+        readIdentity(parser);
+    }
+
+    void readIdentity(const CallerParser& parser)
+    {
         try {
             callerId_ = dialect_.readHead(parser.get()).callerId;
             target_ = std::string(parser.get().target().data(), parser.get().target().size());
@@ -88,6 +101,16 @@
         }
     }
 
+    // Finds the id of a request that is refused before its head was read, if the first read has the whole head.
+    void identify(CallerParser& parser)
+    {
+        boost::system::error_code error;
+        if (!parser.is_header_done())
+            parser.put(buffer_.data(), error);
+        if (parser.is_header_done())
+            readIdentity(parser);
+    }
+
     Error connectionsUsedUpError()
     {
         Error error(ResultCode::ConnectionsUsedUp, Ran::No, "Callers use all connections that the instance may have");
@@ -111,6 +134,7 @@
         target_.clear();
         // Outlives the parser, which holds the body while it is read.
         auto memory = tables_.requestMemory.open();
+        releaseConnectionMemory();
         CallerParser parser;
         parser.header_limit(static_cast<std::uint32_t>(limits().head.count()));
         parser.body_limit(limits().body.count());
@@ -127,10 +151,21 @@
         const InFlightRequest inFlight(tables_.requestsInFlight);
         const auto busy = runner_.callerConnections().beginRequest();
         stream_.expires_after(limits().headTimeout);
-        co_await Http::async_read_header(stream_, buffer_, parser, Asio::redirect_error(Asio::use_awaitable, error));
+        std::optional<Error> failure;
+        try {
+            reserveConnection();
+            while (!parser.is_header_done() && !error)
+                co_await readSome(stream_, buffer_, parser, error, [this](std::size_t capacity) { reserveBuffer(capacity); });
+        } catch (const Error& caught) {
+            failure = caught;
+        }
+        if (failure) {
+            pendingInput_ = PendingInput::Discard;
+            identify(parser);
+            co_return co_await refuse(std::move(*failure), parser);
+        }
         if (error)
             co_return co_await refuseHead(error);
-        std::optional<Error> failure;
         auto after = AfterRequest::Close;
         try {
             after = co_await serveRequest(parser, memory);
@@ -150,7 +185,6 @@
     {
         if (buffer_.size() > 0)
             co_return;
-        constexpr std::size_t firstRead = 4096;
         const auto count = co_await stream_.async_read_some(buffer_.prepare(firstRead), Asio::redirect_error(Asio::use_awaitable, error));
         buffer_.commit(count);
         if (error == Asio::error::operation_aborted)
@@ -300,12 +334,37 @@
         if (const auto length = parser.content_length())
             reserve(memory, *length);
         std::function<void(CallerParser&)> beforePart = [this, &memory](CallerParser& reading) { reserveNextPart(reading, memory); };
-        co_await readRequestBody(stream_, buffer_, parser, std::move(beforePart));
+        std::function<void(std::size_t)> beforeRead = [this](std::size_t capacity) { reserveBuffer(capacity); };
+        co_await readRequestBody(stream_, buffer_, parser, std::move(beforePart), std::move(beforeRead));
         pendingInput_ = PendingInput::LeaveUnread;
         parser.get().body().shrink_to_fit();
         memory.shrinkTo(costOfBody(parser.get().body().capacity()));
     }
 
+    // An idle connection holds nothing but the bytes of a pipelined request.
+    void releaseConnectionMemory()
+    {
+        if (buffer_.size() == 0 && buffer_.capacity() > firstRead)
+            buffer_.shrink_to_fit();
+        bufferBytes_ = 0;
+        connectionMemory_ = tables_.connectionMemory.open();
+    }
+
+    // Throws MemoryUsedUp if there is no memory for the connection.
+    void reserveConnection()
+    {
+        if (connectionMemory_.growTo(ByteCount(costOfConnection.count() + bufferBytes_)))
+            return;
+        throw memoryUsedUpError(tables_.connectionMemory, costOfConnection, SteadyClock().now());
+    }
+
+    // Throws MemoryUsedUp if there is no memory for a buffer of `capacity` bytes.
+    void reserveBuffer(std::size_t capacity)
+    {
+        bufferBytes_ = capacity > firstRead ? capacity - firstRead : 0;
+        reserveConnection();
+    }
+
     void reserve(MemoryBudget::Reservation& memory, std::uint64_t bodySize)
     {
         const auto cost = costOfBody(bodySize);
@@ -410,6 +469,9 @@
     RequestRunner& runner_;
     const CallerDialect& dialect_;
     Beast::flat_buffer buffer_;
+    MemoryBudget::Reservation connectionMemory_;
+    /// The part of `connectionMemory_` for the capacity of `buffer_` beyond the first read.
+    std::uint64_t bufferBytes_ { 0 };
     PendingInput pendingInput_ { PendingInput::LeaveUnread };
     std::string callerId_;
     std::string target_;
--- a/Libraries/LibHTTP/Requests/InstanceTables.h
+++ b/Libraries/LibHTTP/Requests/InstanceTables.h
@@ -47,6 +47,7 @@
         , serviceRetries(settings.fleet ? retryLimitsOf(*settings.fleet) : FleetRetryLimits {})
         , allowance(settings.fleet ? allowanceLimitsOf(*settings.fleet) : FleetAllowanceLimits {}, SteadyClock().now(), std::hash<std::string> {}(settings.identity.instance.value()))
         , requestMemory(requestMemoryOf(settings), std::hash<std::string> {}(settings.identity.instance.value()))
+        , connectionMemory(connectionMemoryOf(settings), std::hash<std::string> {}(settings.identity.instance.value()))
         , tracer(settings.identity.instance.value(), std::move(spans))
     {
     }
@@ -71,6 +72,8 @@
     Metrics metrics;
     /// For the bodies of callers on routes with a policy, and of forwarded requests.
     MemoryBudget requestMemory;
+    /// For what callers' connections hold besides the bodies: heads, trailers, and bytes that nobody reads.
+    MemoryBudget connectionMemory;
     Tracer tracer;
     /// For callers on routes with a policy. Used by one worker.
     CallerLimits callerLimits;
--- a/Libraries/LibHTTP/Requests/RequestMemory.cpp
+++ b/Libraries/LibHTTP/Requests/RequestMemory.cpp
@@ -1,5 +1,6 @@
 #include <LibHTTP/Requests/RequestMemory.h>
 
+#include <algorithm>
 #include <limits>
 
 namespace Ibisturn {
@@ -12,7 +13,7 @@
 constexpr ByteCount controlMemory { 64'000'000 };
 /// A request uses two connections: a caller's first read of 4 KiB, an answer's part of 16 KiB and its head of 4 KiB.
 constexpr std::uint64_t bytesPerDescriptor = 12UL * 1024;
-/// Where memory is too small for the rest, requests still have this share of it.
+/// Where memory is too small for the rest, requests still have this share of it, and connections at most as much.
 constexpr std::uint64_t minShareDivisor = 4;
 constexpr std::uint64_t copiesOfBody = 2;
 
@@ -29,6 +30,15 @@
     return ByteCount(memory > others + least ? memory - others : least);
 }
 
+std::optional<ByteCount> connectionMemoryOf(const Settings& settings)
+{
+    if (!settings.fleet)
+        return std::nullopt;
+    const auto memory = settings.fleet->processMemory.value_or(defaultProcessMemory).count();
+    const auto descriptors = settings.fleet->processDescriptors.value_or(defaultProcessDescriptors);
+    return ByteCount(std::min(descriptors * bytesPerDescriptor, memory / minShareDivisor));
+}
+
 ByteCount costOfBody(std::uint64_t size)
 {
     constexpr auto maxSize = std::numeric_limits<std::uint64_t>::max() / copiesOfBody;
--- a/Libraries/LibHTTP/Requests/RequestMemory.h
+++ b/Libraries/LibHTTP/Requests/RequestMemory.h
@@ -4,6 +4,7 @@
 #include <LibCore/Clock.h>
 #include <LibCore/Error.h>
 #include <LibDecision/Admission/MemoryBudget.h>
+#include <LibKernel/SocketOptions.h>
 
 namespace Ibisturn {
 
@@ -11,6 +12,13 @@
 /// docs/CAPACITY.md has the arithmetic. Thread safety: any thread.
 std::optional<ByteCount> requestMemoryOf(const Settings& settings);
 
+/// How many bytes the instance may hold for the connections of callers that send requests, besides the bodies; empty as above.
+/// Thread safety: any thread.
+std::optional<ByteCount> connectionMemoryOf(const Settings& settings);
+
+/// What a connection needs while it has a request or is being closed: the bytes that arrive and that nobody reads.
+constexpr ByteCount costOfConnection { receiveBufferBytes };
+
 /// The memory that a request with a body of `size` bytes needs: the body, and a second time while it is written to a
 /// backend server or a peer. Thread safety: any thread.
 ByteCount costOfBody(std::uint64_t size);
--- a/Libraries/LibKernel/GracefulClose.cpp
+++ b/Libraries/LibKernel/GracefulClose.cpp
@@ -51,4 +51,17 @@
         co_await awaitPeerClose(stream.socket());
 }
 
+void closeWithoutWaiting(Asio::ip::tcp::socket& socket)
+{
+    // More than a receive buffer holds.
+    constexpr std::size_t maxBytes = 256UL * 1024;
+    boost::system::error_code error;
+    socket.shutdown(Asio::ip::tcp::socket::shutdown_send, error);
+    socket.non_blocking(true, error);
+    std::array<char, readBytes> discarded; // NOLINT: contents are never read
+    for (std::size_t total = 0; !error && total < maxBytes;)
+        total += socket.read_some(Asio::buffer(discarded), error);
+    socket.close(error);
+}
+
 } // namespace Ibisturn
--- a/Libraries/LibKernel/GracefulClose.h
+++ b/Libraries/LibKernel/GracefulClose.h
@@ -22,4 +22,8 @@
 /// Precondition: nothing else uses `stream`. Thread safety: the worker of the stream.
 Task<void> closeGracefully(boost::beast::tcp_stream& stream, PendingInput pending);
 
+/// Closes a connection at once, after discarding what has arrived, so that the data written last is delivered unless the peer goes on
+/// sending. Precondition: as above. Thread safety: the worker of the socket.
+void closeWithoutWaiting(Asio::ip::tcp::socket& socket);
+
 } // namespace Ibisturn
