CallerParser: Count the fields of a head, and drop those of a trailer

Cause: a field of 4 bytes becomes a list element of some 100, and a head may have 16 KiB and a trailer 80 kB of them. A request held 400 kB or 2 MB of fields until it ended, which no budget counted. Besides, fields of a trailer were added to those of the head, which the instance had decided on before.

The parser asks the connection's reservation for what the fields need before it keeps them, in steps of 4 KiB, and a request that gets none is refused as not run (memory_used_up). Nobody uses trailers, so they are dropped.

Ruled out: a limit of the number of fields; a caller within the limit of the head may send any number of them.

--- a/Libraries/LibHTTP/Callers/BodyReading.h
+++ b/Libraries/LibHTTP/Callers/BodyReading.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Error.h>
+#include <LibHTTP/Callers/CallerParser.h>
 #include <LibKernel/Asio.h>
 
 #include <algorithm>
@@ -12,8 +13,6 @@
 
 namespace Ibisturn {
 
-using CallerParser = boost::beast::http::request_parser<boost::beast::http::string_body>;
-
 /// What happens to the connection after a request.
 enum class AfterRequest : std::uint8_t {
     KeepAlive,
--- a/Libraries/LibHTTP/Callers/RoutedSession.cpp
+++ b/Libraries/LibHTTP/Callers/RoutedSession.cpp
@@ -105,6 +105,7 @@
     void identify(CallerParser& parser)
     {
         boost::system::error_code error;
+        parser.setFieldReservation(nullptr);
         if (!parser.is_header_done())
             parser.put(buffer_.data(), error);
         if (parser.is_header_done())
@@ -136,6 +137,7 @@
         auto memory = tables_.requestMemory.open();
         releaseConnectionMemory();
         CallerParser parser;
+        parser.setFieldReservation([this](std::uint64_t bytes) { return reserveFields(bytes); });
         parser.header_limit(static_cast<std::uint32_t>(limits().head.count()));
         parser.body_limit(limits().body.count());
         // The configuration may lower the limit while a pipelined request waits in the buffer.
@@ -200,12 +202,16 @@
             code = ResultCode::RequestReadTimeout;
         else if (error == Http::error::header_limit)
             code = ResultCode::HeadTooLarge;
+        else if (error == boost::system::errc::not_enough_memory)
+            code = ResultCode::MemoryUsedUp;
         else if (error == Http::error::body_limit)
             code = ResultCode::BodyTooLarge;
         else if (error.category() != make_error_code(Http::error::bad_version).category())
             co_return AfterRequest::Close;
         pendingInput_ = PendingInput::Discard;
-        const Error refusal(code, Ran::No, std::string(resultCodeEntry(code).meaning));
+        Error refusal(code, Ran::No, std::string(resultCodeEntry(code).meaning));
+        if (code == ResultCode::MemoryUsedUp)
+            refusal.setRetryAfter(tables_.connectionMemory.estimateWait(SteadyClock().now(), costOfConnection));
         co_return co_await write(refusal, AfterRequest::Close);
     }
 
@@ -347,13 +353,16 @@
         if (buffer_.size() == 0 && buffer_.capacity() > firstRead)
             buffer_.shrink_to_fit();
         bufferBytes_ = 0;
+        fieldBytes_ = 0;
         connectionMemory_ = tables_.connectionMemory.open();
     }
 
+    bool growConnectionMemory() { return connectionMemory_.growTo(ByteCount(costOfConnection.count() + bufferBytes_ + fieldBytes_)); }
+
     // Throws MemoryUsedUp if there is no memory for the connection.
     void reserveConnection()
     {
-        if (connectionMemory_.growTo(ByteCount(costOfConnection.count() + bufferBytes_)))
+        if (growConnectionMemory())
             return;
         throw memoryUsedUpError(tables_.connectionMemory, costOfConnection, SteadyClock().now());
     }
@@ -365,6 +374,12 @@
         reserveConnection();
     }
 
+    bool reserveFields(std::uint64_t bytes)
+    {
+        fieldBytes_ = bytes;
+        return growConnectionMemory();
+    }
+
     void reserve(MemoryBudget::Reservation& memory, std::uint64_t bodySize)
     {
         const auto cost = costOfBody(bodySize);
@@ -470,8 +485,9 @@
     const CallerDialect& dialect_;
     Beast::flat_buffer buffer_;
     MemoryBudget::Reservation connectionMemory_;
-    /// The part of `connectionMemory_` for the capacity of `buffer_` beyond the first read.
+    /// The parts of `connectionMemory_` for the capacity of `buffer_` beyond the first read, and for the fields of a head.
     std::uint64_t bufferBytes_ { 0 };
+    std::uint64_t fieldBytes_ { 0 };
     PendingInput pendingInput_ { PendingInput::LeaveUnread };
     std::string callerId_;
     std::string target_;
