FleetInstance: Bound the connections to the directory

Callers reach the directory's listener as well, and found by reading, it had neither a bound on its connections nor on what their requests hold: 600 heads of small fields with a body that never comes ended a process with 64 MB (71 MB). As many connections as a caller likes to open would also use up all descriptors, those of the store's connection included.

Requests to the directory are read as those of callers are, within the same budget; one that gets no reservation has its connection closed. At most a sixteenth of the descriptors are connections to the directory: half of what the plan leaves to peers. A new one closes the one that has been idle longest, and is closed itself if none is idle. The listeners of readiness, metrics and peers, which callers do not reach, stay as they were.

--- a/Libraries/LibDecision/Admission/ConnectionBudget.cpp
+++ b/Libraries/LibDecision/Admission/ConnectionBudget.cpp
@@ -8,8 +8,10 @@
 
 /// Idle connections to backend servers may use a quarter of the descriptors.
 constexpr std::uint64_t idleServerDivisor = 4;
-/// Connections to and from peers, and those to backend servers for requests of peers, may use an eighth.
+/// Connections to and from peers, those to backend servers for requests of peers, and those of callers who ask the directory may use an eighth.
 constexpr std::uint64_t peerDivisor = 8;
+/// Of this eighth, callers who ask the directory may use half.
+constexpr std::uint64_t directoryDivisor = 16;
 /// Where the descriptors are too few for all this, callers still have this share of them.
 constexpr std::uint64_t minCallerDivisor = 8;
 /// Releases of the current and the last period determine the rate.
@@ -19,6 +21,7 @@
 
 ConnectionBudget::ConnectionBudget(std::uint64_t descriptors, std::uint64_t workers)
     : idleServerConnections_(descriptors / idleServerDivisor / workers)
+    , directoryConnections_(std::max<std::uint64_t>(1, descriptors / directoryDivisor))
     , refusals_(std::max<std::uint64_t>(1, maxRefusals / workers))
 {
     const auto others = fileDescriptors + controlDescriptors + descriptors / idleServerDivisor + descriptors / peerDivisor;
--- a/Libraries/LibDecision/Admission/ConnectionBudget.h
+++ b/Libraries/LibDecision/Admission/ConnectionBudget.h
@@ -52,6 +52,9 @@
     /// How many idle connections to backend servers this worker may keep.
     std::uint64_t idleServerConnections() const { return idleServerConnections_; }
 
+    /// How many connections the listener of the directory may have.
+    std::uint64_t directoryConnections() const { return directoryConnections_; }
+
     /// How many connections this worker may refuse at the same time while it waits for their requests.
     std::uint64_t refusals() const { return refusals_; }
 
@@ -75,6 +78,7 @@
 
     std::uint64_t callerDescriptors_;
     std::uint64_t idleServerConnections_;
+    std::uint64_t directoryConnections_;
     std::uint64_t refusals_;
     /// Releases in the present and the previous period.
     std::uint64_t releases_ { 0 };
--- a/Libraries/LibHTTP/Operators/BufferedRequests.cpp
+++ b/Libraries/LibHTTP/Operators/BufferedRequests.cpp
@@ -1,7 +1,10 @@
 #include <LibHTTP/Operators/BufferedRequests.h>
 
+#include <LibHTTP/Callers/BodyReading.h>
+#include <LibHTTP/Requests/RequestMemory.h>
 #include <LibKernel/HttpLimits.h>
 
+#include <optional>
 #include <utility>
 
 #include <boost/beast/core.hpp>
@@ -14,6 +17,61 @@
 namespace {
 
 constexpr int httpVersion11 = 11;
+constexpr std::size_t firstRead = 4096;
+
+/// What one request holds of the memory for all connections.
+class RequestBytes {
+public:
+    explicit RequestBytes(const MemoryBudget* budget)
+        : isCounted_(budget)
+        , reservation_(budget ? budget->open() : MemoryBudget::Reservation())
+    {
+    }
+
+    bool growBufferTo(std::size_t capacity)
+    {
+        buffer_ = capacity;
+        return grow();
+    }
+
+    bool growFieldsTo(std::uint64_t bytes)
+    {
+        fields_ = bytes;
+        return grow();
+    }
+
+private:
+    bool grow() { return !isCounted_ || reservation_.growTo(ByteCount(costOfConnection.count() + buffer_ + fields_)); }
+
+    bool isCounted_;
+    MemoryBudget::Reservation reservation_;
+    std::uint64_t buffer_ { 0 };
+    std::uint64_t fields_ { 0 };
+};
+
+Task<void> awaitRequest(Beast::tcp_stream& stream, Beast::flat_buffer& buffer, IdleConnections* idle, boost::system::error_code& error)
+{
+    if (buffer.size() > 0)
+        co_return;
+    buffer.shrink_to_fit();
+    std::optional<IdleConnections::Scope> scope;
+    if (idle)
+        scope.emplace(*idle, stream.socket());
+    const auto count = co_await stream.async_read_some(buffer.prepare(firstRead), Asio::redirect_error(Asio::use_awaitable, error));
+    buffer.commit(count);
+}
+
+Task<void> readRequest(Beast::tcp_stream& stream, Beast::flat_buffer& buffer, CallerParser& parser, RequestBytes& bytes, boost::system::error_code& error)
+{
+    const auto reserveBuffer = [&bytes](std::size_t capacity) {
+        if (!bytes.growBufferTo(capacity))
+            throw Error(ResultCode::MemoryUsedUp, Ran::No, "Connections hold as many bytes as the instance's memory allows");
+    };
+    parser.eager(true);
+    parser.setFieldReservation([&bytes](std::uint64_t size) { return bytes.growFieldsTo(size); });
+    while (!parser.is_done() && !error)
+        co_await readSome(stream, buffer, parser, error, reserveBuffer);
+}
 
 } // namespace
 
@@ -22,12 +80,16 @@
     Beast::tcp_stream stream(std::move(socket));
     Beast::flat_buffer buffer(receiveBufferLimit(limits.head));
     for (bool isOpen = true; isOpen;) {
-        Http::request_parser<Http::string_body> parser;
+        CallerParser parser;
+        RequestBytes bytes(limits.memory);
         parser.header_limit(limits.head);
         parser.body_limit(limits.body);
         stream.expires_after(limits.idleTimeout);
         boost::system::error_code error;
-        co_await Http::async_read(stream, buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
+        co_await awaitRequest(stream, buffer, limits.idle, error);
+        if (error)
+            co_return;
+        co_await readRequest(stream, buffer, parser, bytes, error);
         if (error)
             co_return;
         BufferedReply reply = co_await answer(parser.get());
--- a/Libraries/LibHTTP/Operators/BufferedRequests.h
+++ b/Libraries/LibHTTP/Operators/BufferedRequests.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <LibCore/Clock.h>
+#include <LibDecision/Admission/MemoryBudget.h>
+#include <LibHTTP/Callers/IdleConnections.h>
 #include <LibKernel/Asio.h>
 
 #include <functional>
@@ -23,10 +25,14 @@
     Duration idleTimeout {};
     std::uint32_t head { 0 };
     std::uint64_t body { 0 };
+    /// For the bytes and fields of requests on all connections; without it, they are not counted.
+    const MemoryBudget* memory { nullptr };
+    /// Where the connection is registered while it waits for a request; may be null.
+    IdleConnections* idle { nullptr };
 };
 
 /// Answers requests on a connection one after the other, each read completely into memory, until the client closes it, the
-/// idle timeout expires, or a request can't be parsed. Thread safety: the worker of the socket.
+/// idle timeout expires, memory is used up, or a request can't be parsed. Thread safety: the worker of the socket.
 Task<void> serveBufferedRequests(Asio::ip::tcp::socket socket, BufferedRequestLimits limits, std::function<Task<BufferedReply>(const BufferedRequest&)> answer);
 
 } // namespace Ibisturn
--- a/Libraries/LibHTTP/Operators/EntrySession.cpp
+++ b/Libraries/LibHTTP/Operators/EntrySession.cpp
@@ -15,16 +15,19 @@
 
 } // namespace
 
-Task<void> serveEntries(Asio::ip::tcp::socket socket, const EntryDialect& dialect, const EntrySource& source)
+Task<void> serveEntries(Asio::ip::tcp::socket socket, const EntryDialect& dialect, const EntrySource& source, std::optional<EntryLimits> limits)
 {
     configureSocket(socket);
+    const auto connection = limits ? limits->connections.open() : std::nullopt;
+    if (limits && !connection)
+        co_return;
     std::function<Task<BufferedReply>(const BufferedRequest&)> answer = [&dialect, &source](const BufferedRequest& request) -> Task<BufferedReply> {
         const auto target = request.target();
         auto reply = dialect.answer({ target.data(), target.size() }, source);
         const bool isJson = reply.body.starts_with('{');
         co_return BufferedReply { reply.status, isJson ? "application/json" : "text/plain; version=0.0.4", std::move(reply.body) };
     };
-    co_await serveBufferedRequests(std::move(socket), { idleTimeout, headLimit, headLimit }, std::move(answer));
+    co_await serveBufferedRequests(std::move(socket), { idleTimeout, headLimit, headLimit, limits ? &limits->memory : nullptr, limits ? &limits->connections.idle() : nullptr }, std::move(answer));
 }
 
 } // namespace Ibisturn
--- a/Programs/ibisturn/FleetControlPlane.cpp
+++ b/Programs/ibisturn/FleetControlPlane.cpp
@@ -353,6 +353,7 @@
     for (const auto& part : quarantine.advance(now))
         fleetLog.warning("Backend servers crash on a prompt part; it is quarantined.", { { "part", formatPart(part) }, { "crashes", quarantine.describeCrashes(now, part) } });
     tables_.metrics.set("ibisturn_request_memory_bytes", static_cast<double>(tables_.requestMemory.held().count()));
+    tables_.metrics.set("ibisturn_connection_memory_bytes", static_cast<double>(tables_.connectionMemory.held().count()));
     tables_.metrics.set("ibisturn_prompt_parts_quarantined", static_cast<double>(quarantine.size()));
     // All instances come to the same conclusion, and the collectors of a region write it down for those that start later.
     if (statusExchange_.rank() >= CollectorChoice::collectorsPerRegion)
--- a/Programs/ibisturn/FleetInstance.cpp
+++ b/Programs/ibisturn/FleetInstance.cpp
@@ -57,6 +57,7 @@
     , claims_(tables_.settings, *store_, workers_.context(0).get_executor())
     , runner_((tables_.backendDialect = backendDialect_.get(), tables_), claims_)
     , controlPlane_(workers_.context(0), tables_, *store_, *documentReader_)
+    , directoryConnections_(connectionBudgetOf(settings).directoryConnections())
     , callersAcceptor_(workers_.context(0))
     , peersAcceptor_(workers_.context(0))
     , readinessAcceptor_(workers_.context(0))
@@ -90,7 +91,7 @@
     const auto& settings = tables_.settings;
     std::vector<Listener> listeners {
         { { "readiness", settings.fleet->readinessListen }, &readinessAcceptor_, &FleetInstance::serveEntriesOn },
-        { { "directory", settings.fleet->directoryListen }, &directoryAcceptor_, &FleetInstance::serveEntriesOn },
+        { { "directory", settings.fleet->directoryListen }, &directoryAcceptor_, &FleetInstance::serveDirectoryOn },
         { { "peers", settings.peersListen, ReceiveBuffer::System }, &peersAcceptor_, &FleetInstance::servePeerOn },
         { { "callers", settings.callersListen }, &callersAcceptor_, &FleetInstance::serveCallerOn },
     };
@@ -242,6 +243,11 @@
     spawnDetached(workers_.context(0), servePeer(std::move(socket), tables_, runner_, controlPlane_), "peer session");
 }
 
+void FleetInstance::serveDirectoryOn(Asio::ip::tcp::socket socket, std::size_t /*worker*/)
+{
+    spawnDetached(workers_.context(0), serveEntries(std::move(socket), *entryDialect_, entrySource_, EntryLimits { directoryConnections_, tables_.connectionMemory }), "directory session");
+}
+
 void FleetInstance::serveEntriesOn(Asio::ip::tcp::socket socket, std::size_t /*worker*/)
 {
     spawnDetached(workers_.context(0), serveEntries(std::move(socket), *entryDialect_, entrySource_), "entries session");
--- a/Programs/ibisturn/FleetInstance.h
+++ b/Programs/ibisturn/FleetInstance.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/TimerService.h>
 #include <LibHTTP/Callers/CallerDialectRegistry.h>
+#include <LibHTTP/Operators/ConnectionLimit.h>
 #include <LibHTTP/Operators/EntryDialect.h>
 #include <LibHTTP/Requests/RequestRunner.h>
 #include <LibKernel/Listen.h>
@@ -50,6 +51,7 @@
     void serveCallerOn(Asio::ip::tcp::socket socket, std::size_t worker);
     void servePeerOn(Asio::ip::tcp::socket socket, std::size_t worker);
     void serveEntriesOn(Asio::ip::tcp::socket socket, std::size_t worker);
+    void serveDirectoryOn(Asio::ip::tcp::socket socket, std::size_t worker);
 
     std::string settingsFile_;
     std::string settingsText_;
@@ -64,6 +66,7 @@
     ClaimService claims_;
     RequestRunner runner_;
     FleetControlPlane controlPlane_;
+    ConnectionLimit directoryConnections_;
     EntrySource entrySource_;
     Acceptor callersAcceptor_;
     Acceptor peersAcceptor_;
--- a/Tests/LibDecision/ConnectionBudgetTest.cpp
+++ b/Tests/LibDecision/ConnectionBudgetTest.cpp
@@ -55,7 +55,7 @@
 {
     for (const std::uint64_t descriptors : { 1024UL, 3075UL, 4096UL, 10250UL }) {
         const ConnectionBudget budget(descriptors);
-        EXPECT_LE(ConnectionBudget::fileDescriptors + ConnectionBudget::controlDescriptors + budget.idleServerConnections() + budget.callerDescriptors(), descriptors);
+        EXPECT_LE(ConnectionBudget::fileDescriptors + ConnectionBudget::controlDescriptors + budget.idleServerConnections() + budget.directoryConnections() + budget.callerDescriptors(), descriptors);
         EXPECT_GE(budget.callerDescriptors(), descriptors / 8);
     }
     EXPECT_EQ(ConnectionBudget(3075).callerDescriptors(), 1563U);
