Tests: Report an instance that has ended in UnboundedRequestsTest.py as such

Where the process had been ended for its memory, the script could fail on the missing folder of its descriptors instead of saying so (seen once on the code before the change, short-trailers on the directory). It failed either way; no check changes.

--- a/Tests/Process/UnboundedRequestsTest.py
+++ b/Tests/Process/UnboundedRequestsTest.py
@@ -79,7 +79,10 @@
 
 
 def descriptors_of(process):
-    return len(os.listdir(f"/proc/{process.pid}/fd"))
+    try:
+        return len(os.listdir(f"/proc/{process.pid}/fd"))
+    except FileNotFoundError:
+        return 0  # The process has ended, which its supervisor reports.
 
 
 def main():
