PlacementTable: Report what was sent to a backend server before its restart became known

Ordinary first attempts are logged for a sample of requests only, so that the logs don't show whether the senders suspected a restart, which is what the hypotheses differ in.

Each instance logs a restart when it learns of it, with the requests that it sent in the second before and whether it suspected the restart.

--- a/Libraries/LibDecision/Placement/PlacementTable.cpp
+++ b/Libraries/LibDecision/Placement/PlacementTable.cpp
@@ -39,6 +39,8 @@
 /// A request keeps to a holder of its session, or to a server that it drew, while the wait there is at most this part of the time to its
 /// target. Forecasts are uncertain: with 1 in place of 2, 16 more of 9,049 long requests were late at nine tenths of the capacity.
 constexpr std::int64_t goodTimeDivisor = 2;
+/// Restarts that nobody takes are not kept beyond this number.
+constexpr std::size_t maxPendingRestarts = 256;
 /// A backend server that is leaving has ended after this time.
 constexpr Duration leavingServerLifetime = std::chrono::minutes(10);
 
@@ -64,6 +66,13 @@
     return milliseconds(inMilliseconds(coldWindow) / std::min(rate, static_cast<double>(coldRequestsPerSecond(rate))));
 }
 
+/// Removes the times at or before `limit`. Precondition: `times` is sorted.
+void dropUntil(std::deque<TimePoint>& times, TimePoint limit)
+{
+    while (!times.empty() && times.front() <= limit)
+        times.pop_front();
+}
+
 template <typename Load>
 void add(Load& sum, const Load& load)
 {
@@ -106,6 +115,8 @@
         if (server.state.server.started != state.server.started || server.state.server.endpoint != state.server.endpoint) {
             auto coldSends = std::move(server.coldSends);
             const bool isRestarted = !server.state.server.id.isEmpty();
+            if (isRestarted && restarts_.size() < maxPendingRestarts)
+                restarts_.push_back({ { state.server.id, server.state.server.started, state.server.started }, std::move(server.recentSends), server.restart });
             server = Server();
             server.coldSends = std::move(coldSends);
             if (isRestarted)
@@ -258,8 +269,8 @@
     if (server.isLeaving || now < server.pausedUntil)
         return false;
     auto& sends = server.coldSends;
-    while (!sends.empty() && now - sends.front() >= coldWindow)
-        sends.pop_front();
+    dropUntil(sends, now - coldWindow);
+    dropUntil(server.recentSends, now - coldWindow);
     if (!isCold(now, server)) {
         if (isHeldBack(now, server))
             return false;
@@ -268,15 +279,30 @@
             // Counts as well if the server turns out to be cold.
             sends.push_back(now);
         }
+        server.recentSends.push_back(now);
         return true;
     }
     // Choices are spaced, but connections take different times, so that several requests may be ready at once.
     if (!holdsColdServer(now, id) || sends.size() >= coldRequestsPerSecond(server.coldRate))
         return false;
     sends.push_back(now);
+    server.recentSends.push_back(now);
     return true;
 }
 
+std::vector<ObservedRestart> PlacementTable::takeRestarts(TimePoint now)
+{
+    std::vector<ObservedRestart> observed;
+    for (auto& pending : restarts_) {
+        dropUntil(pending.sends, now - coldWindow);
+        pending.restart.sentInLastSecond = pending.sends.size();
+        pending.restart.wasSuspected = pending.suspicion.isSuspected(now);
+        observed.push_back(std::move(pending.restart));
+    }
+    restarts_.clear();
+    return observed;
+}
+
 std::vector<BackendServerId> PlacementTable::coldServers(TimePoint now) const
 {
     std::vector<BackendServerId> cold;
--- a/Libraries/LibDecision/Placement/PlacementTable.h
+++ b/Libraries/LibDecision/Placement/PlacementTable.h
@@ -87,6 +87,17 @@
     Unknown,
 };
 
+/// A new process of a backend server became known, and what this instance had sent to the server until then.
+struct ObservedRestart {
+    BackendServerId server;
+    StartTime before;
+    StartTime started;
+    /// The requests that were sent within the last second.
+    std::size_t sentInLastSecond { 0 };
+    /// Whether a restart was suspected; see RestartSuspicion.
+    bool wasSuspected { false };
+};
+
 /// The load that one or several instances put on a backend server, as reported to the other instances of the region.
 struct InstanceLoad {
     BackendServerId server;
@@ -181,6 +192,9 @@
     /// The number of backend servers of this region where a new, cold process may run; see RestartSuspicion.
     std::size_t suspectedRestarts(TimePoint now) const;
 
+    /// The restarts that became known since the last call.
+    std::vector<ObservedRestart> takeRestarts(TimePoint now);
+
     /// Replaces the load that the other instances of the region together put on the backend servers, as of `receivedAt`.
     void setOtherLoads(TimePoint receivedAt, const std::vector<InstanceLoad>& loads);
 
@@ -271,6 +285,8 @@
         TimePoint nextColdRequestAt {};
         /// When requests were sent to it while it was cold, within the last second.
         std::deque<TimePoint> coldSends;
+        /// When requests were sent to it within the last second.
+        std::deque<TimePoint> recentSends;
         /// Running and waiting requests as the server reported them, and this instance's requests there at that time.
         std::uint32_t reportedRequests { 0 };
         std::uint32_t ownRequestsAtReport { 0 };
@@ -317,6 +333,12 @@
         MeasuredTime roundTrip;
     };
 
+    struct PendingRestart {
+        ObservedRestart restart;
+        std::deque<TimePoint> sends;
+        RestartSuspicion suspicion;
+    };
+
     /// A process of a backend server that is leaving.
     struct LeavingServer {
         StartTime started;
@@ -404,6 +426,7 @@
     std::map<ServiceId, MeasuredFactor> serviceRatios_;
     std::unordered_map<std::uint64_t, PlacedRequest> placedRequests_;
     std::uint64_t lastPlacementId_ { 0 };
+    std::vector<PendingRestart> restarts_;
     RetrySchedule retries_;
     /// Measured engine time per prompt token.
     std::map<ServiceId, MeasuredFactor> millisecondsPerToken_;
--- a/Programs/ibisturn/FleetControlPlane.cpp
+++ b/Programs/ibisturn/FleetControlPlane.cpp
@@ -237,7 +237,12 @@
         return;
     appliedRegistryVersion_ = version;
     const auto servers = fleetState_.registry().usable();
-    tables_.placement.with([&](PlacementTable& table) { table.setServers(servers, *appliedSnapshot_); });
+    const auto restarts = tables_.placement.with([&](PlacementTable& table) {
+        table.setServers(servers, *appliedSnapshot_);
+        return table.takeRestarts(SteadyClock().now());
+    });
+    for (const auto& restart : restarts)
+        fleetLog.info("Backend server was restarted.", { { "server", restart.server }, { "started", restart.started }, { "before", restart.before }, { "sent_last_second", restart.sentInLastSecond }, { "suspected", restart.wasSuspected } });
 }
 
 void FleetControlPlane::applyMembership(TimePoint now)
--- a/Tests/LibDecision/RestartSuspicionTest.cpp
+++ b/Tests/LibDecision/RestartSuspicionTest.cpp
@@ -30,11 +30,18 @@
     return TimePoint(1h) + time;
 }
 
+enum class LostConnections : std::uint8_t {
+    /// Every instance had a request under way when the process ended.
+    OfAllInstances,
+    /// No instance had a connection to the process when it ended.
+    OfNoInstance,
+};
+
 /// What the instances of a region send to a backend server whose process ends at time 0, and starts again under the same id after
 /// `downTime`. Each instance learns of the new process at its own time after that.
 class RestartedServer {
 public:
-    explicit RestartedServer(Duration downTime)
+    RestartedServer(Duration downTime, LostConnections lost)
         : downTime_(downTime)
     {
         Service engines;
@@ -56,18 +63,20 @@
             auto& table = tables_.emplace_back(region);
             table.setInstances(id, ids);
             table.setServers({ state }, snapshot);
-            // The request under way when the process ends.
-            const auto lost = table.begin(at(-100ms), server, queryAt(at(-100ms)));
-            table.end(at(1ms), lost, PlacementOutcome::Lost);
+            if (lost == LostConnections::OfNoInstance)
+                continue;
+            const auto request = table.begin(at(-100ms), server, queryAt(at(-100ms)));
+            table.end(at(1ms), request, PlacementOutcome::Lost);
         }
     }
 
-    /// Returns the largest number of requests that the new process got within one second before all instances knew of it.
-    std::size_t run()
+    /// Returns the largest number of requests that the new process got within one second before all instances knew of it. No instance
+    /// sends anything before `firstSend`.
+    std::size_t run(Duration firstSend = 1ms + step)
     {
         constexpr Duration firstLearns = 400ms;
         constexpr Duration lastLearns = 900ms;
-        for (auto time = 1ms + step; time < downTime_ + lastLearns; time += step) {
+        for (auto time = firstSend; time < downTime_ + lastLearns; time += step) {
             const auto now = at(time);
             answer(now);
             for (std::size_t index = 0; index < instanceCount; ++index) {
@@ -184,10 +193,19 @@
 TEST(RestartSuspicion, AServerThatIsBackSecondsAfterItsProcessEndedIsNotFlooded)
 {
     for (const auto downTime : { 200ms, 1200ms, 2000ms, 3000ms, 4000ms, 5000ms, 8000ms, 20000ms }) {
-        const auto most = RestartedServer(downTime).run();
+        const auto most = RestartedServer(downTime, LostConnections::OfAllInstances).run();
         EXPECT_LE(static_cast<double>(most), maxRequestsPerSecond) << "down for " << downTime.count() << " ms";
         EXPECT_GT(most, 0U) << "down for " << downTime.count() << " ms";
     }
 }
 
+// Instances without a connection to the ended process took the new one for warm until its entry arrived.
+TEST(RestartSuspicion, InstancesThatLostNoConnectionDoNotFloodARestartedServer)
+{
+    for (const auto downTime : { 100ms, 400ms, 1200ms }) {
+        const auto most = RestartedServer(downTime, LostConnections::OfNoInstance).run(downTime);
+        EXPECT_LE(static_cast<double>(most), maxRequestsPerSecond) << "down for " << downTime.count() << " ms";
+    }
+}
+
 } // namespace Ibisturn::Testing
