BackendClient: Ask a new connection which process it leads to before a request is sent

What callers saw: a backend server that starts again under its id is cold for some seconds, and got 11 to 13 requests in a second where 9.6 are allowed (FAILBACK), and crashed again.

Cause: a server counted as warm until its entry, 0.4 to 0.9 s after the start, or a lost connection said otherwise. An instance without a connection when the process ended, because its pool was empty, it had just started, was cut off, or its connection fell silent, had no reason to suspect anything. Class of fault: permission by default, withdrawn by evidence that may be late, instead of permission by evidence.

Change: a connection belongs to one process for its whole life. A new connection to a server of a service with a cold rate first asks the server for the start time of its process, which takes one round trip and no slot. A request is sent only if the registry names that process. If it does not, the process counts as cold from then on for its cold period, or until its entry arrives: its lock is taken, and the holder alone sends. That holds for instances that have just started, are cut off, or never reached the server before, and needs no message between instances. A process that is confirmed ends a suspicion at once. Servers that don't say keep the old rule.

--- a/Libraries/LibDecision/Placement/PlacementTable.cpp
+++ b/Libraries/LibDecision/Placement/PlacementTable.cpp
@@ -124,7 +124,7 @@
             std::erase_if(placedRequests_, [&state](const auto& entry) { return entry.second.server == state.server.id; });
         }
         server.state = state;
-        server.assumedCache.setColdUntil(state.coldUntil);
+        server.assumedCache.setColdUntil(coldUntil(server));
         const auto leaving = leavingServers_.find(state.server.id);
         server.isLeaving = leaving != leavingServers_.end() && leaving->second.started == state.server.started;
         server.engine = service->engine;
@@ -206,7 +206,7 @@
         if (const auto session = PromptAffinity::sessionOf(query.prompt))
             place.sessionRank = affinities_.at(query.service).sessions.rankOf(*session, place.server);
         if (isCold(now, *best.server)) {
-            place.coldLeft = best.server->state.coldUntil - now;
+            place.coldLeft = coldUntil(*best.server) - now;
             best.server->nextColdRequestAt = now + coldSpacing(best.server->coldRate);
         }
         return place;
@@ -260,7 +260,7 @@
     return placement;
 }
 
-bool PlacementTable::confirmSend(TimePoint now, const BackendServerId& id)
+bool PlacementTable::confirmSend(TimePoint now, const BackendServerId& id, const std::optional<ServerProcess>& process)
 {
     const auto found = servers_.find(id);
     if (found == servers_.end())
@@ -268,6 +268,8 @@
     auto& server = found->second;
     if (server.isLeaving || now < server.pausedUntil)
         return false;
+    if (process && server.coldRate > 0 && !acceptProcess(now, server, *process))
+        return false;
     auto& sends = server.coldSends;
     dropUntil(sends, now - coldWindow);
     dropUntil(server.recentSends, now - coldWindow);
@@ -290,6 +292,31 @@
     return true;
 }
 
+bool PlacementTable::mustKnowProcess(const BackendServerId& id) const
+{
+    const auto found = servers_.find(id);
+    return found != servers_.end() && found->second.coldRate > 0;
+}
+
+bool PlacementTable::acceptProcess(TimePoint now, Server& server, const ServerProcess& process)
+{
+    if (process.started == server.state.server.started && !server.unregisteredProcess) {
+        server.restart.onProcessConfirmed(process.readAt);
+        return true;
+    }
+    if (process.started == server.unregisteredProcess)
+        return true;
+    // A connection that was made before the registry named the present process leads to an earlier one.
+    if (process.started == server.state.server.started || process.readAt < server.state.registeredAt)
+        return false;
+    server.unregisteredProcess = process.started;
+    server.unregisteredColdUntil = now + server.coldPeriod;
+    server.cache.clear();
+    server.assumedCache.onRestart();
+    server.assumedCache.setColdUntil(coldUntil(server));
+    return true;
+}
+
 std::vector<ObservedRestart> PlacementTable::takeRestarts(TimePoint now)
 {
     std::vector<ObservedRestart> observed;
@@ -502,7 +529,7 @@
             std::optional<Duration> minWait;
             for (const auto& id : ids) {
                 const auto& server = servers_.at(id);
-                if (server.isLeaving || now < server.pausedUntil || now < server.backoffUntil || now < server.state.coldUntil)
+                if (server.isLeaving || now < server.pausedUntil || now < server.backoffUntil || now < coldUntil(server))
                     continue;
                 const auto wait = estimateWait(now, server, query, TokenCount(0));
                 minWait = minWait ? std::min(*minWait, wait) : wait;
@@ -542,9 +569,14 @@
     return !isCold(now, server) || (holdsColdServer(now, server.state.server.id) && now >= server.nextColdRequestAt);
 }
 
+TimePoint PlacementTable::coldUntil(const Server& server)
+{
+    return std::max(server.state.coldUntil, server.unregisteredColdUntil);
+}
+
 bool PlacementTable::isCold(TimePoint now, const Server& server)
 {
-    return server.coldRate > 0 && now < server.state.coldUntil;
+    return server.coldRate > 0 && now < coldUntil(server);
 }
 
 bool PlacementTable::isHeldBack(TimePoint now, const Server& server) const
--- a/Libraries/LibDecision/Placement/PlacementTable.h
+++ b/Libraries/LibDecision/Placement/PlacementTable.h
@@ -207,9 +207,13 @@
     /// Records that a request is sent to a backend server or forwarded to another region.
     PlacementId begin(TimePoint now, const BackendServerId& server, const PlacementQuery& query);
 
-    /// Must be called right before a request is written to a backend server, which may have left or become cold since
-    /// place() chose it. Returns whether the request may be sent, and counts it if the server is cold.
-    bool confirmSend(TimePoint now, const BackendServerId& server);
+    /// Must be called right before a request is written to a backend server, which may have left, become cold or been restarted since
+    /// place() chose it. `process` is the process at the other end of the connection; unset if it did not say which one it is.
+    /// Returns whether the request may be sent, and counts it if the server is cold.
+    bool confirmSend(TimePoint now, const BackendServerId& server, const std::optional<ServerProcess>& process = std::nullopt);
+
+    /// Whether a new process of the backend server would be cold, so that the process at the other end of a new connection must be known.
+    bool mustKnowProcess(const BackendServerId& server) const;
     void recordForward(const RegionId& region, const PlacementQuery& query);
 
     /// Records that the first part of an answer arrived.
@@ -283,6 +287,9 @@
         /// As the registry has them; reports may differ.
         std::uint32_t registeredSlots { 0 };
         TimePoint nextColdRequestAt {};
+        /// The process that answered on a connection although the registry names another one, and until when it may be cold.
+        std::optional<StartTime> unregisteredProcess;
+        TimePoint unregisteredColdUntil {};
         /// When requests were sent to it while it was cold, within the last second.
         std::deque<TimePoint> coldSends;
         /// When requests were sent to it within the last second.
@@ -368,7 +375,10 @@
 
     bool isAllowedIn(const PlacementQuery& query, const RegionId& region) const;
     bool isUsable(TimePoint now, const Server& server, const PlacementQuery& query) const;
+    static TimePoint coldUntil(const Server& server);
     static bool isCold(TimePoint now, const Server& server);
+    /// Whether a request may reach the process at the other end of a connection, as far as its identity decides.
+    static bool acceptProcess(TimePoint now, Server& server, const ServerProcess& process);
     /// Whether a new, cold process may run there and this instance has used up its share of what such a process sustains.
     bool isHeldBack(TimePoint now, const Server& server) const;
     std::size_t ownRank() const;
--- a/Libraries/LibDecision/Registry/BackendRegistry.cpp
+++ b/Libraries/LibDecision/Registry/BackendRegistry.cpp
@@ -57,8 +57,10 @@
     auto& entry = entries_[server.id];
     auto& known = entry.state.server;
     const bool isSameIncarnation = !known.id.isEmpty() && known.started == server.started;
-    if (!isSameIncarnation)
+    if (!isSameIncarnation) {
         entry.coldSequence.reset();
+        entry.state.registeredAt = now;
+    }
     if (entry.coldSequence && server.sequence > *entry.coldSequence)
         entry.coldSequence.reset();
     const bool isChanged = !isSameIncarnation || entry.removedAt || known.state != server.state || known.endpoint != server.endpoint
--- a/Libraries/LibDecision/Registry/BackendRegistry.h
+++ b/Libraries/LibDecision/Registry/BackendRegistry.h
@@ -16,6 +16,8 @@
     RegisteredServer server;
     /// Until then it sustains only its service's cold rate.
     TimePoint coldUntil {};
+    /// When its entry first named the present process.
+    TimePoint registeredAt {};
 };
 
 /// Where a change of an entry comes from.
--- a/Libraries/LibDecision/Registry/RegisteredServer.h
+++ b/Libraries/LibDecision/Registry/RegisteredServer.h
@@ -16,6 +16,13 @@
 /// Start time of a backend server, in wall-clock milliseconds; distinguishes incarnations of one id.
 using StartTime = Quantity<struct StartTimeTag, std::int64_t>;
 
+/// Which process of a backend server is at the other end of a connection.
+struct ServerProcess {
+    StartTime started;
+    /// When the process said so.
+    TimePoint readAt {};
+};
+
 /// A backend server's own entry in the registry.
 struct RegisteredServer {
     BackendServerId id;
--- a/Libraries/LibDecision/ServerRates/RestartSuspicion.cpp
+++ b/Libraries/LibDecision/ServerRates/RestartSuspicion.cpp
@@ -25,6 +25,12 @@
         lostAt_.reset();
 }
 
+void RestartSuspicion::onProcessConfirmed(TimePoint readAt)
+{
+    if (lostAt_ && readAt > *lostAt_)
+        lostAt_.reset();
+}
+
 Duration RestartSuspicion::spacing(double rate, std::size_t instances)
 {
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(static_cast<double>(std::max<std::size_t>(1, instances)) / rate));
--- a/Libraries/LibDecision/ServerRates/RestartSuspicion.h
+++ b/Libraries/LibDecision/ServerRates/RestartSuspicion.h
@@ -23,6 +23,9 @@
     /// A part of the answer to a request that was sent at `sentAt` is read at `now`. `coldPeriod` is how long a new process is cold.
     void onAnswerPart(TimePoint now, TimePoint sentAt, Duration coldPeriod);
 
+    /// The process that ran before the loss said at `readAt` that it still runs.
+    void onProcessConfirmed(TimePoint readAt);
+
     /// Whether a new process may be running, or may start.
     bool isSuspected(TimePoint now) const { return lostAt_ && (!warmAt_ || now < *warmAt_); }
 
--- a/Libraries/LibHTTP/Backends/BackendClient.cpp
+++ b/Libraries/LibHTTP/Backends/BackendClient.cpp
@@ -25,6 +25,9 @@
 /// How long an idle connection is kept if the backend server does not announce that it keeps it longer.
 constexpr Duration maxIdleTime = std::chrono::seconds(30);
 constexpr std::size_t partBytes = 16UL * 1024;
+constexpr int httpVersion11 = 11;
+/// A server's answer about itself lists the requests that it runs.
+constexpr std::size_t maxProcessAnswerBytes = 256UL * 1024;
 /// A larger body may fill the receive buffer of a backend server that reads it slowly.
 constexpr std::size_t smallBodyBytes = 64UL * 1024;
 constexpr std::uint32_t answerHeadLimit = 16U * 1024;
@@ -111,7 +114,9 @@
     // The backend server may close a reused connection while we write, which leaves it unknown whether the request ran.
     // So a connection that may be closed soon is used only for idempotent requests.
     ConnectionPointer connection = idle_.take(SteadyClock().now(), server.endpoint, repeatability != Repeatability::Idempotent);
-    if (!connection)
+    if (!connection && request.needsProcess && !dialect_.processTarget().empty())
+        connection = co_await connectToKnownProcess(server.endpoint, request.deadline);
+    else if (!connection)
         connection = co_await connect(server.endpoint, request.deadline);
     co_await exchange(*connection, server, request, sink);
     connection->isReused = true;
@@ -136,11 +141,45 @@
     co_return connection;
 }
 
+Task<BackendClient::ConnectionPointer> BackendClient::connectToKnownProcess(Endpoint endpoint, TimePoint deadline)
+{
+    auto connection = co_await connect(endpoint, deadline);
+    if (co_await identify(*connection, endpoint, deadline))
+        co_return connection;
+    // The server closes the connection after its answer. No process ends and starts again within the time that another connection takes.
+    const auto process = connection->process;
+    connection = co_await connect(endpoint, deadline);
+    connection->process = process;
+    co_return connection;
+}
+
+Task<bool> BackendClient::identify(Connection& connection, Endpoint endpoint, TimePoint deadline)
+{
+    const auto target = dialect_.processTarget();
+    Http::request<Http::empty_body> question(Http::verb::get, { target.data(), target.size() }, httpVersion11);
+    question.set(Http::field::host, fmt::format("{}:{}", endpoint.address, endpoint.port));
+    connection.stream.expires_after(std::min(limits_.connectTimeout, deadline - SteadyClock().now()));
+    boost::system::error_code error;
+    co_await Http::async_write(connection.stream, question, Asio::redirect_error(Asio::use_awaitable, error));
+    Http::response_parser<Http::string_body> parser;
+    parser.header_limit(answerHeadLimit);
+    parser.body_limit(maxProcessAnswerBytes);
+    if (!error)
+        co_await Http::async_read(connection.stream, connection.buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
+    if (error)
+        throw Error(ResultCode::BackendUnreachable, Ran::No, "The backend server did not say which process it is: " + error.message());
+    if (parser.get().result() == Http::status::ok) {
+        if (const auto started = dialect_.readProcess(parser.get().body()))
+            connection.process = ServerProcess { *started, SteadyClock().now() };
+    }
+    co_return parser.keep_alive() && connection.buffer.size() == 0;
+}
+
 Task<void> BackendClient::exchange(Connection& connection, const BackendServer& server, const GatewayRequest& request, AnswerSink& sink)
 {
     const Cancellation::Scope closing(request.cancellation, [&connection] { connection.stream.close(); });
     if (request.beforeSend)
-        request.beforeSend();
+        request.beforeSend(connection.process);
     const auto message = dialect_.makeRequest(server, request, SteadyClock().now());
     connection.stream.expires_after(limits_.silenceTimeout);
     const bool isLarge = request.body.size() > smallBodyBytes;
--- a/Libraries/LibHTTP/Backends/BackendClient.h
+++ b/Libraries/LibHTTP/Backends/BackendClient.h
@@ -58,6 +58,9 @@
     using ConnectionPointer = BackendConnectionPointer;
 
     Task<ConnectionPointer> connect(Endpoint endpoint, TimePoint deadline);
+    Task<ConnectionPointer> connectToKnownProcess(Endpoint endpoint, TimePoint deadline);
+    /// Asks which process is at the other end. Returns whether the connection can be used for requests.
+    Task<bool> identify(Connection& connection, Endpoint endpoint, TimePoint deadline);
     using AnswerParser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
     Task<void> exchange(Connection& connection, const BackendServer& server, const GatewayRequest& request, AnswerSink& sink);
--- a/Libraries/LibHTTP/Backends/BackendConnection.h
+++ b/Libraries/LibHTTP/Backends/BackendConnection.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <LibCore/Clock.h>
+#include <LibDecision/Registry/RegisteredServer.h>
 #include <LibKernel/Asio.h>
 
 #include <memory>
+#include <optional>
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -18,6 +20,8 @@
     TimePoint trustedUntil {};
     /// Whether an earlier request was sent on it.
     bool isReused { false };
+    /// The process at the other end; unset if it was not asked or did not say.
+    std::optional<ServerProcess> process;
 };
 
 using BackendConnectionPointer = std::unique_ptr<BackendConnection>;
--- a/Libraries/LibHTTP/Backends/BackendDialect.h
+++ b/Libraries/LibHTTP/Backends/BackendDialect.h
@@ -56,6 +56,12 @@
     /// Makes the HTTP message that carries `request` to `server`. Its body refers to that of `request`, which must outlive it.
     virtual Request makeRequest(const BackendServer& server, const GatewayRequest& request, TimePoint now) const = 0;
 
+    /// The target of a GET request that asks a backend server which process it is; empty if such servers can't be asked.
+    virtual std::string_view processTarget() const { return {}; }
+
+    /// Reads the start time of the process from the answer's body; unset if it does not say.
+    virtual std::optional<StartTime> readProcess(std::string_view /*body*/) const { return std::nullopt; }
+
     /// Reads the head of an answer on a connection to which `request` was written.
     virtual AnswerHeadInfo readAnswer(const AnswerFields& answer, const GatewayRequest& request) const = 0;
 };
--- a/Libraries/LibHTTP/Peers/PeerClient.cpp
+++ b/Libraries/LibHTTP/Peers/PeerClient.cpp
@@ -75,7 +75,7 @@
     const Cancellation::Scope closing(gatewayRequest.cancellation, [&connection] { connection->close(); });
     const RequestId request(++lastRequest_);
     if (gatewayRequest.beforeSend)
-        gatewayRequest.beforeSend();
+        gatewayRequest.beforeSend(std::nullopt);
     std::string problem;
     PeerMessage outgoing(std::move(message));
     try {
--- a/Libraries/LibHTTP/Requests/GatewayRequest.h
+++ b/Libraries/LibHTTP/Requests/GatewayRequest.h
@@ -4,6 +4,7 @@
 #include <LibCore/Identifier.h>
 #include <LibCore/Span.h>
 #include <LibDecision/Placement/PlacementQuery.h>
+#include <LibDecision/Registry/RegisteredServer.h>
 #include <LibDecision/Routing/HomeRegions.h>
 #include <LibHTTP/Requests/Cancellation.h>
 #include <LibKernel/HttpHeader.h>
@@ -59,8 +60,11 @@
     /// Empty for a request on a route that names its backend servers.
     std::optional<RoutedRequest> routed;
     CancellationPointer cancellation;
-    /// Called right before the request is written to a connection. Throws Error if it must not be sent.
-    std::function<void()> beforeSend;
+    /// Whether a backend server must say which of its processes is at the other end of a new connection.
+    bool needsProcess { false };
+    /// Called right before the request is written to a connection, with the process of the backend server at the other end, if that is
+    /// known. Throws Error if the request must not be sent.
+    std::function<void(const std::optional<ServerProcess>&)> beforeSend;
 
     /// The target without its query.
     std::string_view path() const { return std::string_view(target).substr(0, target.find('?')); }
--- a/Libraries/LibHTTP/Requests/RequestRunner.cpp
+++ b/Libraries/LibHTTP/Requests/RequestRunner.cpp
@@ -362,9 +362,9 @@
         std::optional<AccessWatch::Subscription> watchedInTarget;
         if (!request.routed)
             watchedInTarget.emplace(access_, access, target, request.cancellation);
-        request.beforeSend = [this, &request, &lifecycle, &target, &place, attemptId] {
+        request.beforeSend = [this, &request, &lifecycle, &target, &place, attemptId](const std::optional<ServerProcess>& process) {
             requireHomeRegion(request, target);
-            requireUsableServer(request, place);
+            requireUsableServer(request, place, process);
             checkBeforeSend(request, target, attemptId, lifecycle);
         };
         std::optional<AttemptFailure> failure;
@@ -647,15 +647,23 @@
     throw NotRunError(ResultCode::ResidencyRefused, Ran::No, fmt::format("The home regions changed before the request was sent to region {}", target));
 }
 
-// A backend server may have left or become cold since it was chosen, while the connection to it was made.
-void RequestRunner::requireUsableServer(const GatewayRequest& request, const Place& place) const
+// A backend server may have left, become cold or been restarted since it was chosen, while the connection to it was made.
+void RequestRunner::requireUsableServer(const GatewayRequest& request, const Place& place, const std::optional<ServerProcess>& process) const
 {
     const auto* here = std::get_if<RunHere>(&place);
     if (!here || !request.routed)
         return;
-    const bool isUsable = tables_.placement.with([&](PlacementTable& table) { return table.confirmSend(SteadyClock().now(), here->backendServer); });
+    const auto now = SteadyClock().now();
+    StartTime registered;
+    const bool isUsable = tables_.placement.with([&](PlacementTable& table) {
+        if (const auto* state = table.findServer(here->backendServer))
+            registered = state->server.started;
+        return table.confirmSend(now, here->backendServer, process);
+    });
+    if (process && process->started != registered)
+        serverLog.info("Backend server has another process than the registry.", { { "server", here->backendServer }, { "process", process->started }, { "registered", registered }, { "age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - process->readAt).count() }, { "sent", isUsable } });
     if (!isUsable)
-        throw NotRunError(ResultCode::NoBackendServer, Ran::No, "The backend server left or became cold before the request was sent");
+        throw NotRunError(ResultCode::NoBackendServer, Ran::No, "The backend server left, became cold or was restarted before the request was sent");
 }
 
 ResultCode RequestRunner::accessOf(const GatewayRequest& request, const RegionId& region) const
@@ -694,6 +702,7 @@
     const std::optional<BackendServer> record = findBackendServer(*snapshot, server, request);
     if (!record)
         throw Error(ResultCode::BackendUnreachable, Ran::No, "The backend server's record was withdrawn");
+    request.needsProcess = request.routed && tables_.placement.with([&](PlacementTable& table) { return table.mustKnowProcess(server); });
     co_await backends_.run(*record, request, repeatability, sink);
 }
 
--- a/Libraries/LibHTTP/Requests/RequestRunner.h
+++ b/Libraries/LibHTTP/Requests/RequestRunner.h
@@ -93,7 +93,7 @@
     Place choosePlace(const GatewayRequest& request, const RouteId& routeId, HopsLeft hops, const RequestLifecycle& lifecycle, ResumeNeed resume);
     void checkBeforeSend(const GatewayRequest& request, const RegionId& target, AttemptId attempt, RequestLifecycle& lifecycle) const;
     void requireHomeRegion(const GatewayRequest& request, const RegionId& target) const;
-    void requireUsableServer(const GatewayRequest& request, const Place& place) const;
+    void requireUsableServer(const GatewayRequest& request, const Place& place, const std::optional<ServerProcess>& process) const;
     ResultCode accessOf(const GatewayRequest& request, const RegionId& region) const;
     RegionId regionOf(const Place& place) const;
     SnapshotPointer requireConfiguration() const;
--- a/Tests/LibDecision/PlacementTableTest.cpp
+++ b/Tests/LibDecision/PlacementTableTest.cpp
@@ -28,6 +28,7 @@
     Service engines;
     engines.id = model;
     engines.coldRate = 4;
+    engines.coldPeriod = 3s;
     engines.maxConnections = 90;
     engines.engine = EngineTraits { 8, TokenCount(100'000), 4 };
     Service plain;
@@ -431,4 +432,53 @@
     EXPECT_LE(spoiledWithin14s(7), most);
 }
 
+// The entry of a new process arrives some hundred milliseconds after its first connection.
+TEST_F(PlacementTableTest, ProcessThatIsNotRegisteredYetCountsAsCold)
+{
+    const BackendServerId server("a");
+    const ServerProcess restarted { StartTime(7), at(1s) };
+    EXPECT_TRUE(table_.confirmSend(at(1s), server, ServerProcess { StartTime(), at(0s) }));
+    EXPECT_FALSE(table_.confirmSend(at(1s), server, restarted));
+    EXPECT_EQ(table_.coldServers(at(1s)), std::vector { server });
+    // Whoever holds its lock may send, also on connections that do not tell their process.
+    table_.setColdServersHeld({ { server, at(10s) } });
+    EXPECT_TRUE(table_.confirmSend(at(1s), server, restarted));
+    EXPECT_TRUE(table_.confirmSend(at(1s), server));
+    // The process that the registry still names has ended.
+    EXPECT_FALSE(table_.confirmSend(at(1s), server, ServerProcess { StartTime(), at(2s) }));
+}
+
+TEST_F(PlacementTableTest, ProcessThatIsNeverRegisteredIsUsedAfterItsColdPeriod)
+{
+    const BackendServerId server("a");
+    const ServerProcess restarted { StartTime(7), at(1s) };
+    EXPECT_FALSE(table_.confirmSend(at(1s), server, restarted));
+    EXPECT_FALSE(table_.confirmSend(at(3900ms), server, restarted));
+    EXPECT_TRUE(table_.confirmSend(at(4s), server, restarted));
+    EXPECT_TRUE(table_.coldServers(at(4s)).empty());
+}
+
+TEST_F(PlacementTableTest, RegistryThatNamesTheNewProcessDecidesHowLongItIsCold)
+{
+    const BackendServerId server("a");
+    EXPECT_FALSE(table_.confirmSend(at(1s), server, ServerProcess { StartTime(7), at(1s) }));
+    servers_[0].server.started = StartTime(7);
+    servers_[0].registeredAt = at(1500ms);
+    servers_[0].coldUntil = at(2s);
+    table_.setServers(servers_, services());
+    EXPECT_FALSE(table_.confirmSend(at(1900ms), server, ServerProcess { StartTime(7), at(1s) }));
+    EXPECT_TRUE(table_.confirmSend(at(2s), server, ServerProcess { StartTime(7), at(1s) }));
+    // A connection from before leads to a process that has ended, and does not make the present one cold.
+    EXPECT_FALSE(table_.confirmSend(at(3s), server, ServerProcess { StartTime(3), at(500ms) }));
+    EXPECT_TRUE(table_.coldServers(at(3s)).empty());
+}
+
+TEST_F(PlacementTableTest, OnlyServersThatStartColdMustTellTheirProcess)
+{
+    EXPECT_TRUE(table_.mustKnowProcess(BackendServerId("a")));
+    EXPECT_FALSE(table_.mustKnowProcess(BackendServerId("p")));
+    EXPECT_FALSE(table_.mustKnowProcess(BackendServerId("unknown")));
+    EXPECT_TRUE(table_.confirmSend(at(0s), BackendServerId("p"), ServerProcess { StartTime(7), at(0s) }));
+}
+
 } // namespace Ibisturn::Testing
--- a/Tests/LibDecision/RestartSuspicionTest.cpp
+++ b/Tests/LibDecision/RestartSuspicionTest.cpp
@@ -24,6 +24,8 @@
 const RegionId region("khomas");
 const ServiceId model("model");
 const BackendServerId server("a");
+const StartTime endedProcess(1);
+const StartTime newProcess(2);
 
 TimePoint at(Duration time)
 {
@@ -37,12 +39,20 @@
     OfNoInstance,
 };
 
+enum class ProcessCheck : std::uint8_t {
+    /// Connections don't tell which process they lead to.
+    None,
+    /// A process that accepts a connection says which one it is.
+    OnEachConnection,
+};
+
 /// What the instances of a region send to a backend server whose process ends at time 0, and starts again under the same id after
 /// `downTime`. Each instance learns of the new process at its own time after that.
 class RestartedServer {
 public:
-    RestartedServer(Duration downTime, LostConnections lost)
+    RestartedServer(Duration downTime, LostConnections lost, ProcessCheck check = ProcessCheck::None)
         : downTime_(downTime)
+        , check_(check)
     {
         Service engines;
         engines.id = model;
@@ -56,6 +66,7 @@
         state.server.endpoint = { "10.0.0.1", 8080 };
         state.server.region = region;
         state.server.slots = 24;
+        state.server.started = endedProcess;
         std::vector<InstanceId> ids;
         for (std::size_t index = 0; index < instanceCount; ++index)
             ids.emplace_back(fmt::format("i{:02}", index));
@@ -111,7 +122,10 @@
     {
         auto& table = tables_[instance];
         const auto query = queryAt(now);
-        if (!std::holds_alternative<PlaceOnServer>(table.place(now, query)) || !table.confirmSend(now, server))
+        if (!std::holds_alternative<PlaceOnServer>(table.place(now, query)))
+            return;
+        const auto process = isRunning && check_ == ProcessCheck::OnEachConnection ? std::optional(ServerProcess { newProcess, now }) : std::nullopt;
+        if (!table.confirmSend(now, server, process))
             return;
         const auto id = table.begin(now, server, query);
         if (!isRunning) {
@@ -135,6 +149,7 @@
     }
 
     Duration downTime_;
+    ProcessCheck check_;
     std::vector<PlacementTable> tables_;
     std::deque<Sent> sent_;
     std::deque<TimePoint> arrivals_;
@@ -203,9 +218,25 @@
 TEST(RestartSuspicion, InstancesThatLostNoConnectionDoNotFloodARestartedServer)
 {
     for (const auto downTime : { 100ms, 400ms, 1200ms }) {
-        const auto most = RestartedServer(downTime, LostConnections::OfNoInstance).run(downTime);
+        const auto most = RestartedServer(downTime, LostConnections::OfNoInstance, ProcessCheck::OnEachConnection).run(downTime);
         EXPECT_LE(static_cast<double>(most), maxRequestsPerSecond) << "down for " << downTime.count() << " ms";
     }
 }
 
+TEST(RestartSuspicion, DetectsInstancesThatDoNotCheckTheProcess)
+{
+    const auto most = RestartedServer(400ms, LostConnections::OfNoInstance).run(400ms);
+    EXPECT_GT(static_cast<double>(most), maxRequestsPerSecond);
+}
+
+TEST(RestartSuspicion, EndsWhenTheProcessSaysThatItStillRuns)
+{
+    RestartSuspicion suspicion;
+    suspicion.onConnectionLost(at(1s));
+    suspicion.onProcessConfirmed(at(900ms));
+    EXPECT_TRUE(suspicion.isSuspected(at(2s)));
+    suspicion.onProcessConfirmed(at(1100ms));
+    EXPECT_FALSE(suspicion.isSuspected(at(2s)));
+}
+
 } // namespace Ibisturn::Testing
--- a/Tests/LibHTTP/BackendClientTest.cpp
+++ b/Tests/LibHTTP/BackendClientTest.cpp
@@ -88,7 +88,8 @@
         }
     }
 
-    BackendClientTest()
+    explicit BackendClientTest(const BackendDialect& dialect = openAiBackendDialect())
+        : client_({ 1s, 10s }, dialect)
     {
         request_.method = "POST";
         request_.target = "/v1/completions";
@@ -97,13 +98,44 @@
     }
 
     Asio::io_context context_ { 1 };
-    BackendClient client_ { { 1s, 10s }, openAiBackendDialect() };
+    BackendClient client_;
     BackendServer record_;
     GatewayRequest request_;
     /// Whether the last error says that what came was no answer.
     bool isSpoiled_ { false };
 };
 
+/// Servers that say which process they are by a number.
+class NumberedProcessDialect final : public BackendDialect {
+public:
+    Request makeRequest(const BackendServer& server, const GatewayRequest& request, TimePoint now) const override { return openAiBackendDialect().makeRequest(server, request, now); }
+    AnswerHeadInfo readAnswer(const AnswerFields& answer, const GatewayRequest& request) const override { return openAiBackendDialect().readAnswer(answer, request); }
+    std::string_view processTarget() const override { return "/process"; }
+    std::optional<StartTime> readProcess(std::string_view body) const override { return StartTime(std::stoll(std::string(body))); }
+};
+
+class ProcessCheckTest : public BackendClientTest {
+protected:
+    static std::string processAnswer(int number) { return fmt::format("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n{}", number); }
+
+    ProcessCheckTest()
+        : BackendClientTest(numberedProcesses_)
+    {
+        request_.needsProcess = true;
+        request_.beforeSend = [this](const std::optional<ServerProcess>& process) {
+            processes_.push_back(process ? std::optional(process->started) : std::nullopt);
+            if (rejects_)
+                throw Error(ResultCode::NoBackendServer, Ran::No, "rejected");
+        };
+    }
+
+    static const NumberedProcessDialect numberedProcesses_;
+    std::vector<std::optional<StartTime>> processes_;
+    bool rejects_ { false };
+};
+
+const NumberedProcessDialect ProcessCheckTest::numberedProcesses_;
+
 } // namespace
 
 TEST_F(BackendClientTest, NeverRepeatsARequestOnItsOwn)
@@ -120,6 +152,59 @@
     EXPECT_EQ(server.requests(), 2U);
 }
 
+TEST_F(ProcessCheckTest, AsksANewConnectionForItsProcess)
+{
+    ScriptedServer server(context_, { processAnswer(7), completeAnswer, completeAnswer });
+    RecordingSink sink;
+    EXPECT_FALSE(send(server, sink));
+    RecordingSink second;
+    EXPECT_FALSE(send(server, second));
+    EXPECT_EQ(server.requests(), 3U);
+    EXPECT_EQ(server.connections(), 1U);
+    EXPECT_EQ(processes_, (std::vector<std::optional<StartTime>> { StartTime(7), StartTime(7) }));
+}
+
+TEST_F(ProcessCheckTest, SendsNothingIfTheProcessIsRejected)
+{
+    ScriptedServer server(context_, { processAnswer(7), completeAnswer });
+    rejects_ = true;
+    RecordingSink sink;
+    const auto failure = send(server, sink);
+    ASSERT_TRUE(failure);
+    EXPECT_EQ(failure->ran(), Ran::No);
+    while (server.closedByClient() == 0)
+        context_.run_one();
+    EXPECT_EQ(server.requests(), 1U);
+}
+
+TEST_F(ProcessCheckTest, ConnectsAgainIfTheServerClosesTheConnectionAfterItsAnswer)
+{
+    ScriptedServer server(context_, { "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\n7", completeAnswer });
+    RecordingSink sink;
+    EXPECT_FALSE(send(server, sink));
+    EXPECT_EQ(server.connections(), 2U);
+    EXPECT_EQ(processes_, std::vector<std::optional<StartTime>> { StartTime(7) });
+}
+
+TEST_F(ProcessCheckTest, ServerThatDoesNotSayIsUsedWithAnUnknownProcess)
+{
+    ScriptedServer server(context_, { "HTTP/1.1 404 Not Found\r\nContent-Length: 1\r\n\r\n7", completeAnswer });
+    RecordingSink sink;
+    EXPECT_FALSE(send(server, sink));
+    EXPECT_EQ(processes_, std::vector<std::optional<StartTime>> { std::nullopt });
+}
+
+TEST_F(ProcessCheckTest, RequestHasNotRunIfTheConnectionIsLostBefore)
+{
+    ScriptedServer server(context_, { "" });
+    RecordingSink sink;
+    const auto failure = send(server, sink);
+    ASSERT_TRUE(failure);
+    EXPECT_EQ(failure->code(), ResultCode::BackendUnreachable);
+    EXPECT_EQ(failure->ran(), Ran::No);
+    EXPECT_TRUE(processes_.empty());
+}
+
 TEST_F(BackendClientTest, ClosesAnIdleConnectionWhoseServerHasEnded)
 {
     OneAnswerServer server(context_, "");
@@ -160,7 +245,7 @@
 TEST_F(BackendClientTest, WritesNothingWithoutPermission)
 {
     ScriptedServer server(context_, { completeAnswer });
-    request_.beforeSend = [] { throw Error(ResultCode::KeyUnknown, Ran::No, "withdrawn"); };
+    request_.beforeSend = [](const auto& /*process*/) { throw Error(ResultCode::KeyUnknown, Ran::No, "withdrawn"); };
     RecordingSink sink;
     const auto failure = send(server, sink);
     ASSERT_TRUE(failure);
--- a/Tests/Platform/DialectsTest.cpp
+++ b/Tests/Platform/DialectsTest.cpp
@@ -195,6 +195,14 @@
     EXPECT_FALSE(read(503, { { "X-Ibisturn-Request-Id", "id-1" }, { "Retry-After", "3" } }).retryAfter);
 }
 
+TEST_F(ReplicaDialectTest, ReadsWhichProcessAnswers)
+{
+    EXPECT_EQ(dialect_->processTarget(), "/-/report");
+    EXPECT_EQ(dialect_->readProcess(R"({"Stage":"colocated","born":1787771335495})"), StartTime(1787771335495));
+    for (const auto* unusable : { "", "[]", "{}", R"({"born":"1"})", R"({"born":1.5})", R"({"born":null})", R"({"Runs":{"born":1}})" })
+        EXPECT_FALSE(dialect_->readProcess(unusable)) << unusable;
+}
+
 TEST_F(ReplicaDialectTest, ReadsLoadAndIdleTimeout)
 {
     const auto reading = read(200, { { "X-Ibisturn-Request-Id", "id-1" }, { "X-Ibisturn-Server-Seal", "s" }, { "X-Ibisturn-Server-Load", "3,1,8" }, { "Keep-Alive", "timeout=5, max=9" } });
