BackendClient: Give a process that does not say which one it is no more than a share of a cold server's rate

- A process that answers the question with an error, or without its start time, counted as warm for the life of the connection.
It now counts as suspected until the connection is older than the cold period, and the request goes on a connection that was not asked.
- One wrong start time, garbled or of an earlier process, kept a server out of use at an instance for as long as its process ran.
A later answer that names the registered process ends that.
Answers are ordered by when the question was asked, not by when they were read.
- A server that closed the connection after its answer was taken for the same process on the next connection.
That one is asked too.
- A slow answer counted as an unreachable server, and so as a possible restart.
It has a timeout of its own.
- A service with a cold rate but without a cold period gets one of 4 s.

--- a/Libraries/LibDecision/Placement/PlacementTable.cpp
+++ b/Libraries/LibDecision/Placement/PlacementTable.cpp
@@ -39,6 +39,8 @@
 /// A request keeps to a holder of its session, or to a server that it drew, while the wait there is at most this part of the time to its
 /// target. Forecasts are uncertain: with 1 in place of 2, 16 more of 9,049 long requests were late at nine tenths of the capacity.
 constexpr std::int64_t goodTimeDivisor = 2;
+/// How long a new process is cold if its service does not state it.
+constexpr Duration assumedColdPeriod = std::chrono::seconds(4);
 /// Restarts that nobody takes are not kept beyond this number.
 constexpr std::size_t maxPendingRestarts = 256;
 /// A backend server that is leaving has ended after this time.
@@ -129,7 +131,7 @@
         server.isLeaving = leaving != leavingServers_.end() && leaving->second.started == state.server.started;
         server.engine = service->engine;
         server.coldRate = service->coldRate;
-        server.coldPeriod = service->coldPeriod;
+        server.coldPeriod = service->coldPeriod > Duration::zero() ? service->coldPeriod : assumedColdPeriod;
         server.registeredSlots = state.server.slots;
         server.maxConnections = service->maxConnections;
         if (server.engine)
@@ -298,18 +300,35 @@
     return found != servers_.end() && found->second.coldRate > 0;
 }
 
+// A process that does not say which one it is may have just started, unless the connection to it is older than its cold period.
 bool PlacementTable::acceptProcess(TimePoint now, Server& server, const ServerProcess& process)
 {
-    if (process.started == server.state.server.started && !server.unregisteredProcess) {
-        server.restart.onProcessConfirmed(process.readAt);
+    if (process.started)
+        return acceptKnownProcess(now, server, *process.started, process.askedAt);
+    if (now - process.askedAt < server.coldPeriod && !server.restart.isSuspected(now))
+        server.restart.onConnectionLost(now);
+    return true;
+}
+
+bool PlacementTable::acceptKnownProcess(TimePoint now, Server& server, StartTime started, TimePoint askedAt)
+{
+    if (started == server.state.server.started) {
+        // The registered process has ended if another one has answered since.
+        if (server.unregisteredProcess && askedAt <= server.unregisteredSince)
+            return false;
+        server.unregisteredProcess.reset();
+        server.unregisteredColdUntil = {};
+        server.assumedCache.setColdUntil(coldUntil(server));
+        server.restart.onProcessConfirmed(askedAt);
         return true;
     }
-    if (process.started == server.unregisteredProcess)
+    if (started == server.unregisteredProcess)
         return true;
     // A connection that was made before the registry named the present process leads to an earlier one.
-    if (process.started == server.state.server.started || process.readAt < server.state.registeredAt)
+    if (askedAt < server.state.registeredAt)
         return false;
-    server.unregisteredProcess = process.started;
+    server.unregisteredProcess = started;
+    server.unregisteredSince = askedAt;
     server.unregisteredColdUntil = now + server.coldPeriod;
     server.cache.clear();
     server.assumedCache.onRestart();
--- a/Libraries/LibDecision/Placement/PlacementTable.h
+++ b/Libraries/LibDecision/Placement/PlacementTable.h
@@ -208,7 +208,7 @@
     PlacementId begin(TimePoint now, const BackendServerId& server, const PlacementQuery& query);
 
     /// Must be called right before a request is written to a backend server, which may have left, become cold or been restarted since
-    /// place() chose it. `process` is the process at the other end of the connection; unset if it did not say which one it is.
+    /// place() chose it. `process` is the process at the other end of the connection; unset if such servers can't be asked.
     /// Returns whether the request may be sent, and counts it if the server is cold.
     bool confirmSend(TimePoint now, const BackendServerId& server, const std::optional<ServerProcess>& process = std::nullopt);
 
@@ -289,6 +289,7 @@
         TimePoint nextColdRequestAt {};
         /// The process that answered on a connection although the registry names another one, and until when it may be cold.
         std::optional<StartTime> unregisteredProcess;
+        TimePoint unregisteredSince {};
         TimePoint unregisteredColdUntil {};
         /// When requests were sent to it while it was cold, within the last second.
         std::deque<TimePoint> coldSends;
@@ -379,6 +380,7 @@
     static bool isCold(TimePoint now, const Server& server);
     /// Whether a request may reach the process at the other end of a connection, as far as its identity decides.
     static bool acceptProcess(TimePoint now, Server& server, const ServerProcess& process);
+    static bool acceptKnownProcess(TimePoint now, Server& server, StartTime started, TimePoint askedAt);
     /// Whether a new, cold process may run there and this instance has used up its share of what such a process sustains.
     bool isHeldBack(TimePoint now, const Server& server) const;
     std::size_t ownRank() const;
--- a/Libraries/LibDecision/Registry/RegisteredServer.h
+++ b/Libraries/LibDecision/Registry/RegisteredServer.h
@@ -4,6 +4,7 @@
 #include <LibCore/Clock.h>
 
 #include <cstdint>
+#include <optional>
 
 namespace Ibisturn {
 
@@ -18,9 +19,10 @@
 
 /// Which process of a backend server is at the other end of a connection.
 struct ServerProcess {
-    StartTime started;
-    /// When the process said so.
-    TimePoint readAt {};
+    /// Unset if the process did not say.
+    std::optional<StartTime> started;
+    /// When the process was asked, or the connection was made if it did not say.
+    TimePoint askedAt {};
 };
 
 /// A backend server's own entry in the registry.
--- a/Libraries/LibDecision/ServerRates/RestartSuspicion.cpp
+++ b/Libraries/LibDecision/ServerRates/RestartSuspicion.cpp
@@ -25,9 +25,9 @@
         lostAt_.reset();
 }
 
-void RestartSuspicion::onProcessConfirmed(TimePoint readAt)
+void RestartSuspicion::onProcessConfirmed(TimePoint askedAt)
 {
-    if (lostAt_ && readAt > *lostAt_)
+    if (lostAt_ && askedAt > *lostAt_)
         lostAt_.reset();
 }
 
--- a/Libraries/LibDecision/ServerRates/RestartSuspicion.h
+++ b/Libraries/LibDecision/ServerRates/RestartSuspicion.h
@@ -23,8 +23,8 @@
     /// A part of the answer to a request that was sent at `sentAt` is read at `now`. `coldPeriod` is how long a new process is cold.
     void onAnswerPart(TimePoint now, TimePoint sentAt, Duration coldPeriod);
 
-    /// The process that ran before the loss said at `readAt` that it still runs.
-    void onProcessConfirmed(TimePoint readAt);
+    /// The process that ran before the loss answered a question that was asked at `askedAt`.
+    void onProcessConfirmed(TimePoint askedAt);
 
     /// Whether a new process may be running, or may start.
     bool isSuspected(TimePoint now) const { return lostAt_ && (!warmAt_ || now < *warmAt_); }
--- a/Libraries/LibHTTP/Backends/BackendClient.cpp
+++ b/Libraries/LibHTTP/Backends/BackendClient.cpp
@@ -28,6 +28,10 @@
 constexpr int httpVersion11 = 11;
 /// A server's answer about itself lists the requests that it runs.
 constexpr std::size_t maxProcessAnswerBytes = 256UL * 1024;
+/// A server that is slow, but runs, says within this time which process it is.
+constexpr Duration identificationTimeout = std::chrono::seconds(1);
+/// Servers now and then close a connection after an answer; those that are leaving always do.
+constexpr int maxIdentifiedConnections = 2;
 /// A larger body may fill the receive buffer of a backend server that reads it slowly.
 constexpr std::size_t smallBodyBytes = 64UL * 1024;
 constexpr std::uint32_t answerHeadLimit = 16U * 1024;
@@ -143,22 +147,28 @@
 
 Task<BackendClient::ConnectionPointer> BackendClient::connectToKnownProcess(Endpoint endpoint, TimePoint deadline)
 {
-    auto connection = co_await connect(endpoint, deadline);
-    if (co_await identify(*connection, endpoint, deadline))
-        co_return connection;
-    // The server closes the connection after its answer. No process ends and starts again within the time that another connection takes.
-    const auto process = connection->process;
-    connection = co_await connect(endpoint, deadline);
-    connection->process = process;
-    co_return connection;
+    for (int connections = 0; connections < maxIdentifiedConnections; ++connections) {
+        auto connection = co_await connect(endpoint, deadline);
+        const auto identification = co_await identify(*connection, endpoint, deadline);
+        if (identification == Identification::Done)
+            co_return connection;
+        if (identification == Identification::NotTold) {
+            // What follows the answer on that connection may not belong to the request.
+            connection = co_await connect(endpoint, deadline);
+            connection->process = ServerProcess { std::nullopt, SteadyClock().now() };
+            co_return connection;
+        }
+    }
+    throw NotRunError(ResultCode::BackendBusy, Ran::No, "The backend server closes each connection after its first answer");
 }
 
-Task<bool> BackendClient::identify(Connection& connection, Endpoint endpoint, TimePoint deadline)
+Task<BackendClient::Identification> BackendClient::identify(Connection& connection, Endpoint endpoint, TimePoint deadline)
 {
     const auto target = dialect_.processTarget();
     Http::request<Http::empty_body> question(Http::verb::get, { target.data(), target.size() }, httpVersion11);
     question.set(Http::field::host, fmt::format("{}:{}", endpoint.address, endpoint.port));
-    connection.stream.expires_after(std::min(limits_.connectTimeout, deadline - SteadyClock().now()));
+    const auto askedAt = SteadyClock().now();
+    connection.stream.expires_after(std::min<Duration>(identificationTimeout, deadline - askedAt));
     boost::system::error_code error;
     co_await Http::async_write(connection.stream, question, Asio::redirect_error(Asio::use_awaitable, error));
     Http::response_parser<Http::string_body> parser;
@@ -166,13 +176,18 @@
     parser.body_limit(maxProcessAnswerBytes);
     if (!error)
         co_await Http::async_read(connection.stream, connection.buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
+    if (error == boost::beast::error::timeout)
+        throw Error(ResultCode::BackendTimeout, Ran::No, "The backend server did not say in time which process it is");
+    if (isInvalidHttp(error))
+        throw InvalidAnswerError(ResultCode::BackendUnreachable, Ran::No, "The backend server did not say which process it is: " + error.message());
     if (error)
-        throw Error(ResultCode::BackendUnreachable, Ran::No, "The backend server did not say which process it is: " + error.message());
-    if (parser.get().result() == Http::status::ok) {
-        if (const auto started = dialect_.readProcess(parser.get().body()))
-            connection.process = ServerProcess { *started, SteadyClock().now() };
-    }
-    co_return parser.keep_alive() && connection.buffer.size() == 0;
+        throw Error(ResultCode::BackendUnreachable, Ran::No, "The backend server closed the connection before it said which process it is");
+    const auto started = parser.get().result() == Http::status::ok ? dialect_.readProcess(parser.get().body()) : std::nullopt;
+    if (!started)
+        co_return Identification::NotTold;
+    connection.process = ServerProcess { started, askedAt };
+    connection.isReused = true;
+    co_return parser.keep_alive() && connection.buffer.size() == 0 ? Identification::Done : Identification::ConnectionUsedUp;
 }
 
 Task<void> BackendClient::exchange(Connection& connection, const BackendServer& server, const GatewayRequest& request, AnswerSink& sink)
--- a/Libraries/LibHTTP/Backends/BackendClient.h
+++ b/Libraries/LibHTTP/Backends/BackendClient.h
@@ -59,8 +59,15 @@
 
     Task<ConnectionPointer> connect(Endpoint endpoint, TimePoint deadline);
     Task<ConnectionPointer> connectToKnownProcess(Endpoint endpoint, TimePoint deadline);
-    /// Asks which process is at the other end. Returns whether the connection can be used for requests.
-    Task<bool> identify(Connection& connection, Endpoint endpoint, TimePoint deadline);
+    enum class Identification : std::uint8_t {
+        Done,
+        /// The process is known, but the connection can't be used for requests.
+        ConnectionUsedUp,
+        /// The backend server does not say which process it is.
+        NotTold,
+    };
+    /// Asks which process is at the other end of a new connection.
+    Task<Identification> identify(Connection& connection, Endpoint endpoint, TimePoint deadline);
     using AnswerParser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
     Task<void> exchange(Connection& connection, const BackendServer& server, const GatewayRequest& request, AnswerSink& sink);
--- a/Libraries/LibHTTP/Backends/BackendConnection.h
+++ b/Libraries/LibHTTP/Backends/BackendConnection.h
@@ -20,7 +20,7 @@
     TimePoint trustedUntil {};
     /// Whether an earlier request was sent on it.
     bool isReused { false };
-    /// The process at the other end; unset if it was not asked or did not say.
+    /// The process at the other end; unset if it was not asked.
     std::optional<ServerProcess> process;
 };
 
--- a/Libraries/LibHTTP/Requests/RequestRunner.cpp
+++ b/Libraries/LibHTTP/Requests/RequestRunner.cpp
@@ -660,8 +660,10 @@
             registered = state->server.started;
         return table.confirmSend(now, here->backendServer, process);
     });
-    if (process && process->started != registered)
-        serverLog.info("Backend server has another process than the registry.", { { "server", here->backendServer }, { "process", process->started }, { "registered", registered }, { "age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - process->readAt).count() }, { "sent", isUsable } });
+    if (process && process->started != registered) {
+        tables_.metrics.increment("ibisturn_unregistered_processes_total");
+        serverLog.info("Backend server has another process than the registry.", { { "server", here->backendServer }, { "process", process->started ? process->started->count() : -1 }, { "registered", registered }, { "asked_ms_ago", std::chrono::duration_cast<std::chrono::milliseconds>(now - process->askedAt).count() }, { "sent", isUsable } });
+    }
     if (!isUsable)
         throw NotRunError(ResultCode::NoBackendServer, Ran::No, "The backend server left, became cold or was restarted before the request was sent");
 }
--- a/Tests/LibDecision/PlacementTableTest.cpp
+++ b/Tests/LibDecision/PlacementTableTest.cpp
@@ -444,8 +444,32 @@
     table_.setColdServersHeld({ { server, at(10s) } });
     EXPECT_TRUE(table_.confirmSend(at(1s), server, restarted));
     EXPECT_TRUE(table_.confirmSend(at(1s), server));
-    // The process that the registry still names has ended.
-    EXPECT_FALSE(table_.confirmSend(at(1s), server, ServerProcess { StartTime(), at(2s) }));
+    // A connection to the process that the registry still names, from before the other one answered.
+    EXPECT_FALSE(table_.confirmSend(at(1s), server, ServerProcess { StartTime(), at(900ms) }));
+}
+
+// A garbled start time must not keep a server out of use.
+TEST_F(PlacementTableTest, RegisteredProcessThatAnswersLaterIsUsedAgain)
+{
+    const BackendServerId server("a");
+    EXPECT_FALSE(table_.confirmSend(at(1s), server, ServerProcess { StartTime(7), at(1s) }));
+    EXPECT_TRUE(table_.confirmSend(at(2s), server, ServerProcess { StartTime(), at(2s) }));
+    EXPECT_TRUE(table_.coldServers(at(2s)).empty());
+    EXPECT_TRUE(table_.confirmSend(at(3s), server, ServerProcess { StartTime(), at(2s) }));
+}
+
+TEST_F(PlacementTableTest, ProcessThatDoesNotSayGetsAShareUntilItsConnectionIsOlderThanTheColdPeriod)
+{
+    const BackendServerId server("a");
+    table_.setInstances(InstanceId("i1"), { InstanceId("i1"), InstanceId("i2"), InstanceId("i3"), InstanceId("i4") });
+    const ServerProcess unknown { std::nullopt, at(1s) };
+    auto sent = 0;
+    for (auto time = 1000ms; time < 4000ms; time += 10ms)
+        sent += table_.confirmSend(at(time), server, unknown) ? 1 : 0;
+    // A quarter of the rate of a cold server, for three seconds.
+    EXPECT_EQ(sent, 3);
+    EXPECT_TRUE(table_.confirmSend(at(20s), BackendServerId("b"), ServerProcess { std::nullopt, at(16s) }));
+    EXPECT_TRUE(table_.confirmSend(at(20s), BackendServerId("b"), ServerProcess { std::nullopt, at(16s) }));
 }
 
 TEST_F(PlacementTableTest, ProcessThatIsNeverRegisteredIsUsedAfterItsColdPeriod)
--- a/Tests/LibDecision/RestartSuspicionTest.cpp
+++ b/Tests/LibDecision/RestartSuspicionTest.cpp
@@ -40,10 +40,12 @@
 };
 
 enum class ProcessCheck : std::uint8_t {
-    /// Connections don't tell which process they lead to.
+    /// Processes are not asked which one they are.
     None,
     /// A process that accepts a connection says which one it is.
     OnEachConnection,
+    /// Only every second process that accepts a connection does.
+    OnEverySecondConnection,
 };
 
 /// What the instances of a region send to a backend server whose process ends at time 0, and starts again under the same id after
@@ -90,6 +92,7 @@
         for (auto time = firstSend; time < downTime_ + lastLearns; time += step) {
             const auto now = at(time);
             answer(now);
+            lockColdServers(now);
             for (std::size_t index = 0; index < instanceCount; ++index) {
                 const auto learnsAt = downTime_ + firstLearns + (lastLearns - firstLearns) * static_cast<std::int64_t>(index) / static_cast<std::int64_t>(instanceCount);
                 if (time < learnsAt)
@@ -124,8 +127,7 @@
         const auto query = queryAt(now);
         if (!std::holds_alternative<PlaceOnServer>(table.place(now, query)))
             return;
-        const auto process = isRunning && check_ == ProcessCheck::OnEachConnection ? std::optional(ServerProcess { newProcess, now }) : std::nullopt;
-        if (!table.confirmSend(now, server, process))
+        if (!table.confirmSend(now, server, isRunning ? processAt(now) : std::nullopt))
             return;
         const auto id = table.begin(now, server, query);
         if (!isRunning) {
@@ -139,6 +141,21 @@
         most_ = std::max(most_, arrivals_.size());
     }
 
+    std::optional<ServerProcess> processAt(TimePoint now)
+    {
+        if (check_ == ProcessCheck::None)
+            return std::nullopt;
+        const bool isTold = check_ == ProcessCheck::OnEachConnection || ++connections_ % 2 == 0;
+        return ServerProcess { isTold ? std::optional(newProcess) : std::nullopt, now };
+    }
+
+    // The first instance takes the lock of a server that it knows to be cold.
+    void lockColdServers(TimePoint now)
+    {
+        for (const auto& cold : tables_.front().coldServers(now))
+            tables_.front().setColdServersHeld({ { cold, now + 1s } });
+    }
+
     void answer(TimePoint now)
     {
         for (; !sent_.empty() && sent_.front().answeredAt <= now; sent_.pop_front()) {
@@ -154,6 +171,7 @@
     std::deque<Sent> sent_;
     std::deque<TimePoint> arrivals_;
     std::size_t most_ { 0 };
+    std::size_t connections_ { 0 };
 };
 
 } // namespace
@@ -217,9 +235,12 @@
 // Instances without a connection to the ended process took the new one for warm until its entry arrived.
 TEST(RestartSuspicion, InstancesThatLostNoConnectionDoNotFloodARestartedServer)
 {
-    for (const auto downTime : { 100ms, 400ms, 1200ms }) {
-        const auto most = RestartedServer(downTime, LostConnections::OfNoInstance, ProcessCheck::OnEachConnection).run(downTime);
-        EXPECT_LE(static_cast<double>(most), maxRequestsPerSecond) << "down for " << downTime.count() << " ms";
+    for (const auto check : { ProcessCheck::OnEachConnection, ProcessCheck::OnEverySecondConnection }) {
+        for (const auto downTime : { 100ms, 400ms, 1200ms }) {
+            const auto most = RestartedServer(downTime, LostConnections::OfNoInstance, check).run(downTime);
+            EXPECT_LE(static_cast<double>(most), maxRequestsPerSecond) << "down for " << downTime.count() << " ms";
+            EXPECT_GT(most, 0U) << "down for " << downTime.count() << " ms";
+        }
     }
 }
 
--- a/Tests/LibHTTP/BackendClientTest.cpp
+++ b/Tests/LibHTTP/BackendClientTest.cpp
@@ -22,6 +22,7 @@
 using Testing::RecordingSink;
 using Testing::ScriptedServer;
 
+const std::string closingAnswer = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\n7";
 const std::string completeAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
 /// Answers one request, and then sends `rest` or, if that is empty, ends its side of the connection. Tells whether the client
@@ -111,7 +112,7 @@
     Request makeRequest(const BackendServer& server, const GatewayRequest& request, TimePoint now) const override { return openAiBackendDialect().makeRequest(server, request, now); }
     AnswerHeadInfo readAnswer(const AnswerFields& answer, const GatewayRequest& request) const override { return openAiBackendDialect().readAnswer(answer, request); }
     std::string_view processTarget() const override { return "/process"; }
-    std::optional<StartTime> readProcess(std::string_view body) const override { return StartTime(std::stoll(std::string(body))); }
+    std::optional<StartTime> readProcess(std::string_view body) const override { return body == "?" ? std::nullopt : std::optional(StartTime(std::stoll(std::string(body)))); }
 };
 
 class ProcessCheckTest : public BackendClientTest {
@@ -123,7 +124,7 @@
     {
         request_.needsProcess = true;
         request_.beforeSend = [this](const std::optional<ServerProcess>& process) {
-            processes_.push_back(process ? std::optional(process->started) : std::nullopt);
+            processes_.push_back(process ? process->started : std::nullopt);
             if (rejects_)
                 throw Error(ResultCode::NoBackendServer, Ran::No, "rejected");
         };
@@ -177,21 +178,67 @@
     EXPECT_EQ(server.requests(), 1U);
 }
 
-TEST_F(ProcessCheckTest, ConnectsAgainIfTheServerClosesTheConnectionAfterItsAnswer)
+// Another process may be behind the second connection.
+TEST_F(ProcessCheckTest, AsksAgainIfTheServerClosesTheConnectionAfterItsAnswer)
 {
-    ScriptedServer server(context_, { "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\n7", completeAnswer });
+    ScriptedServer server(context_, { closingAnswer, processAnswer(8), completeAnswer });
     RecordingSink sink;
     EXPECT_FALSE(send(server, sink));
     EXPECT_EQ(server.connections(), 2U);
-    EXPECT_EQ(processes_, std::vector<std::optional<StartTime>> { StartTime(7) });
+    EXPECT_EQ(processes_, std::vector<std::optional<StartTime>> { StartTime(8) });
+}
+
+TEST_F(ProcessCheckTest, SendsNothingToAServerThatClosesEachConnection)
+{
+    ScriptedServer server(context_, { closingAnswer, closingAnswer });
+    RecordingSink sink;
+    const auto failure = send(server, sink);
+    ASSERT_TRUE(failure);
+    EXPECT_EQ(failure->ran(), Ran::No);
+    EXPECT_EQ(server.requests(), 2U);
+    EXPECT_TRUE(processes_.empty());
 }
 
 TEST_F(ProcessCheckTest, ServerThatDoesNotSayIsUsedWithAnUnknownProcess)
 {
-    ScriptedServer server(context_, { "HTTP/1.1 404 Not Found\r\nContent-Length: 1\r\n\r\n7", completeAnswer });
+    for (const auto* answer : { "HTTP/1.1 404 Not Found\r\nContent-Length: 1\r\n\r\n7", "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n?" }) {
+        processes_.clear();
+        ScriptedServer server(context_, { answer, completeAnswer });
+        RecordingSink sink;
+        EXPECT_FALSE(send(server, sink)) << answer;
+        // What follows the first answer can't be taken for the request's.
+        EXPECT_EQ(server.connections(), 2U);
+        EXPECT_EQ(processes_, std::vector<std::optional<StartTime>> { std::nullopt });
+    }
+}
+
+TEST_F(ProcessCheckTest, BytesBehindTheAnswerAreNotTakenForTheNextOne)
+{
+    ScriptedServer server(context_, { processAnswer(7) + completeAnswer, processAnswer(7), "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown" });
     RecordingSink sink;
     EXPECT_FALSE(send(server, sink));
-    EXPECT_EQ(processes_, std::vector<std::optional<StartTime>> { std::nullopt });
+    EXPECT_EQ(sink.body, "own");
+}
+
+TEST_F(ProcessCheckTest, AnswerThatIsNoHttpHasSentNothing)
+{
+    ScriptedServer server(context_, { "no HTTP at all\r\n\r\n" });
+    RecordingSink sink;
+    const auto failure = send(server, sink);
+    ASSERT_TRUE(failure);
+    EXPECT_EQ(failure->ran(), Ran::No);
+    EXPECT_TRUE(isSpoiled_);
+}
+
+// A slow server is no evidence that its process has ended.
+TEST_F(ProcessCheckTest, SilentServerIsNotReportedAsUnreachable)
+{
+    ScriptedServer server(context_, { "-" });
+    RecordingSink sink;
+    const auto failure = send(server, sink);
+    ASSERT_TRUE(failure);
+    EXPECT_EQ(failure->code(), ResultCode::BackendTimeout);
+    EXPECT_EQ(failure->ran(), Ran::No);
 }
 
 TEST_F(ProcessCheckTest, RequestHasNotRunIfTheConnectionIsLostBefore)
--- a/Tests/Platform/DialectsTest.cpp
+++ b/Tests/Platform/DialectsTest.cpp
@@ -199,7 +199,8 @@
 {
     EXPECT_EQ(dialect_->processTarget(), "/-/report");
     EXPECT_EQ(dialect_->readProcess(R"({"Stage":"colocated","born":1787771335495})"), StartTime(1787771335495));
-    for (const auto* unusable : { "", "[]", "{}", R"({"born":"1"})", R"({"born":1.5})", R"({"born":null})", R"({"Runs":{"born":1}})" })
+    EXPECT_EQ(dialect_->readProcess(R"({"born":1787771335495.0})"), StartTime(1787771335495));
+    for (const auto* unusable : { "", "[]", "{}", R"({"born":"1"})", R"({"born":1.5})", R"({"born":0})", R"({"born":-1})", R"({"born":1e300})", R"({"born":null})", R"({"Runs":{"born":1}})" })
         EXPECT_FALSE(dialect_->readProcess(unusable)) << unusable;
 }
 
