--- a/Libraries/LibCore/Identifier.h
+++ b/Libraries/LibCore/Identifier.h
@@ -45,6 +45,8 @@
 using ResidencyRuleId = Identifier<struct ResidencyRuleTag>;
 using RouteId = Identifier<struct RouteTag>;
 using ServiceId = Identifier<struct ServiceTag>;
+/// The version of a backend server's software; versions have no order.
+using SoftwareVersion = Identifier<struct SoftwareVersionTag>;
 using WorkspaceId = Identifier<struct WorkspaceTag>;
 
 } // namespace Ibisturn
--- a/Libraries/LibCore/ResultCode.cpp
+++ b/Libraries/LibCore/ResultCode.cpp
@@ -37,6 +37,8 @@
     { ResultCode::PromptQuarantined, "prompt_quarantined", 503, "Backend servers crashed on a part of the prompt; the request was not sent." },
     { ResultCode::MemoryUsedUp, "memory_used_up", 503, "The instance holds as many bytes of requests as its memory allows; the request was not read." },
     { ResultCode::ConnectionsUsedUp, "connections_used_up", 503, "Callers use all connections that the instance may have; the connection was closed." },
+    { ResultCode::StreamOriginUnknown, "stream_origin_unknown", 503, "It is not known which software version began the stream that the request resumes." },
+    { ResultCode::StreamVersionGone, "stream_version_gone", 503, "No permitted backend server has the software version that began the stream." },
     { ResultCode::BackendUnreachable, "backend_unreachable", 502, "The backend server could not be reached; nothing was sent." },
     { ResultCode::OutcomeUnknown, "outcome_unknown", 502, "The request may have run; its answer was lost." },
     { ResultCode::AnswerCut, "answer_cut", 502, "The answer ended before it was whole." },
--- a/Libraries/LibCore/ResultCode.h
+++ b/Libraries/LibCore/ResultCode.h
@@ -39,6 +39,8 @@
     PromptQuarantined = 3008,
     MemoryUsedUp = 3009,
     ConnectionsUsedUp = 3010,
+    StreamOriginUnknown = 3011,
+    StreamVersionGone = 3012,
     BackendUnreachable = 4001,
     OutcomeUnknown = 4002,
     AnswerCut = 4003,
--- a/Libraries/LibDecision/Placement/PlacementQuery.h
+++ b/Libraries/LibDecision/Placement/PlacementQuery.h
@@ -41,6 +41,10 @@
     std::set<BackendServerId> failedServers;
     /// Whether a failed backend server may be retried in preference to another region: it responded, but with a failure.
     bool canRetryFailedServers { false };
+    /// The only software version that may run the request, since it goes on with a stream that this version began.
+    std::optional<SoftwareVersion> version;
+    /// Whether the request begins a stream that may be resumed, so that only versions listed in the ledger may run it.
+    bool beginsStream { false };
     /// Regions in which the request has already failed.
     std::set<RegionId> failedRegions;
 };
--- a/Libraries/LibDecision/Placement/PlacementTable.h
+++ b/Libraries/LibDecision/Placement/PlacementTable.h
@@ -169,6 +169,9 @@
     /// Sets the usable backend servers of all regions.
     void setServers(const std::vector<BackendState>& servers, const Snapshot& snapshot);
 
+    /// Sets the software versions that may begin resumable streams, for each service. A service without an entry has none.
+    void setListedVersions(std::map<ServiceId, std::set<SoftwareVersion>> versions) { listedVersions_ = std::move(versions); }
+
     /// Sets this instance's id and the live instances of its region, including itself.
     void setInstances(const InstanceId& self, const std::vector<InstanceId>& inRegion);
 
@@ -390,6 +393,7 @@
     InstanceId self_;
     std::vector<InstanceId> instances_;
     std::map<BackendServerId, TimePoint> coldServersHeldUntil_;
+    std::map<ServiceId, std::set<SoftwareVersion>> listedVersions_;
     /// Kept while a server is not usable for another reason, such as an evacuation.
     std::map<BackendServerId, LeavingServer> leavingServers_;
     TimePoint otherLoadsReceivedAt_ {};
--- a/Libraries/LibDecision/Registry/RegisteredServer.h
+++ b/Libraries/LibDecision/Registry/RegisteredServer.h
@@ -24,6 +24,7 @@
     Endpoint endpoint;
     RegionId region;
     DataCentreId dataCentre;
+    SoftwareVersion version;
     RegistrationState state { RegistrationState::Ready };
     /// Maximum number of concurrent requests.
     std::uint32_t slots { 0 };
--- a/Libraries/LibHTTP/Requests/InstanceTables.h
+++ b/Libraries/LibHTTP/Requests/InstanceTables.h
@@ -10,6 +10,8 @@
 #include <LibDecision/Quarantine/PromptQuarantine.h>
 #include <LibDecision/Requests/FleetRetryBudget.h>
 #include <LibDecision/Routing/RouteDemand.h>
+#include <LibDecision/Streams/StreamOrigins.h>
+#include <LibDecision/Streams/VersionLedger.h>
 #include <LibHTTP/Backends/BackendDialect.h>
 #include <LibHTTP/Backends/LoadTable.h>
 #include <LibHTTP/Backends/SharedAdmissionControl.h>
@@ -65,6 +67,9 @@
     PromptQuarantine quarantine;
     /// The requests of callers on routes with a policy, without those that peers forward. Used by one worker.
     RouteDemand routeDemand;
+    /// For streams on routes with a policy. Used by one worker.
+    StreamOrigins streamOrigins;
+    VersionLedger versionLedger;
     const BackendDialect* backendDialect { &openAiBackendDialect() };
     LoadTable load;
     SharedHealthTable health;
