LibDecision: Tell all instances the origins of streams

A resumption at another instance than the one that began the stream found no origin.

Notes are passed on whatever collector they came from, so an instance that reaches one collector only is heard by those that hear the other one only. Reports of an earlier version, which do not say what they have, are answered without notes.

--- a/Libraries/LibDecision/Dissemination/StatusExchange.cpp
+++ b/Libraries/LibDecision/Dissemination/StatusExchange.cpp
@@ -22,6 +22,11 @@
 constexpr std::size_t maxSentReports = 64;
 constexpr std::size_t maxEvidencePerRegion = 256;
 constexpr std::size_t maxEndedProcesses = 8;
+/// A process with a shorter uptime is sent all notes. It takes a few seconds until its membership and its connections are complete.
+constexpr Duration startTime = std::chrono::seconds(5);
+/// What is sent to others whose confirmed digests are not known, for example because the collector has just started. They have had the earlier
+/// notes from their other collector.
+constexpr Duration unconfirmedNotesTime = std::chrono::seconds(3);
 
 void addDemand(std::map<WorkspaceId, AllowanceDemand>& sums, const AllowanceDemand& demand)
 {
@@ -122,6 +127,8 @@
     std::erase_if(reports_, isGone);
     std::erase_if(digests_, isGone);
     std::erase_if(exchanges_, isGone);
+    std::erase_if(digestReceivers_, isGone);
+    std::erase_if(exchangeReceivers_, isGone);
 }
 
 StatusExchange::Messages StatusExchange::advance(TimePoint now)
@@ -138,13 +145,17 @@
 {
     if (!isInOwnRegion(from) || !isPlausible(report) || !accept(from, report.incarnation, report.number))
         return std::nullopt;
-    reports_[from] = { now, report };
+    auto& received = reports_[from];
+    received = { now, report };
+    received.report.notes.clear();
+    noteLog_.add(now, report.notes, NoteSource::OwnRegion);
     ++version_;
     if (!collected_.included.contains(from))
         collectedAt_ = {};
     const auto& collected = collect(now);
     const auto& included = collected.included.at(from);
-    return Messages { SendDigest { from, { included.report, included.isCounted, collected.own, collected.loads, collected.others, collected.local.store } } };
+    auto notes = notesForDigest(now, from, report, included.report);
+    return Messages { SendDigest { from, { included.report, included.isCounted, collected.own, collected.loads, collected.others, collected.local.store, std::move(notes) } } };
 }
 
 std::optional<StatusExchange::Messages> StatusExchange::onDigest(TimePoint now, const InstanceId& from, const FleetDigest& digest)
@@ -156,6 +167,8 @@
         return std::nullopt;
     auto& received = digests_[from];
     received = { now, digest };
+    received.digest.notes.clear();
+    noteLog_.add(now, digest.notes, NoteSource::Collector);
     limitInstances(received.digest.own);
     for (auto& other : received.digest.others)
         limitInstances(other);
@@ -173,6 +186,12 @@
         return std::nullopt;
     auto& received = exchanges_[from];
     received = { now, exchange };
+    received.exchange.notes.clear();
+    noteLog_.add(now, exchange.notes, NoteSource::Collector);
+    auto& receiver = exchangeReceivers_[from];
+    if (receiver.incarnation != exchange.incarnation)
+        receiver = { exchange.incarnation, {}, {} };
+    receiver.deliveries.onConfirmed(exchange.confirmedExchange.count());
     limitInstances(received.exchange.digest);
     otherCollectors_[member->second].onAnswer(from);
     ++version_;
@@ -216,6 +235,11 @@
     return std::clamp<Duration>(periodPerInstance * static_cast<std::int64_t>(sizeOf(region_)), minPeriod, maxPeriod);
 }
 
+Duration StatusExchange::exchangePeriod() const
+{
+    return std::max(period(), minExchangePeriod);
+}
+
 bool StatusExchange::isInOwnRegion(const InstanceId& instance) const
 {
     const auto member = regionOf_.find(instance);
@@ -267,6 +291,7 @@
     collectedAt_ = now;
     collected_ = {};
     collected_.local = localStatus_(now);
+    noteLog_.add(now, collected_.local.notes, NoteSource::Self);
     const auto& local = collected_.local;
     std::map<WorkspaceId, AllowanceDemand> demands;
     std::map<BackendServerId, InstanceLoad> loads;
@@ -376,13 +401,45 @@
     exchange.incarnation = incarnation_;
     exchange.number = lastNumber_ += StatusNumber(1);
     exchange.isReply = isReply;
+    exchange.digest = collect(now).own;
     const auto received = exchanges_.find(peer);
-    if (received != exchanges_.end())
+    if (received != exchanges_.end()) {
         exchange.lastReceivedAgo = now - received->second.receivedAt;
-    exchange.digest = collect(now).own;
+        exchange.confirmedExchange = received->second.exchange.number;
+    }
+    exchange.notes = notesForExchange(now, peer, exchange.number, isReply);
     return { peer, std::move(exchange) };
 }
 
+// The notes for the digest that answers a report.
+std::vector<StreamNote> StatusExchange::notesForDigest(TimePoint now, const InstanceId& peer, const InstanceReport& report, StatusNumber answered)
+{
+    if (!report.confirmedDigest)
+        return {};
+    auto& receiver = digestReceivers_[peer];
+    if (receiver.incarnation != report.incarnation)
+        receiver = { report.incarnation, {}, {} };
+    receiver.deliveries.onConfirmed(report.confirmedDigest->count());
+    const auto unconfirmed = report.uptime < startTime ? 0 : noteLog_.positionAt(now - unconfirmedNotesTime);
+    receiver.deliveries.onSent(answered.count(), noteLog_.end());
+    return noteLog_.notesFrom(now, receiver.deliveries.confirmed().value_or(unconfirmed));
+}
+
+// The notes for an exchange. A reply has none if this instance has just sent an exchange of its own to the peer: those notes are likely to be
+// confirmed soon.
+std::vector<StreamNote> StatusExchange::notesForExchange(TimePoint now, const InstanceId& peer, StatusNumber number, bool isReply)
+{
+    auto& receiver = exchangeReceivers_[peer];
+    const auto from = receiver.deliveries.confirmed().value_or(0);
+    if (isReply && receiver.sentAt && now - *receiver.sentAt <= exchangePeriod()) {
+        receiver.deliveries.onSent(number.count(), from);
+        return {};
+    }
+    receiver.sentAt = now;
+    receiver.deliveries.onSent(number.count(), noteLog_.end());
+    return noteLog_.regionNotesFrom(now, from);
+}
+
 void StatusExchange::sendReports(TimePoint now, Messages& messages)
 {
     nextReportAt_ = now + period();
@@ -390,22 +447,25 @@
     if (collectors.empty())
         return;
     const auto local = localStatus_(now);
+    noteLog_.add(now, local.notes, NoteSource::Self);
     const auto number = lastNumber_ += StatusNumber(1);
     sentReports_.push_back({ number, now, local.demands, local.loads });
     if (sentReports_.size() > maxSentReports)
         sentReports_.pop_front();
     for (const auto& collector : collectors) {
-        InstanceReport report { incarnation_, number, local.state, local.uptime, std::nullopt, local.demands, local.loads, local.evidence };
+        InstanceReport report { incarnation_, number, local.state, local.uptime, std::nullopt, local.demands, local.loads, local.evidence, local.notes, StatusNumber() };
         const auto received = digests_.find(collector);
-        if (received != digests_.end())
+        if (received != digests_.end()) {
             report.lastDigestAgo = now - received->second.receivedAt;
+            report.confirmedDigest = received->second.digest.report;
+        }
         messages.emplace_back(SendReport { collector, std::move(report) });
     }
 }
 
 void StatusExchange::sendExchanges(TimePoint now, Messages& messages)
 {
-    nextExchangeAt_ = now + std::max(period(), minExchangePeriod);
+    nextExchangeAt_ = now + exchangePeriod();
     for (auto& [region, collectors] : otherCollectors_) {
         for (const auto& collector : collectors.choose(now))
             messages.emplace_back(makeExchange(now, collector, false));
--- a/Libraries/LibDecision/Dissemination/StatusExchange.h
+++ b/Libraries/LibDecision/Dissemination/StatusExchange.h
@@ -2,6 +2,7 @@
 
 #include <LibDecision/Dissemination/CollectorChoice.h>
 #include <LibDecision/Dissemination/StatusMessages.h>
+#include <LibDecision/Streams/StreamNoteLog.h>
 
 #include <deque>
 #include <functional>
@@ -20,6 +21,8 @@
     std::vector<RegionWaitEstimate> waitEstimates;
     StoreFeedStatus store;
     CrashEvidence evidence;
+    /// Notes of the last moments; each of them has to be part of several reports.
+    std::vector<StreamNote> notes {};
     /// Instances whose entries the store has lost, whether they still run or not.
     std::vector<InstanceId> withoutEntry;
 };
@@ -73,6 +76,9 @@
     /// What is known of the other instances.
     FleetStatus status(TimePoint now);
 
+    /// The notes of other instances that have arrived since the last call, whatever collector they came from.
+    std::vector<StreamNote> takeNotes(TimePoint now) { return noteLog_.takeNew(now); }
+
     /// When this instance sent the report that a digest answers, and before which the digest was not made; unset if the report is
     /// no longer known.
     std::optional<TimePoint> reportSentAt(const FleetDigest& digest) const;
@@ -114,6 +120,12 @@
         TimePoint receivedAt;
         RegionExchange exchange;
     };
+    /// The notes that were sent to one process of an instance.
+    struct Receiver {
+        Incarnation incarnation;
+        NoteDeliveries deliveries;
+        std::optional<TimePoint> sentAt;
+    };
     /// Which report of an instance the sums contain.
     struct Included {
         StatusNumber report;
@@ -138,6 +150,9 @@
     FleetStatus statusFromReports(TimePoint now);
     std::optional<FleetStatus> statusFromDigest(const ReceivedDigest& received) const;
     SendExchange makeExchange(TimePoint now, const InstanceId& peer, bool isReply);
+    std::vector<StreamNote> notesForDigest(TimePoint now, const InstanceId& peer, const InstanceReport& report, StatusNumber answered);
+    std::vector<StreamNote> notesForExchange(TimePoint now, const InstanceId& peer, StatusNumber number, bool isReply);
+    Duration exchangePeriod() const;
     void sendReports(TimePoint now, Messages& messages);
     void sendExchanges(TimePoint now, Messages& messages);
 
@@ -161,6 +176,9 @@
     std::deque<SentReport> sentReports_;
     std::map<InstanceId, ReceivedDigest> digests_;
     std::map<InstanceId, ReceivedExchange> exchanges_;
+    StreamNoteLog noteLog_;
+    std::map<InstanceId, Receiver> digestReceivers_;
+    std::map<InstanceId, Receiver> exchangeReceivers_;
     Collected collected_;
     TimePoint collectedAt_ {};
 };
--- a/Libraries/LibDecision/Dissemination/StatusMessages.h
+++ b/Libraries/LibDecision/Dissemination/StatusMessages.h
@@ -5,6 +5,7 @@
 #include <LibDecision/Membership/MembershipView.h>
 #include <LibDecision/Placement/PlacementTable.h>
 #include <LibDecision/Quarantine/CrashEvidence.h>
+#include <LibDecision/Streams/StreamNote.h>
 
 #include <optional>
 #include <vector>
@@ -39,6 +40,11 @@
     std::vector<AllowanceDemand> demands;
     std::vector<InstanceLoad> loads;
     CrashEvidence evidence;
+    /// What the sender has noted lately.
+    std::vector<StreamNote> notes {};
+    /// The newest of the sender's reports to the receiver that was answered by a digest; zero if none was. Unset if the sender is of an
+    /// earlier version, which does not take notes.
+    std::optional<StatusNumber> confirmedDigest {};
 };
 
 /// The sums over the instances of one region, as one collector knows them.
@@ -77,6 +83,8 @@
     /// The digests of the other regions whose collectors reach this one, and are reached by it.
     std::vector<RegionDigest> others;
     StoreFeedStatus store;
+    /// Those of all instances that reached the sender after its digest that the receiver has confirmed.
+    std::vector<StreamNote> notes {};
 };
 
 /// What the collectors of two regions send each other.
@@ -88,6 +96,10 @@
     /// Time since an exchange of the receiver last arrived; unset if none has.
     std::optional<Duration> lastReceivedAgo;
     RegionDigest digest;
+    /// Those of the sender's region that reached it after its exchange that the receiver has confirmed.
+    std::vector<StreamNote> notes {};
+    /// The newest exchange of the receiver that has arrived; zero if none has.
+    StatusNumber confirmedExchange {};
 };
 
 /// A request for the store's changes, or the answer to one.
--- a/Tests/LibDecision/StatusFleet.h
+++ b/Tests/LibDecision/StatusFleet.h
@@ -54,6 +54,9 @@
     /// Called for each message that is sent.
     std::function<void(std::size_t from, const StatusExchange::Message&)> onSend;
 
+    /// Decides whether a message is lost; none is if it is not set.
+    std::function<bool(std::size_t from, std::size_t to)> isLost;
+
     void restart(std::size_t index)
     {
         auto& instance = instances_[index];
@@ -110,6 +113,8 @@
             const auto cut = cuts_.find({ from, to });
             if (cut != cuts_.end() && now_ < cut->second)
                 continue;
+            if (isLost && isLost(from, to))
+                continue;
             const auto delay = regionOf(from) == regionOf(to) ? ownRegionDelay : otherRegionDelay;
             deliveries_.emplace(now_ + delay, Delivery { from, to, message });
         }
