LibPeer: Carry the notes of streams in status messages

The notes are appended to the messages: nine bytes each, grouped by origin. An earlier version ignores them. Its own messages lack them, and a message with too few fields is refused since, so the three messages say which fields are required.

--- a/Libraries/LibPeer/ControlMessages.cpp
+++ b/Libraries/LibPeer/ControlMessages.cpp
@@ -1,11 +1,21 @@
 #include <LibPeer/ControlMessages.h>
 
+#include <LibDecision/Streams/StreamNoteLog.h>
+
+#include <algorithm>
 #include <utility>
 
 namespace Ibisturn {
 
 namespace {
 
+constexpr std::size_t noteKeyBytes = 8;
+constexpr std::size_t bitsPerByte = 8;
+/// The ages of notes that are passed on fit into a byte.
+constexpr Duration noteAgeUnit = std::chrono::milliseconds(32);
+constexpr Duration::rep maxNoteAgeUnits = 255;
+static_assert(noteAgeUnit * maxNoteAgeUnits >= StreamNoteLog::maxAge);
+
 std::int64_t nanoseconds(TimePoint time)
 {
     return time.time_since_epoch().count();
@@ -154,6 +164,50 @@
     return evidence;
 }
 
+void appendKey(std::string& bytes, StreamKey key)
+{
+    for (std::size_t index = 0; index < noteKeyBytes; ++index)
+        bytes += static_cast<char>((key.count() >> (bitsPerByte * (noteKeyBytes - 1 - index))) & 0xff);
+}
+
+StreamKey keyAt(std::string_view bytes, std::size_t number)
+{
+    std::uint64_t key = 0;
+    for (const auto byte : bytes.substr(number * noteKeyBytes, noteKeyBytes))
+        key = (key << bitsPerByte) | static_cast<unsigned char>(byte);
+    return StreamKey(key);
+}
+
+// Most notes have one of a few origins, and those of one origin often follow each other.
+std::vector<StreamNotesMessage> encode(const std::vector<StreamNote>& notes)
+{
+    std::vector<StreamNotesMessage> messages;
+    std::size_t last = 0;
+    for (const auto& note : notes) {
+        const auto isSame = [&note](const StreamNotesMessage& message) { return message.version == note.origin.version.value() && message.service == note.origin.service.value(); };
+        if (messages.empty() || !isSame(messages[last]))
+            last = static_cast<std::size_t>(std::find_if(messages.begin(), messages.end(), isSame) - messages.begin());
+        if (last == messages.size())
+            messages.push_back({ note.origin.service.value(), note.origin.version.value(), {}, {} });
+        appendKey(messages[last].keys, note.key);
+        messages[last].ages += static_cast<char>(std::min<Duration::rep>(note.age / noteAgeUnit, maxNoteAgeUnits));
+    }
+    return messages;
+}
+
+std::vector<StreamNote> decode(const std::vector<StreamNotesMessage>& messages)
+{
+    std::vector<StreamNote> notes;
+    for (const auto& message : messages) {
+        if (message.keys.size() != message.ages.size() * noteKeyBytes)
+            throw Error(ResultCode::MalformedFrame, Ran::No, "A control message has notes of streams without keys or ages");
+        const StreamOrigin origin { ServiceId(message.service), SoftwareVersion(message.version) };
+        for (std::size_t index = 0; index < message.ages.size(); ++index)
+            notes.push_back({ keyAt(message.keys, index), origin, noteAgeUnit * static_cast<unsigned char>(message.ages[index]) });
+    }
+    return notes;
+}
+
 RegionDigestMessage encode(const RegionDigest& digest)
 {
     RegionDigestMessage message { digest.region.value(), digest.instances, digest.uptime.count(), encode(digest.demands), {}, {}, {}, encode(digest.evidence) };
@@ -182,14 +236,15 @@
 {
     const auto& report = action.report;
     return InstanceReportMessage { report.incarnation.count(), report.number.count(), static_cast<std::uint8_t>(report.state), report.uptime.count(),
-        encode(report.lastDigestAgo), encode(report.demands), encode(report.loads), encode(report.evidence) };
+        encode(report.lastDigestAgo), encode(report.demands), encode(report.loads), encode(report.evidence), encode(report.notes),
+        report.confirmedDigest ? static_cast<std::int64_t>(report.confirmedDigest->count()) : -1 };
 }
 
 PeerMessage encode(const SendDigest& action)
 {
     const auto& digest = action.digest;
     FleetDigestMessage message { digest.report.count(), digest.isCounted, encode(digest.own), encode(digest.loads), {}, digest.store.isFollowing,
-        encode(digest.store.age), numbersOf(digest.store.positions), erasOf(digest.store.positions) };
+        encode(digest.store.age), numbersOf(digest.store.positions), erasOf(digest.store.positions), encode(digest.notes) };
     for (const auto& other : digest.others)
         message.others.push_back(encode(other));
     return message;
@@ -198,7 +253,8 @@
 PeerMessage encode(const SendExchange& action)
 {
     const auto& exchange = action.exchange;
-    return RegionExchangeMessage { exchange.incarnation.count(), exchange.number.count(), exchange.isReply, encode(exchange.lastReceivedAgo), encode(exchange.digest) };
+    return RegionExchangeMessage { exchange.incarnation.count(), exchange.number.count(), exchange.isReply, encode(exchange.lastReceivedAgo), encode(exchange.digest),
+        encode(exchange.notes), exchange.confirmedExchange.count() };
 }
 
 PeerMessage encode(const SendStoreUpdate& action)
@@ -237,12 +293,13 @@
 ControlEvent decode(const InstanceReportMessage& message)
 {
     return InstanceReport { Incarnation(message.incarnation), StatusNumber(message.number), decodeEnum(message.state, MemberState::Leaving), Duration(message.uptime),
-        decodeDuration(message.lastDigestAgo), decode(message.demands), decode(message.loads), decode(message.evidence) };
+        decodeDuration(message.lastDigestAgo), decode(message.demands), decode(message.loads), decode(message.evidence), decode(message.notes),
+        message.confirmedDigest < 0 ? std::nullopt : std::optional(StatusNumber(static_cast<std::uint64_t>(message.confirmedDigest))) };
 }
 
 ControlEvent decode(const FleetDigestMessage& message)
 {
-    FleetDigest digest { StatusNumber(message.report), message.isCounted, decode(message.own), decode(message.loads), {}, { message.isFollowingStore, decodeDuration(message.storeAge), decode(message.storePositions, message.storeEras) } };
+    FleetDigest digest { StatusNumber(message.report), message.isCounted, decode(message.own), decode(message.loads), {}, { message.isFollowingStore, decodeDuration(message.storeAge), decode(message.storePositions, message.storeEras) }, decode(message.notes) };
     for (const auto& other : message.others)
         digest.others.push_back(decode(other));
     return digest;
@@ -250,7 +307,8 @@
 
 ControlEvent decode(const RegionExchangeMessage& message)
 {
-    return RegionExchange { Incarnation(message.incarnation), StatusNumber(message.number), message.isReply, decodeDuration(message.lastReceivedAgo), decode(message.digest) };
+    return RegionExchange { Incarnation(message.incarnation), StatusNumber(message.number), message.isReply, decodeDuration(message.lastReceivedAgo), decode(message.digest),
+        decode(message.notes), StatusNumber(message.confirmedExchange) };
 }
 
 ControlEvent decode(const StoreUpdateMessage& message)
--- a/Libraries/LibPeer/Frame.cpp
+++ b/Libraries/LibPeer/Frame.cpp
@@ -32,20 +32,23 @@
     return { maxElements, maxElements, length, length, 0, maxDepth };
 }
 
+// The fields that a message must have at least: those of its requiredFields, or all if it has none.
 template <typename Message>
-std::uint32_t fieldCount()
+std::uint32_t requiredFieldsOf()
 {
+    if constexpr (requires { Message::requiredFields; })
+        return Message::requiredFields;
     msgpack::sbuffer buffer;
     msgpack::pack(buffer, Message {});
     return msgpack::unpack(buffer.data(), buffer.size())->via.array.size;
 }
 
-// Checks the field count because msgpack fills in missing fields with defaults. Additional unknown fields are ignored.
+// Checks the field count because msgpack fills in missing fields with defaults; only peers of an earlier version may omit some. Additional unknown fields are ignored.
 template <typename Message>
 PeerMessage convertMessage(const msgpack::object& object)
 {
-    static const auto expected = fieldCount<Message>();
-    if (object.type != msgpack::type::ARRAY || object.via.array.size < expected)
+    static const auto required = requiredFieldsOf<Message>();
+    if (object.type != msgpack::type::ARRAY || object.via.array.size < required)
         throw Error(ResultCode::MalformedFrame, Ran::No, "A frame's message has too few fields");
     return object.as<Message>();
 }
--- a/Libraries/LibPeer/Frame.h
+++ b/Libraries/LibPeer/Frame.h
@@ -234,6 +234,17 @@
     MSGPACK_DEFINE(crashes, answers)
 };
 
+/// Notes of streams with the same origin; see StreamNote. Each of them takes nine bytes, since a collector sends thousands a second.
+struct StreamNotesMessage {
+    std::string service;
+    std::string version;
+    /// Eight bytes for each note, big-endian.
+    std::string keys;
+    /// One byte for each note, in units of 32 ms.
+    std::string ages;
+    MSGPACK_DEFINE(service, version, keys, ages)
+};
+
 /// See InstanceReport; times are nanoseconds, and negative numbers mean that a value is absent.
 struct InstanceReportMessage {
     std::uint64_t incarnation { 0 };
@@ -244,7 +255,11 @@
     std::vector<AllowanceDemandMessage> demands;
     std::vector<ServerLoadMessage> loads;
     CrashEvidenceMessage evidence;
-    MSGPACK_DEFINE(incarnation, number, state, uptime, lastDigestAgo, demands, loads, evidence)
+    /// Peers of an earlier version send neither this nor what follows.
+    std::vector<StreamNotesMessage> notes;
+    std::int64_t confirmedDigest { -1 };
+    static constexpr std::uint32_t requiredFields = 8;
+    MSGPACK_DEFINE(incarnation, number, state, uptime, lastDigestAgo, demands, loads, evidence, notes, confirmedDigest)
 };
 
 /// See LeavingInstance.
@@ -279,7 +294,10 @@
     std::vector<std::int64_t> storePositions;
     /// The eras of `storePositions`.
     std::vector<std::int64_t> storeEras;
-    MSGPACK_DEFINE(report, isCounted, own, loads, others, isFollowingStore, storeAge, storePositions, storeEras)
+    /// Not sent by peers of an earlier version.
+    std::vector<StreamNotesMessage> notes;
+    static constexpr std::uint32_t requiredFields = 9;
+    MSGPACK_DEFINE(report, isCounted, own, loads, others, isFollowingStore, storeAge, storePositions, storeEras, notes)
 };
 
 /// See RegionExchange; times are nanoseconds, and negative numbers mean that a value is absent.
@@ -289,7 +307,11 @@
     bool isReply { false };
     std::int64_t lastReceivedAgo { -1 };
     RegionDigestMessage digest;
-    MSGPACK_DEFINE(incarnation, number, isReply, lastReceivedAgo, digest)
+    /// Peers of an earlier version send neither this nor what follows.
+    std::vector<StreamNotesMessage> notes;
+    std::uint64_t confirmedExchange { 0 };
+    static constexpr std::uint32_t requiredFields = 5;
+    MSGPACK_DEFINE(incarnation, number, isReply, lastReceivedAgo, digest, notes, confirmedExchange)
 };
 
 using PeerMessage = std::variant<HelloMessage, ForwardMessage, AnswerHeadMessage, AnswerPartMessage, AnswerEndMessage, FailureMessage,
--- a/Tests/LibPeer/ControlMessagesTest.cpp
+++ b/Tests/LibPeer/ControlMessagesTest.cpp
@@ -1,5 +1,7 @@
 #include <LibPeer/ControlMessages.h>
 
+#include <limits>
+
 #include <gtest/gtest.h>
 
 namespace Ibisturn::Testing {
@@ -114,6 +116,62 @@
     EXPECT_EQ(receivedExchange.digest.region, region.region);
 }
 
+TEST(ControlMessages, NotesOfStreamsKeepTheirFields)
+{
+    const StreamOrigin before { ServiceId("model"), SoftwareVersion("1.4") };
+    const StreamOrigin after { ServiceId("model"), SoftwareVersion("1.5") };
+    const std::vector<StreamNote> notes { { StreamKey(1), before, std::chrono::milliseconds(0) }, { StreamKey(std::numeric_limits<std::uint64_t>::max()), after, std::chrono::milliseconds(32 * 249) },
+        { StreamKey(3), before, std::chrono::milliseconds(63) } };
+    const auto expectSame = [&](const std::vector<StreamNote>& received) {
+        ASSERT_EQ(received.size(), 3U);
+        // They are grouped by origin.
+        EXPECT_EQ(received[0].key, notes[0].key);
+        EXPECT_EQ(received[0].origin, before);
+        EXPECT_EQ(received[0].age, notes[0].age);
+        EXPECT_EQ(received[1].key, notes[2].key);
+        EXPECT_EQ(received[1].origin, before);
+        EXPECT_EQ(received[1].age, std::chrono::milliseconds(32));
+        EXPECT_EQ(received[2].key, notes[1].key);
+        EXPECT_EQ(received[2].origin, after);
+        EXPECT_EQ(received[2].age, notes[1].age);
+    };
+    InstanceReport report;
+    report.notes = notes;
+    report.confirmedDigest = StatusNumber(0);
+    const auto receivedReport = std::get<InstanceReport>(roundTrip(SendReport { InstanceId("a"), report }));
+    expectSame(receivedReport.notes);
+    EXPECT_EQ(receivedReport.confirmedDigest, StatusNumber(0));
+    FleetDigest digest;
+    digest.notes = notes;
+    expectSame(std::get<FleetDigest>(roundTrip(SendDigest { InstanceId("a"), digest })).notes);
+    RegionExchange exchange;
+    exchange.notes = notes;
+    exchange.confirmedExchange = StatusNumber(8);
+    const auto receivedExchange = std::get<RegionExchange>(roundTrip(SendExchange { InstanceId("a"), exchange }));
+    expectSame(receivedExchange.notes);
+    EXPECT_EQ(receivedExchange.confirmedExchange, StatusNumber(8));
+}
+
+TEST(ControlMessages, NotesWithoutKeysOrAgesAreRejected)
+{
+    const auto expectRejected = [](const std::string& keys, const std::string& ages) {
+        const std::vector<StreamNotesMessage> notes { { "model", "1.4", keys, ages } };
+        InstanceReportMessage report;
+        report.notes = notes;
+        EXPECT_THROW(toControlEvent(report), Error);
+        FleetDigestMessage digest;
+        digest.notes = notes;
+        EXPECT_THROW(toControlEvent(digest), Error);
+        RegionExchangeMessage exchange;
+        exchange.notes = notes;
+        EXPECT_THROW(toControlEvent(exchange), Error);
+    };
+    expectRejected(std::string(16, 'k'), "a");
+    expectRejected(std::string(15, 'k'), "ab");
+    expectRejected("", "a");
+    expectRejected("k", "");
+}
+
 TEST(ControlMessages, EnumValueOutOfRangeIsRejected)
 {
     HeartbeatMessage message;
--- a/Tests/LibPeer/FrameTest.cpp
+++ b/Tests/LibPeer/FrameTest.cpp
@@ -89,6 +89,67 @@
     return { buffer.data(), buffer.size() };
 }
 
+/// A frame with the first `fields` fields of a message, as an earlier version sends it.
+template <typename Message>
+std::string earlierFrameOf(const Message& message, std::uint32_t fields)
+{
+    msgpack::sbuffer whole;
+    msgpack::pack(whole, message);
+    const auto object = msgpack::unpack(whole.data(), whole.size());
+    EXPECT_GT(object->via.array.size, fields);
+    msgpack::sbuffer buffer;
+    msgpack::packer packer(buffer);
+    packer.pack_array(fields);
+    for (std::uint32_t index = 0; index < fields; ++index)
+        packer.pack(object->via.array.ptr[index]);
+    return packHeader(frameVersion, PeerMessage(Message {}).index()) + std::string(buffer.data(), buffer.size());
+}
+
+// The status messages of the version before notes of streams.
+struct EarlierReport {
+    std::uint64_t incarnation { 0 };
+    std::uint64_t number { 0 };
+    std::uint8_t state { 0 };
+    std::int64_t uptime { 0 };
+    std::int64_t lastDigestAgo { -1 };
+    std::vector<AllowanceDemandMessage> demands;
+    std::vector<ServerLoadMessage> loads;
+    CrashEvidenceMessage evidence;
+    MSGPACK_DEFINE(incarnation, number, state, uptime, lastDigestAgo, demands, loads, evidence)
+};
+
+struct EarlierExchange {
+    std::uint64_t incarnation { 0 };
+    std::uint64_t number { 0 };
+    bool isReply { false };
+    std::int64_t lastReceivedAgo { -1 };
+    RegionDigestMessage digest;
+    MSGPACK_DEFINE(incarnation, number, isReply, lastReceivedAgo, digest)
+};
+
+struct EarlierDigest {
+    std::uint64_t report { 0 };
+    bool isCounted { false };
+    RegionDigestMessage own;
+    std::vector<ServerLoadMessage> loads;
+    std::vector<RegionDigestMessage> others;
+    bool isFollowingStore { false };
+    std::int64_t storeAge { -1 };
+    std::vector<std::int64_t> storePositions;
+    std::vector<std::int64_t> storeEras;
+    MSGPACK_DEFINE(report, isCounted, own, loads, others, isFollowingStore, storeAge, storePositions, storeEras)
+};
+
+/// Reads the fields of a status message that an earlier version knows, as it does: more fields than these are let pass.
+template <typename Earlier, typename Message>
+Earlier readAsEarlier(const Message& message)
+{
+    const auto bytes = encodeFrame({ Incarnation(1), RequestId(2), message }).substr(frameLengthBytes);
+    std::size_t offset = 0;
+    msgpack::unpack(bytes.data(), bytes.size(), offset);
+    return msgpack::unpack(bytes.data(), bytes.size(), offset)->template as<Earlier>();
+}
+
 } // namespace
 
 TEST(Frame, RoundTripsUnchanged)
@@ -156,6 +217,77 @@
     EXPECT_EQ(frame.number, 0U);
 }
 
+// Guards against instances of two versions that refuse each other's status, so that they take each other for unreachable during an update.
+TEST(Frame, StatusOfAnEarlierVersionIsRead)
+{
+    InstanceReportMessage report;
+    report.number = 7;
+    report.notes = { { "model", "1.4", "eight by", "a" } };
+    report.confirmedDigest = 3;
+    const auto receivedReport = std::get<InstanceReportMessage>(decodeFrame(earlierFrameOf(report, 8)).message);
+    EXPECT_EQ(receivedReport.number, 7U);
+    EXPECT_TRUE(receivedReport.notes.empty());
+    EXPECT_EQ(receivedReport.confirmedDigest, -1);
+    FleetDigestMessage digest;
+    digest.report = 7;
+    digest.notes = report.notes;
+    const auto receivedDigest = std::get<FleetDigestMessage>(decodeFrame(earlierFrameOf(digest, 9)).message);
+    EXPECT_EQ(receivedDigest.report, 7U);
+    EXPECT_TRUE(receivedDigest.notes.empty());
+    RegionExchangeMessage exchange;
+    exchange.number = 7;
+    exchange.notes = report.notes;
+    exchange.confirmedExchange = 3;
+    const auto receivedExchange = std::get<RegionExchangeMessage>(decodeFrame(earlierFrameOf(exchange, 5)).message);
+    EXPECT_EQ(receivedExchange.number, 7U);
+    EXPECT_TRUE(receivedExchange.notes.empty());
+    EXPECT_EQ(receivedExchange.confirmedExchange, 0U);
+    // Fields that the earlier version has are still required.
+    EXPECT_EQ(refusalOf(earlierFrameOf(report, 7)), ResultCode::MalformedFrame);
+    EXPECT_EQ(refusalOf(earlierFrameOf(digest, 8)), ResultCode::MalformedFrame);
+    EXPECT_EQ(refusalOf(earlierFrameOf(exchange, 4)), ResultCode::MalformedFrame);
+}
+
+TEST(Frame, AnEarlierVersionReadsTheStatus)
+{
+    const std::vector<StreamNotesMessage> notes { { "model", "1.4", "eight by", "a" } };
+    InstanceReportMessage report;
+    report.number = 7;
+    report.evidence.answers = { { "model", 1, 2 } };
+    report.notes = notes;
+    const auto earlierReport = readAsEarlier<EarlierReport>(report);
+    EXPECT_EQ(earlierReport.number, 7U);
+    EXPECT_EQ(earlierReport.evidence.answers.size(), 1U);
+    RegionExchangeMessage exchange;
+    exchange.digest.region = "khomas";
+    exchange.notes = notes;
+    EXPECT_EQ(readAsEarlier<EarlierExchange>(exchange).digest.region, "khomas");
+    FleetDigestMessage digest;
+    digest.storeEras = { 5 };
+    digest.notes = notes;
+    EXPECT_EQ(readAsEarlier<EarlierDigest>(digest).storeEras, digest.storeEras);
+}
+
+// Guards against notes that take a receiver's time or memory, or end its process.
+TEST(Frame, MutatedNotesAreReadOrRefused)
+{
+    const std::vector<std::string> tokens { "\xdd\xff\xff\xff\xff", "\xdb\xff\xff\xff\xff", "\xc1", "\xcf\xff\xff\xff\xff\xff\xff\xff\xff", "\xd3\x80", "\xc0", "\x90" };
+    forEachCase([&tokens](Random& random) {
+        InstanceReportMessage report;
+        for (std::size_t group = 0; group < randomBelow(random, 3); ++group) {
+            StreamNotesMessage notes { randomBytes(random, 8), randomBytes(random, 8), {}, {} };
+            for (std::size_t note = 0; note < randomBelow(random, 4); ++note) {
+                notes.keys += randomBytes(random, 16);
+                notes.ages += static_cast<char>(random());
+            }
+            report.notes.push_back(std::move(notes));
+        }
+        const auto bytes = encodeFrame({ Incarnation(1), RequestId(2), report }).substr(frameLengthBytes);
+        ASSERT_FALSE(refusalOf(bytes));
+        refusalOf(Testing::mutate(random, bytes, tokens));
+    });
+}
+
 TEST(Frame, FieldsThatAreMissingOrOfAnotherTypeAreRefused)
 {
     forEachCase([](Random& random) {
