ibisturn: Exchange the origins of streams with the fleet

Nothing put the notes into this instance's status or took those of others. The control plane now does both, whatever status they came with, sets the lifetime with each configuration, and exports ibisturn_stream_origins_known. docs/decisions/0015-stream-versions.md says how notes travel and what it costs.

--- a/Programs/ibisturn/FleetControlPlane.cpp
+++ b/Programs/ibisturn/FleetControlPlane.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/RandomIdentity.h>
 #include <LibCore/SteadyClock.h>
+#include <LibDecision/Streams/StreamLifetime.h>
 #include <LibKernel/SpawnDetached.h>
 #include <LibPeer/Hello.h>
 
@@ -108,6 +109,7 @@
     applyMembership(now);
     lockColdServers(now);
     applyStatus(now);
+    tables_.streamOrigins.onNotes(now, statusExchange_.takeNotes(now));
     updateQuarantine(now);
     for (const auto& message : statusExchange_.advance(now))
         std::visit([this](const auto& action) { send(action); }, message);
@@ -226,6 +228,7 @@
     appliedSnapshot_ = fleetState_.snapshot();
     appliedRegistryVersion_ = 0;
     tables_.configuration.set(appliedSnapshot_);
+    tables_.streamOrigins.setLifetime(streamLifetimeOf(*appliedSnapshot_));
     if (fleetState_.callerLimits())
         tables_.callerLimits = *fleetState_.callerLimits();
 }
@@ -385,6 +388,7 @@
     metrics.set("ibisturn_backend_servers_usable", static_cast<double>(fleetState_.registry().usable().size()));
     metrics.set("ibisturn_backend_servers_restart_suspected", static_cast<double>(tables_.placement.with([now](PlacementTable& table) { return table.suspectedRestarts(now); })));
     metrics.set("ibisturn_configuration_revision", appliedSnapshot_ ? static_cast<double>(appliedSnapshot_->revision().number()) : 0);
+    metrics.set("ibisturn_stream_origins_known", static_cast<double>(tables_.streamOrigins.size()));
     metrics.set("ibisturn_store_era", static_cast<double>(store_.era().count()));
     metrics.set("ibisturn_store_away_seconds", unavailableSince ? std::chrono::duration<double>(now - *unavailableSince).count() : 0);
 }
@@ -466,6 +470,7 @@
     });
     status.store = storeFeed_.status(now, fleetState_.positions());
     status.evidence = tables_.quarantine.ownEvidence(now);
+    status.notes = tables_.streamOrigins.recentNotes(now);
     status.withoutEntry = fleetState_.membersWithoutEntry();
     return status;
 }
