platform, LibDecision: Read the software version of backend servers

The version in a server's entry was not read, so a stream could go on at a server of another version. An entry without a version, or with one that is no string of 1 to 64 bytes, names no server, like any other entry with missing fields. A change of the version alone takes effect, and the registry tells the versions of all servers that may still run requests.

--- a/Libraries/LibDecision/Registry/BackendRegistry.cpp
+++ b/Libraries/LibDecision/Registry/BackendRegistry.cpp
@@ -62,7 +62,7 @@
     if (entry.coldSequence && server.sequence > *entry.coldSequence)
         entry.coldSequence.reset();
     const bool isChanged = !isSameIncarnation || entry.removedAt || known.state != server.state || known.endpoint != server.endpoint
-        || known.service != server.service || known.slots != server.slots;
+        || known.service != server.service || known.version != server.version || known.slots != server.slots;
     known = server;
     entry.removedAt.reset();
     const auto coldUntil = server.coldLeft > Duration::zero() ? now + server.coldLeft : TimePoint {};
@@ -146,4 +146,12 @@
     return states;
 }
 
+std::map<ServiceId, std::set<SoftwareVersion>> BackendRegistry::registeredVersions() const
+{
+    std::map<ServiceId, std::set<SoftwareVersion>> versions;
+    for (const auto& [id, entry] : entries_)
+        versions[entry.state.server.service].insert(entry.state.server.version);
+    return versions;
+}
+
 } // namespace Ibisturn
--- a/Libraries/LibDecision/Registry/BackendRegistry.h
+++ b/Libraries/LibDecision/Registry/BackendRegistry.h
@@ -68,7 +68,11 @@
     /// time.
     std::vector<BackendState> usable() const;
 
-    /// Incremented whenever usable() may have changed.
+    /// The software versions of all backend servers that may still run requests, for each service: also of those that are draining or
+    /// evacuated, or whose entries were removed within the grace period. Precondition: as for usable().
+    std::map<ServiceId, std::set<SoftwareVersion>> registeredVersions() const;
+
+    /// Incremented whenever usable() or registeredVersions() may have changed.
     std::uint64_t version() const { return version_; }
 
     /// Whether `dataCentre` is evacuated, so that its backend servers must not be used.
--- a/Tests/LibDecision/BackendRegistryTest.cpp
+++ b/Tests/LibDecision/BackendRegistryTest.cpp
@@ -143,6 +143,43 @@
     EXPECT_EQ(registry.usable().front().coldUntil, at(4s));
 }
 
+// A resumption would be sent to the version that the server ran before.
+TEST(BackendRegistry, ReportsAChangeOfTheSoftwareVersionAlone)
+{
+    BackendRegistry registry;
+    auto first = server("a");
+    first.version = SoftwareVersion("v1");
+    registry.onEntry(at(0s), first);
+    auto second = server("a", 2);
+    second.version = SoftwareVersion("v2");
+    EXPECT_TRUE(registry.onEntry(at(1s), second));
+    EXPECT_EQ(registry.usable().front().server.version, SoftwareVersion("v2"));
+}
+
+// A stream may still run on a server that takes no new requests.
+TEST(BackendRegistry, TellsTheVersionsOfServersThatMayStillRunRequests)
+{
+    BackendRegistry registry;
+    const std::vector<std::string> ids { "a", "b", "c" };
+    for (const auto& id : ids) {
+        auto entry = server(id);
+        entry.version = SoftwareVersion("v" + id);
+        entry.state = id == "a" ? RegistrationState::Draining : RegistrationState::Ready;
+        entry.dataCentre = DataCentreId(id == "b" ? "khomas-b" : "khomas-a");
+        registry.onEntry(at(0s), entry);
+    }
+    registry.setEvacuated(at(0s), { DataCentreId("khomas-b") });
+    registry.onRemoved(at(1s), BackendServerId("c"));
+    registry.advance(at(1s));
+    const auto known = registry.registeredVersions();
+    ASSERT_TRUE(known.contains(ServiceId("model")));
+    EXPECT_EQ(known.at(ServiceId("model")), (std::set { SoftwareVersion("va"), SoftwareVersion("vb"), SoftwareVersion("vc") }));
+    const auto before = registry.version();
+    registry.advance(at(60s));
+    EXPECT_GT(registry.version(), before);
+    EXPECT_EQ(registry.registeredVersions().at(ServiceId("model")).size(), 2U);
+}
+
 TEST(BackendRegistry, NewIncarnationOfAnIdDiscardsEarlierState)
 {
     BackendRegistry registry;
--- a/Tests/Platform/DocumentsTest.cpp
+++ b/Tests/Platform/DocumentsTest.cpp
@@ -118,6 +118,7 @@
     EXPECT_EQ(read->endpoint.toString(), "10.1.0.9:8080");
     EXPECT_EQ(read->coldLeft, std::chrono::milliseconds(1500));
     EXPECT_EQ(read->started, StartTime(1700000000123));
+    EXPECT_EQ(read->version, SoftwareVersion("v1"));
     EXPECT_EQ(server(entryWithout("\"ready\"", "\"draining\""))->state, RegistrationState::Draining);
 }
 
@@ -135,6 +136,16 @@
     EXPECT_FALSE(server(entryWithout("128", "-1")));
 }
 
+// A server of an unknown version must not run a stream that a known version began.
+TEST_F(DocumentsTest, RegistryEntryWithoutAVersionIsRejected)
+{
+    EXPECT_FALSE(server(entryWithout("\"Version\":\"v1\",")));
+    for (const auto* version : { "null", "1", "true", "[\"v1\"]", "{}", "\"\"" })
+        EXPECT_FALSE(server(entryWithout("\"v1\"", version))) << version;
+    EXPECT_TRUE(server(entryWithout("\"v1\"", "\"" + std::string(64, 'v') + "\"")));
+    EXPECT_FALSE(server(entryWithout("\"v1\"", "\"" + std::string(65, 'v') + "\"")));
+}
+
 // Another writer may leave an entry that no backend server would write.
 TEST_F(DocumentsTest, OddRegistryEntriesAreRejected)
 {
--- a/Tests/StandIns/StandInReplica.cpp
+++ b/Tests/StandIns/StandInReplica.cpp
@@ -49,7 +49,7 @@
     const auto started = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
     std::thread([this, self = std::move(self), store = std::move(store), started] {
         for (std::int64_t sequence = 1;; ++sequence) {
-            const nlohmann::json entry { { "Service", options_.service }, { "Addr", self.toString() }, { "Zone", options_.zone }, { "Version", "v1" },
+            const nlohmann::json entry { { "Service", options_.service }, { "Addr", self.toString() }, { "Zone", options_.zone }, { "Version", "v1" }, { "Version", "v1" },
                 { "Slots", 8 }, { "State", "ready" }, { "ColdLeftMs", 0 }, { "Seq", sequence }, { "born", started } };
             put(store, "servers/" + options_.id, entry.dump());
             std::this_thread::sleep_for(heartbeatPeriod);
