LibDecision: Place requests on backend servers of their software version

A request that goes on with a stream runs only at servers of the version that it requires, and one that begins a stream that may be resumed only at versions that are listed, in this region and in others. It is refused with StreamVersionGone if no region that its home regions permit has a usable server of that version. confirmSend() takes the version that the request was placed for, which PlaceOnServer names, so that an entry that changes while the connection is made does not let the request through to another version. A server whose version differs at the same start time counts as another process.

--- a/Libraries/LibDecision/Placement/PlacementTable.cpp
+++ b/Libraries/LibDecision/Placement/PlacementTable.cpp
@@ -85,8 +85,10 @@
 {
     byService_.clear();
     serverLocations_.clear();
-    for (auto& [id, region] : regions_)
+    for (auto& [id, region] : regions_) {
         region.servers.clear();
+        region.versions.clear();
+    }
     std::set<BackendServerId> present;
     for (const auto& state : servers) {
         const auto* service = snapshot.findService(state.server.service);
@@ -95,6 +97,7 @@
         serverLocations_[service->id].push_back({ state.server.id, state.server.region });
         auto& region = regions_[state.server.region];
         ++region.servers[service->id];
+        region.versions[service->id].insert(state.server.version);
         if (state.server.region != ownRegion_) {
             if (service->engine)
                 region.cache.setCapacity(TokenCount(static_cast<std::int64_t>(static_cast<double>(service->engine->memory.count()) * limits_.cacheShare)
@@ -103,7 +106,8 @@
         }
         present.insert(state.server.id);
         auto& server = servers_[state.server.id];
-        if (server.state.server.started != state.server.started || server.state.server.endpoint != state.server.endpoint) {
+        const auto& known = server.state.server;
+        if (known.started != state.server.started || known.endpoint != state.server.endpoint || known.version != state.server.version) {
             auto coldSends = std::move(server.coldSends);
             const bool isRestarted = !server.state.server.id.isEmpty();
             server = Server();
@@ -115,7 +119,7 @@
         server.state = state;
         server.assumedCache.setColdUntil(state.coldUntil);
         const auto leaving = leavingServers_.find(state.server.id);
-        server.isLeaving = leaving != leavingServers_.end() && leaving->second.started == state.server.started;
+        server.isLeaving = leaving != leavingServers_.end() && leaving->second.started == state.server.started && leaving->second.version == state.server.version;
         server.engine = service->engine;
         server.coldRate = service->coldRate;
         server.coldPeriod = service->coldPeriod;
@@ -161,6 +165,8 @@
 
 PlacementDecision PlacementTable::place(TimePoint now, const PlacementQuery& query)
 {
+    if (isVersionGone(query))
+        return RefusePlacement { ResultCode::StreamVersionGone };
     const auto* preferred = preferredServer(query);
     auto local = bestLocalServer(now, query, preferred);
     if (!local && query.canRetryFailedServers) {
@@ -185,10 +191,13 @@
     retries_.onAccepted(now, query.service, workOf(query.service, work));
     if (trial) {
         trial->server->rate.onTrial(now);
-        return PlaceOnServer { trial->server->state.server.id, trial->wait, {}, true };
+        PlaceOnServer place { trial->server->state.server.id, trial->wait, {}, true };
+        place.version = trial->server->state.server.version;
+        return place;
     }
     if (isLocal) {
         PlaceOnServer place { best.server->state.server.id, best.wait };
+        place.version = best.server->state.server.version;
         if (!isCold(now, *best.server) && best.server->coldRate > 0 && best.server->restart.isSuspected(now))
             best.server->nextColdRequestAt = now + RestartSuspicion::spacing(best.server->coldRate, instances_.size());
         place.assumedTokens = assumedTokens(*best.server, query, preferred);
@@ -249,7 +258,7 @@
     return placement;
 }
 
-bool PlacementTable::confirmSend(TimePoint now, const BackendServerId& id)
+bool PlacementTable::confirmSend(TimePoint now, const BackendServerId& id, const std::optional<SoftwareVersion>& version)
 {
     const auto found = servers_.find(id);
     if (found == servers_.end())
@@ -257,6 +266,8 @@
     auto& server = found->second;
     if (server.isLeaving || now < server.pausedUntil)
         return false;
+    if (version && server.state.server.version != *version)
+        return false;
     auto& sends = server.coldSends;
     while (!sends.empty() && now - sends.front() >= coldWindow)
         sends.pop_front();
@@ -379,7 +390,7 @@
         return false;
     found->second.isLeaving = true;
     std::erase_if(leavingServers_, [now](const auto& entry) { return now - entry.second.announcedAt > leavingServerLifetime; });
-    leavingServers_[id] = { found->second.state.server.started, now };
+    leavingServers_[id] = { found->second.state.server.started, found->second.state.server.version, now };
     return true;
 }
 
@@ -446,6 +457,12 @@
     return found == servers_.end() ? nullptr : &found->second.state;
 }
 
+std::optional<SoftwareVersion> PlacementTable::versionOf(const BackendServerId& id) const
+{
+    const auto* state = findServer(id);
+    return state ? std::optional(state->server.version) : std::nullopt;
+}
+
 std::set<Endpoint> PlacementTable::endpoints() const
 {
     std::set<Endpoint> endpoints;
@@ -507,10 +524,38 @@
     return permitsRegion(query.homeRegions, region);
 }
 
+bool PlacementTable::permitsVersion(const PlacementQuery& query, const SoftwareVersion& version) const
+{
+    if (query.version && *query.version != version)
+        return false;
+    if (!query.beginsStream)
+        return true;
+    const auto listed = listedVersions_.find(query.service);
+    return listed != listedVersions_.end() && listed->second.contains(version);
+}
+
+bool PlacementTable::hasPermittedVersion(const PlacementQuery& query, const RegionState& region) const
+{
+    const auto versions = region.versions.find(query.service);
+    return versions != region.versions.end() && std::any_of(versions->second.begin(), versions->second.end(), [&](const SoftwareVersion& version) { return permitsVersion(query, version); });
+}
+
+bool PlacementTable::isVersionGone(const PlacementQuery& query) const
+{
+    if (!query.version)
+        return false;
+    return std::none_of(regions_.begin(), regions_.end(), [&](const auto& entry) {
+        const auto versions = entry.second.versions.find(query.service);
+        return versions != entry.second.versions.end() && versions->second.contains(*query.version) && isAllowedIn(query, entry.first);
+    });
+}
+
 bool PlacementTable::isUsable(TimePoint now, const Server& server, const PlacementQuery& query) const
 {
     if (server.isLeaving || now < server.pausedUntil || now < server.backoffUntil || query.failedServers.contains(server.state.server.id))
         return false;
+    if (!permitsVersion(query, server.state.server.version))
+        return false;
     if (!isCold(now, server) && server.restart.isSuspected(now) && (isHeldBack(now, server) || now < server.nextColdRequestAt))
         return false;
     return !isCold(now, server) || (holdsColdServer(now, server.state.server.id) && now >= server.nextColdRequestAt);
@@ -840,6 +885,8 @@
         const auto servers = region.servers.find(query.service);
         if (id == ownRegion_ || servers == region.servers.end() || servers->second == 0 || !isAllowedIn(query, id) || query.failedRegions.contains(id))
             continue;
+        if (!hasPermittedVersion(query, region))
+            continue;
         // A region without a current estimate gets a high wait, so that it is the last choice.
         const auto roundTrip = measuredOr(region.roundTrip, now, limits_.regionRoundTrip);
         auto wait = roundTrip * 3;
--- a/Libraries/LibDecision/Placement/PlacementTable.h
+++ b/Libraries/LibDecision/Placement/PlacementTable.h
@@ -37,6 +37,8 @@
     std::optional<std::size_t> sessionRank;
     /// The tokens that count as cached there although this instance did not send them.
     TokenCount assumedTokens;
+    /// The software version that the backend server runs.
+    SoftwareVersion version;
 };
 
 /// Forward the request to an instance of this region.
@@ -190,15 +192,17 @@
     /// Updates the wait estimates of another region.
     void onWaitEstimates(TimePoint now, const RegionId& region, const std::vector<RegionWaitEstimate>& waitEstimates);
 
-    /// Chooses where a request runs. Nothing is reserved.
+    /// Chooses where a request runs. Nothing is reserved. A request that requires a software version is refused with StreamVersionGone,
+    /// without a time to retry after, if no region that its home regions permit has a usable backend server of that version.
     PlacementDecision place(TimePoint now, const PlacementQuery& query);
 
     /// Records that a request is sent to a backend server or forwarded to another region.
     PlacementId begin(TimePoint now, const BackendServerId& server, const PlacementQuery& query);
 
     /// Must be called right before a request is written to a backend server, which may have left or become cold since
-    /// place() chose it. Returns whether the request may be sent, and counts it if the server is cold.
-    bool confirmSend(TimePoint now, const BackendServerId& server);
+    /// place() chose it. Returns whether the request may be sent, and counts it if the server is cold. If `version` is set, the server
+    /// must still run that software version.
+    bool confirmSend(TimePoint now, const BackendServerId& server, const std::optional<SoftwareVersion>& version = std::nullopt);
     void recordForward(const RegionId& region, const PlacementQuery& query);
 
     /// Records that the first part of an answer arrived.
@@ -226,6 +230,9 @@
     /// The usable backend server of this region with this id, or null.
     const BackendState* findServer(const BackendServerId& id) const;
 
+    /// The software version that a usable backend server of this region runs; unset if there is no such server.
+    std::optional<SoftwareVersion> versionOf(const BackendServerId& id) const;
+
     /// The addresses of the usable backend servers of this region.
     std::set<Endpoint> endpoints() const;
 
@@ -316,6 +323,8 @@
     struct RegionState {
         std::map<ServiceId, TimedWaitEstimate> waitEstimates;
         std::map<ServiceId, std::uint32_t> servers;
+        /// The software versions of its usable backend servers, for each service.
+        std::map<ServiceId, std::set<SoftwareVersion>> versions;
         PromptCacheEstimate cache;
         MeasuredTime roundTrip;
     };
@@ -323,6 +332,7 @@
     /// A process of a backend server that is leaving.
     struct LeavingServer {
         StartTime started;
+        SoftwareVersion version;
         TimePoint announcedAt;
     };
 
@@ -348,6 +358,12 @@
     };
 
     bool isAllowedIn(const PlacementQuery& query, const RegionId& region) const;
+    /// Whether a backend server of this version may run the request.
+    bool permitsVersion(const PlacementQuery& query, const SoftwareVersion& version) const;
+    /// Whether a region has a usable backend server whose version may run the request.
+    bool hasPermittedVersion(const PlacementQuery& query, const RegionState& region) const;
+    /// Whether the request requires a version that no permitted region has.
+    bool isVersionGone(const PlacementQuery& query) const;
     bool isUsable(TimePoint now, const Server& server, const PlacementQuery& query) const;
     static bool isCold(TimePoint now, const Server& server);
     /// Whether a new, cold process may run there and this instance has used up its share of what such a process sustains.
--- a/Tests/LibDecision/PlacementTableTest.cpp
+++ b/Tests/LibDecision/PlacementTableTest.cpp
@@ -431,4 +431,180 @@
     EXPECT_LE(spoiledWithin14s(7), most);
 }
 
+namespace {
+
+const SoftwareVersion oldVersion("v1");
+const SoftwareVersion newVersion("v2");
+
+BackendState state(const std::string& id, const ServiceId& service, const RegionId& region, const SoftwareVersion& version)
+{
+    auto versioned = state(id, service, region);
+    versioned.server.version = version;
+    return versioned;
+}
+
+PlacementQuery resumptionOf(const SoftwareVersion& version)
+{
+    auto query = makeQuery();
+    query.version = version;
+    query.wasPlaced = true;
+    return query;
+}
+
+PlacementQuery newStream()
+{
+    auto query = makeQuery();
+    query.beginsStream = true;
+    return query;
+}
+
+std::string regionOf(const PlacementDecision& decision)
+{
+    const auto* placed = std::get_if<PlaceInRegion>(&decision);
+    return placed ? placed->region.value() : std::string();
+}
+
+class VersionedPlacementTest : public PlacementTableTest {
+protected:
+    void setServers(std::vector<BackendState> servers)
+    {
+        servers_ = std::move(servers);
+        table_.setServers(servers_, services());
+    }
+
+    void putLoadOn(const std::string& server) { table_.setOtherLoads(at(0s), { { BackendServerId(server), 5, TokenCount(40'000), TokenCount(40'000), TokenCount(40'000) } }); }
+};
+
+} // namespace
+
+// Guards against a stream that goes on at a server of another version because that one has less load.
+TEST_F(VersionedPlacementTest, ResumptionRunsOnlyAtServersOfItsVersion)
+{
+    setServers({ state("a", model, ownRegion, oldVersion), state("b", model, ownRegion, newVersion) });
+    putLoadOn("a");
+    EXPECT_EQ(serverOf(table_.place(at(0s), makeQuery())), "b");
+    const auto decision = table_.place(at(0s), resumptionOf(oldVersion));
+    EXPECT_EQ(serverOf(decision), "a");
+    EXPECT_EQ(std::get<PlaceOnServer>(decision).version, oldVersion);
+    EXPECT_EQ(serverOf(table_.place(at(0s), resumptionOf(newVersion))), "b");
+}
+
+// A region with many servers considers the holders of the session and some drawn servers first.
+TEST_F(VersionedPlacementTest, ResumptionRunsOnlyAtItsVersionAmongManyServers)
+{
+    std::vector<BackendState> servers;
+    for (int index = 0; index < 30; ++index)
+        servers.push_back(state("s" + std::to_string(index), model, ownRegion, index == 17 ? oldVersion : newVersion));
+    setServers(servers);
+    for (std::uint64_t session = 0; session < 200; ++session) {
+        auto query = resumptionOf(oldVersion);
+        query.prompt = { { 1, TokenCount(500) }, { session + 10, TokenCount(1000) }, { session + 1000, TokenCount(500) } };
+        query.requestHash = session * 7919;
+        EXPECT_EQ(serverOf(table_.place(at(0s), query)), "s17") << session;
+    }
+}
+
+TEST_F(VersionedPlacementTest, ResumptionGoesOnlyToARegionThatHasItsVersion)
+{
+    const RegionId thirdRegion("erongo");
+    setServers({ state("a", model, ownRegion, newVersion), state("b", model, otherRegion, newVersion), state("c", model, thirdRegion, oldVersion), state("p", bookings, otherRegion, oldVersion) });
+    EXPECT_EQ(regionOf(table_.place(at(0s), resumptionOf(oldVersion))), thirdRegion.value());
+    auto failed = resumptionOf(oldVersion);
+    failed.failedRegions = { thirdRegion };
+    EXPECT_EQ(std::get<RefusePlacement>(table_.place(at(0s), failed)).code, ResultCode::NoBackendServer);
+    auto forwarded = resumptionOf(oldVersion);
+    forwarded.canLeaveRegion = false;
+    EXPECT_EQ(std::get<RefusePlacement>(table_.place(at(0s), forwarded)).code, ResultCode::NoBackendServer);
+}
+
+TEST_F(VersionedPlacementTest, RefusesAResumptionWhoseVersionIsGone)
+{
+    setServers({ state("a", model, ownRegion, newVersion), state("c", model, otherRegion, oldVersion) });
+    auto query = resumptionOf(oldVersion);
+    EXPECT_EQ(regionOf(table_.place(at(0s), query)), otherRegion.value());
+    query.homeRegions = { { ownRegion } };
+    const auto refused = std::get<RefusePlacement>(table_.place(at(0s), query));
+    EXPECT_EQ(refused.code, ResultCode::StreamVersionGone);
+    EXPECT_EQ(refused.retryAfter, Duration::zero());
+    setServers({ state("a", model, ownRegion, newVersion), state("p", bookings, ownRegion, oldVersion) });
+    EXPECT_EQ(std::get<RefusePlacement>(table_.place(at(0s), resumptionOf(oldVersion))).code, ResultCode::StreamVersionGone);
+}
+
+// The version is there, but not now: the caller may come again.
+TEST_F(VersionedPlacementTest, AVersionWhoseServerFailsIsNotGone)
+{
+    setServers({ state("a", model, ownRegion, oldVersion), state("b", model, ownRegion, newVersion) });
+    table_.end(at(0s), table_.begin(at(0s), BackendServerId("a"), makeQuery()), PlacementOutcome::Unreachable);
+    EXPECT_EQ(std::get<RefusePlacement>(table_.place(at(0s), resumptionOf(oldVersion))).code, ResultCode::NoBackendServer);
+    auto failed = resumptionOf(newVersion);
+    failed.failedServers = { BackendServerId("b") };
+    EXPECT_EQ(std::get<RefusePlacement>(table_.place(at(0s), failed)).code, ResultCode::NoBackendServer);
+    failed.canRetryFailedServers = true;
+    EXPECT_EQ(serverOf(table_.place(at(0s), failed)), "b");
+}
+
+// Guards against a stream of a version that the store does not list yet: nobody could tell later that this version began it.
+TEST_F(VersionedPlacementTest, AStreamBeginsOnlyAtListedVersions)
+{
+    setServers({ state("a", model, ownRegion, oldVersion), state("b", model, ownRegion, newVersion), state("c", model, otherRegion, newVersion) });
+    EXPECT_EQ(std::get<RefusePlacement>(table_.place(at(0s), newStream())).code, ResultCode::NoBackendServer);
+    EXPECT_FALSE(serverOf(table_.place(at(0s), makeQuery())).empty());
+    table_.setListedVersions({ { bookings, { oldVersion, newVersion } } });
+    EXPECT_EQ(std::get<RefusePlacement>(table_.place(at(0s), newStream())).code, ResultCode::NoBackendServer);
+    table_.setListedVersions({ { model, { oldVersion } } });
+    putLoadOn("a");
+    EXPECT_EQ(serverOf(table_.place(at(0s), newStream())), "a");
+    auto failed = newStream();
+    failed.failedServers = { BackendServerId("a") };
+    EXPECT_EQ(std::get<RefusePlacement>(table_.place(at(0s), failed)).code, ResultCode::NoBackendServer);
+    table_.setListedVersions({ { model, { oldVersion, newVersion } } });
+    EXPECT_EQ(serverOf(table_.place(at(0s), newStream())), "b");
+    failed.failedServers = { BackendServerId("a"), BackendServerId("b") };
+    EXPECT_EQ(regionOf(table_.place(at(0s), failed)), otherRegion.value());
+}
+
+// While every server seems too slow, single requests find out whether one still is, which must be of their version, too.
+TEST_F(VersionedPlacementTest, TrialsKeepToTheVersion)
+{
+    setServers({ state("a", model, ownRegion, newVersion), state("b", model, ownRegion, oldVersion) });
+    auto query = makeQuery();
+    query.canLeaveRegion = false;
+    for (int index = 0; index < 50; ++index) {
+        for (const auto* server : { "a", "b" }) {
+            const auto id = table_.begin(at(0s), BackendServerId(server), query);
+            table_.onFirstPart(at(3s), id);
+            table_.end(at(3s), id, PlacementOutcome::Answered);
+        }
+    }
+    query.version = oldVersion;
+    query.target = at(3200ms);
+    query.deadline = at(13s);
+    const auto decision = table_.place(at(3s), query);
+    ASSERT_EQ(serverOf(decision), "b");
+    EXPECT_TRUE(std::get<PlaceOnServer>(decision).isTrial);
+    EXPECT_EQ(std::get<PlaceOnServer>(decision).version, oldVersion);
+    // The only server of that version is being tried; the other one must not be.
+    table_.begin(at(3s), BackendServerId("b"), query);
+    EXPECT_EQ(std::get<RefusePlacement>(table_.place(at(3s), query)).code, ResultCode::DeadlineUnreachable);
+}
+
+// Guards against a server that was replaced, under its id and address, while the connection for a request was made.
+TEST_F(VersionedPlacementTest, RequestIsNotSentToAServerWhoseVersionChanged)
+{
+    setServers({ state("a", model, ownRegion, oldVersion) });
+    const BackendServerId server("a");
+    EXPECT_EQ(table_.versionOf(server), oldVersion);
+    EXPECT_FALSE(table_.versionOf(BackendServerId("unknown")));
+    EXPECT_TRUE(table_.confirmSend(at(0s), server, oldVersion));
+    const auto placed = table_.begin(at(0s), server, makeQuery());
+    setServers({ state("a", model, ownRegion, newVersion) });
+    EXPECT_EQ(table_.versionOf(server), newVersion);
+    EXPECT_FALSE(table_.confirmSend(at(1s), server, oldVersion));
+    EXPECT_TRUE(table_.confirmSend(at(1s), server, newVersion));
+    EXPECT_TRUE(table_.confirmSend(at(1s), server));
+    // It is another process, although it claims to have started at the same time.
+    EXPECT_TRUE(table_.ownLoads().empty());
+    table_.end(at(1s), placed, PlacementOutcome::Answered);
+}
+
 } // namespace Ibisturn::Testing
