LibDecision, LibPlatform: Keep a record of the versions that began streams

After all instances were killed, nobody knew which software version had begun a stream that a caller resumes. The ledger lists a version in the store before its first stream begins, and proves a version if it is the only one of a record that was read after the resumption arrived. Nothing is proved for the lifetime of a stream after history was lost.

A version is removed in two steps. With one, a version whose servers came back at the moment of the removal began streams at instances that knew the servers, but not the removal, and these were taken for streams of the remaining version. So a version without servers is first retiring: it begins no streams any more, and is removed when it was that for the lifetime of a stream and 4 s more. A record that can't be read counts as one with an unknown version, also for the record that replaces it. Deletions and reads carry revisions, so that a late reply does not bring an earlier record back.

--- a/Libraries/LibPlatform/FleetState.cpp
+++ b/Libraries/LibPlatform/FleetState.cpp
@@ -4,6 +4,7 @@
 #include <LibCore/Log.h>
 #include <LibDecision/Dissemination/StoreFeed.h>
 #include <LibPlatform/InstanceLease.h>
+#include <LibPlatform/VersionRecords.h>
 
 #include <algorithm>
 #include <charconv>
@@ -348,6 +349,8 @@
         applyFleetSize(change.value);
     else if (change.key.starts_with(quarantinePrefixOf(ownPrefix_)))
         applyQuarantine(change, origin);
+    else if (change.key.starts_with(versionsPrefixOf(ownPrefix_)))
+        applyVersions(change);
 }
 
 bool FleetState::isBehindEra(StoreEra era) const
@@ -381,6 +384,24 @@
     fleetLog.info("Quarantine changed.", { { "part", formatPart(*part) }, { "quarantined", change.value.has_value() }, { "older_copy", origin == EntryOrigin::OlderCopy }, { "revision", change.revision } });
 }
 
+void FleetState::applyVersions(const RecordChange& change)
+{
+    const auto service = serviceOfVersionsKey(ownPrefix_, change.key);
+    if (!service) {
+        fleetLog.warning("Record of software versions names no service.", { { "key", change.key }, { "revision", change.revision } });
+        return;
+    }
+    std::optional<VersionRecord> record;
+    if (change.value) {
+        record = parseVersions(*change.value, change.revision);
+        if (!record)
+            fleetLog.warning("Record of software versions is unreadable.", { { "service", *service }, { "revision", change.revision }, { "bytes", change.value->size() } });
+        if (!record)
+            record = unreadableVersions(change.revision);
+    }
+    versionRecordChanges_.push_back({ *service, std::move(record), change.revision });
+}
+
 void FleetState::applyFleetSize(const std::optional<std::string>& value)
 {
     storedFleetSize_ = 0;
--- a/Libraries/LibPlatform/FleetState.h
+++ b/Libraries/LibPlatform/FleetState.h
@@ -4,6 +4,7 @@
 #include <LibDecision/Dissemination/StatusMessages.h>
 #include <LibDecision/Registry/BackendRegistry.h>
 #include <LibDecision/Registry/StoreMirror.h>
+#include <LibDecision/Streams/VersionLedger.h>
 #include <LibPlatform/DocumentReader.h>
 #include <LibPlatform/EntryFollower.h>
 
@@ -38,6 +39,13 @@
     QuarantineEntry entry { QuarantineEntry::Written };
 };
 
+/// The store has this record of a service's software versions, or none, at the revision `asOf`.
+struct VersionRecordChange {
+    ServiceId service;
+    std::optional<VersionRecord> record;
+    Revision asOf;
+};
+
 /// The state of the fleet as one instance has received it from the store, directly or through other instances: the
 /// configuration, the backend servers, evacuations and the other instances.
 /// Thread safety: one thread at a time.
@@ -102,6 +110,9 @@
     /// The changes of quarantined prompt parts since the last call.
     std::vector<QuarantineChange> takeQuarantineChanges() { return std::exchange(quarantineChanges_, {}); }
 
+    /// The changes of the records of software versions since the last call.
+    std::vector<VersionRecordChange> takeVersionRecordChanges() { return std::exchange(versionRecordChanges_, {}); }
+
     /// The largest number of instances that the fleet has had, according to the store.
     std::size_t fleetSize() const { return fleetSize_; }
 
@@ -163,6 +174,7 @@
     void applyInstanceEntry(TimePoint now, const RecordChange& change, EntryOrigin origin);
     void applyFleetSize(const std::optional<std::string>& value);
     void applyQuarantine(const RecordChange& change, EntryOrigin origin);
+    void applyVersions(const RecordChange& change);
     /// How current the registry is, for log lines.
     std::string storeState(TimePoint now) const;
 
@@ -187,6 +199,7 @@
     std::size_t fleetSize_ { 0 };
     std::size_t storedFleetSize_ { 0 };
     std::vector<QuarantineChange> quarantineChanges_;
+    std::vector<VersionRecordChange> versionRecordChanges_;
     /// In the order of prefixes_.
     std::vector<Revision> positions_;
     /// The revision after which all removals are known, in the order of prefixes_; unset if it isn't known which keys exist.
--- a/Tests/LibPlatform/FleetStateTest.cpp
+++ b/Tests/LibPlatform/FleetStateTest.cpp
@@ -4,6 +4,7 @@
 
 #include <LibPlatform/FleetState.h>
 #include <LibPlatform/InstanceLease.h>
+#include <LibPlatform/VersionRecords.h>
 
 #include <gtest/gtest.h>
 
@@ -403,4 +404,72 @@
     EXPECT_EQ(changes.front().entry, QuarantineEntry::Lost);
 }
 
+TEST_F(FleetStateTest, RecordsOfSoftwareVersionsComeFromTheStore)
+{
+    const ServiceId model("model");
+    const std::set listed { SoftwareVersion("v1"), SoftwareVersion("v2") };
+    const std::set retiring { SoftwareVersion("v0") };
+    const auto key = versionsKeyOf("own/", model);
+    list(connected_, 0s, 5, { written(key, formatVersions(listed, retiring), 4) });
+    auto changes = connected_.takeVersionRecordChanges();
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_EQ(changes.front().service, model);
+    EXPECT_EQ(changes.front().asOf, Revision(4));
+    ASSERT_TRUE(changes.front().record);
+    EXPECT_EQ(changes.front().record->listed, listed);
+    EXPECT_EQ(changes.front().record->retiring, retiring);
+    EXPECT_EQ(changes.front().record->revision, Revision(4));
+    EXPECT_TRUE(connected_.takeVersionRecordChanges().empty());
+    connected_.onChanges(at(1s), { deleted(key, 6), written("own/software-versions/", "{}", 7) });
+    changes = connected_.takeVersionRecordChanges();
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_FALSE(changes.front().record);
+    EXPECT_EQ(changes.front().asOf, Revision(6));
+}
+
+// Guards against a record that is taken for one of a single version because the others in it can't be read.
+TEST_F(FleetStateTest, AnUnreadableRecordOfSoftwareVersionsIsNotOneOfASingleVersion)
+{
+    const auto key = versionsKeyOf("own/", ServiceId("model"));
+    const std::string tooMany = formatVersions([] {
+        std::set<SoftwareVersion> versions;
+        for (std::size_t index = 0; index <= VersionLedger::maxVersions; ++index)
+            versions.insert(SoftwareVersion(std::to_string(index)));
+        return versions;
+    }(),
+        {});
+    std::int64_t revision = 5;
+    list(connected_, 0s, revision, {});
+    for (const std::string& value : std::vector<std::string> { "", "broken", "\xff\xfe", "null", "[]", "[\"v1\"]", "{}", R"({"listed":["v1"]})", R"({"listed":["v1"],"retiring":5})", R"({"listed":["v1",2],"retiring":[]})", R"({"listed":[""],"retiring":[]})", tooMany, std::string(200'000, '['), R"({"listed":["v1"],"retiring":[],"more":")" + std::string(100'000, 'x') + "\"}" }) {
+        connected_.onChanges(at(1s), { written(key, value, ++revision) });
+        const auto changes = connected_.takeVersionRecordChanges();
+        ASSERT_EQ(changes.size(), 1U) << value;
+        VersionLedger ledger;
+        ledger.onRecord(at(1s), changes.front().service, changes.front().record, changes.front().asOf);
+        EXPECT_TRUE(ledger.listed().empty()) << value;
+        ledger.beginRead(at(1s));
+        ledger.onRead(at(1s), at(1s), { { changes.front().service, *changes.front().record } }, Revision(revision));
+        EXPECT_FALSE(ledger.onlyVersion(ServiceId("model"), at(1s))) << value;
+    }
+}
+
+TEST_F(FleetStateTest, RecordsOfSoftwareVersionsFollowTheStoreBackToAnOlderCopy)
+{
+    const auto key = versionsKeyOf("own/", ServiceId("model"));
+    const auto first = formatVersions({ SoftwareVersion("v1") }, {});
+    const auto second = formatVersions({ SoftwareVersion("v1"), SoftwareVersion("v2") }, {});
+    list(connected_, 0s, 90, { written(key, second, 80) });
+    connected_.takeVersionRecordChanges();
+    listAgain(connected_, 2s, 40, { written(key, first, 20) });
+    auto changes = connected_.takeVersionRecordChanges();
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_EQ(changes.front().record->listed, std::set { SoftwareVersion("v1") });
+    EXPECT_EQ(changes.front().asOf, Revision(20, StoreEra(1)));
+    listAgain(connected_, 4s, 10, {}, StoreEra(2));
+    changes = connected_.takeVersionRecordChanges();
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_FALSE(changes.front().record);
+    EXPECT_EQ(changes.front().asOf.era(), StoreEra(2));
+}
+
 } // namespace Ibisturn::Testing
