ibisturn: Write and read the records of software versions

The ledger was fed by nobody. The first collectors of the regions write due records by compare-and-swap, others only if these do not; records are read from the store when a resumption waits for a proof; and the placement of requests learns which versions may begin streams. Only services of routes whose streams may be resumed have records. Each write and read is logged and counted.

--- a/Programs/ibisturn/FleetControlPlane.cpp
+++ b/Programs/ibisturn/FleetControlPlane.cpp
@@ -4,11 +4,14 @@
 #include <LibCore/SteadyClock.h>
 #include <LibKernel/SpawnDetached.h>
 #include <LibPeer/Hello.h>
+#include <LibPlatform/VersionRecords.h>
 
 #include <algorithm>
 #include <set>
 #include <utility>
 
+#include <fmt/ranges.h>
+
 namespace Ibisturn {
 
 namespace {
@@ -25,6 +28,26 @@
 constexpr Duration maxConfirmationPeriod = std::chrono::milliseconds(1200);
 constexpr Duration instancesConfirmationPeriod = std::chrono::milliseconds(8000);
 
+/// A stream with all resumptions is over within the longest timeout; the rest of the lifetime covers callers that give up later.
+constexpr int streamLifetimeInTimeouts = 2;
+constexpr Duration minStreamLifetime = std::chrono::seconds(10);
+
+/// How long a stream of any resumable route can last, with all resumptions.
+Duration streamLifetime(const Snapshot& snapshot)
+{
+    std::optional<Duration> longest;
+    for (const auto& route : snapshot.routes()) {
+        if (route.policy && route.policy->resume == ResumeSupport::Supported)
+            longest = std::max(longest.value_or(Duration::zero()), route.policy->timeout);
+    }
+    return longest ? std::max<Duration>(*longest * streamLifetimeInTimeouts, minStreamLifetime) : VersionLedger::defaultLifetime;
+}
+
+std::string join(const std::set<SoftwareVersion>& versions)
+{
+    return fmt::format("{}", fmt::join(versions, ","));
+}
+
 /// The key of the lock of a cold backend server. It is not below the prefix of the instances' own keys, since nobody has to
 /// follow these locks.
 std::string coldLockKeyOf(std::string_view ownPrefix, const BackendServerId& server)
@@ -102,11 +125,13 @@
 {
     fleetState_.advance(now);
     followStore(now);
+    noticeStoreEra(now);
     tables_.storeUnavailableSince = fleetState_.unavailableSince();
     applyConfiguration();
     applyServers();
     applyMembership(now);
     lockColdServers(now);
+    updateVersions(now);
     applyStatus(now);
     updateQuarantine(now);
     for (const auto& message : statusExchange_.advance(now))
@@ -279,15 +304,136 @@
     tables_.membership.set(std::make_shared<const MembershipView>(std::move(view)));
 }
 
-void FleetControlPlane::lockColdServers(TimePoint now)
+void FleetControlPlane::noticeStoreEra(TimePoint now)
+{
+    const auto era = store_.era();
+    if (era == storeEra_)
+        return;
+    fleetLog.info("The store is in a new era.", { { "store_era", era }, { "before", storeEra_ } });
+    // A process that has just started can't tell how long ago the era began, unless the store has never come back.
+    if (store_.hasComeBack()) {
+        coldServerLocks_.onLocksLost(now, InstanceLease::leaseTerm);
+        tables_.versionLedger.onHistoryLost(now);
+    }
+    storeEra_ = era;
+}
+
+void FleetControlPlane::applyResumableRoutes(TimePoint now)
+{
+    if (resumableSnapshot_ == appliedSnapshot_ && registeredVersionsOf_ == fleetState_.registry().version())
+        return;
+    if (resumableSnapshot_ != appliedSnapshot_) {
+        resumableSnapshot_ = appliedSnapshot_;
+        resumableServices_.clear();
+        for (const auto& route : appliedSnapshot_->routes()) {
+            if (!route.policy || route.policy->resume != ResumeSupport::Supported)
+                continue;
+            for (const auto& share : route.policy->services)
+                resumableServices_.insert(share.service);
+        }
+        tables_.versionLedger.setLifetime(now, streamLifetime(*appliedSnapshot_));
+    }
+    registeredVersionsOf_ = fleetState_.registry().version();
+    registeredVersions_ = fleetState_.registry().registeredVersions();
+    std::erase_if(registeredVersions_, [this](const auto& entry) { return !resumableServices_.contains(entry.first); });
+}
+
+RegistryView FleetControlPlane::registryView(TimePoint now) const
+{
+    if (fleetState_.unavailableSince())
+        return RegistryView::Unavailable;
+    const bool isComplete = fleetState_.isComplete() && fleetState_.view(now) == StoreView::Complete && !fleetState_.isBehindEra(store_.era());
+    return isComplete ? RegistryView::Complete : RegistryView::Partial;
+}
+
+void FleetControlPlane::updateVersions(TimePoint now)
 {
-    if (const auto era = store_.era(); era != storeEra_) {
-        fleetLog.info("The store is in a new era.", { { "store_era", era }, { "before", storeEra_ } });
-        // A process that has just started can't tell how long ago the era began, unless the store has never come back.
-        if (store_.hasComeBack())
-            coldServerLocks_.onLocksLost(now, InstanceLease::leaseTerm);
-        storeEra_ = era;
+    auto& ledger = tables_.versionLedger;
+    for (const auto& change : fleetState_.takeVersionRecordChanges()) {
+        ledger.onRecord(now, change.service, change.record, change.asOf);
+        const auto record = change.record.value_or(VersionRecord());
+        fleetLog.info("Software versions changed.", { { "service", change.service }, { "listed", join(record.listed) }, { "retiring", join(record.retiring) }, { "revision", change.asOf } });
     }
+    // Before, it isn't known which records the store has.
+    if (!appliedSnapshot_)
+        return;
+    applyResumableRoutes(now);
+    for (auto& write : ledger.takeDueWrites(now, registeredVersions_, registryView(now), statusExchange_.rank()))
+        spawnDetached(context_, storeVersions(std::move(write)), "software versions");
+    if (ledger.needsRead(now)) {
+        ledger.beginRead(now);
+        spawnDetached(context_, readVersions(now), "software versions");
+    }
+    tables_.metrics.set("ibisturn_software_version_records", static_cast<double>(ledger.recordCount()));
+    auto listed = ledger.listed();
+    if (listed == listedVersions_)
+        return;
+    listedVersions_ = std::move(listed);
+    tables_.placement.with([this](PlacementTable& table) { table.setListedVersions(listedVersions_); });
+}
+
+Task<void> FleetControlPlane::storeVersions(LedgerWrite write)
+{
+    auto& ledger = tables_.versionLedger;
+    const bool isDeletion = write.listed.empty() && write.retiring.empty();
+    std::vector<StoreWrite> writes;
+    writes.push_back({ versionsKeyOf(tables_.settings.storePrefix, write.service), isDeletion ? std::nullopt : std::optional(formatVersions(write.listed, write.retiring)), write.expected, std::nullopt });
+    std::string_view outcome = "failed";
+    std::string reason;
+    Revision revision;
+    try {
+        const StoreWriteResult result = co_await store_.transact(std::move(writes));
+        const auto now = SteadyClock().now();
+        noticeStoreEra(now);
+        if (result.outcome == WriteOutcome::Written) {
+            outcome = "written";
+            revision = result.revision;
+            ledger.onRecord(now, write.service, isDeletion ? std::nullopt : std::optional(VersionRecord { write.listed, write.retiring, revision }), revision);
+            ledger.onWritten(write.service);
+        } else if (!result.current.empty()) {
+            outcome = "conflict";
+            const auto& current = result.current.front();
+            revision = current.revision;
+            ledger.onRecord(now, write.service, parseVersions(current.value, revision).value_or(unreadableVersions(revision)), revision);
+            ledger.onWritten(write.service);
+        } else {
+            // It was deleted, or is of an earlier era. The changes that are followed say which.
+            outcome = "conflict";
+            ledger.onWriteFailed(now, write.service);
+        }
+    } catch (const std::exception& error) {
+        reason = error.what();
+        ledger.onWriteFailed(SteadyClock().now(), write.service);
+    }
+    fleetLog.info("Write of software versions.", { { "service", write.service }, { "listed", join(write.listed) }, { "retiring", join(write.retiring) }, { "expected", write.expected }, { "revision", revision }, { "rank", statusExchange_.rank() }, { "outcome", outcome }, { "reason", reason } });
+    tables_.metrics.increment(fmt::format("ibisturn_software_version_writes_total{{outcome=\"{}\"}}", outcome));
+}
+
+Task<void> FleetControlPlane::readVersions(TimePoint startedAt)
+{
+    auto& ledger = tables_.versionLedger;
+    try {
+        const StoreRange range = co_await store_.range(versionsPrefixOf(tables_.settings.storePrefix));
+        std::map<ServiceId, VersionRecord> records;
+        for (const auto& entry : range.entries) {
+            if (const auto service = serviceOfVersionsKey(tables_.settings.storePrefix, entry.key))
+                records[*service] = parseVersions(entry.value, entry.revision).value_or(unreadableVersions(entry.revision));
+        }
+        const auto now = SteadyClock().now();
+        noticeStoreEra(now);
+        ledger.onRead(now, startedAt, records, range.revision);
+        const auto single = std::count_if(records.begin(), records.end(), [](const auto& record) { return record.second.listed.size() + record.second.retiring.size() == 1; });
+        fleetLog.info("Read of software versions.", { { "outcome", "read" }, { "records", records.size() }, { "single", single }, { "revision", range.revision }, { "ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - startedAt).count() } });
+        tables_.metrics.increment("ibisturn_software_version_reads_total{outcome=\"read\"}");
+    } catch (const std::exception& error) {
+        ledger.onReadFailed(SteadyClock().now());
+        fleetLog.info("Read of software versions.", { { "outcome", "failed" }, { "reason", error.what() } });
+        tables_.metrics.increment("ibisturn_software_version_reads_total{outcome=\"failed\"}");
+    }
+}
+
+void FleetControlPlane::lockColdServers(TimePoint now)
+{
     coldServerLocks_.setTerm(lease_.term());
     const auto cold = tables_.placement.with([&](PlacementTable& table) {
         table.setColdServersHeld(coldServerLocks_.held());
--- a/Programs/ibisturn/FleetControlPlane.h
+++ b/Programs/ibisturn/FleetControlPlane.h
@@ -12,7 +12,9 @@
 #include <LibPlatform/InstanceLease.h>
 #include <LibPlatform/PeerUpdateRequests.h>
 
+#include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace Ibisturn {
@@ -53,7 +55,11 @@
     void applyConfiguration();
     void applyServers();
     void applyMembership(TimePoint now);
+    void noticeStoreEra(TimePoint now);
     void lockColdServers(TimePoint now);
+    void updateVersions(TimePoint now);
+    void applyResumableRoutes(TimePoint now);
+    RegistryView registryView(TimePoint now) const;
     void updateQuarantine(TimePoint now);
     void applyStatus(TimePoint now);
     void setGauges(TimePoint now, const MembershipView& view);
@@ -62,6 +68,8 @@
     Task<void> storeFleetSize(std::size_t size);
     Task<void> lockColdServer(BackendServerId server, LeaseId lease, LockTermId term);
     Task<void> storeQuarantine(ServicePart part);
+    Task<void> storeVersions(LedgerWrite write);
+    Task<void> readVersions(TimePoint startedAt);
     Task<void> deleteLocks(std::vector<StoredLock> locks);
     LocalStatus localStatus(TimePoint now) const;
     Member self() const;
@@ -80,6 +88,13 @@
     MembershipTracker tracker_;
     SnapshotPointer appliedSnapshot_;
     std::uint64_t appliedRegistryVersion_ { 0 };
+    /// The services of routes whose streams may be resumed, and the configuration that says so.
+    std::set<ServiceId> resumableServices_;
+    SnapshotPointer resumableSnapshot_;
+    /// The versions of the registered backend servers of these services, as of this version of the registry.
+    std::map<ServiceId, std::set<SoftwareVersion>> registeredVersions_;
+    std::uint64_t registeredVersionsOf_ { 0 };
+    std::map<ServiceId, std::set<SoftwareVersion>> listedVersions_;
     TimePoint nextMembershipUpdate_ {};
     /// Whether the membership was made from a complete state of the fleet. It follows that state with a delay.
     bool isMembershipComplete_ { false };
