--- a/Tests/LibDecision/PlacementTableTest.cpp
+++ b/Tests/LibDecision/PlacementTableTest.cpp
@@ -492,8 +492,10 @@
 // A region with many servers considers the holders of the session and some drawn servers first.
 TEST_F(VersionedPlacementTest, ResumptionRunsOnlyAtItsVersionAmongManyServers)
 {
+    constexpr std::size_t count = 30;
     std::vector<BackendState> servers;
-    for (int index = 0; index < 30; ++index)
+    servers.reserve(count);
+    for (std::size_t index = 0; index < count; ++index)
         servers.push_back(state("s" + std::to_string(index), model, ownRegion, index == 17 ? oldVersion : newVersion));
     setServers(servers);
     for (std::uint64_t session = 0; session < 200; ++session) {
