--- a/Libraries/LibDecision/Placement/PlacementTable.h
+++ b/Libraries/LibDecision/Placement/PlacementTable.h
@@ -37,6 +37,8 @@
     std::optional<std::size_t> sessionRank;
     /// The tokens that count as cached there although this instance did not send them.
     TokenCount assumedTokens;
+    /// The software version that the backend server runs.
+    SoftwareVersion version;
 };
 
 /// Forward the request to an instance of this region.
@@ -204,7 +206,8 @@
     /// Updates the wait estimates of another region.
     void onWaitEstimates(TimePoint now, const RegionId& region, const std::vector<RegionWaitEstimate>& waitEstimates);
 
-    /// Chooses where a request runs. Nothing is reserved.
+    /// Chooses where a request runs. Nothing is reserved. A request that requires a software version is refused with StreamVersionGone,
+    /// without a time to retry after, if no region that its home regions permit has a usable backend server of that version.
     PlacementDecision place(TimePoint now, const PlacementQuery& query);
 
     /// Records that a request is sent to a backend server or forwarded to another region.
@@ -212,8 +215,9 @@
 
     /// Must be called right before a request is written to a backend server, which may have left, become cold or been restarted since
     /// place() chose it. `process` is the process at the other end of the connection; unset if such servers can't be asked.
-    /// Returns whether the request may be sent, and counts it if the server is cold.
-    bool confirmSend(TimePoint now, const BackendServerId& server, const std::optional<ServerProcess>& process = std::nullopt);
+    /// Returns whether the request may be sent, and counts it if the server is cold. If `version` is set, that process must run that software
+    /// version, which the registry tells only of the process that it names.
+    bool confirmSend(TimePoint now, const BackendServerId& server, const std::optional<ServerProcess>& process = std::nullopt, const std::optional<SoftwareVersion>& version = std::nullopt);
 
     /// Whether a new process of the backend server would be cold, so that the process at the other end of a new connection must be known.
     bool mustKnowProcess(const BackendServerId& server) const;
@@ -244,6 +248,9 @@
     /// The usable backend server of this region with this id, or null.
     const BackendState* findServer(const BackendServerId& id) const;
 
+    /// The software version that a usable backend server of this region runs; unset if there is no such server.
+    std::optional<SoftwareVersion> versionOf(const BackendServerId& id) const;
+
     /// The addresses of the usable backend servers of this region.
     std::set<Endpoint> endpoints() const;
 
@@ -340,6 +347,8 @@
     struct RegionState {
         std::map<ServiceId, TimedWaitEstimate> waitEstimates;
         std::map<ServiceId, std::uint32_t> servers;
+        /// The software versions of its usable backend servers, for each service.
+        std::map<ServiceId, std::set<SoftwareVersion>> versions;
         PromptCacheEstimate cache;
         MeasuredTime roundTrip;
     };
@@ -353,6 +362,7 @@
     /// A process of a backend server that is leaving.
     struct LeavingServer {
         StartTime started;
+        SoftwareVersion version;
         TimePoint announcedAt;
     };
 
@@ -378,9 +388,17 @@
     };
 
     bool isAllowedIn(const PlacementQuery& query, const RegionId& region) const;
+    /// Whether a backend server of this version may run the request.
+    bool permitsVersion(const PlacementQuery& query, const SoftwareVersion& version) const;
+    /// Whether a region has a usable backend server whose version may run the request.
+    bool hasPermittedVersion(const PlacementQuery& query, const RegionState& region) const;
+    /// Whether the request requires a version that no permitted region has.
+    bool isVersionGone(const PlacementQuery& query) const;
     bool isUsable(TimePoint now, const Server& server, const PlacementQuery& query) const;
     static TimePoint coldUntil(const Server& server);
     static bool isCold(TimePoint now, const Server& server);
+    /// Whether the registry names the process at the other end of a connection, as far as that is known.
+    static bool isRegistered(const Server& server, const std::optional<ServerProcess>& process);
     /// Whether a request may reach the process at the other end of a connection, as far as its identity decides.
     static bool acceptProcess(TimePoint now, Server& server, const ServerProcess& process);
     static bool acceptKnownProcess(TimePoint now, Server& server, StartTime started, TimePoint askedAt);
