--- a/Libraries/LibDecision/Placement/PlacementTable.cpp
+++ b/Libraries/LibDecision/Placement/PlacementTable.cpp
@@ -169,6 +169,8 @@
         local = bestLocalServer(now, retryQuery, preferred);
     }
     const auto remote = query.canLeaveRegion ? bestRemoteRegion(now, query, preferred) : std::nullopt;
+    if (!local && !remote && query.version)
+        return refuse(now, query, ResultCode::StreamVersionGone, Duration::zero(), query.promptTokens);
     if (!local && !remote)
         return refuse(now, query, ResultCode::NoBackendServer, shortestPause(now, query.service).value_or(Duration::zero()), query.promptTokens);
     const bool isLocal = local && (!remote || local->cost <= remote->cost + limits_.regionMargin);
@@ -249,12 +251,20 @@
     return placement;
 }
 
-bool PlacementTable::confirmSend(TimePoint now, const BackendServerId& id)
+std::optional<SoftwareVersion> PlacementTable::versionOf(const BackendServerId& id) const
+{
+    const auto* state = findServer(id);
+    return state && !state->server.version.isEmpty() ? std::optional(state->server.version) : std::nullopt;
+}
+
+bool PlacementTable::confirmSend(TimePoint now, const BackendServerId& id, const std::optional<SoftwareVersion>& version)
 {
     const auto found = servers_.find(id);
     if (found == servers_.end())
         return false;
     auto& server = found->second;
+    if (version && server.state.server.version != *version)
+        return false;
     if (server.isLeaving || now < server.pausedUntil)
         return false;
     auto& sends = server.coldSends;
@@ -511,6 +521,8 @@
 {
     if (server.isLeaving || now < server.pausedUntil || now < server.backoffUntil || query.failedServers.contains(server.state.server.id))
         return false;
+    if (query.version && server.state.server.version != *query.version)
+        return false;
     if (!isCold(now, server) && server.restart.isSuspected(now) && (isHeldBack(now, server) || now < server.nextColdRequestAt))
         return false;
     return !isCold(now, server) || (holdsColdServer(now, server.state.server.id) && now >= server.nextColdRequestAt);
--- a/Libraries/LibDecision/Placement/PlacementTable.h
+++ b/Libraries/LibDecision/Placement/PlacementTable.h
@@ -198,7 +198,11 @@
 
     /// Must be called right before a request is written to a backend server, which may have left or become cold since
     /// place() chose it. Returns whether the request may be sent, and counts it if the server is cold.
-    bool confirmSend(TimePoint now, const BackendServerId& server);
+    bool confirmSend(TimePoint now, const BackendServerId& server, const std::optional<SoftwareVersion>& version = std::nullopt);
+
+    /// The software version of a usable backend server of this region; unset if it is not known.
+    std::optional<SoftwareVersion> versionOf(const BackendServerId& server) const;
+
     void recordForward(const RegionId& region, const PlacementQuery& query);
 
     /// Records that the first part of an answer arrived.
--- a/Libraries/LibDecision/Streams/StreamOrigins.h
+++ b/Libraries/LibDecision/Streams/StreamOrigins.h
@@ -5,6 +5,7 @@
 #include <LibCore/Quantity.h>
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -51,6 +52,9 @@
 
     /// What this instance has noted lately. Each note is returned for long enough to be part of several reports.
     std::vector<StreamNote> recentNotes(TimePoint now) const;
+
+private:
+    std::map<StreamKey, std::optional<StreamOrigin>> stub_;
 };
 
 } // namespace Ibisturn
--- a/Libraries/LibDecision/Streams/VersionLedger.h
+++ b/Libraries/LibDecision/Streams/VersionLedger.h
@@ -62,6 +62,11 @@
     /// by onRecord() or onWriteFailed().
     std::vector<LedgerWrite> takeDueWrites(TimePoint now, const std::vector<RegisteredServer>& registered, std::size_t rank);
     void onWriteFailed(TimePoint now, const ServiceId& service);
+
+private:
+    std::map<ServiceId, std::set<SoftwareVersion>> stubListed_;
+    std::optional<TimePoint> stubReadAt_;
+    bool isStubWanted_ { false };
 };
 
 } // namespace Ibisturn
