LibPeer: Tell the software version of requests and answers between instances

A request that one instance forwards could not say which software version must run it, and the answer not which one did, so a stream that crossed regions could go on at any version. Both messages get a field at their end.

--- a/Libraries/LibPeer/Frame.cpp
+++ b/Libraries/LibPeer/Frame.cpp
@@ -32,9 +32,12 @@
     return { maxElements, maxElements, length, length, 0, maxDepth };
 }
 
+/// The number of fields that a message of a peer has at least.
 template <typename Message>
-std::uint32_t fieldCount()
+std::uint32_t minFieldCount()
 {
+    if constexpr (requires { Message::requiredFields; })
+        return Message::requiredFields;
     msgpack::sbuffer buffer;
     msgpack::pack(buffer, Message {});
     return msgpack::unpack(buffer.data(), buffer.size())->via.array.size;
@@ -44,7 +47,7 @@
 template <typename Message>
 PeerMessage convertMessage(const msgpack::object& object)
 {
-    static const auto expected = fieldCount<Message>();
+    static const auto expected = minFieldCount<Message>();
     if (object.type != msgpack::type::ARRAY || object.via.array.size < expected)
         throw Error(ResultCode::MalformedFrame, Ran::No, "A frame's message has too few fields");
     return object.as<Message>();
--- a/Libraries/LibPeer/Frame.h
+++ b/Libraries/LibPeer/Frame.h
@@ -61,7 +61,10 @@
     std::vector<std::string> homeRegions;
     /// The era of the forwarded request's revision.
     std::int64_t revisionEra { 0 };
-    MSGPACK_DEFINE(service, callerId, host, headers, prompt, promptTokens, mostAnswerTokens, priority, targetMilliseconds, canResume, tellsHomeRegions, hasHomeRegions, homeRegions, revisionEra)
+    /// The only software version that may run the request; empty if the request begins a stream, and from a sender of an older version.
+    std::string requiredVersion;
+    MSGPACK_DEFINE(service, callerId, host, headers, prompt, promptTokens, mostAnswerTokens, priority, targetMilliseconds, canResume, tellsHomeRegions, hasHomeRegions, homeRegions, revisionEra,
+        requiredVersion)
 };
 
 /// A request that one instance forwards to another. It does not contain the caller's key.
@@ -98,7 +101,12 @@
     std::vector<HeaderMessage> headers;
     /// Total size of all parts in bytes; negative if not known in advance.
     std::int64_t contentLength { -1 };
-    MSGPACK_DEFINE(status, contentType, canResume, headers, contentLength)
+    /// The software version of the backend server that answers; empty if it is not known, and from a sender of an older version.
+    std::string version;
+    MSGPACK_DEFINE(status, contentType, canResume, headers, contentLength, version)
+
+    /// Senders of an older version leave out the fields after these.
+    static constexpr std::uint32_t requiredFields = 5;
 };
 
 /// One part of the answer; parts are sent in order.
