platform: Read which stream a caller resumes

Callers name in Resumes the attempt that brought the first event of the stream that they resume; the header went on to the backend server and was not read. It is read now, and goes on as before. One that is empty, longer than 256 bytes or given twice counts as sent, but names no attempt.

Measured: Platform.PlatformCallerDialectTest passes.

--- a/Libraries/LibHTTP/Callers/CallerDialect.h
+++ b/Libraries/LibHTTP/Callers/CallerDialect.h
@@ -27,6 +27,9 @@
     TokenCount maxAnswerTokens;
     /// The last event that the caller received of the stream that it resumes.
     std::optional<std::uint64_t> lastEventId;
+    /// The attempt that brought the first event of the stream that the caller resumes, if the caller names one; empty if what it sent
+    /// can't be the name of one attempt.
+    std::optional<std::string> resumes;
     /// Headers to forward to the backend server.
     std::vector<HttpHeader> forwardedHeaders;
 };
--- a/Tests/Platform/DialectsTest.cpp
+++ b/Tests/Platform/DialectsTest.cpp
@@ -112,6 +112,25 @@
     EXPECT_FALSE(head.key);
 }
 
+// A caller that names no usable attempt must not be taken for one that names another caller's, or a very long one be kept.
+TEST_F(PlatformCallerDialectTest, ReadsWhichStreamIsResumed)
+{
+    EXPECT_FALSE(dialect_->readHead(fields_).resumes);
+    fields_.set("Resumes", "");
+    EXPECT_EQ(dialect_->readHead(fields_).resumes, "");
+    fields_.set("resumes", "9c41d07be2a35f67");
+    EXPECT_EQ(dialect_->readHead(fields_).resumes, "9c41d07be2a35f67");
+    EXPECT_TRUE(passesOn("resumes"));
+    fields_.set("Resumes", std::string(256, 'a'));
+    EXPECT_EQ(dialect_->readHead(fields_).resumes, std::string(256, 'a'));
+    fields_.set("Resumes", std::string(257, 'a'));
+    EXPECT_EQ(dialect_->readHead(fields_).resumes, "");
+    EXPECT_TRUE(passesOn("Resumes"));
+    fields_.set("Resumes", "a");
+    fields_.insert("Resumes", "b");
+    EXPECT_EQ(dialect_->readHead(fields_).resumes, "");
+}
+
 TEST_F(PlatformCallerDialectTest, HeadersSetByInstancesAreNotAcceptedFromCallers)
 {
     for (const auto* name : { "X-Ibisturn-Tenant", "X-Ibisturn-Expect-Instance", "X-Ibisturn-Request-Priority", "X-Ibisturn-Hold", "X-Ibisturn-Pin-Ms", "X-Ibisturn-Kv-Backup", "Kv-From", "Kv-Fetch", "Authorization", "Connection", "Keep-Alive", "Upgrade" }) {
