LibHTTP: Keep streams with the software version that began them

Callers got answers whose parts came from two software versions: an instance resumed a broken stream at any server, and a caller's resumption went to whichever server was best placed, here or in another region. What two versions write does not fit together.

A caller's resumption now waits for evidence of the version, at most a second and a quarter of the time it has left, and is refused as not run without it. It goes to the service that began the stream. Within one answer, the attempts after the first event stay with its version, and an answer of an unknown version is cut. The instance that the caller called notes the origin right before it relays the first event. A forwarded resumption that names no version, as an instance of an earlier version sends it, is refused.

RoutedRequestTest now gives its servers a version, since a stream of a server without one is not resumed any more; its expectations are unchanged.

--- a/Libraries/LibHTTP/Callers/RoutedSession.cpp
+++ b/Libraries/LibHTTP/Callers/RoutedSession.cpp
@@ -309,7 +309,10 @@
         routed.route = route.id;
         routed.revision = snapshot.revision();
         routed.homeRegions = homeRegionsFor(snapshot, workspace, route.id);
-        routed.service = chooseService(policy.services, std::hash<std::string> {}(head.callerId));
+        // A stream goes on at the service to which the attempt that began it was sent.
+        const bool namesStream = policy.resume == ResumeSupport::Supported && head.lastEventId && head.resumes && !head.resumes->empty();
+        routed.service = chooseService(policy.services, std::hash<std::string> {}(namesStream ? *head.resumes : head.callerId));
+        routed.resumes = std::move(head.resumes);
         routed.callerId = std::move(head.callerId);
         routed.host = std::move(head.host);
         routed.headers = std::move(head.forwardedHeaders);
--- a/Libraries/LibHTTP/Requests/RequestRunner.cpp
+++ b/Libraries/LibHTTP/Requests/RequestRunner.cpp
@@ -11,6 +11,7 @@
 #include <LibHTTP/Operators/ScopedSpan.h>
 #include <LibHTTP/Peers/ForwardedRequest.h>
 #include <LibHTTP/Requests/DeadlineTimer.h>
+#include <LibHTTP/Requests/StreamResumption.h>
 #include <LibKernel/SpawnDetached.h>
 #include <LibPeer/Hello.h>
 
@@ -134,6 +135,8 @@
     query.deadline = request.deadline;
     query.requestHash = std::hash<std::string> {}(routed.callerId);
     query.homeRegions = routed.homeRegions;
+    query.version = routed.requiredVersion;
+    query.beginsStream = routed.resume == ResumeSupport::Supported && !routed.requiredVersion;
     return query;
 }
 
@@ -242,6 +245,8 @@
     const auto snapshot = requireConfiguration();
     if (request.routed) {
         RouteId routed = request.routed->route;
+        if (isStreamResumption(request))
+            co_await findStreamOrigin(snapshot, request);
         co_await run(std::move(request), std::move(routed), HopsLeft::One, ClaimRole::Claim, sink);
         co_return;
     }
@@ -270,9 +275,19 @@
     const auto role = message.asksOwner ? ClaimRole::AnswerAsOwner : ClaimRole::HeldBySender;
     GatewayRequest request = readForwarded(std::move(message), SteadyClock().now(), tables_.settings.requestTimeout);
     request.cancellation = std::move(cancellation);
+    requireStreamVersion(request);
     co_await run(std::move(request), std::move(routeId), HopsLeft::None, role, sink);
 }
 
+// A request that waits for the origin of its stream is cancelled as others are.
+Task<void> RequestRunner::findStreamOrigin(SnapshotPointer snapshot, GatewayRequest& request)
+{
+    if (!request.cancellation)
+        request.cancellation = std::make_shared<Cancellation>();
+    const AccessWatch::Subscription watched(access_, std::nullopt, tables_.settings.identity.region, request.cancellation);
+    co_await bindToStreamOrigin(tables_, std::move(snapshot), request);
+}
+
 Task<void> RequestRunner::run(GatewayRequest request, RouteId routeId, HopsLeft hops, ClaimRole role, AnswerSink& sink)
 {
     if (!request.cancellation)
@@ -326,6 +341,8 @@
     const auto requestStarted = clock.now();
     RequestLifecycle lifecycle(requestLimitsOf(request, route, hops));
     AttemptSink answer(sink, lifecycle, request.resumeAfter, request.routed ? EventNumbering::Increasing : EventNumbering::Consecutive);
+    auto stream = streamBindingOf(request);
+    bindStream(request, hops, stream, answer);
     throwIfFailed(lifecycle.handle(HeadRead { accessOf(request, here) }, clock.now()));
     recordFirstAttempt(request, hops, answer);
     auto actions = lifecycle.handle(BodyRead { route ? route->repeatability : Repeatability::NonIdempotent }, clock.now());
@@ -337,6 +354,8 @@
     RequestLog requestLog(tables_, request);
     while (!lifecycle.hasEnded()) {
         const auto resume = std::max(requestedResume, std::get<ChoosePlace>(actions.front()).resume);
+        if (request.routed)
+            request.routed->requiredVersion = stream.requiredVersion();
         PlacementQuery query;
         Place place = request.routed ? chooseRoutedPlace(request, hops, lifecycle, failedRegions, requestLog, query) : choosePlace(request, routeId, hops, lifecycle, resume);
         // A retry is not queued again: its first attempt has waited, and the retry budget limits retries.
@@ -358,13 +377,15 @@
         if (ticket)
             onFirstPart = [&ticket](TimePoint now) { ticket->onFirstPart(now); };
         answer.beginAttempt(attemptId, hops == HopsLeft::One ? resume : ResumeNeed::None, std::move(onFirstPart));
+        const auto serverVersion = versionOf(request, place);
+        answer.setServerVersion(std::holds_alternative<RunHere>(place) ? std::optional(serverVersion.value_or(SoftwareVersion())) : std::nullopt);
         const auto target = regionOf(place);
         std::optional<AccessWatch::Subscription> watchedInTarget;
         if (!request.routed)
             watchedInTarget.emplace(access_, access, target, request.cancellation);
-        request.beforeSend = [this, &request, &lifecycle, &target, &place, attemptId] {
+        request.beforeSend = [this, &request, &lifecycle, &target, &place, &serverVersion, attemptId] {
             requireHomeRegion(request, target);
-            requireUsableServer(request, place);
+            requireUsableServer(request, place, serverVersion);
             checkBeforeSend(request, target, attemptId, lifecycle);
         };
         std::optional<AttemptFailure> failure;
@@ -496,6 +517,8 @@
             if (!std::exchange(query.failedServers, {}).empty())
                 continue;
             requestLog.logRefusal(now, *refusal);
+            if (refusal->code == ResultCode::StreamVersionGone)
+                tables_.metrics.increment(fmt::format("ibisturn_stream_resumptions_refused_total{{result=\"{}\"}}", resultCodeEntry(refusal->code).name));
             if (refusal->code == ResultCode::DeadlineUnreachable && !refusal->isReserved)
                 tables_.metrics.increment("ibisturn_retries_not_reserved_total");
             return RefuseRequest { refusal->code, refusal->retryAfter };
@@ -648,14 +671,31 @@
 }
 
 // A backend server may have left or become cold since it was chosen, while the connection to it was made.
-void RequestRunner::requireUsableServer(const GatewayRequest& request, const Place& place) const
+void RequestRunner::requireUsableServer(const GatewayRequest& request, const Place& place, const std::optional<SoftwareVersion>& version) const
 {
     const auto* here = std::get_if<RunHere>(&place);
     if (!here || !request.routed)
         return;
-    const bool isUsable = tables_.placement.with([&](PlacementTable& table) { return table.confirmSend(SteadyClock().now(), here->backendServer); });
+    const bool isUsable = tables_.placement.with([&](PlacementTable& table) { return table.confirmSend(SteadyClock().now(), here->backendServer, version); });
     if (!isUsable)
-        throw NotRunError(ResultCode::NoBackendServer, Ran::No, "The backend server left or became cold before the request was sent");
+        throw NotRunError(ResultCode::NoBackendServer, Ran::No, "The backend server left, became cold or changed its version before the request was sent");
+}
+
+// The software version of the backend server of this instance's region that runs a stream that may be resumed.
+std::optional<SoftwareVersion> RequestRunner::versionOf(const GatewayRequest& request, const Place& place) const
+{
+    const auto* here = std::get_if<RunHere>(&place);
+    if (!here || !request.routed || request.routed->resume == ResumeSupport::Unsupported)
+        return std::nullopt;
+    return tables_.placement.with([&](PlacementTable& table) -> std::optional<SoftwareVersion> { return table.versionOf(here->backendServer); });
+}
+
+void RequestRunner::bindStream(const GatewayRequest& request, HopsLeft hops, StreamBinding& stream, AttemptSink& answer)
+{
+    std::function<void(const SoftwareVersion&)> onFirstEvent;
+    if (hops == HopsLeft::One)
+        onFirstEvent = [this, &request](const SoftwareVersion& version) { recordStreamOrigin(tables_, request, version); };
+    answer.bindStream(stream, hops, std::move(onFirstEvent));
 }
 
 ResultCode RequestRunner::accessOf(const GatewayRequest& request, const RegionId& region) const
--- a/Libraries/LibHTTP/Requests/RequestRunner.h
+++ b/Libraries/LibHTTP/Requests/RequestRunner.h
@@ -93,7 +93,11 @@
     Place choosePlace(const GatewayRequest& request, const RouteId& routeId, HopsLeft hops, const RequestLifecycle& lifecycle, ResumeNeed resume);
     void checkBeforeSend(const GatewayRequest& request, const RegionId& target, AttemptId attempt, RequestLifecycle& lifecycle) const;
     void requireHomeRegion(const GatewayRequest& request, const RegionId& target) const;
-    void requireUsableServer(const GatewayRequest& request, const Place& place) const;
+    void requireUsableServer(const GatewayRequest& request, const Place& place, const std::optional<SoftwareVersion>& version) const;
+    std::optional<SoftwareVersion> versionOf(const GatewayRequest& request, const Place& place) const;
+    Task<void> findStreamOrigin(SnapshotPointer snapshot, GatewayRequest& request);
+    /// Binds `answer` to the version that begins its stream. Precondition: `request` and `stream` outlive `answer`.
+    void bindStream(const GatewayRequest& request, HopsLeft hops, StreamBinding& stream, AttemptSink& answer);
     ResultCode accessOf(const GatewayRequest& request, const RegionId& region) const;
     RegionId regionOf(const Place& place) const;
     SnapshotPointer requireConfiguration() const;
--- a/Tests/LibHTTP/RoutedRequestTest.cpp
+++ b/Tests/LibHTTP/RoutedRequestTest.cpp
@@ -54,12 +54,15 @@
             state.server.service = bookings;
             state.server.endpoint = endpoint;
             state.server.region = khomas;
+            // A stream is resumed only at the version that began it.
+            state.server.version = SoftwareVersion("1");
             state.server.slots = 8;
             states.push_back(state);
         }
         const auto snapshot = tables_.configuration.get();
         tables_.placement.with([&](PlacementTable& table) {
             table.setInstances(tables_.settings.identity.instance, { tables_.settings.identity.instance });
+            table.setListedVersions({ { bookings, { SoftwareVersion("1") } } });
             table.setServers(states, *snapshot);
         });
     }
