--- a/Libraries/LibDecision/Placement/PlacementTable.cpp
+++ b/Libraries/LibDecision/Placement/PlacementTable.cpp
@@ -187,10 +187,13 @@
     retries_.onAccepted(now, query.service, workOf(query.service, work));
     if (trial) {
         trial->server->rate.onTrial(now);
-        return PlaceOnServer { trial->server->state.server.id, trial->wait, {}, true };
+        PlaceOnServer place { trial->server->state.server.id, trial->wait, {}, true };
+        place.version = trial->server->state.server.version;
+        return place;
     }
     if (isLocal) {
         PlaceOnServer place { best.server->state.server.id, best.wait };
+        place.version = best.server->state.server.version;
         if (!isCold(now, *best.server) && best.server->coldRate > 0 && best.server->restart.isSuspected(now))
             best.server->nextColdRequestAt = now + RestartSuspicion::spacing(best.server->coldRate, instances_.size());
         place.assumedTokens = assumedTokens(*best.server, query, preferred);
--- a/Libraries/LibDecision/Placement/PlacementTable.h
+++ b/Libraries/LibDecision/Placement/PlacementTable.h
@@ -37,6 +37,8 @@
     std::optional<std::size_t> sessionRank;
     /// The tokens that count as cached there although this instance did not send them.
     TokenCount assumedTokens;
+    /// The software version that the backend server runs.
+    SoftwareVersion version;
 };
 
 /// Forward the request to an instance of this region.
