RequestRunner: Take the version of a server from its choice

The version was looked up again after the choice, so that another worker could have set a newer entry in between: a stream would have begun at a version that the choice had not permitted. The choice itself names the version now, and the check before sending compares with that one.

The race between workers has no test.

--- a/Libraries/LibHTTP/Requests/RequestRunner.cpp
+++ b/Libraries/LibHTTP/Requests/RequestRunner.cpp
@@ -357,7 +357,10 @@
         if (request.routed)
             request.routed->requiredVersion = stream.requiredVersion();
         PlacementQuery query;
-        Place place = request.routed ? chooseRoutedPlace(request, hops, lifecycle, failedRegions, requestLog, query) : choosePlace(request, routeId, hops, lifecycle, resume);
+        RoutedPlace chosen = request.routed ? chooseRoutedPlace(request, hops, lifecycle, failedRegions, requestLog, query)
+                                            : RoutedPlace { choosePlace(request, routeId, hops, lifecycle, resume), std::nullopt };
+        auto& place = chosen.place;
+        const auto& serverVersion = chosen.version;
         // A retry is not queued again: its first attempt has waited, and the retry budget limits retries.
         AdmissionSlotPointer slot;
         if (isFirstAttempt && !request.routed && std::holds_alternative<RunHere>(place))
@@ -377,7 +380,6 @@
         if (ticket)
             onFirstPart = [&ticket](TimePoint now) { ticket->onFirstPart(now); };
         answer.beginAttempt(attemptId, hops == HopsLeft::One ? resume : ResumeNeed::None, std::move(onFirstPart));
-        const auto serverVersion = versionOf(request, place);
         answer.setServerVersion(std::holds_alternative<RunHere>(place) ? std::optional(serverVersion.value_or(SoftwareVersion())) : std::nullopt);
         const auto target = regionOf(place);
         std::optional<AccessWatch::Subscription> watchedInTarget;
@@ -480,7 +482,7 @@
 }
 
 // Chooses among the backend servers of this region and the other regions.
-Place RequestRunner::chooseRoutedPlace(
+RequestRunner::RoutedPlace RequestRunner::chooseRoutedPlace(
     GatewayRequest& request, HopsLeft hops, const RequestLifecycle& lifecycle, std::set<RegionId>& failedRegions, RequestLog& requestLog, PlacementQuery& query)
 {
     const auto snapshot = requireConfiguration();
@@ -493,10 +495,10 @@
     query.canRetryFailedServers = lifecycle.failure() == ResultCode::BackendFailed;
     if (const auto part = tables_.quarantine.findQuarantined(SteadyClock().now(), query)) {
         requestLog.logQuarantine(SteadyClock().now(), *part);
-        return RefuseRequest { ResultCode::PromptQuarantined, quarantineRetryAfter };
+        return { RefuseRequest { ResultCode::PromptQuarantined, quarantineRetryAfter }, std::nullopt };
     }
     if (lifecycle.attempts() > 0 && !tables_.quarantine.mayRetry(query))
-        return RefuseRequest { ResultCode::PromptQuarantined, quarantineRetryAfter };
+        return { RefuseRequest { ResultCode::PromptQuarantined, quarantineRetryAfter }, std::nullopt };
     const auto membership = usableMembership(*snapshot, request.routed->route, lifecycle);
     for (;;) {
         query.failedRegions = failedRegions;
@@ -510,7 +512,7 @@
                 tables_.metrics.increment("ibisturn_server_trials_total");
             if (server->coldLeft > Duration::zero())
                 tables_.metrics.increment("ibisturn_cold_server_requests_total");
-            return place;
+            return { place, request.routed->resume == ResumeSupport::Supported ? std::optional(server->version) : std::nullopt };
         }
         if (const auto* refusal = std::get_if<RefusePlacement>(&decision)) {
             // If no other backend server is available, allow those that failed this request.
@@ -521,7 +523,7 @@
                 tables_.metrics.increment(fmt::format("ibisturn_stream_resumptions_refused_total{{result=\"{}\"}}", resultCodeEntry(refusal->code).name));
             if (refusal->code == ResultCode::DeadlineUnreachable && !refusal->isReserved)
                 tables_.metrics.increment("ibisturn_retries_not_reserved_total");
-            return RefuseRequest { refusal->code, refusal->retryAfter };
+            return { RefuseRequest { refusal->code, refusal->retryAfter }, std::nullopt };
         }
         const auto& chosen = std::get<PlaceInRegion>(decision);
         const auto& region = chosen.region;
@@ -529,7 +531,7 @@
             tables_.placement.with([&](PlacementTable& table) { table.recordForward(region, query); });
             const ForwardTo place { member->id };
             requestLog.logPlace(now, place, chosen.expected, lifecycle.attempts() + 1);
-            return place;
+            return { place, std::nullopt };
         }
         failedRegions.insert(region);
     }
@@ -681,15 +683,6 @@
         throw NotRunError(ResultCode::NoBackendServer, Ran::No, "The backend server left, became cold or changed its version before the request was sent");
 }
 
-// The software version of the backend server of this instance's region that runs a stream that may be resumed.
-std::optional<SoftwareVersion> RequestRunner::versionOf(const GatewayRequest& request, const Place& place) const
-{
-    const auto* here = std::get_if<RunHere>(&place);
-    if (!here || !request.routed || request.routed->resume == ResumeSupport::Unsupported)
-        return std::nullopt;
-    return tables_.placement.with([&](PlacementTable& table) -> std::optional<SoftwareVersion> { return table.versionOf(here->backendServer); });
-}
-
 void RequestRunner::bindStream(const GatewayRequest& request, HopsLeft hops, StreamBinding& stream, AttemptSink& answer)
 {
     std::function<void(const SoftwareVersion&)> onFirstEvent;
--- a/Libraries/LibHTTP/Requests/RequestRunner.h
+++ b/Libraries/LibHTTP/Requests/RequestRunner.h
@@ -83,8 +83,14 @@
     void recordCrashEvidence(const Place& place, const PlacementQuery& query, const AttemptSink& answer, AttemptEnd end);
     using TicketPointer = std::unique_ptr<SharedPlacementTable::Ticket>;
 
+    struct RoutedPlace {
+        Place place;
+        /// Of the backend server of this region that runs a stream that may be resumed.
+        std::optional<SoftwareVersion> version;
+    };
+
     /// Sets `query` to the one for which the place was chosen.
-    Place chooseRoutedPlace(
+    RoutedPlace chooseRoutedPlace(
         GatewayRequest& request, HopsLeft hops, const RequestLifecycle& lifecycle, std::set<RegionId>& failedRegions, RequestLog& requestLog, PlacementQuery& query);
     RequestLimits requestLimitsOf(const GatewayRequest& request, const Route* route, HopsLeft hops);
     void recordFirstAttempt(const GatewayRequest& request, HopsLeft hops, AttemptSink& answer);
@@ -94,7 +100,6 @@
     void checkBeforeSend(const GatewayRequest& request, const RegionId& target, AttemptId attempt, RequestLifecycle& lifecycle) const;
     void requireHomeRegion(const GatewayRequest& request, const RegionId& target) const;
     void requireUsableServer(const GatewayRequest& request, const Place& place, const std::optional<SoftwareVersion>& version) const;
-    std::optional<SoftwareVersion> versionOf(const GatewayRequest& request, const Place& place) const;
     Task<void> findStreamOrigin(SnapshotPointer snapshot, GatewayRequest& request);
     /// Binds `answer` to the version that begins its stream. Precondition: `request` and `stream` outlive `answer`.
     void bindStream(const GatewayRequest& request, HopsLeft hops, StreamBinding& stream, AttemptSink& answer);
