--- a/Libraries/LibDecision/Streams/VersionLedger.cpp
+++ b/Libraries/LibDecision/Streams/VersionLedger.cpp
@@ -6,7 +6,7 @@
 
 void VersionLedger::onRecord(TimePoint, const ServiceId& service, const std::optional<VersionRecord>& record)
 {
-    stubListed_[service] = record ? record->versions : std::set<SoftwareVersion> {};
+    stubListed_[service] = record ? record->listed : std::set<SoftwareVersion> {};
 }
 
 void VersionLedger::onHistoryLost(TimePoint) { }
@@ -14,7 +14,14 @@
 void VersionLedger::requestProof(TimePoint) { isStubWanted_ = true; }
 bool VersionLedger::needsRead(TimePoint) const { return isStubWanted_; }
 void VersionLedger::beginRead(TimePoint) { isStubWanted_ = false; }
-void VersionLedger::onRead(TimePoint startedAt) { stubReadAt_ = startedAt; }
+
+void VersionLedger::onRead(TimePoint now, TimePoint startedAt, const std::map<ServiceId, VersionRecord>& records, Revision)
+{
+    for (const auto& [service, record] : records)
+        onRecord(now, service, record);
+    stubReadAt_ = startedAt;
+}
+
 void VersionLedger::onReadFailed(TimePoint) { isStubWanted_ = true; }
 
 std::optional<SoftwareVersion> VersionLedger::onlyVersion(const ServiceId& service, TimePoint since) const
--- a/Libraries/LibDecision/Streams/VersionLedger.h
+++ b/Libraries/LibDecision/Streams/VersionLedger.h
@@ -14,7 +14,8 @@
 
 /// The software versions of one service that may have begun streams that callers can still resume, as the store has them.
 struct VersionRecord {
-    std::set<SoftwareVersion> versions;
+    std::set<SoftwareVersion> listed;
+    std::set<SoftwareVersion> retiring;
     Revision revision;
 };
 
@@ -49,8 +50,8 @@
     /// Whether the records should be read now. Each read must be reported by beginRead() and then onRead() or onReadFailed().
     bool needsRead(TimePoint now) const;
     void beginRead(TimePoint now);
-    /// All records were read from the store and passed to onRecord(). The read was begun at `startedAt`.
-    void onRead(TimePoint startedAt);
+    /// A read that was begun at `startedAt` returned all records, as of the revision `position` or later.
+    void onRead(TimePoint now, TimePoint startedAt, const std::map<ServiceId, VersionRecord>& records, Revision position);
     void onReadFailed(TimePoint now);
 
     /// The version that began every stream of the service that had begun by `since`; unset if several may have, or if the store has not
