--- a/Libraries/LibHTTP/Requests/RequestRunner.cpp
+++ b/Libraries/LibHTTP/Requests/RequestRunner.cpp
@@ -11,6 +11,7 @@
 #include <LibHTTP/Operators/ScopedSpan.h>
 #include <LibHTTP/Peers/ForwardedRequest.h>
 #include <LibHTTP/Requests/DeadlineTimer.h>
+#include <LibHTTP/Requests/StreamResumption.h>
 #include <LibKernel/SpawnDetached.h>
 #include <LibPeer/Hello.h>
 
@@ -134,6 +135,8 @@
     query.deadline = request.deadline;
     query.requestHash = std::hash<std::string> {}(routed.callerId);
     query.homeRegions = routed.homeRegions;
+    query.version = routed.requiredVersion;
+    query.beginsStream = routed.resume == ResumeSupport::Supported && !routed.requiredVersion;
     return query;
 }
 
@@ -242,6 +245,8 @@
     const auto snapshot = requireConfiguration();
     if (request.routed) {
         RouteId routed = request.routed->route;
+        if (isStreamResumption(request))
+            co_await findStreamOrigin(snapshot, request);
         co_await run(std::move(request), std::move(routed), HopsLeft::One, ClaimRole::Claim, sink);
         co_return;
     }
@@ -270,9 +275,19 @@
     const auto role = message.asksOwner ? ClaimRole::AnswerAsOwner : ClaimRole::HeldBySender;
     GatewayRequest request = readForwarded(std::move(message), SteadyClock().now(), tables_.settings.requestTimeout);
     request.cancellation = std::move(cancellation);
+    requireStreamVersion(request);
     co_await run(std::move(request), std::move(routeId), HopsLeft::None, role, sink);
 }
 
+// A request that waits for the origin of its stream is cancelled as others are.
+Task<void> RequestRunner::findStreamOrigin(SnapshotPointer snapshot, GatewayRequest& request)
+{
+    if (!request.cancellation)
+        request.cancellation = std::make_shared<Cancellation>();
+    const AccessWatch::Subscription watched(access_, std::nullopt, tables_.settings.identity.region, request.cancellation);
+    co_await bindToStreamOrigin(tables_, std::move(snapshot), request);
+}
+
 Task<void> RequestRunner::run(GatewayRequest request, RouteId routeId, HopsLeft hops, ClaimRole role, AnswerSink& sink)
 {
     if (!request.cancellation)
@@ -326,6 +341,8 @@
     const auto requestStarted = clock.now();
     RequestLifecycle lifecycle(requestLimitsOf(request, route, hops));
     AttemptSink answer(sink, lifecycle, request.resumeAfter, request.routed ? EventNumbering::Increasing : EventNumbering::Consecutive);
+    auto stream = streamBindingOf(request);
+    bindStream(request, hops, stream, answer);
     throwIfFailed(lifecycle.handle(HeadRead { accessOf(request, here) }, clock.now()));
     recordFirstAttempt(request, hops, answer);
     auto actions = lifecycle.handle(BodyRead { route ? route->repeatability : Repeatability::NonIdempotent }, clock.now());
@@ -337,8 +354,13 @@
     RequestLog requestLog(tables_, request);
     while (!lifecycle.hasEnded()) {
         const auto resume = std::max(requestedResume, std::get<ChoosePlace>(actions.front()).resume);
+        if (request.routed)
+            request.routed->requiredVersion = stream.requiredVersion();
         PlacementQuery query;
-        Place place = request.routed ? chooseRoutedPlace(request, hops, lifecycle, failedRegions, requestLog, query) : choosePlace(request, routeId, hops, lifecycle, resume);
+        RoutedPlace chosen = request.routed ? chooseRoutedPlace(request, hops, lifecycle, failedRegions, requestLog, query)
+                                            : RoutedPlace { choosePlace(request, routeId, hops, lifecycle, resume), std::nullopt };
+        auto& place = chosen.place;
+        const auto& serverVersion = chosen.version;
         // A retry is not queued again: its first attempt has waited, and the retry budget limits retries.
         AdmissionSlotPointer slot;
         if (isFirstAttempt && !request.routed && std::holds_alternative<RunHere>(place))
@@ -358,13 +380,14 @@
         if (ticket)
             onFirstPart = [&ticket](TimePoint now) { ticket->onFirstPart(now); };
         answer.beginAttempt(attemptId, hops == HopsLeft::One ? resume : ResumeNeed::None, std::move(onFirstPart));
+        answer.setServerVersion(std::holds_alternative<RunHere>(place) ? std::optional(serverVersion.value_or(SoftwareVersion())) : std::nullopt);
         const auto target = regionOf(place);
         std::optional<AccessWatch::Subscription> watchedInTarget;
         if (!request.routed)
             watchedInTarget.emplace(access_, access, target, request.cancellation);
-        request.beforeSend = [this, &request, &lifecycle, &target, &place, attemptId](const std::optional<ServerProcess>& process) {
+        request.beforeSend = [this, &request, &lifecycle, &target, &place, &serverVersion, attemptId](const std::optional<ServerProcess>& process) {
             requireHomeRegion(request, target);
-            requireUsableServer(request, place, process);
+            requireUsableServer(request, place, process, serverVersion);
             checkBeforeSend(request, target, attemptId, lifecycle);
         };
         std::optional<AttemptFailure> failure;
@@ -459,7 +482,7 @@
 }
 
 // Chooses among the backend servers of this region and the other regions.
-Place RequestRunner::chooseRoutedPlace(
+RequestRunner::RoutedPlace RequestRunner::chooseRoutedPlace(
     GatewayRequest& request, HopsLeft hops, const RequestLifecycle& lifecycle, std::set<RegionId>& failedRegions, RequestLog& requestLog, PlacementQuery& query)
 {
     const auto snapshot = requireConfiguration();
@@ -472,10 +495,10 @@
     query.canRetryFailedServers = lifecycle.failure() == ResultCode::BackendFailed;
     if (const auto part = tables_.quarantine.findQuarantined(SteadyClock().now(), query)) {
         requestLog.logQuarantine(SteadyClock().now(), *part);
-        return RefuseRequest { ResultCode::PromptQuarantined, quarantineRetryAfter };
+        return { RefuseRequest { ResultCode::PromptQuarantined, quarantineRetryAfter }, std::nullopt };
     }
     if (lifecycle.attempts() > 0 && !tables_.quarantine.mayRetry(query))
-        return RefuseRequest { ResultCode::PromptQuarantined, quarantineRetryAfter };
+        return { RefuseRequest { ResultCode::PromptQuarantined, quarantineRetryAfter }, std::nullopt };
     const auto membership = usableMembership(*snapshot, request.routed->route, lifecycle);
     for (;;) {
         query.failedRegions = failedRegions;
@@ -489,16 +512,18 @@
                 tables_.metrics.increment("ibisturn_server_trials_total");
             if (server->coldLeft > Duration::zero())
                 tables_.metrics.increment("ibisturn_cold_server_requests_total");
-            return place;
+            return { place, request.routed->resume == ResumeSupport::Supported ? std::optional(server->version) : std::nullopt };
         }
         if (const auto* refusal = std::get_if<RefusePlacement>(&decision)) {
             // If no other backend server is available, allow those that failed this request.
             if (!std::exchange(query.failedServers, {}).empty())
                 continue;
             requestLog.logRefusal(now, *refusal);
+            if (refusal->code == ResultCode::StreamVersionGone)
+                tables_.metrics.increment(fmt::format("ibisturn_stream_resumptions_refused_total{{result=\"{}\"}}", resultCodeEntry(refusal->code).name));
             if (refusal->code == ResultCode::DeadlineUnreachable && !refusal->isReserved)
                 tables_.metrics.increment("ibisturn_retries_not_reserved_total");
-            return RefuseRequest { refusal->code, refusal->retryAfter };
+            return { RefuseRequest { refusal->code, refusal->retryAfter }, std::nullopt };
         }
         const auto& chosen = std::get<PlaceInRegion>(decision);
         const auto& region = chosen.region;
@@ -506,7 +531,7 @@
             tables_.placement.with([&](PlacementTable& table) { table.recordForward(region, query); });
             const ForwardTo place { member->id };
             requestLog.logPlace(now, place, chosen.expected, lifecycle.attempts() + 1);
-            return place;
+            return { place, std::nullopt };
         }
         failedRegions.insert(region);
     }
@@ -648,7 +673,8 @@
 }
 
 // A backend server may have left, become cold or been restarted since it was chosen, while the connection to it was made.
-void RequestRunner::requireUsableServer(const GatewayRequest& request, const Place& place, const std::optional<ServerProcess>& process) const
+void RequestRunner::requireUsableServer(
+    const GatewayRequest& request, const Place& place, const std::optional<ServerProcess>& process, const std::optional<SoftwareVersion>& version) const
 {
     const auto* here = std::get_if<RunHere>(&place);
     if (!here || !request.routed)
@@ -658,14 +684,22 @@
     const bool isUsable = tables_.placement.with([&](PlacementTable& table) {
         if (const auto* state = table.findServer(here->backendServer))
             registered = state->server.started;
-        return table.confirmSend(now, here->backendServer, process);
+        return table.confirmSend(now, here->backendServer, process, version);
     });
     if (process && process->started != registered) {
         tables_.metrics.increment("ibisturn_unregistered_processes_total");
         serverLog.info("Backend server has another process than the registry.", { { "server", here->backendServer }, { "process", process->started ? process->started->count() : -1 }, { "registered", registered }, { "asked_ms_ago", std::chrono::duration_cast<std::chrono::milliseconds>(now - process->askedAt).count() }, { "sent", isUsable } });
     }
     if (!isUsable)
-        throw NotRunError(ResultCode::NoBackendServer, Ran::No, "The backend server left, became cold or was restarted before the request was sent");
+        throw NotRunError(ResultCode::NoBackendServer, Ran::No, "The backend server left, became cold, was restarted or changed its version before the request was sent");
+}
+
+void RequestRunner::bindStream(const GatewayRequest& request, HopsLeft hops, StreamBinding& stream, AttemptSink& answer)
+{
+    std::function<void(const SoftwareVersion&)> onFirstEvent;
+    if (hops == HopsLeft::One)
+        onFirstEvent = [this, &request](const SoftwareVersion& version) { recordStreamOrigin(tables_, request, version); };
+    answer.bindStream(stream, hops, std::move(onFirstEvent));
 }
 
 ResultCode RequestRunner::accessOf(const GatewayRequest& request, const RegionId& region) const
--- a/Libraries/LibHTTP/Requests/RequestRunner.h
+++ b/Libraries/LibHTTP/Requests/RequestRunner.h
@@ -83,8 +83,14 @@
     void recordCrashEvidence(const Place& place, const PlacementQuery& query, const AttemptSink& answer, AttemptEnd end);
     using TicketPointer = std::unique_ptr<SharedPlacementTable::Ticket>;
 
+    struct RoutedPlace {
+        Place place;
+        /// Of the backend server of this region that runs a stream that may be resumed.
+        std::optional<SoftwareVersion> version;
+    };
+
     /// Sets `query` to the one for which the place was chosen.
-    Place chooseRoutedPlace(
+    RoutedPlace chooseRoutedPlace(
         GatewayRequest& request, HopsLeft hops, const RequestLifecycle& lifecycle, std::set<RegionId>& failedRegions, RequestLog& requestLog, PlacementQuery& query);
     RequestLimits requestLimitsOf(const GatewayRequest& request, const Route* route, HopsLeft hops);
     void recordFirstAttempt(const GatewayRequest& request, HopsLeft hops, AttemptSink& answer);
@@ -93,7 +99,11 @@
     Place choosePlace(const GatewayRequest& request, const RouteId& routeId, HopsLeft hops, const RequestLifecycle& lifecycle, ResumeNeed resume);
     void checkBeforeSend(const GatewayRequest& request, const RegionId& target, AttemptId attempt, RequestLifecycle& lifecycle) const;
     void requireHomeRegion(const GatewayRequest& request, const RegionId& target) const;
-    void requireUsableServer(const GatewayRequest& request, const Place& place, const std::optional<ServerProcess>& process) const;
+    void requireUsableServer(
+        const GatewayRequest& request, const Place& place, const std::optional<ServerProcess>& process, const std::optional<SoftwareVersion>& version) const;
+    Task<void> findStreamOrigin(SnapshotPointer snapshot, GatewayRequest& request);
+    /// Binds `answer` to the version that begins its stream. Precondition: `request` and `stream` outlive `answer`.
+    void bindStream(const GatewayRequest& request, HopsLeft hops, StreamBinding& stream, AttemptSink& answer);
     ResultCode accessOf(const GatewayRequest& request, const RegionId& region) const;
     RegionId regionOf(const Place& place) const;
     SnapshotPointer requireConfiguration() const;
