--- a/Tests/LibHTTP/StreamVersionTest.cpp
+++ b/Tests/LibHTTP/StreamVersionTest.cpp
@@ -350,8 +350,7 @@
     const auto now = SteadyClock().now();
     tables_.versionLedger.requestProof(now);
     tables_.versionLedger.beginRead(now);
-    tables_.versionLedger.onRecord(now, model, VersionRecord { { v1 }, Revision(1) });
-    tables_.versionLedger.onRead(now);
+    completeLedgerRead(tables_, now, { { model, { v1 } } });
     run(resumption("r2", "r1"));
     expectRefused(ResultCode::StreamOriginUnknown);
     EXPECT_EQ(server.requests(), 0U);
