FleetControlPlane: Keep the notes of streams in the store while several versions may have begun them

What callers saw: after all instances were killed at once while two software versions served, every resumption was refused.

Cause: the notes of origins are in the memory of instances only, and the ledger proves nothing while it has two versions.

Change: while the ledger has several versions of a service, the first collector of each region writes the notes of its region to the store, each 200 ms, under a lease that ends after the lifetime of a stream. An instance that asks the store for a proof then reads them, too. The number of writes grows with the number of regions, not of instances or streams; nothing is written while there is one version.

--- a/Libraries/LibDecision/Dissemination/StatusExchange.cpp
+++ b/Libraries/LibDecision/Dissemination/StatusExchange.cpp
@@ -411,6 +411,11 @@
     return { peer, std::move(exchange) };
 }
 
+std::vector<StreamNote> StatusExchange::takeRegionNotes(TimePoint now)
+{
+    return noteLog_.regionNotesFrom(now, std::exchange(takenRegionNotes_, noteLog_.end()));
+}
+
 // The notes for the digest that answers a report.
 std::vector<StreamNote> StatusExchange::notesForDigest(TimePoint now, const InstanceId& peer, const InstanceReport& report, StatusNumber answered)
 {
--- a/Libraries/LibDecision/Dissemination/StatusExchange.h
+++ b/Libraries/LibDecision/Dissemination/StatusExchange.h
@@ -79,6 +79,9 @@
     /// The notes of other instances that have arrived since the last call, whatever collector they came from.
     std::vector<StreamNote> takeNotes(TimePoint now) { return noteLog_.takeNew(now); }
 
+    /// The notes of this region's instances, including this one, that have arrived since the last call, and lately before the first one.
+    std::vector<StreamNote> takeRegionNotes(TimePoint now);
+
     /// When this instance sent the report that a digest answers, and before which the digest was not made; unset if the report is
     /// no longer known.
     std::optional<TimePoint> reportSentAt(const FleetDigest& digest) const;
@@ -177,6 +180,8 @@
     std::map<InstanceId, ReceivedDigest> digests_;
     std::map<InstanceId, ReceivedExchange> exchanges_;
     StreamNoteLog noteLog_;
+    /// The notes before this position were returned by takeRegionNotes().
+    StreamNoteLog::Position takenRegionNotes_ { 0 };
     std::map<InstanceId, Receiver> digestReceivers_;
     std::map<InstanceId, Receiver> exchangeReceivers_;
     Collected collected_;
--- a/Libraries/LibDecision/Streams/VersionLedger.cpp
+++ b/Libraries/LibDecision/Streams/VersionLedger.cpp
@@ -92,6 +92,14 @@
     return listed;
 }
 
+bool VersionLedger::hasSeveralVersions() const
+{
+    return std::any_of(services_.begin(), services_.end(), [](const auto& entry) {
+        const auto& record = entry.second.record;
+        return record && record->listed.size() + record->retiring.size() > 1;
+    });
+}
+
 bool VersionLedger::isListed(const ServiceId& service, const SoftwareVersion& version) const
 {
     const auto found = services_.find(service);
--- a/Libraries/LibDecision/Streams/VersionLedger.h
+++ b/Libraries/LibDecision/Streams/VersionLedger.h
@@ -71,6 +71,9 @@
     /// The versions that may begin streams, for each service.
     std::map<ServiceId, std::set<SoftwareVersion>> listed() const;
 
+    /// Whether several versions of some service may have begun streams, so that a stream's origin can't be proved.
+    bool hasSeveralVersions() const;
+
     bool isListed(const ServiceId& service, const SoftwareVersion& version) const;
 
     /// A resumption waits for a proof, so the records must be read from the store. Lapses after about a second.
--- a/Programs/ibisturn/FleetControlPlane.cpp
+++ b/Programs/ibisturn/FleetControlPlane.cpp
@@ -5,6 +5,7 @@
 #include <LibDecision/Streams/StreamLifetime.h>
 #include <LibKernel/SpawnDetached.h>
 #include <LibPeer/Hello.h>
+#include <LibPlatform/StoredStreamNotes.h>
 #include <LibPlatform/VersionRecords.h>
 
 #include <algorithm>
@@ -48,6 +49,13 @@
     return std::clamp<Duration>(fleet.backendDrainPeriod / confirmationsPerDrain, minConfirmationPeriod, maxConfirmationPeriod);
 }
 
+/// A stream that began shortly before all instances end is not in the store; a shorter period costs more writes.
+constexpr Duration streamNotesWritePeriod = std::chrono::milliseconds(200);
+/// Between two reads of the notes of streams by one instance: what other instances note arrives with their status.
+constexpr Duration streamNotesReadPause = std::chrono::seconds(2);
+/// One in this many writes of the notes of streams is logged.
+constexpr std::uint64_t streamNotesLogInterval = 32;
+
 /// Longer than the time between two renewals of the instance's lease, one of them repeated.
 constexpr Duration outageDetectionTime = std::chrono::milliseconds(2000);
 
@@ -120,6 +128,7 @@
     updateVersions(now);
     applyStatus(now);
     tables_.streamOrigins.onNotes(now, statusExchange_.takeNotes(now));
+    storeStreamNotes(now);
     updateQuarantine(now);
     for (const auto& message : statusExchange_.advance(now))
         std::visit([this](const auto& action) { send(action); }, message);
@@ -418,6 +427,8 @@
         const auto single = std::count_if(records.begin(), records.end(), [](const auto& record) { return record.second.listed.size() + record.second.retiring.size() == 1; });
         fleetLog.info("Read of software versions.", { { "outcome", "read" }, { "records", records.size() }, { "single", single }, { "revision", range.revision }, { "ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - startedAt).count() } });
         tables_.metrics.increment("ibisturn_software_version_reads_total{outcome=\"read\"}");
+        if (ledger.hasSeveralVersions() && now >= nextStreamNotesRead_)
+            co_await readStreamNotes();
     } catch (const std::exception& error) {
         ledger.onReadFailed(SteadyClock().now());
         fleetLog.info("Read of software versions.", { { "outcome", "failed" }, { "reason", error.what() } });
@@ -425,6 +436,69 @@
     }
 }
 
+// While several versions may have begun streams, what the instances of a region noted would be lost if all of them ended at once. The first
+// collector has the notes of the region, so the number of writes does not grow with the number of instances.
+void FleetControlPlane::storeStreamNotes(TimePoint now)
+{
+    const bool isDue = now >= nextStreamNotesWrite_ && !areStreamNotesBeingWritten_;
+    if (!isDue || statusExchange_.rank() != 0 || !tables_.versionLedger.hasSeveralVersions() || fleetState_.unavailableSince())
+        return;
+    nextStreamNotesWrite_ = now + streamNotesWritePeriod;
+    auto notes = statusExchange_.takeRegionNotes(now);
+    if (notes.empty())
+        return;
+    areStreamNotesBeingWritten_ = true;
+    spawnDetached(context_, writeStreamNotes(std::move(notes), ++streamNotesWritten_), "stream notes");
+}
+
+Task<void> FleetControlPlane::writeStreamNotes(std::vector<StreamNote> notes, std::uint64_t number)
+{
+    const auto count = notes.size();
+    std::string reason;
+    try {
+        const auto lifetime = appliedSnapshot_ ? streamLifetimeOf(*appliedSnapshot_) : VersionLedger::defaultLifetime;
+        const auto now = SteadyClock().now();
+        if (!streamNotesLease_ || now - streamNotesLeaseSince_ >= lifetime || streamNotesLease_->era != store_.era()) {
+            streamNotesLease_ = co_await store_.grantLease(2 * lifetime);
+            streamNotesLeaseSince_ = now;
+        }
+        std::vector<StoreWrite> writes;
+        writes.push_back({ streamNotesKeyOf(tables_.settings.storePrefix, tables_.settings.identity.instance, incarnation_, number), formatStreamNotes(notes), std::nullopt, streamNotesLease_ });
+        co_await store_.transact(std::move(writes));
+    } catch (const std::exception& error) {
+        // The resumptions of these streams depend on the instances that have their notes.
+        streamNotesLease_.reset();
+        reason = error.what();
+    }
+    areStreamNotesBeingWritten_ = false;
+    const auto* outcome = reason.empty() ? "written" : "failed";
+    if (!reason.empty() || number % streamNotesLogInterval == 1)
+        fleetLog.info("Write of the notes of streams.", { { "notes", count }, { "number", number }, { "outcome", outcome }, { "reason", reason } });
+    tables_.metrics.increment(fmt::format("ibisturn_stream_notes_writes_total{{outcome=\"{}\"}}", outcome));
+}
+
+Task<void> FleetControlPlane::readStreamNotes()
+{
+    nextStreamNotesRead_ = SteadyClock().now() + streamNotesReadPause;
+    try {
+        const StoreRange range = co_await store_.range(streamNotesPrefixOf(tables_.settings.storePrefix));
+        std::size_t count = 0;
+        std::size_t unreadable = 0;
+        for (const auto& entry : range.entries) {
+            const auto notes = parseStreamNotes(entry.value);
+            if (notes)
+                tables_.streamOrigins.onNotes(SteadyClock().now(), *notes);
+            count += notes ? notes->size() : 0;
+            unreadable += notes ? 0 : 1;
+        }
+        fleetLog.info("Read of the notes of streams.", { { "entries", range.entries.size() }, { "notes", count }, { "unreadable", unreadable }, { "revision", range.revision } });
+        tables_.metrics.increment("ibisturn_stream_notes_reads_total{outcome=\"read\"}");
+    } catch (const std::exception& error) {
+        fleetLog.info("Notes of streams not read.", { { "reason", error.what() } });
+        tables_.metrics.increment("ibisturn_stream_notes_reads_total{outcome=\"failed\"}");
+    }
+}
+
 void FleetControlPlane::lockColdServers(TimePoint now)
 {
     coldServerLocks_.setTerm(lease_.term());
--- a/Programs/ibisturn/FleetControlPlane.h
+++ b/Programs/ibisturn/FleetControlPlane.h
@@ -70,6 +70,9 @@
     Task<void> storeQuarantine(ServicePart part);
     Task<void> storeVersions(LedgerWrite write);
     Task<void> readVersions(TimePoint startedAt);
+    void storeStreamNotes(TimePoint now);
+    Task<void> writeStreamNotes(std::vector<StreamNote> notes, std::uint64_t number);
+    Task<void> readStreamNotes();
     Task<void> deleteLocks(std::vector<StoredLock> locks);
     LocalStatus localStatus(TimePoint now) const;
     Member self() const;
@@ -103,6 +106,13 @@
     LargeAnswers largeAnswers_;
     StatusExchange statusExchange_;
     std::uint64_t appliedStatusVersion_ { 0 };
+    TimePoint nextStreamNotesWrite_ {};
+    std::uint64_t streamNotesWritten_ { 0 };
+    bool areStreamNotesBeingWritten_ { false };
+    /// Under which this process writes notes of streams; another one is granted after the lifetime of a stream.
+    std::optional<LeaseId> streamNotesLease_;
+    TimePoint streamNotesLeaseSince_ {};
+    TimePoint nextStreamNotesRead_ {};
     TimePoint startedAt_;
     StoreFeed storeFeed_;
     EntryLog entryLog_;
