LibHTTP: Don't take a reset that the write of a request consumed for the end of an answer

Callers got a part of an answer as the whole one: a backend server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written.

The cause: Linux reports a reset once. BackendClient ignored the error of the write, which had taken it, and the reads that followed returned what had arrived and then a clean end of the stream. An answer without a length is whole at the end of the stream.

The connection now remembers that a write failed. An answer that only ends with such a connection is cut (AnswerCut, the request ran); one with a length or chunks still tells its own end and is relayed whole, since a server may refuse a long request before it has read it. The same holds for the other errors that a write can take, such as the timeout of the kernel. It also holds after a FIN: the write fails in the same way when a server that is killed had read all that had arrived, so the end of the stream doesn't show that the answer was whole. The existing log line of the attempt gives the reason.

A connection whose write failed is not kept. It was kept until its reset was noticed, and reported as an idle connection that its server had closed early, which counts as a sign of a restart.

Ruled out: a reset after the write has ended is reported by the read, as before. PeerConnection and HttpClient fail with the write's error; the sessions of callers close the connection, and the answers they send end with a length or a last chunk.

--- a/Libraries/LibHTTP/Backends/BackendClient.cpp
+++ b/Libraries/LibHTTP/Backends/BackendClient.cpp
@@ -148,8 +148,8 @@
         setUserTimeout(connection.stream.socket(), slowReaderUserTimeout);
     boost::system::error_code writeError;
     co_await Http::async_write(connection.stream, message, Asio::redirect_error(Asio::use_awaitable, writeError));
-    // A write error is ignored: a backend server may refuse a long request before it has read all of it, and its answer
-    // then gives the reason.
+    // A backend server may refuse a long request before it has read all of it, and its answer then gives the reason.
+    connection.hasWriteFailed = static_cast<bool>(writeError);
     for (int answers = 0; answers <= maxStrayAnswers; ++answers) {
         AnswerParser parser;
         parser.header_limit(answerHeadLimit);
@@ -211,6 +211,10 @@
     head.isServerDraining = parser.get().result() == Http::status::service_unavailable && !parser.keep_alive();
     co_await sink.writeHead(head);
     co_await relayBody(connection.stream, connection.buffer, parser, limits_.silenceTimeout, sink, completeness);
+    // A reset is reported once. If the write took it, reads return what has arrived and then the end of the stream, as if the backend
+    // server had closed the connection after its answer.
+    if (parser.need_eof() && connection.hasWriteFailed)
+        throw ConnectionLostError(ResultCode::AnswerCut, Ran::Yes, "The connection failed while the request was written, so the end of an answer without a length is not known");
     if (!completeness.isComplete())
         throw Error(ResultCode::AnswerCut, Ran::Yes, "The backend server's stream ended before its end");
     if (!parser.keep_alive())
--- a/Libraries/LibHTTP/Backends/BackendConnection.h
+++ b/Libraries/LibHTTP/Backends/BackendConnection.h
@@ -18,6 +18,8 @@
     TimePoint trustedUntil {};
     /// Whether an earlier request was sent on it.
     bool isReused { false };
+    /// Whether writing a request failed. The connection is broken, and the write may have taken the error that a read would report.
+    bool hasWriteFailed { false };
 };
 
 using BackendConnectionPointer = std::unique_ptr<BackendConnection>;
--- a/Libraries/LibHTTP/Backends/IdleConnectionPool.cpp
+++ b/Libraries/LibHTTP/Backends/IdleConnectionPool.cpp
@@ -16,7 +16,7 @@
 
 void IdleConnectionPool::keep(TimePoint now, const Endpoint& endpoint, BackendConnectionPointer connection)
 {
-    if (!connection->stream.socket().is_open() || connection->buffer.size() > 0 || limits_.total == 0)
+    if (!connection->stream.socket().is_open() || connection->hasWriteFailed || connection->buffer.size() > 0 || limits_.total == 0)
         return;
     const auto found = state_->byEndpoint.find(endpoint);
     if (found != state_->byEndpoint.end() && found->second.size() >= limits_.perServer)
--- a/Tests/LibHTTP/BackendClientTest.cpp
+++ b/Tests/LibHTTP/BackendClientTest.cpp
@@ -5,6 +5,7 @@
 #include <LibHTTP/Backends/AnswerBoundError.h>
 #include <LibHTTP/Backends/BackendClient.h>
 #include <LibHTTP/Backends/InvalidAnswerError.h>
+#include <Tests/Support/EarlyAnswerServer.h>
 #include <Tests/Support/EndlessServer.h>
 #include <Tests/Support/RecordingSink.h>
 #include <Tests/Support/ScriptedServer.h>
@@ -18,6 +19,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using Testing::EarlyAnswerServer;
 using Testing::EndlessServer;
 using Testing::RecordingSink;
 using Testing::ScriptedServer;
@@ -97,7 +99,9 @@
     }
 
     Asio::io_context context_ { 1 };
-    BackendClient client_ { { 1s, 10s }, openAiBackendDialect() };
+    /// Idle connections that were reported as closed before their time.
+    std::size_t closedEarly_ { 0 };
+    BackendClient client_ { { 1s, 10s }, openAiBackendDialect(), nullptr, [this](const Endpoint&) { ++closedEarly_; } };
     BackendServer record_;
     GatewayRequest request_;
     /// Whether the last error says that what came was no answer.
@@ -256,4 +260,53 @@
     EXPECT_FALSE(endless.isExhausted());
 }
 
+// Guards against a part of an answer that passes for the whole one: the write of the request reports the reset of the connection, after
+// which the connection looks as if its end had been announced.
+TEST_F(BackendClientTest, AnAnswerWithoutLengthWhoseConnectionIsResetIsCut)
+{
+    using Then = EarlyAnswerServer::Then;
+    const std::vector<std::string> answers {
+        "HTTP/1.1 200 OK\r\n\r\npart",
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: [DONE]\n\n",
+        "HTTP/1.0 200 OK\r\n\r\n",
+    };
+    request_.body = std::string(EarlyAnswerServer::largeBody, 'p');
+    for (const auto then : { Then::Reset, Then::EndAndReset, Then::ReadAndReset }) {
+        for (const auto& answer : answers) {
+            EarlyAnswerServer server(context_, answer, then);
+            RecordingSink sink;
+            const auto failure = send(server, sink);
+            EXPECT_FALSE(sink.hasEnded) << static_cast<int>(then) << answer;
+            EXPECT_TRUE(failure) << static_cast<int>(then) << answer;
+            if (!failure)
+                continue;
+            EXPECT_EQ(failure->code(), ResultCode::AnswerCut) << failure->what();
+            EXPECT_EQ(failure->ran(), Ran::Yes) << failure->what();
+        }
+    }
+}
+
+// Guards against a server's reason for refusing a long request that is lost since the rest of the request can't be written.
+TEST_F(BackendClientTest, AnAnswerThatSaysWhereItEndsIsWholeThoughItsRequestWasCut)
+{
+    const std::vector<std::string> bodies {
+        "Content-Length: 2\r\n\r\nok",
+        "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+    };
+    request_.body = std::string(EarlyAnswerServer::largeBody, 'p');
+    for (const auto& body : bodies) {
+        EarlyAnswerServer server(context_, "HTTP/1.1 413 Payload Too Large\r\n" + body, EarlyAnswerServer::Then::Reset);
+        for (const std::size_t connections : { 1U, 2U }) {
+            RecordingSink sink;
+            EXPECT_FALSE(send(server, sink)) << body;
+            EXPECT_TRUE(sink.hasEnded) << body;
+            EXPECT_EQ(sink.head.status, 413U) << body;
+            EXPECT_EQ(sink.body, "ok") << body;
+            // The connection of the cut request is not used again.
+            EXPECT_EQ(server.connections(), connections) << body;
+        }
+    }
+    EXPECT_EQ(closedEarly_, 0U);
+}
+
 } // namespace Ibisturn
--- a/Tests/Platform/RoutedCallerTest.cpp
+++ b/Tests/Platform/RoutedCallerTest.cpp
@@ -4,6 +4,7 @@
 #include <LibHTTP/Backends/BackendDialectRegistry.h>
 #include <LibHTTP/Callers/CallerDialectRegistry.h>
 #include <LibHTTP/Callers/RoutedSession.h>
+#include <Tests/Support/EarlyAnswerServer.h>
 #include <Tests/Support/LoopbackInstance.h>
 #include <Tests/Support/ScriptedServer.h>
 #include <Tests/Support/SlowServer.h>
@@ -452,4 +453,26 @@
     EXPECT_TRUE(received.starts_with("HTTP/1.1 200 ")) << received;
 }
 
+// Guards against a caller who gets a part of an answer as the whole one, because its server was reset while the request was written.
+TEST_F(RoutedCallerTest, AnAnswerWithoutLengthWhoseServerIsResetDuringTheUploadIsNotWhole)
+{
+    using Then = EarlyAnswerServer::Then;
+    const std::vector<std::pair<AnswerForm, std::string>> answers {
+        { AnswerForm::Whole, answerHead("") + "part" },
+        { AnswerForm::EventStream, answerHead("Content-Type: text/event-stream\r\n") + "id: 1\ndata: a\n\n" },
+    };
+    const auto upload = requestHead(fmt::format("Content-Length: {}\r\n", EarlyAnswerServer::largeBody)) + std::string(EarlyAnswerServer::largeBody, 'p');
+    for (const auto& [form, text] : answers) {
+        configure(Repeatability::NonIdempotent, form);
+        for (const auto then : { Then::Reset, Then::EndAndReset, Then::ReadAndReset }) {
+            EarlyAnswerServer server(context_, text, then);
+            setServers({ server.endpoint() });
+            const auto answer = exchange(upload);
+            EXPECT_FALSE(answer.empty()) << static_cast<int>(then) << text;
+            EXPECT_FALSE(answer.ends_with("0\r\n\r\n")) << static_cast<int>(then) << text << "\n-> " << answer;
+            EXPECT_EQ(server.requests(), 1U) << static_cast<int>(then) << text;
+        }
+    }
+}
+
 } // namespace Ibisturn::Testing
