--- a/Tests/LibHTTP/BackendClientTest.cpp
+++ b/Tests/LibHTTP/BackendClientTest.cpp
@@ -286,6 +286,17 @@
     }
 }
 
+TEST_F(BackendClientTest, AnAnswerWithoutLengthWhoseConnectionIsResetAfterAShortUploadIsCut)
+{
+    request_.body = "short";
+    EarlyAnswerServer server(context_, "HTTP/1.1 200 OK\r\n\r\npart", EarlyAnswerServer::Then::Reset);
+    RecordingSink sink;
+    const auto failure = send(server, sink);
+    EXPECT_FALSE(sink.hasEnded);
+    ASSERT_TRUE(failure);
+    EXPECT_EQ(failure->code(), ResultCode::AnswerCut) << failure->what();
+}
+
 // Guards against a server's reason for refusing a long request that is lost since the rest of the request can't be written.
 TEST_F(BackendClientTest, AnAnswerThatSaysWhereItEndsIsWholeThoughItsRequestWasCut)
 {
@@ -309,4 +320,24 @@
     EXPECT_EQ(closedEarly_, 0U);
 }
 
+// Guards against refusing sound answers of servers that answer before they have read the whole request.
+TEST_F(BackendClientTest, AnEarlyAnswerIsWholeIfTheRequestIsReadToItsEnd)
+{
+    using Then = EarlyAnswerServer::Then;
+    request_.body = std::string(EarlyAnswerServer::largeBody, 'p');
+    EarlyAnswerServer closing(context_, "HTTP/1.1 200 OK\r\n\r\nok", Then::ReadAndClose);
+    RecordingSink whole;
+    EXPECT_FALSE(send(closing, whole));
+    EXPECT_TRUE(whole.hasEnded);
+    EXPECT_EQ(whole.body, "ok");
+    EarlyAnswerServer readingOn(context_, completeAnswer, Then::ReadOn);
+    for (int count = 0; count < 2; ++count) {
+        RecordingSink sink;
+        EXPECT_FALSE(send(readingOn, sink));
+        EXPECT_EQ(sink.body, "ok");
+    }
+    EXPECT_EQ(readingOn.requests(), 2U);
+    EXPECT_EQ(readingOn.connections(), 1U);
+}
+
 } // namespace Ibisturn
--- a/Tests/LibHTTP/ForwardedAnswerTest.cpp
+++ b/Tests/LibHTTP/ForwardedAnswerTest.cpp
@@ -76,4 +76,16 @@
     EXPECT_GE(server.requests(), 1U);
 }
 
+// Guards against refusing what a server answers before it has read the whole request.
+TEST_F(ForwardedAnswerTest, AnAnswerThatSaysWhereItEndsIsWholeThoughItsRequestWasCut)
+{
+    EarlyAnswerServer server(serverThread_.context(), "HTTP/1.1 413 Payload Too Large\r\nContent-Length: 2\r\n\r\nok", EarlyAnswerServer::Then::Reset);
+    setServer(server.endpoint());
+    serverThread_.start();
+    const auto answer = exchange(EarlyAnswerServer::largeBody);
+    serverThread_.stop();
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 413")) << answer;
+    EXPECT_TRUE(answer.ends_with("\r\n\r\nok")) << answer;
+}
+
 } // namespace Ibisturn::Testing
