LibHTTP, LibKernel, platform: Treat an answer whose status is not one of HTTP as invalid

Callers got answers with the status 600 or 999 from a backend server in trouble. An answer with the status 000 and the platform's header for requests that did not run counted as a proof: the request was sent to a second server, and its caller was told that it had not run. Without the header the platform's dialect refused 000 already. On a server with the OpenAI API, 000 passed for an interim answer: the request waited for another one until its timeout, or got whatever bytes followed. Across two instances the receiver relayed 600 and the origin refused the head, after which the request was repeated.

The cause: Beast takes any three digits for a status, and each dialect judged it by itself, or not at all. isHttpStatus() and isFinalStatus() now say which statuses there are. BackendClient refuses all others before a dialect reads the head, so a dialect never judges them, and no load or other report of such an answer is used. Peers and the client for stores and reports use the same functions; HttpClient took any status, and its watch of the store read the lines of any reply.

Such answers count as ibisturn_answers_invalid_total, and the existing log line of the attempt gives the reason.

Ruled out: other texts than three digits ("20", "2000", "-20", "2x0"); the parser refuses them, now by a test. The origin refuses a head of a peer with another status already.

--- a/Libraries/LibHTTP/Backends/BackendClient.cpp
+++ b/Libraries/LibHTTP/Backends/BackendClient.cpp
@@ -194,6 +194,8 @@
         throw InvalidAnswerError(ResultCode::OutcomeUnknown, Ran::Unknown, "The backend server's answer is not valid HTTP");
     if (error)
         throw Error(ResultCode::OutcomeUnknown, Ran::Unknown, "The backend server's answer could not be read: " + error.message());
+    if (!isHttpStatus(parser.get().result_int()))
+        throw InvalidAnswerError(ResultCode::OutcomeUnknown, Ran::Unknown, "The status of the backend server's answer is not one of HTTP");
 }
 
 Task<void> BackendClient::relayAnswer(Connection& connection, const BackendServer& server, AnswerParser& parser, const AnswerHeadInfo& headInfo, AnswerSink& sink)
--- a/Libraries/LibHTTP/Backends/BackendDialect.h
+++ b/Libraries/LibHTTP/Backends/BackendDialect.h
@@ -56,7 +56,8 @@
     /// Makes the HTTP message that carries `request` to `server`. Its body refers to that of `request`, which must outlive it.
     virtual Request makeRequest(const BackendServer& server, const GatewayRequest& request, TimePoint now) const = 0;
 
-    /// Reads the head of an answer on a connection to which `request` was written.
+    /// Reads the head of an answer on a connection to which `request` was written. Precondition: its status is one of HTTP, from 100
+    /// to 599.
     virtual AnswerHeadInfo readAnswer(const AnswerFields& answer, const GatewayRequest& request) const = 0;
 };
 
--- a/Libraries/LibHTTP/Backends/InvalidAnswerError.h
+++ b/Libraries/LibHTTP/Backends/InvalidAnswerError.h
@@ -4,7 +4,7 @@
 
 namespace Ibisturn {
 
-/// What came in place of an answer is not valid HTTP.
+/// What came in place of an answer is not valid HTTP, or not valid in the dialect of the backend server.
 class InvalidAnswerError final : public Error {
 public:
     using Error::Error;
--- a/Libraries/LibHTTP/Backends/OpenAiBackendDialect.cpp
+++ b/Libraries/LibHTTP/Backends/OpenAiBackendDialect.cpp
@@ -1,5 +1,7 @@
 #include <LibHTTP/Backends/BackendDialect.h>
 
+#include <LibKernel/HttpLimits.h>
+
 namespace Ibisturn {
 
 namespace Http = boost::beast::http;
@@ -7,7 +9,6 @@
 namespace {
 
 constexpr int httpVersion11 = 11;
-constexpr unsigned firstFinalStatus = 200;
 
 class OpenAiBackendDialect final : public BackendDialect {
 public:
@@ -33,7 +34,7 @@
     {
         AnswerHeadInfo headInfo;
         // An interim answer precedes the answer.
-        if (answer.result_int() < firstFinalStatus)
+        if (!isFinalStatus(answer.result_int()))
             headInfo.kind = AnswerKind::Stray;
         headInfo.needsTerminalEvent = true;
         return headInfo;
--- a/Libraries/LibHTTP/Peers/PeerClient.cpp
+++ b/Libraries/LibHTTP/Peers/PeerClient.cpp
@@ -4,6 +4,7 @@
 #include <LibHTTP/Backends/AnswerBoundError.h>
 #include <LibHTTP/Callers/SocketWatch.h>
 #include <LibHTTP/Peers/ForwardedRequest.h>
+#include <LibKernel/HttpLimits.h>
 
 #include <algorithm>
 #include <utility>
@@ -41,9 +42,7 @@
 
 AnswerHead readHead(const AnswerHeadMessage& message)
 {
-    constexpr std::uint32_t minStatus = 200;
-    constexpr std::uint32_t maxStatus = 599;
-    if (message.status < minStatus || message.status > maxStatus || !isHeaderText(message.contentType))
+    if (!isFinalStatus(message.status) || !isHeaderText(message.contentType))
         throw Error(ResultCode::OutcomeUnknown, Ran::Unknown, "The peer sent an answer's head that HTTP does not allow");
     AnswerHead head;
     head.status = message.status;
--- a/Libraries/LibHTTP/Requests/RequestRunner.cpp
+++ b/Libraries/LibHTTP/Requests/RequestRunner.cpp
@@ -379,6 +379,7 @@
             tables_.metrics.increment("ibisturn_answers_over_bound_total");
             failure = AttemptFailure { error, false, RanProof::None, false, true };
         } catch (const InvalidAnswerError& error) {
+            tables_.metrics.increment("ibisturn_answers_invalid_total");
             failure = AttemptFailure { error, false, RanProof::None, false, true };
         } catch (const ConnectionLostError& error) {
             failure = AttemptFailure { error, false, RanProof::None, true };
--- a/Libraries/LibKernel/HttpClient.cpp
+++ b/Libraries/LibKernel/HttpClient.cpp
@@ -84,6 +84,8 @@
     parser.body_limit(call.replyLimit.count());
     boost::system::error_code error;
     co_await Http::async_read_header(stream, buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
+    if (!error && !isFinalStatus(parser.get().result_int()))
+        error = Http::error::bad_status;
     stream.expires_after(call.timeout);
     std::size_t received = 0;
     while (!error && !parser.is_done()) {
@@ -111,6 +113,8 @@
     Http::response_parser<Http::buffer_body> parser;
     parser.body_limit(unlimitedBody);
     co_await Http::async_read_header(stream, buffer, parser, Asio::use_awaitable);
+    if (!isFinalStatus(parser.get().result_int()))
+        throw boost::system::system_error(make_error_code(Http::error::bad_status));
     std::array<char, lineReadBytes> part {};
     std::string pending;
     while (!parser.is_done()) {
--- a/Libraries/LibKernel/HttpClient.h
+++ b/Libraries/LibKernel/HttpClient.h
@@ -35,11 +35,12 @@
 };
 
 /// Makes one call on a new connection, without retries.
-/// Throws boost::system::system_error, with body_limit or buffer_overflow if the reply is too large. Thread safety: the worker that runs the coroutine.
+/// Throws boost::system::system_error, with body_limit or buffer_overflow if the reply is too large and with
+/// bad_status if its status is not that of an answer. Thread safety: the worker that runs the coroutine.
 Task<HttpReply> exchangeHttp(HttpCall call);
 
 /// Makes one call and passes each line of its answer to `onLine` until the answer ends. Throws boost::system::system_error, with
-/// body_limit or buffer_overflow if a line or a chunk header is too long.
+/// body_limit or buffer_overflow if a line or a chunk header is too long and bad_status if the status is not that of an answer.
 /// Thread safety: the worker that runs the coroutine.
 Task<void> readHttpLines(HttpCall call, std::function<void(std::string_view)> onLine);
 
--- a/Libraries/LibKernel/HttpLimits.h
+++ b/Libraries/LibKernel/HttpLimits.h
@@ -13,6 +13,21 @@
 /// keeps both in the buffer until they are complete.
 constexpr std::size_t maxUnparsedBytes = 64UL * 1024;
 
+/// Whether `status` is one of HTTP. Beast takes any three digits for a status.
+constexpr bool isHttpStatus(std::uint32_t status)
+{
+    constexpr std::uint32_t first = 100;
+    constexpr std::uint32_t last = 599;
+    return status >= first && status <= last;
+}
+
+/// Whether `status` is that of an answer, and not that of an interim answer, which precedes one.
+constexpr bool isFinalStatus(std::uint32_t status)
+{
+    constexpr std::uint32_t first = 200;
+    return isHttpStatus(status) && status >= first;
+}
+
 /// The limit of a buffer for messages whose heads have at most `headLimit` bytes.
 constexpr std::size_t receiveBufferLimit(std::size_t headLimit)
 {
--- a/Tests/LibHTTP/BackendClientTest.cpp
+++ b/Tests/LibHTTP/BackendClientTest.cpp
@@ -340,4 +340,21 @@
     EXPECT_EQ(readingOn.connections(), 1U);
 }
 
+// Guards against a caller who gets bytes that are no answer of the protocol as one.
+TEST_F(BackendClientTest, AnAnswerWithAnInvalidStatusIsInvalid)
+{
+    for (const auto* status : { "000", "001", "099", "600", "700", "999", "20", "2000", "-20", "+20", "2x0", "" }) {
+        ScriptedServer server(context_, { fmt::format("HTTP/1.1 {} OK\r\nContent-Length: 2\r\n\r\nok", status) + completeAnswer });
+        RecordingSink sink;
+        const auto failure = send(server, sink);
+        ASSERT_TRUE(failure) << status;
+        EXPECT_EQ(failure->ran(), Ran::Unknown) << status;
+        EXPECT_TRUE(isSpoiled_) << status << failure->what();
+        EXPECT_EQ(sink.head.status, AnswerHead().status) << status;
+        EXPECT_FALSE(sink.hasEnded) << status;
+        while (server.closedByClient() == 0)
+            context_.run_one();
+    }
+}
+
 } // namespace Ibisturn
--- a/Tests/LibHTTP/ForwardedAnswerTest.cpp
+++ b/Tests/LibHTTP/ForwardedAnswerTest.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/SteadyClock.h>
 #include <Tests/Support/EarlyAnswerServer.h>
 #include <Tests/Support/LoopbackInstance.h>
 #include <Tests/Support/LoopbackRecords.h>
@@ -8,12 +9,12 @@
 #include <string>
 
 #include <gtest/gtest.h>
-#include <sys/socket.h>
 
 namespace Ibisturn::Testing {
 
 namespace {
 
+using namespace std::chrono_literals;
 using Tcp = Asio::ip::tcp;
 
 /// Sends requests to an instance that forwards them to the instance in the region of the only backend server.
@@ -45,8 +46,6 @@
         Asio::io_context context;
         Tcp::socket socket(context);
         socket.connect({ Asio::ip::make_address(origin_.member().callers.address), origin_.member().callers.port });
-        const timeval timeout { 10, 0 };
-        ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
         const auto head = fmt::format(
             "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {}\r\nConnection: close\r\nContent-Length: {}\r\n\r\n", callerKey, body.size());
         Asio::write(socket, Asio::buffer(head + body));
@@ -61,6 +60,10 @@
     LoopbackInstance receiver_;
 };
 
+/// With the status of the answer.
+class ForwardedStatusTest : public ForwardedAnswerTest, public testing::WithParamInterface<const char*> {
+};
+
 } // namespace
 
 // Guards against a part of an answer that passes for the whole one behind another instance.
@@ -88,4 +91,23 @@
     EXPECT_TRUE(answer.ends_with("\r\n\r\nok")) << answer;
 }
 
+// Guards against a caller who gets bytes that are no answer of the protocol as one behind another instance.
+TEST_P(ForwardedStatusTest, AnAnswerWithAnInvalidStatusIsNotRelayed)
+{
+    const auto text = fmt::format("HTTP/1.1 {} Trouble\r\nContent-Length: 2\r\n\r\nok", GetParam());
+    ScriptedServer server(serverThread_.context(), { text, text, text });
+    setServer(server.endpoint());
+    serverThread_.start();
+    const auto startedAt = SteadyClock().now();
+    const auto answer = exchange(100);
+    EXPECT_LT(SteadyClock().now() - startedAt, 10s) << "the request waits for another answer";
+    serverThread_.stop();
+    // The route permits a retry, for which there is no other server.
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 503")) << answer;
+    EXPECT_NE(answer.find("\"ran\":\"unknown\""), std::string::npos) << answer;
+    EXPECT_EQ(server.requests(), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Statuses, ForwardedStatusTest, testing::Values("000", "099", "600", "999"));
+
 } // namespace Ibisturn::Testing
--- a/Tests/LibKernel/HttpClientTest.cpp
+++ b/Tests/LibKernel/HttpClientTest.cpp
@@ -139,4 +139,20 @@
     }
 }
 
+// Guards against bytes that are no reply of the protocol which pass for one of a store or a server that reports its load.
+TEST(HttpClient, AReplyWithAnInvalidStatusFailsTheCall)
+{
+    for (const auto* status : { "000", "099", "100", "199", "600", "999", "20", "2000" }) {
+        const auto head = fmt::format("HTTP/1.1 {} OK\r\nTransfer-Encoding: chunked\r\n\r\n", status);
+        for (const bool isLines : { false, true }) {
+            Asio::io_context context(1);
+            EndlessServer server(context, head + "3\r\nok\n\r\n0\r\n\r\n", "\r\n");
+            std::size_t lines = 0;
+            const auto error = isLines ? errorOf(context, readHttpLines(callTo(server), [&lines](std::string_view) { ++lines; })) : errorOf(context, exchangeHttp(callTo(server)));
+            EXPECT_EQ(error, make_error_code(boost::beast::http::error::bad_status)) << status << error.message();
+            EXPECT_EQ(lines, 0U) << status;
+        }
+    }
+}
+
 } // namespace Ibisturn
--- a/Tests/Platform/DialectsTest.cpp
+++ b/Tests/Platform/DialectsTest.cpp
@@ -247,4 +247,11 @@
     EXPECT_EQ(dialect->answer("/else", source).status, 404U);
 }
 
+// Guards against an answer that proves that a request did not run by a header beside a status that no answer has.
+TEST_F(ReplicaDialectTest, AnAnswerThatIsNotFinalProvesNothing)
+{
+    for (const unsigned status : { 0U, 99U, 100U, 103U, 199U })
+        EXPECT_EQ(read(status, { { "X-Ibisturn-Request-Id", "id-1" }, { "X-Ibisturn-Not-Executed", "1" } }).kind, AnswerKind::Invalid) << status;
+}
+
 } // namespace Ibisturn::Testing
--- a/Tests/Platform/RoutedCallerTest.cpp
+++ b/Tests/Platform/RoutedCallerTest.cpp
@@ -475,4 +475,22 @@
     }
 }
 
+// Guards against a caller who gets bytes that are no answer of the protocol as one, and against a second run of a request on the word of
+// such bytes.
+TEST_F(RoutedCallerTest, AnAnswerWithAnInvalidStatusIsNeitherRelayedNorAProofThatTheRequestDidNotRun)
+{
+    for (const auto* status : { "000", "099", "100", "199", "600", "999" }) {
+        for (const auto* header : { "", "X-Ibisturn-Not-Executed: 1\r\n" }) {
+            const auto text = fmt::format("HTTP/1.1 {} Trouble\r\nX-Ibisturn-Request-Id: r1\r\nX-Ibisturn-Server-Seal: s\r\n{}Content-Length: 2\r\n\r\nok", status, header);
+            ScriptedServer first(context_, { text, text });
+            ScriptedServer second(context_, { text, text });
+            setServers({ first.endpoint(), second.endpoint() });
+            const auto answer = exchange(request);
+            EXPECT_TRUE(answer.starts_with("HTTP/1.1 502")) << text << "\n-> " << answer;
+            EXPECT_EQ(first.requests() + second.requests(), 1U) << text;
+        }
+    }
+    EXPECT_NE(tables_.metrics.render().find("ibisturn_answers_invalid_total 12"), std::string::npos) << tables_.metrics.render();
+}
+
 } // namespace Ibisturn::Testing
