Tests: Cover heads with an invalid status from a peer

The test guards the origin of a request against a head that another instance relays, such as one of an older version that takes any status of a backend server.

--- a/Tests/LibHTTP/PeerClientTest.cpp
+++ b/Tests/LibHTTP/PeerClientTest.cpp
@@ -340,4 +340,14 @@
     EXPECT_EQ(address.connections(), 3U);
 }
 
+// Guards against a caller who gets a head from another instance that is none of an answer.
+TEST_F(PeerClientTest, HeadWithAnInvalidStatusEndsTheConnection)
+{
+    for (const std::uint32_t status : { 0U, 99U, 100U, 199U, 600U, 999U, 65'736U }) {
+        RecordingSink sink;
+        expectCut({ { FrameOf::Request, AnswerHeadMessage { status, "text/plain", false, {}, -1 } }, { FrameOf::Request, AnswerEndMessage {} } }, sink);
+        EXPECT_EQ(sink.head.status, AnswerHead().status) << status;
+    }
+}
+
 } // namespace Ibisturn
