--- a/Libraries/LibHTTP/Backends/BackendConnection.h
+++ b/Libraries/LibHTTP/Backends/BackendConnection.h
@@ -22,6 +22,8 @@
     bool isReused { false };
     /// The process at the other end; unset if it was not asked.
     std::optional<ServerProcess> process;
+    /// Whether writing a request failed. The connection is broken, and the write may have taken the error that a read would report.
+    bool hasWriteFailed { false };
 };
 
 using BackendConnectionPointer = std::unique_ptr<BackendConnection>;
--- a/Libraries/LibHTTP/Backends/BackendDialect.h
+++ b/Libraries/LibHTTP/Backends/BackendDialect.h
@@ -62,7 +62,8 @@
     /// Reads the start time of the process from the answer's body; unset if it does not say.
     virtual std::optional<StartTime> readProcess(std::string_view /*body*/) const { return std::nullopt; }
 
-    /// Reads the head of an answer on a connection to which `request` was written.
+    /// Reads the head of an answer on a connection to which `request` was written. Precondition: its status is one of HTTP, from 100
+    /// to 599.
     virtual AnswerHeadInfo readAnswer(const AnswerFields& answer, const GatewayRequest& request) const = 0;
 };
 
--- a/Tests/LibHTTP/BackendClientTest.cpp
+++ b/Tests/LibHTTP/BackendClientTest.cpp
@@ -5,6 +5,7 @@
 #include <LibHTTP/Backends/AnswerBoundError.h>
 #include <LibHTTP/Backends/BackendClient.h>
 #include <LibHTTP/Backends/InvalidAnswerError.h>
+#include <Tests/Support/EarlyAnswerServer.h>
 #include <Tests/Support/EndlessServer.h>
 #include <Tests/Support/RecordingSink.h>
 #include <Tests/Support/ScriptedServer.h>
@@ -18,6 +19,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using Testing::EarlyAnswerServer;
 using Testing::EndlessServer;
 using Testing::RecordingSink;
 using Testing::ScriptedServer;
@@ -90,7 +92,7 @@
     }
 
     explicit BackendClientTest(const BackendDialect& dialect = openAiBackendDialect())
-        : client_({ 1s, 10s }, dialect)
+        : client_({ 1s, 10s }, dialect, nullptr, [this](const Endpoint&) { ++closedEarly_; })
     {
         request_.method = "POST";
         request_.target = "/v1/completions";
@@ -99,6 +101,8 @@
     }
 
     Asio::io_context context_ { 1 };
+    /// Idle connections that were reported as closed before their time.
+    std::size_t closedEarly_ { 0 };
     BackendClient client_;
     BackendServer record_;
     GatewayRequest request_;
@@ -388,4 +392,101 @@
     EXPECT_FALSE(endless.isExhausted());
 }
 
+// Guards against a part of an answer that passes for the whole one: the write of the request reports the reset of the connection, after
+// which the connection looks as if its end had been announced.
+TEST_F(BackendClientTest, AnAnswerWithoutLengthWhoseConnectionIsResetIsCut)
+{
+    using Then = EarlyAnswerServer::Then;
+    const std::vector<std::string> answers {
+        "HTTP/1.1 200 OK\r\n\r\npart",
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: [DONE]\n\n",
+        "HTTP/1.0 200 OK\r\n\r\n",
+    };
+    request_.body = std::string(EarlyAnswerServer::largeBody, 'p');
+    for (const auto then : { Then::Reset, Then::EndAndReset, Then::ReadAndReset }) {
+        for (const auto& answer : answers) {
+            EarlyAnswerServer server(context_, answer, then);
+            RecordingSink sink;
+            const auto failure = send(server, sink);
+            EXPECT_FALSE(sink.hasEnded) << static_cast<int>(then) << answer;
+            EXPECT_TRUE(failure) << static_cast<int>(then) << answer;
+            if (!failure)
+                continue;
+            EXPECT_EQ(failure->code(), ResultCode::AnswerCut) << failure->what();
+            EXPECT_EQ(failure->ran(), Ran::Yes) << failure->what();
+        }
+    }
+}
+
+TEST_F(BackendClientTest, AnAnswerWithoutLengthWhoseConnectionIsResetAfterAShortUploadIsCut)
+{
+    request_.body = "short";
+    EarlyAnswerServer server(context_, "HTTP/1.1 200 OK\r\n\r\npart", EarlyAnswerServer::Then::Reset);
+    RecordingSink sink;
+    const auto failure = send(server, sink);
+    EXPECT_FALSE(sink.hasEnded);
+    ASSERT_TRUE(failure);
+    EXPECT_EQ(failure->code(), ResultCode::AnswerCut) << failure->what();
+}
+
+// Guards against a server's reason for refusing a long request that is lost since the rest of the request can't be written.
+TEST_F(BackendClientTest, AnAnswerThatSaysWhereItEndsIsWholeThoughItsRequestWasCut)
+{
+    const std::vector<std::string> bodies {
+        "Content-Length: 2\r\n\r\nok",
+        "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+    };
+    request_.body = std::string(EarlyAnswerServer::largeBody, 'p');
+    for (const auto& body : bodies) {
+        EarlyAnswerServer server(context_, "HTTP/1.1 413 Payload Too Large\r\n" + body, EarlyAnswerServer::Then::Reset);
+        for (const std::size_t connections : { 1U, 2U }) {
+            RecordingSink sink;
+            EXPECT_FALSE(send(server, sink)) << body;
+            EXPECT_TRUE(sink.hasEnded) << body;
+            EXPECT_EQ(sink.head.status, 413U) << body;
+            EXPECT_EQ(sink.body, "ok") << body;
+            // The connection of the cut request is not used again.
+            EXPECT_EQ(server.connections(), connections) << body;
+        }
+    }
+    EXPECT_EQ(closedEarly_, 0U);
+}
+
+// Guards against refusing sound answers of servers that answer before they have read the whole request.
+TEST_F(BackendClientTest, AnEarlyAnswerIsWholeIfTheRequestIsReadToItsEnd)
+{
+    using Then = EarlyAnswerServer::Then;
+    request_.body = std::string(EarlyAnswerServer::largeBody, 'p');
+    EarlyAnswerServer closing(context_, "HTTP/1.1 200 OK\r\n\r\nok", Then::ReadAndClose);
+    RecordingSink whole;
+    EXPECT_FALSE(send(closing, whole));
+    EXPECT_TRUE(whole.hasEnded);
+    EXPECT_EQ(whole.body, "ok");
+    EarlyAnswerServer readingOn(context_, completeAnswer, Then::ReadOn);
+    for (int count = 0; count < 2; ++count) {
+        RecordingSink sink;
+        EXPECT_FALSE(send(readingOn, sink));
+        EXPECT_EQ(sink.body, "ok");
+    }
+    EXPECT_EQ(readingOn.requests(), 2U);
+    EXPECT_EQ(readingOn.connections(), 1U);
+}
+
+// Guards against a caller who gets bytes that are no answer of the protocol as one.
+TEST_F(BackendClientTest, AnAnswerWithAnInvalidStatusIsInvalid)
+{
+    for (const auto* status : { "000", "001", "099", "600", "700", "999", "20", "2000", "-20", "+20", "2x0", "" }) {
+        ScriptedServer server(context_, { fmt::format("HTTP/1.1 {} OK\r\nContent-Length: 2\r\n\r\nok", status) + completeAnswer });
+        RecordingSink sink;
+        const auto failure = send(server, sink);
+        ASSERT_TRUE(failure) << status;
+        EXPECT_EQ(failure->ran(), Ran::Unknown) << status;
+        EXPECT_TRUE(isSpoiled_) << status << failure->what();
+        EXPECT_EQ(sink.head.status, AnswerHead().status) << status;
+        EXPECT_FALSE(sink.hasEnded) << status;
+        while (server.closedByClient() == 0)
+            context_.run_one();
+    }
+}
+
 } // namespace Ibisturn
