FleetControlPlane: Read the notes of streams also while the ledger proves nothing, and keep those of failed writes

- After the store had come back from an older copy, each process that starts proves nothing for the lifetime of a stream, and did not read the notes in the store in that time, so that all resumptions after a kill of all were refused.
Notes are written and read then, too.
- Notes whose write failed were dropped.
They are written again with the next ones.
- A read could overlap the next one, and the number of entries grew with the longest timeout of routes.
One read at a time; the lifetime that counts is a minute at most.

--- a/Libraries/LibDecision/Streams/VersionLedger.cpp
+++ b/Libraries/LibDecision/Streams/VersionLedger.cpp
@@ -116,9 +116,14 @@
     proofRequestedAt_ = now;
 }
 
+bool VersionLedger::isProofRequested(TimePoint now) const
+{
+    return proofRequestedAt_ && now - *proofRequestedAt_ <= proofTimeout;
+}
+
 bool VersionLedger::needsRead(TimePoint now) const
 {
-    if (!proofRequestedAt_ || now - *proofRequestedAt_ > proofTimeout || isReading_ || now < nextReadAt_)
+    if (!isProofRequested(now) || isReading_ || now < nextReadAt_)
         return false;
     const bool isAnswered = lastReadStartedAt_ && *lastReadStartedAt_ >= *proofRequestedAt_;
     return !isAnswered && !isHistoryLost(now);
--- a/Libraries/LibDecision/Streams/VersionLedger.h
+++ b/Libraries/LibDecision/Streams/VersionLedger.h
@@ -79,6 +79,9 @@
     /// A resumption waits for a proof, so the records must be read from the store. Lapses after about a second.
     void requestProof(TimePoint now);
 
+    /// Whether a resumption has asked for a proof lately.
+    bool isProofRequested(TimePoint now) const;
+
     /// Whether the records should be read now. Each read must be reported by beginRead() and then onRead() or onReadFailed().
     bool needsRead(TimePoint now) const;
     void beginRead(TimePoint now);
--- a/Programs/ibisturn/FleetControlPlane.cpp
+++ b/Programs/ibisturn/FleetControlPlane.cpp
@@ -51,6 +51,9 @@
 
 /// A stream that began shortly before all instances end is not in the store; a shorter period costs more writes.
 constexpr Duration streamNotesWritePeriod = std::chrono::milliseconds(200);
+constexpr std::size_t maxUnwrittenStreamNotes = 4096;
+/// Bounds the entries of a region, of which there are five for each second of twice this time.
+constexpr Duration maxStoredNotesLifetime = std::chrono::seconds(60);
 /// Between two reads of the notes of streams by one instance: what other instances note arrives with their status.
 constexpr Duration streamNotesReadPause = std::chrono::seconds(2);
 /// One in this many writes of the notes of streams is logged.
@@ -366,6 +369,10 @@
         ledger.beginRead(now);
         spawnDetached(context_, readVersions(now), "software versions");
     }
+    if (ledger.isProofRequested(now) && needsStoredNotes() && now >= nextStreamNotesRead_ && !areStreamNotesBeingRead_) {
+        areStreamNotesBeingRead_ = true;
+        spawnDetached(context_, readStreamNotes(), "stream notes");
+    }
     tables_.metrics.set("ibisturn_software_version_records", static_cast<double>(ledger.recordCount()));
     auto listed = ledger.listed();
     if (listed == listedVersions_)
@@ -427,8 +434,6 @@
         const auto single = std::count_if(records.begin(), records.end(), [](const auto& record) { return record.second.listed.size() + record.second.retiring.size() == 1; });
         fleetLog.info("Read of software versions.", { { "outcome", "read" }, { "records", records.size() }, { "single", single }, { "revision", range.revision }, { "ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - startedAt).count() } });
         tables_.metrics.increment("ibisturn_software_version_reads_total{outcome=\"read\"}");
-        if (ledger.hasSeveralVersions() && now >= nextStreamNotesRead_)
-            co_await readStreamNotes();
     } catch (const std::exception& error) {
         ledger.onReadFailed(SteadyClock().now());
         fleetLog.info("Read of software versions.", { { "outcome", "failed" }, { "reason", error.what() } });
@@ -436,15 +441,23 @@
     }
 }
 
+// After the store has come back from an older copy, each process that starts proves nothing for a while, since it can't tell when that was.
+bool FleetControlPlane::needsStoredNotes() const
+{
+    return tables_.versionLedger.hasSeveralVersions() || store_.hasComeBack();
+}
+
 // While several versions may have begun streams, what the instances of a region noted would be lost if all of them ended at once. The first
 // collector has the notes of the region, so the number of writes does not grow with the number of instances.
 void FleetControlPlane::storeStreamNotes(TimePoint now)
 {
     const bool isDue = now >= nextStreamNotesWrite_ && !areStreamNotesBeingWritten_;
-    if (!isDue || statusExchange_.rank() != 0 || !tables_.versionLedger.hasSeveralVersions() || fleetState_.unavailableSince())
+    if (!isDue || statusExchange_.rank() != 0 || !needsStoredNotes() || fleetState_.unavailableSince())
         return;
     nextStreamNotesWrite_ = now + streamNotesWritePeriod;
     auto notes = statusExchange_.takeRegionNotes(now);
+    notes.insert(notes.end(), unwrittenStreamNotes_.begin(), unwrittenStreamNotes_.end());
+    unwrittenStreamNotes_.clear();
     if (notes.empty())
         return;
     areStreamNotesBeingWritten_ = true;
@@ -456,7 +469,7 @@
     const auto count = notes.size();
     std::string reason;
     try {
-        const auto lifetime = appliedSnapshot_ ? streamLifetimeOf(*appliedSnapshot_) : VersionLedger::defaultLifetime;
+        const auto lifetime = std::min(appliedSnapshot_ ? streamLifetimeOf(*appliedSnapshot_) : VersionLedger::defaultLifetime, maxStoredNotesLifetime);
         const auto now = SteadyClock().now();
         if (!streamNotesLease_ || now - streamNotesLeaseSince_ >= lifetime || streamNotesLease_->era != store_.era()) {
             streamNotesLease_ = co_await store_.grantLease(2 * lifetime);
@@ -466,9 +479,11 @@
         writes.push_back({ streamNotesKeyOf(tables_.settings.storePrefix, tables_.settings.identity.instance, incarnation_, number), formatStreamNotes(notes), std::nullopt, streamNotesLease_ });
         co_await store_.transact(std::move(writes));
     } catch (const std::exception& error) {
-        // The resumptions of these streams depend on the instances that have their notes.
         streamNotesLease_.reset();
         reason = error.what();
+        // What is too much depends on the instances that have the notes.
+        if (notes.size() <= maxUnwrittenStreamNotes)
+            unwrittenStreamNotes_ = std::move(notes);
     }
     areStreamNotesBeingWritten_ = false;
     const auto* outcome = reason.empty() ? "written" : "failed";
@@ -479,7 +494,6 @@
 
 Task<void> FleetControlPlane::readStreamNotes()
 {
-    nextStreamNotesRead_ = SteadyClock().now() + streamNotesReadPause;
     try {
         const StoreRange range = co_await store_.range(streamNotesPrefixOf(tables_.settings.storePrefix));
         std::size_t count = 0;
@@ -497,6 +511,8 @@
         fleetLog.info("Notes of streams not read.", { { "reason", error.what() } });
         tables_.metrics.increment("ibisturn_stream_notes_reads_total{outcome=\"failed\"}");
     }
+    nextStreamNotesRead_ = SteadyClock().now() + streamNotesReadPause;
+    areStreamNotesBeingRead_ = false;
 }
 
 void FleetControlPlane::lockColdServers(TimePoint now)
--- a/Programs/ibisturn/FleetControlPlane.h
+++ b/Programs/ibisturn/FleetControlPlane.h
@@ -73,6 +73,8 @@
     void storeStreamNotes(TimePoint now);
     Task<void> writeStreamNotes(std::vector<StreamNote> notes, std::uint64_t number);
     Task<void> readStreamNotes();
+    /// Whether notes are all that can tell which version began a stream if this and all other instances end.
+    bool needsStoredNotes() const;
     Task<void> deleteLocks(std::vector<StoredLock> locks);
     LocalStatus localStatus(TimePoint now) const;
     Member self() const;
@@ -109,6 +111,9 @@
     TimePoint nextStreamNotesWrite_ {};
     std::uint64_t streamNotesWritten_ { 0 };
     bool areStreamNotesBeingWritten_ { false };
+    bool areStreamNotesBeingRead_ { false };
+    /// Of writes that failed.
+    std::vector<StreamNote> unwrittenStreamNotes_;
     /// Under which this process writes notes of streams; another one is granted after the lifetime of a stream.
     std::optional<LeaseId> streamNotesLease_;
     TimePoint streamNotesLeaseSince_ {};
