Tests: Cover when the notes of streams are kept in the store, and asked for

Retiring versions count among several, and a proof that can't be given is still asked for, so that the notes are read.

--- a/Tests/LibDecision/VersionLedgerTest.cpp
+++ b/Tests/LibDecision/VersionLedgerTest.cpp
@@ -256,6 +256,18 @@
     EXPECT_FALSE(ledger_.needsRead(at(1400ms)));
 }
 
+// Decides whether the notes of streams are kept in the store, for what a single version does not prove.
+TEST_F(VersionLedgerTest, RetiringVersionsCountAmongSeveral)
+{
+    EXPECT_FALSE(ledger_.hasSeveralVersions());
+    know(0s, record({ v1 }, 7));
+    EXPECT_FALSE(ledger_.hasSeveralVersions());
+    know(1s, record({ v1 }, 8, { v2 }));
+    EXPECT_TRUE(ledger_.hasSeveralVersions());
+    know(2s, record({ v2 }, 9));
+    EXPECT_FALSE(ledger_.hasSeveralVersions());
+}
+
 // Guards against an older copy that lacks a version which had begun streams.
 TEST_F(VersionLedgerTest, NothingIsProvedUntilStreamsFromBeforeTheReturnHaveEnded)
 {
@@ -265,6 +277,9 @@
     ledger_.onHistoryLost(at(1s));
     ledger_.requestProof(at(2s));
     EXPECT_FALSE(ledger_.needsRead(at(2s)));
+    // The notes in the store can still tell.
+    EXPECT_TRUE(ledger_.isProofRequested(at(2s)));
+    EXPECT_FALSE(ledger_.isProofRequested(at(4s)));
     read(2s, { { model, older } }, inNextEra(5));
     // The first record of the era reports the loss once more.
     EXPECT_FALSE(ledger_.onlyVersion(model, at(2s)));
