--- a/Tests/LibHTTP/BackendClientTest.cpp
+++ b/Tests/LibHTTP/BackendClientTest.cpp
@@ -124,7 +124,7 @@
     static std::string processAnswer(int number) { return fmt::format("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n{}", number); }
 
     ProcessCheckTest()
-        : BackendClientTest(numberedProcesses_)
+        : BackendClientTest(numberedProcesses)
     {
         request_.needsProcess = true;
         request_.beforeSend = [this](const std::optional<ServerProcess>& process) {
@@ -134,12 +134,12 @@
         };
     }
 
-    static const NumberedProcessDialect numberedProcesses_;
+    static const NumberedProcessDialect numberedProcesses;
     std::vector<std::optional<StartTime>> processes_;
     bool rejects_ { false };
 };
 
-const NumberedProcessDialect ProcessCheckTest::numberedProcesses_;
+const NumberedProcessDialect ProcessCheckTest::numberedProcesses;
 
 } // namespace
 
