--- a/Libraries/LibHTTP/Callers/CallerCredentials.cpp
+++ b/Libraries/LibHTTP/Callers/CallerCredentials.cpp
@@ -1,30 +1,15 @@
 #include <LibHTTP/Callers/CallerCredentials.h>
 
 #include <LibCore/Digest.h>
+#include <LibCore/UriQuery.h>
 
 #include <cctype>
-#include <charconv>
 
 namespace Ibisturn {
 
 namespace {
 
 constexpr std::string_view bearer = "Bearer ";
-constexpr int hexadecimal = 16;
-
-std::string decodePercent(std::string_view text)
-{
-    std::string decoded;
-    for (std::size_t index = 0; index < text.size(); ++index) {
-        unsigned char byte = 0;
-        const auto digits = text.substr(index + 1 <= text.size() ? index + 1 : text.size(), 2);
-        const bool isEscape = text[index] == '%' && digits.size() == 2
-            && std::from_chars(digits.data(), digits.data() + 2, byte, hexadecimal).ptr == digits.data() + 2;
-        decoded += isEscape ? static_cast<char>(byte) : text[index];
-        index += isEscape ? 2 : 0;
-    }
-    return decoded;
-}
 
 bool isKeyParameter(std::string_view name)
 {
--- a/Tests/StandIns/StandInPlatformStore.cpp
+++ b/Tests/StandIns/StandInPlatformStore.cpp
@@ -3,6 +3,7 @@
 #include <LibCore/Base64.h>
 
 #include <algorithm>
+#include <charconv>
 
 namespace Ibisturn::StandIns {
 
@@ -19,9 +20,36 @@
     return { request.target().data(), request.target().size() };
 }
 
+// Decodes escaped bytes; a percent sign that begins none stands for itself.
+std::string decodePercent(std::string_view text)
+{
+    constexpr int hexadecimal = 16;
+    constexpr std::size_t digits = 2;
+    std::string decoded;
+    for (std::size_t index = 0; index < text.size(); ++index) {
+        unsigned byte = 0;
+        const auto* first = text.data() + index + 1;
+        const auto* last = text.data() + std::min(text.size(), index + 1 + digits);
+        const bool isEscaped = text[index] == '%' && first + digits == last && std::from_chars(first, last, byte, hexadecimal).ptr == last;
+        decoded += isEscaped ? static_cast<char>(byte) : text[index];
+        index += isEscaped ? digits : 0;
+    }
+    return decoded;
+}
+
+// Decodes a name or a value of a query, in which a plus sign stands for a blank.
+std::string decodeQueryText(std::string_view text)
+{
+    std::string plain(text);
+    std::replace(plain.begin(), plain.end(), '+', ' ');
+    return decodePercent(plain);
+}
+
 std::map<std::string, std::string> parseQuery(std::string_view target)
 {
     std::map<std::string, std::string> query;
+    // HTTP libraries drop a fragment.
+    target = target.substr(0, target.find('#'));
     const auto queryStart = target.find('?');
     auto remaining = queryStart == std::string_view::npos ? std::string_view() : target.substr(queryStart + 1);
     while (!remaining.empty()) {
@@ -29,7 +57,7 @@
         remaining.remove_prefix(std::min(remaining.size(), pair.size() + 1));
         const auto equals = pair.find('=');
         if (equals != std::string_view::npos)
-            query[std::string(pair.substr(0, equals))] = std::string(pair.substr(equals + 1));
+            query[decodeQueryText(pair.substr(0, equals))] = decodeQueryText(pair.substr(equals + 1));
     }
     return query;
 }
@@ -60,6 +88,7 @@
         { "DELETE", "/-/kv-lease-end/", &StandInPlatformStore::endLease },
         { "PUT", "/entries/", &StandInPlatformStore::write },
         { "DELETE", "/entries/", &StandInPlatformStore::remove },
+        { "PUT", "/items/", &StandInPlatformStore::writeItem },
         { "POST", "/faults", &StandInPlatformStore::setFaults },
     };
     return operations;
@@ -91,11 +120,11 @@
     const auto& prefix = query.at("PathPrefix");
     const auto after = query.find("after");
     auto item = after == query.end() ? data_.items.lower_bound(prefix) : data_.items.upper_bound(after->second);
-    auto items = Json::array();
+    std::vector<std::string> items;
     for (; item != data_.items.end() && item->first.starts_with(prefix) && items.size() < pageSize_; ++item)
-        items.push_back(toJson(item->first, item->second));
+        items.push_back(toText(item->first, item->second));
     const bool hasMore = item != data_.items.end() && item->first.starts_with(prefix);
-    responder.send(200, jsonType, Json { { "items", std::move(items) }, { "MorePages", hasMore }, { "CurrentRev", data_.revision } }.dump());
+    responder.send(200, jsonType, fmt::format(R"({{"items":[{}],"MorePages":{},"CurrentRev":{}}})", fmt::join(items, ","), hasMore, data_.revision));
 }
 
 void StandInPlatformStore::watch(const HttpRequest& /*request*/, const Query& query, Responder& responder)
@@ -105,7 +134,7 @@
     const auto deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds(integerParameter(query, "WaitMs"));
     std::unique_lock lock(mutex_);
     const auto era = era_;
-    auto events = Json::array();
+    std::vector<std::string> events;
     while (events.empty()) {
         expireLeases();
         if (era != era_)
@@ -118,16 +147,16 @@
             if (event.item.revision <= after || !event.key.starts_with(prefix))
                 continue;
             if (event.isDeletion)
-                events.push_back({ { "Key", event.key }, { "Revision", event.item.revision }, { "Deleted", true } });
+                events.push_back(Json { { "Key", event.key }, { "Revision", event.item.revision }, { "Deleted", true } }.dump());
             else
-                events.push_back(toJson(event.key, event.item));
+                events.push_back(toText(event.key, event.item));
         }
         if (std::chrono::steady_clock::now() >= deadline)
             break;
         if (events.empty())
             changed_.wait_for(lock, leasePollInterval);
     }
-    responder.send(200, jsonType, Json { { "events", std::move(events) }, { "CurrentRev", data_.revision } }.dump());
+    responder.send(200, jsonType, fmt::format(R"({{"events":[{}],"CurrentRev":{}}})", fmt::join(events, ","), data_.revision));
 }
 
 void StandInPlatformStore::transact(const HttpRequest& request, const Query& /*query*/, Responder& responder)
@@ -191,14 +220,21 @@
 void StandInPlatformStore::write(const HttpRequest& request, const Query& /*query*/, Responder& responder)
 {
     const std::scoped_lock lock(mutex_);
-    put(suffixAfter(targetOf(request), "/entries/"), request.body(), 0);
+    put(decodePercent(suffixAfter(targetOf(request), "/entries/")), request.body(), 0);
     responder.send(200, jsonType, Json { { "Revision", data_.revision } }.dump());
 }
 
 void StandInPlatformStore::remove(const HttpRequest& request, const Query& /*query*/, Responder& responder)
 {
     const std::scoped_lock lock(mutex_);
-    erase(suffixAfter(targetOf(request), "/entries/"));
+    erase(decodePercent(suffixAfter(targetOf(request), "/entries/")));
+    responder.send(200, jsonType, Json { { "Revision", data_.revision } }.dump());
+}
+
+void StandInPlatformStore::writeItem(const HttpRequest& request, const Query& /*query*/, Responder& responder)
+{
+    const std::scoped_lock lock(mutex_);
+    put(decodePercent(suffixAfter(targetOf(request), "/items/")), {}, 0, request.body());
     responder.send(200, jsonType, Json { { "Revision", data_.revision } }.dump());
 }
 
@@ -230,11 +266,11 @@
         lease.expires = now + lease.timeToLive;
 }
 
-void StandInPlatformStore::put(const std::string& key, const std::string& value, std::int64_t lease)
+void StandInPlatformStore::put(const std::string& key, const std::string& value, std::int64_t lease, const std::string& text)
 {
     auto& item = data_.items[key];
     ++data_.revision;
-    item = { value, data_.revision, item.created == 0 ? data_.revision : item.created, lease };
+    item = { value, data_.revision, item.created == 0 ? data_.revision : item.created, lease, text };
     data_.events.push_back({ key, item, false });
     changed_.notify_all();
 }
@@ -268,6 +304,11 @@
     }
 }
 
+std::string StandInPlatformStore::toText(const std::string& key, const Item& item) const
+{
+    return item.text.empty() ? toJson(key, item).dump() : item.text;
+}
+
 nlohmann::json StandInPlatformStore::toJson(const std::string& key, const Item& item) const
 {
     return { { "Key", key }, { "Value", encodeBase64(item.value) }, { "Revision", item.revision }, { "CreateRev", item.created }, { "Lease", item.lease } };
--- a/Tests/StandIns/StandInPlatformStore.h
+++ b/Tests/StandIns/StandInPlatformStore.h
@@ -13,7 +13,8 @@
 namespace Ibisturn::StandIns {
 
 /// An in-memory implementation of the platform's metadata store, following its published protocol. Tests make the writes
-/// of operators and replicas with `PUT` and `DELETE /entries/KEY`, and inject faults with `POST /faults`: `down` refuses
+/// of operators and replicas with `PUT` and `DELETE /entries/KEY`, and those of an odd writer with `PUT /items/KEY`, whose body is what listings
+/// and watches then show as the item; a KEY may be percent-encoded. They inject faults with `POST /faults`: `down` refuses
 /// every call, `lost` drops the replies of this many transactions after they took effect, `compact` discards the
 /// history, `page` sets the maximum page size of listings, `copy` makes a copy of everything, and `restore` goes back to the last
 /// copy in a new era: what was written since is lost, and revisions and leases are given out again.
@@ -31,6 +32,8 @@
         std::int64_t revision { 0 };
         std::int64_t created { 0 };
         std::int64_t lease { 0 };
+        /// Shown in place of the item's JSON unless it is empty.
+        std::string text;
     };
     struct Event {
         std::string key;
@@ -67,11 +70,13 @@
     void endLease(const HttpRequest& request, const Query& query, Responder& responder);
     void write(const HttpRequest& request, const Query& query, Responder& responder);
     void remove(const HttpRequest& request, const Query& query, Responder& responder);
+    void writeItem(const HttpRequest& request, const Query& query, Responder& responder);
     void setFaults(const HttpRequest& request, const Query& query, Responder& responder);
     void restoreCopy();
-    void put(const std::string& key, const std::string& value, std::int64_t lease);
+    void put(const std::string& key, const std::string& value, std::int64_t lease, const std::string& text = {});
     void erase(const std::string& key);
     void expireLeases();
+    std::string toText(const std::string& key, const Item& item) const;
     nlohmann::json toJson(const std::string& key, const Item& item) const;
 
     std::mutex mutex_;
