KeyValueStoreClient: Read the items of replies one by one

What callers saw: while an item without a readable key, value or revision stood in the list of replicas or under the operators' folder, an instance that started served nothing (503), and one that ran took no new server or configuration.

Cause: one item that could not be read made the client refuse the whole reply, of a listing as well as of a watch, which then came again. One that was no JSON in itself (bytes that are not UTF-8, half a surrogate, a number out of range) made the parser refuse it. A revision that the store had not reached yet was taken over as the position of the watch, which then waited for it.

Ruled out: values that are not base64 or describe nothing; they were held before.

--- a/Tests/Platform/KeyValueStoreClientTest.cpp
+++ b/Tests/Platform/KeyValueStoreClientTest.cpp
@@ -4,6 +4,7 @@
 #include <Tests/Support/EndlessServer.h>
 #include <Tests/Support/ScriptedServer.h>
 
+#include <array>
 #include <future>
 #include <memory>
 #include <optional>
@@ -16,6 +17,13 @@
 
 using namespace std::chrono_literals;
 
+class WatchEnded final : public std::exception {
+};
+
+/// Items without a key that can be read.
+const auto oddItems = std::to_array<std::string>({ "7", "null", "[]", "{}", R"({"Value":"eA==","Revision":6})", R"({"Key":7,"Value":"eA==","Revision":6})", R"({"Key":"other","Value":"eA==","Revision":6})",
+    "{\"Key\":\"s/\xff\",\"Value\":\"eA==\",\"Revision\":6}", R"({"Key":"s/\udcff","Value":"eA==","Revision":6})", R"({"Key":"s/b","Value":"eA==","Revision":1e999})" });
+
 /// Calls a store that gives prepared replies.
 class KeyValueStoreClientTest : public testing::Test {
 protected:
@@ -42,6 +50,34 @@
         return done.get();
     }
 
+    /// The keys of a listing whose pages have these items, as JSON. All but the last say that more follow.
+    std::vector<std::string> listedKeys(const std::vector<std::string>& pages)
+    {
+        std::vector<std::string> replies;
+        for (const auto& page : pages)
+            replies.push_back(reply(1, fmt::format(R"({{"items":[{}],"MorePages":{},"CurrentRev":9}})", page, &page != &pages.back())));
+        serve(std::move(replies));
+        std::vector<std::string> keys;
+        for (const auto& entry : run(store_->range("s/")).entries)
+            keys.push_back(entry.key);
+        return keys;
+    }
+
+    /// The changes that a watch after the revision 4 passes on.
+    StoreChanges watched(const std::string& events)
+    {
+        serve({ reply(1, fmt::format(R"({{"events":[{}],"CurrentRev":9}})", events)) });
+        StoreChanges all;
+        const auto onChanges = [&all](StoreChanges changes) {
+            all = std::move(changes);
+            throw WatchEnded();
+        };
+        EXPECT_THROW(run(store_->watch("s/", Revision(4, StoreEra(1)), 10s, onChanges)), WatchEnded);
+        return all;
+    }
+
+    static std::string item(const std::string& key, std::int64_t revision = 5) { return fmt::format(R"({{"Key":"{}","Value":"eA==","Revision":{},"CreateRev":5,"Lease":0}})", key, revision); }
+
     Asio::io_context context_ { 1 };
     std::optional<ScriptedServer> server_;
     std::unique_ptr<StoreClient> store_;
@@ -130,4 +166,43 @@
     EXPECT_EQ(server_->requests(), 1U);
 }
 
+// An entry of another writer must not keep the others from being used.
+TEST_F(KeyValueStoreClientTest, AnOddItemOfAListingCostsItselfAlone)
+{
+    for (const auto& odd : oddItems)
+        EXPECT_EQ(listedKeys({ item("s/a") + "," + odd, odd + "," + item("s/c") + "," + odd, item("s/d") }).size(), 3U) << odd;
+}
+
+TEST_F(KeyValueStoreClientTest, AnOddItemOfAWatchCostsItselfAlone)
+{
+    for (const auto& odd : oddItems) {
+        const auto changes = watched(item("s/a", 5) + "," + odd + "," + item("s/c", 8));
+        ASSERT_EQ(changes.changes.size(), 2U) << odd;
+        EXPECT_EQ(changes.changes.back().revision, Revision(8, StoreEra(1)));
+        EXPECT_EQ(changes.revision, Revision(9, StoreEra(1)));
+    }
+}
+
+// A server whose entry becomes unreadable must not be used as it was before.
+TEST_F(KeyValueStoreClientTest, AnItemWithoutAReadableValueIsListedAsEmpty)
+{
+    for (const auto* odd : { R"({"Key":"s/b","Revision":6})", R"({"Key":"s/b","Value":7,"Revision":6})", R"({"Key":"s/b","Value":"?","Revision":6})", R"({"Key":"s/b","Value":"eA=="})",
+             R"({"Key":"s/b","Value":"eA==","Revision":"6"})", R"({"Key":"s/b","Value":"eA==","Revision":6,"Deleted":"yes"})" }) {
+        EXPECT_EQ(listedKeys({ item("s/a") + "," + odd }), (std::vector<std::string> { "s/a", "s/b" })) << odd;
+        const auto changes = watched(std::string(odd) + "," + item("s/c", 8)).changes;
+        ASSERT_EQ(changes.size(), 2U) << odd;
+        EXPECT_EQ(changes.front().value, "") << odd;
+        EXPECT_GT(changes.front().revision, Revision(4, StoreEra(1))) << odd;
+        EXPECT_LE(changes.front().revision, Revision(6, StoreEra(1))) << odd;
+    }
+}
+
+// The position of a watch, and of the peers that are told of it, would stay ahead of the store.
+TEST_F(KeyValueStoreClientTest, NoChangeIsLaterThanTheStore)
+{
+    const auto changes = watched(item("s/a", std::int64_t(1) << 62)).changes;
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_EQ(changes.front().revision, Revision(9, StoreEra(1)));
+}
+
 } // namespace Ibisturn::Testing
