--- a/Tests/Platform/KeyValueStoreClientTest.cpp
+++ b/Tests/Platform/KeyValueStoreClientTest.cpp
@@ -205,4 +205,20 @@
     EXPECT_EQ(changes.front().revision, Revision(9, StoreEra(1)));
 }
 
+// What an empty page lacks would be taken for removed, and a listing whose pages repeat would not end.
+TEST_F(KeyValueStoreClientTest, AListingFailsIfAPageBringsNothingToGoOnWith)
+{
+    EXPECT_THROW(listedKeys({ item("s/a"), "", item("s/b") }), Error);
+    EXPECT_EQ(server_->requests(), 2U);
+    const auto page = item("s/a") + "," + item("s/b");
+    EXPECT_THROW(listedKeys({ page, page, page, page }), Error);
+    EXPECT_EQ(server_->requests(), 2U);
+    EXPECT_THROW(listedKeys({ oddItems.front(), item("s/b") }), Error);
+}
+
+TEST_F(KeyValueStoreClientTest, AListingNeedNotBeInTheOrderOfBytes)
+{
+    EXPECT_EQ(listedKeys({ item("s/b") + "," + item("s/C"), item("s/a") + "," + item("s/b"), item("s/D") }).size(), 4U);
+}
+
 } // namespace Ibisturn::Testing
