--- a/Tests/Platform/KeyValueStoreClientTest.cpp
+++ b/Tests/Platform/KeyValueStoreClientTest.cpp
@@ -221,4 +221,32 @@
     EXPECT_EQ(listedKeys({ item("s/b") + "," + item("s/C"), item("s/a") + "," + item("s/b"), item("s/D") }).size(), 4U);
 }
 
+// The write took effect, so nobody may be told that nothing was written.
+TEST_F(KeyValueStoreClientTest, TheOutcomeOfAWriteWhoseReplyIsMalformedIsUnknown)
+{
+    for (const auto* body : { "", "7", "{}", R"({"Revision":"9"})", R"({"Revision":0})", "\xff" }) {
+        serve({ reply(1, body) });
+        try {
+            run(store_->transact({ { "k", "v", std::nullopt, std::nullopt } }));
+            ADD_FAILURE() << body;
+        } catch (const Error& error) {
+            EXPECT_EQ(error.code(), ResultCode::WriteOutcomeUnknown) << body;
+        }
+    }
+}
+
+TEST_F(KeyValueStoreClientTest, OddRowsOfAConflictCostThemselvesAlone)
+{
+    for (const auto* odd : { "7", R"({"Key":"k","Value":"eA=="})", R"({"Key":"other","Value":"eA==","Revision":5})", "{\"Key\":\"\xff\"}" }) {
+        const auto body = fmt::format(R"({{"items":[{},{{"Key":"l","Value":"?","Revision":6}},{{"Key":"m","Revision":0}}]}})", odd);
+        serve({ fmt::format("HTTP/1.1 412 No\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{}", body.size(), body) });
+        const auto result = run(store_->transact({ { "k", "v", Revision(1), std::nullopt }, { "l", "v", Revision(1), std::nullopt }, { "m", "v", Revision(1), std::nullopt } }));
+        EXPECT_EQ(result.outcome, WriteOutcome::Conflict);
+        ASSERT_EQ(result.current.size(), 1U) << odd;
+        EXPECT_EQ(result.current.front().key, "l");
+        EXPECT_EQ(result.current.front().value, "");
+        EXPECT_EQ(result.current.front().revision, Revision(6));
+    }
+}
+
 } // namespace Ibisturn::Testing
