--- a/Tests/Platform/DocumentsTest.cpp
+++ b/Tests/Platform/DocumentsTest.cpp
@@ -188,4 +188,20 @@
     });
 }
 
+// Requests name the server in a header, where a line break would begin another one.
+TEST_F(DocumentsTest, AnEntryWhoseNameCannotBeSentDescribesNoServer)
+{
+    const auto named = [this](const std::string& name) { return reader_->readServer("servers/" + name, entry).has_value(); };
+    for (const auto& name : { std::string(), std::string("a\r\nX-Ibisturn-Tenant: guides"), std::string("a\nb"), std::string("a\0b", 3), std::string("a\x7f"), std::string(" a"), std::string("a "), std::string("a\t"), std::string(201, 'a') })
+        EXPECT_FALSE(named(name)) << name;
+    for (const auto& name : { std::string("i-7f3a91c2"), std::string("a b"), std::string("a&b+c#d%41?e=f/g\"h"), std::string("\xc3\xa9"), std::string(200, 'a') })
+        EXPECT_TRUE(named(name)) << name;
+}
+
+TEST_F(DocumentsTest, AnEntryOfAServiceWithAnEndlessNameDescribesNoServer)
+{
+    EXPECT_TRUE(server(entryWithout("model", std::string(200, 'm'))));
+    EXPECT_FALSE(server(entryWithout("model", std::string(201, 'm'))));
+}
+
 } // namespace Ibisturn::Testing
