FleetState: Bound what odd entries cost in the log, in memory and to peers

What operators saw: with 13 odd entries in the registry, 26 lines in the log of each instance, and two more for each time that one of them was written again, as warnings, which have no rate limit. A value of a megabyte in the registry was kept by each instance and sent to each peer that asked for changes.

Change: odd entries are reported by OddItemLog. The removal of a server is logged if the server was known. A value over 64 KiB, larger than any entry but a configuration, is taken for an empty one before it is kept.

--- a/Libraries/LibDecision/Registry/BackendRegistry.cpp
+++ b/Libraries/LibDecision/Registry/BackendRegistry.cpp
@@ -77,20 +77,21 @@
     return true;
 }
 
-void BackendRegistry::onRemoved(TimePoint now, const BackendServerId& id, EntryOrigin origin)
+bool BackendRegistry::onRemoved(TimePoint now, const BackendServerId& id, EntryOrigin origin)
 {
     deferred_.erase(id);
     const auto found = entries_.find(id);
     if (found == entries_.end() || found->second.removedAt)
-        return;
+        return false;
     const auto& server = found->second.state.server;
     found->second.removedAt = now;
     if (origin == EntryOrigin::OlderCopy) {
         found->second.regularGrace = removalGracePeriod_.recoveryGrace();
-        return;
+        return true;
     }
     found->second.regularGrace = removalGracePeriod_.regularGrace(now, confirmedAt_);
     ended_.insert_or_assign(id, EndedServer { server.started, server.sequence, now });
+    return true;
 }
 
 void BackendRegistry::setEvacuated(TimePoint now, const std::set<DataCentreId>& dataCentres)
--- a/Libraries/LibDecision/Registry/BackendRegistry.h
+++ b/Libraries/LibDecision/Registry/BackendRegistry.h
@@ -42,8 +42,8 @@
     /// Precondition: entries of one id arrive in the order of their revisions.
     bool onEntry(TimePoint now, const RegisteredServer& server, EntryOrigin origin = EntryOrigin::Owner);
 
-    /// An entry was removed or became unreadable, or is missing in an older copy.
-    void onRemoved(TimePoint now, const BackendServerId& id, EntryOrigin origin = EntryOrigin::Owner);
+    /// An entry was removed or became unreadable, or is missing in an older copy. Returns whether it was known.
+    bool onRemoved(TimePoint now, const BackendServerId& id, EntryOrigin origin = EntryOrigin::Owner);
 
     /// The store confirmed at `confirmedAt` that no entry had been removed of which the registry does not know.
     void setConfirmedAt(const std::optional<TimePoint>& confirmedAt) { confirmedAt_ = confirmedAt; }
--- a/Libraries/LibPlatform/FleetState.cpp
+++ b/Libraries/LibPlatform/FleetState.cpp
@@ -18,6 +18,8 @@
 /// Deletions that are kept so that they can be sent to peers.
 constexpr std::size_t maxDeletions = 512;
 constexpr std::size_t maxInstances = 100'000;
+/// Larger than any entry but a configuration; the values of all entries are kept and sent to peers.
+constexpr std::size_t maxEntrySize = 64UL * 1024;
 /// For shorter outages of the store, requesting its changes from peers is not worth while.
 constexpr Duration minOutage = std::chrono::milliseconds(500);
 
@@ -85,8 +87,11 @@
         return;
     listed_.insert(listing.prefix);
     onPosition(now, *index, listing.position);
-    auto entries = listing.entries;
-    std::erase_if(entries, [this](const RecordChange& entry) { return isObsolete(entry); });
+    std::vector<RecordChange> entries;
+    for (const auto& entry : listing.entries) {
+        if (!isObsolete(entry))
+            entries.push_back(withoutOversizedValue(now, entry));
+    }
     for (const auto& applied : mirror_.applyListing(listing.prefix, listing.position, entries))
         apply(now, applied);
     advancePosition(*index, listing.position);
@@ -122,11 +127,20 @@
     for (const auto& change : changes) {
         if (isObsolete(change))
             continue;
-        if (const auto applied = mirror_.apply(change))
+        if (const auto applied = mirror_.apply(withoutOversizedValue(now, change)))
             apply(now, *applied);
     }
 }
 
+RecordChange FleetState::withoutOversizedValue(TimePoint now, RecordChange change)
+{
+    if (!change.value || change.value->size() <= maxEntrySize || reader_.isConfiguration(change.key))
+        return change;
+    oddEntries_.report(now, change.key, "its value is too large");
+    change.value = std::string();
+    return change;
+}
+
 // Everything up to the position is known, so a key that isn't was removed before. Its earlier change arrives late.
 bool FleetState::isObsolete(const RecordChange& change) const
 {
@@ -346,11 +360,11 @@
     else if (change.key.starts_with(instancesPrefix_))
         applyInstanceEntry(now, change, origin);
     else if (change.key == fleetSizeKeyOf(ownPrefix_))
-        applyFleetSize(change.value);
+        applyFleetSize(now, change);
     else if (change.key.starts_with(quarantinePrefixOf(ownPrefix_)))
-        applyQuarantine(change, origin);
+        applyQuarantine(now, change, origin);
     else if (change.key.starts_with(versionsPrefixOf(ownPrefix_)))
-        applyVersions(change);
+        applyVersions(now, change);
 }
 
 bool FleetState::isBehindEra(StoreEra era) const
@@ -372,11 +386,11 @@
     fleetLog.warning("The store came back from an older copy.", { { "prefix", prefixes_[index] }, { "known", known }, { "position", position }, { "configuration_version", configurationVersion_ } });
 }
 
-void FleetState::applyQuarantine(const RecordChange& change, EntryOrigin origin)
+void FleetState::applyQuarantine(TimePoint now, const RecordChange& change, EntryOrigin origin)
 {
     const auto part = parsePart(std::string_view(change.key).substr(quarantinePrefixOf(ownPrefix_).size()));
     if (!part) {
-        fleetLog.warning("Quarantine entry names no prompt part.", { { "key", change.key }, { "revision", change.revision } });
+        oddEntries_.report(now, change.key, "it names no prompt part");
         return;
     }
     const auto removal = origin == EntryOrigin::OlderCopy ? QuarantineEntry::Lost : QuarantineEntry::Deleted;
@@ -384,33 +398,34 @@
     fleetLog.info("Quarantine changed.", { { "part", formatPart(*part) }, { "quarantined", change.value.has_value() }, { "older_copy", origin == EntryOrigin::OlderCopy }, { "revision", change.revision } });
 }
 
-void FleetState::applyVersions(const RecordChange& change)
+void FleetState::applyVersions(TimePoint now, const RecordChange& change)
 {
     const auto service = serviceOfVersionsKey(ownPrefix_, change.key);
     if (!service) {
-        fleetLog.warning("Record of software versions names no service.", { { "key", change.key }, { "revision", change.revision } });
+        oddEntries_.report(now, change.key, "it names no service");
         return;
     }
     std::optional<VersionRecord> record;
     if (change.value) {
         record = parseVersions(*change.value, change.revision);
-        if (!record)
-            fleetLog.warning("Record of software versions is unreadable.", { { "service", *service }, { "revision", change.revision }, { "bytes", change.value->size() } });
-        if (!record)
+        if (!record) {
+            oddEntries_.report(now, change.key, "it is no record of software versions");
             record = unreadableVersions(change.revision);
+        }
     }
     versionRecordChanges_.push_back({ *service, std::move(record), change.revision });
 }
 
-void FleetState::applyFleetSize(const std::optional<std::string>& value)
+void FleetState::applyFleetSize(TimePoint now, const RecordChange& change)
 {
     storedFleetSize_ = 0;
-    if (!value)
+    if (!change.value)
         return;
+    const auto& value = *change.value;
     std::size_t size = 0;
-    const auto [end, error] = std::from_chars(value->data(), value->data() + value->size(), size);
+    const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), size);
     if (error != std::errc {} || size > maxInstances) {
-        fleetLog.warning("Fleet size entry is not a valid number.", { { "value", *value } });
+        oddEntries_.report(now, change.key, "it is not the size of a fleet");
         return;
     }
     storedFleetSize_ = size;
@@ -459,26 +474,26 @@
 }
 
 // An entry that can't be read must not keep the others from being applied.
-std::optional<RegisteredServer> FleetState::readServer(const RecordChange& change) const
+std::optional<RegisteredServer> FleetState::readServer(TimePoint now, const RecordChange& change)
 {
-    std::string reason = "it does not describe a backend server";
+    std::string reason = "it describes no backend server";
     try {
         if (auto server = reader_.readServer(change.key, *change.value))
             return server;
     } catch (const std::exception& error) {
         reason = error.what();
     }
-    fleetLog.warning("Registry entry is invalid.", { { "key", change.key }, { "revision", change.revision }, { "reason", reason } });
+    oddEntries_.report(now, change.key, reason);
     return std::nullopt;
 }
 
 void FleetState::applyServerEntry(TimePoint now, const RecordChange& change, EntryOrigin origin)
 {
-    const auto server = change.value ? readServer(change) : std::nullopt;
+    const auto server = change.value ? readServer(now, change) : std::nullopt;
     if (!server) {
         const auto id = reader_.serverIdOf(change.key);
-        registry_.onRemoved(now, id, origin);
-        fleetLog.info("Backend server's entry removed.", { { "server", id }, { "revision", change.revision }, { "older_copy", origin == EntryOrigin::OlderCopy }, { "store", storeState(now) } });
+        if (registry_.onRemoved(now, id, origin))
+            fleetLog.info("Backend server's entry removed.", { { "server", id }, { "revision", change.revision }, { "older_copy", origin == EntryOrigin::OlderCopy }, { "store", storeState(now) } });
         return;
     }
     if (!registry_.onEntry(now, *server, origin))
--- a/Libraries/LibPlatform/FleetState.h
+++ b/Libraries/LibPlatform/FleetState.h
@@ -7,6 +7,7 @@
 #include <LibDecision/Streams/VersionLedger.h>
 #include <LibPlatform/DocumentReader.h>
 #include <LibPlatform/EntryFollower.h>
+#include <LibPlatform/OddItemLog.h>
 
 #include <cstdint>
 #include <map>
@@ -169,12 +170,14 @@
     void applyOperatorEntry(TimePoint now, const RecordChange& change);
     void applyConfiguration(TimePoint now, const RecordChange& change);
     void adopt(const RecordChange& change, ConfigurationDocument document);
-    std::optional<RegisteredServer> readServer(const RecordChange& change) const;
+    std::optional<RegisteredServer> readServer(TimePoint now, const RecordChange& change);
     void applyServerEntry(TimePoint now, const RecordChange& change, EntryOrigin origin);
     void applyInstanceEntry(TimePoint now, const RecordChange& change, EntryOrigin origin);
-    void applyFleetSize(const std::optional<std::string>& value);
-    void applyQuarantine(const RecordChange& change, EntryOrigin origin);
-    void applyVersions(const RecordChange& change);
+    void applyFleetSize(TimePoint now, const RecordChange& change);
+    void applyQuarantine(TimePoint now, const RecordChange& change, EntryOrigin origin);
+    void applyVersions(TimePoint now, const RecordChange& change);
+    /// The change without a value that is too large for what its key means.
+    RecordChange withoutOversizedValue(TimePoint now, RecordChange change);
     /// How current the registry is, for log lines.
     std::string storeState(TimePoint now) const;
 
@@ -200,6 +203,7 @@
     std::size_t storedFleetSize_ { 0 };
     std::vector<QuarantineChange> quarantineChanges_;
     std::vector<VersionRecordChange> versionRecordChanges_;
+    OddItemLog oddEntries_ { "entry" };
     /// In the order of prefixes_.
     std::vector<Revision> positions_;
     /// The revision after which all removals are known, in the order of prefixes_; unset if it isn't known which keys exist.
--- a/Tests/LibPlatform/FleetStateTest.cpp
+++ b/Tests/LibPlatform/FleetStateTest.cpp
@@ -472,4 +472,44 @@
     EXPECT_EQ(changes.front().asOf.era(), StoreEra(2));
 }
 
+// An entry of another writer costs itself alone, from a listing as well as from a change.
+TEST_F(FleetStateTest, AServerWhoseEntryIsOddIsNotUsedUntilItIsWhole)
+{
+    list(connected_, 0s, 5, { written("op/config", "guides", 2), written("servers/a", "model", 3), written("servers/b", "broken", 4), written("servers/c", "model", 5) });
+    EXPECT_EQ(usableAfter(connected_, 1s), 2U);
+    connected_.onChanges(at(1s), { written("servers/b", "model", 6) });
+    EXPECT_EQ(usableAfter(connected_, 1s), 3U);
+    connected_.onChanges(at(2s), { written("servers/a", "broken", 7), written("servers/d", "model", 8) });
+    EXPECT_EQ(usableAfter(connected_, 12s), 3U);
+    EXPECT_EQ(connected_.registry().usable().front().server.id, BackendServerId("b"));
+    connected_.onChanges(at(13s), { written("servers/a", "model", 9) });
+    EXPECT_EQ(usableAfter(connected_, 13s), 4U);
+    EXPECT_TRUE(connected_.snapshot());
+}
+
+// Otherwise each instance would keep and send whatever another writer puts into the registry.
+TEST_F(FleetStateTest, AnOversizedValueIsNeitherKeptNorSentToPeers)
+{
+    const std::string large(1024UL * 1024, 'x');
+    list(connected_, 0s, 5, { written("op/config", "guides", 2), written("servers/a", large, 3), written("op/evacuate/khomas-a", large, 4) });
+    connected_.onChanges(at(1s), { written("servers/b", large, 6), written("servers/c", "model", 7) });
+    std::size_t size = 0;
+    const auto update = connected_.updateAfter(at(2s), disconnected_.positions());
+    for (const auto& change : update.changes)
+        size += change.value.value_or(std::string()).size();
+    EXPECT_LT(size, 1024U);
+    EXPECT_EQ(update.changes.size(), 5U);
+    EXPECT_TRUE(connected_.registry().isEvacuated(DataCentreId("khomas-a")));
+    disconnected_.onPeerUpdate(at(2s), update);
+    EXPECT_EQ(disconnected_.positions(), connected_.positions());
+    EXPECT_TRUE(disconnected_.registry().isEvacuated(DataCentreId("khomas-a")));
+}
+
+TEST_F(FleetStateTest, AConfigurationMayBeLarge)
+{
+    const std::string large(900UL * 1024, 'x');
+    list(connected_, 0s, 5, { written("op/config", large, 2) });
+    EXPECT_TRUE(connected_.snapshot()->findWorkspace(WorkspaceId(large)));
+}
+
 } // namespace Ibisturn::Testing
