Tests: Cover instances that are out of step while a new software version joins

A report from another operator: streams that had begun at servers of a new version through other machines went on at another version at a machine that was cut off from the others, or stood still for some seconds.

The schedule test of the ledger has instances now that stand still or are cut off for 1.5 to 5 s, at seven in ten releases and at random: the store executes their calls meanwhile, replies and resumptions wait, and their clocks do not count the time. A first writer that is out of step is among them, as each instance has a rank.

A mutation that counts a read from the time at which its reply is used is detected.

--- a/Tests/LibDecision/VersionLedgerScheduleTest.cpp
+++ b/Tests/LibDecision/VersionLedgerScheduleTest.cpp
@@ -56,15 +56,25 @@
     RemoveAtOnce,
     /// After a return from an older copy, the instance goes on like a new process that does not know of it.
     IgnoreLostHistory,
+    /// A read counts from the time at which its reply is used.
+    ProveByTheTimeOfTheReply,
+};
+
+enum class Machines : std::uint8_t {
+    InStep,
+    /// Now and then, mostly around a release, an instance stands still or is cut off for some seconds. Its clock does not count the time for
+    /// which it stands still.
+    OutOfStep,
 };
 
 /// Instances that begin and resume streams while versions are released and taken back, instances are killed, the store is away or returns
 /// from an older copy, replies are lost or late, and each instance knows an older state of the store.
 class VersionLedgerSimulation {
 public:
-    VersionLedgerSimulation(std::uint64_t seed, Mutation mutation)
+    VersionLedgerSimulation(std::uint64_t seed, Mutation mutation, Machines machines = Machines::InStep)
         : random_(seed)
         , mutation_(mutation)
+        , machines_(machines)
     {
         for (std::size_t index = 0; index < maxServers / 2; ++index)
             startServer();
@@ -84,7 +94,7 @@
     {
         storeDownUntil_ = now_;
         for (auto& instance : instances_)
-            instance.refusedUntil = now_;
+            instance.refusedUntil = instance.cutOffUntil = instance.standsUntil = now_;
         const auto version = randomVersion();
         for (auto& server : servers_) {
             if (server.version != version)
@@ -98,8 +108,7 @@
         if (record().listed != std::set { version } || !record().retiring.empty())
             return false;
         for (std::size_t index = 0; index < instanceCount; ++index) {
-            resumptions_.push_back({ version, index, now_ });
-            instances_[index].ledger.requestProof(now_);
+            arrive(version, index);
         }
         const auto before = proved_;
         for (const auto end = now_ + maxWait; now_ < end;)
@@ -155,6 +164,11 @@
         TimePoint lastContact {};
         TimePoint availableSince {};
         TimePoint refusedUntil {};
+        /// Nothing reaches it, and it reaches nothing but backend servers.
+        TimePoint cutOffUntil {};
+        TimePoint standsUntil {};
+        /// What its clock has not counted.
+        Duration stoodStill {};
         std::deque<Write> writes;
         std::optional<Read> read;
     };
@@ -165,7 +179,8 @@
     struct Resumption {
         SoftwareVersion version;
         std::size_t instance;
-        TimePoint since;
+        /// When the instance read it; unset while it stands still.
+        std::optional<TimePoint> since;
     };
 
     bool chance(double probability) { return std::uniform_real_distribution<>(0, 1)(random_) < probability; }
@@ -173,6 +188,9 @@
     bool isLost(double probability) { return !isHealed_ && chance(probability); }
     SoftwareVersion randomVersion() { return SoftwareVersion(fmt::format("v{}", random_() % versionCount)); }
     bool isStoreUp() const { return now_ >= storeDownUntil_; }
+    bool standsStill(const Instance& instance) const { return now_ < instance.standsUntil; }
+    bool isCutOff(const Instance& instance) const { return now_ < instance.cutOffUntil; }
+    TimePoint clockOf(const Instance& instance) const { return now_ - instance.stoodStill; }
 
     void startServer(std::optional<SoftwareVersion> version = std::nullopt)
     {
@@ -212,7 +230,11 @@
             // The store may lose that the version was listed.
             if (chance(0.4))
                 restoreAt_ = now_ + 2s + randomDuration(10s);
+            if (chance(0.7))
+                putOutOfStep(instances_[random_() % instanceCount]);
         }
+        if (chance(0.002))
+            putOutOfStep(instances_[random_() % instanceCount]);
         if (!servers_.empty()) {
             auto& server = servers_[random_() % servers_.size()];
             if (chance(server.version == released_ ? 0.005 : 0.04))
@@ -234,6 +256,30 @@
             instances_ = std::vector<Instance>(instanceCount);
     }
 
+    void putOutOfStep(Instance& instance)
+    {
+        if (machines_ == Machines::InStep)
+            return;
+        const auto end = now_ + 1500ms + randomDuration(3500ms);
+        (chance(0.5) ? instance.standsUntil : instance.cutOffUntil) = end;
+    }
+
+    // A resumption that arrives while the instance stands still is read afterwards.
+    void arrive(const SoftwareVersion& version, std::size_t index)
+    {
+        auto& instance = instances_[index];
+        resumptions_.push_back({ version, index, std::nullopt });
+        if (!standsStill(instance))
+            read(resumptions_.back());
+    }
+
+    void read(Resumption& resumption)
+    {
+        auto& instance = instances_[resumption.instance];
+        resumption.since = clockOf(instance);
+        instance.ledger.requestProof(clockOf(instance));
+    }
+
     // The copy is some seconds old.
     void restoreStore()
     {
@@ -296,8 +342,17 @@
     {
         now_ += step;
         advanceServers();
-        for (std::size_t index = 0; index < instanceCount; ++index)
-            advance(instances_[index], index);
+        for (auto& resumption : resumptions_) {
+            if (!resumption.since && !standsStill(instances_[resumption.instance]))
+                read(resumption);
+        }
+        for (std::size_t index = 0; index < instanceCount; ++index) {
+            executeCalls(instances_[index]);
+            if (standsStill(instances_[index]))
+                instances_[index].stoodStill += step;
+            else
+                advance(instances_[index], index);
+        }
         for (std::size_t index = 0; index < instanceCount; ++index) {
             beginStream(instances_[index]);
             resumeStream();
@@ -334,13 +389,14 @@
         std::map<ServiceId, std::set<SoftwareVersion>> registered;
         for (const auto& [key, known] : instance.servers)
             registered[model].insert(known.server.version);
-        std::erase_if(instance.servers, [this](const auto& known) { return known.second.removedAt && now_ - *known.second.removedAt >= removalGrace; });
+        const auto clock = clockOf(instance);
+        std::erase_if(instance.servers, [clock](const auto& known) { return known.second.removedAt && clock - *known.second.removedAt >= removalGrace; });
         auto view = RegistryView::Complete;
-        if (now_ - instance.lastContact > outageDetectionTime)
+        if (clock - instance.lastContact > outageDetectionTime)
             view = RegistryView::Unavailable;
-        else if (now_ - instance.availableSince < recoveryGrace)
+        else if (clock - instance.availableSince < recoveryGrace)
             view = RegistryView::Partial;
-        for (auto& write : instance.ledger.takeDueWrites(now_, registered, view, rank)) {
+        for (auto& write : instance.ledger.takeDueWrites(clock, registered, view, rank)) {
             const auto arrivesAt = now_ + randomDuration(chance(0.05) ? 3s : 150ms);
             Write call { arrivesAt, std::max(arrivesAt + randomDuration(150ms), now_), std::move(write) };
             // The client refuses a condition of an earlier era, and does not wait longer than this.
@@ -348,22 +404,23 @@
             call.repliesAt = std::min(call.repliesAt, now_ + 1500ms);
             instance.writes.push_back(std::move(call));
         }
-        if (instance.ledger.needsRead(now_) && !instance.read) {
-            instance.ledger.beginRead(now_);
+        if (instance.ledger.needsRead(clock) && !instance.read) {
+            instance.ledger.beginRead(clock);
             const auto arrivesAt = now_ + randomDuration(150ms);
-            instance.read = Read { now_, arrivesAt, arrivesAt + randomDuration(150ms), false, std::nullopt, {} };
+            instance.read = Read { clock, arrivesAt, arrivesAt + randomDuration(150ms), false, std::nullopt, {} };
         }
     }
 
     // The instance learns of what the store had some time before.
     void follow(Instance& instance)
     {
-        if (now_ < instance.nextUpdate || !isStoreUp())
+        const auto clock = clockOf(instance);
+        if (clock < instance.nextUpdate || !isStoreUp() || isCutOff(instance))
             return;
-        instance.nextUpdate = now_ + randomDuration(maxLag / 2);
-        if (now_ - instance.lastContact > outageDetectionTime)
-            instance.availableSince = instance.lastContact == TimePoint {} ? TimePoint {} : now_;
-        instance.lastContact = now_;
+        instance.nextUpdate = clock + randomDuration(maxLag / 2);
+        if (clock - instance.lastContact > outageDetectionTime)
+            instance.availableSince = instance.lastContact == TimePoint {} ? TimePoint {} : clock;
+        instance.lastContact = clock;
         auto upTo = store_.revision();
         if (instance.position && instance.position->era() == store_.era()) {
             const auto seenBefore = now_ - randomDuration(maxLag / 2);
@@ -393,32 +450,32 @@
         if (mutation_ == Mutation::IgnoreLostHistory)
             instance.ledger = {};
         else
-            instance.ledger.onHistoryLost(now_);
+            instance.ledger.onHistoryLost(clockOf(instance));
         setLifetime(instance);
         for (auto& [key, known] : instance.servers) {
             if (!entry(key))
-                known.removedAt = now_;
+                known.removedAt = clockOf(instance);
         }
         if (!entry(versionsKeyOf(ownPrefix, model)))
-            instance.ledger.onRecord(now_, model, std::nullopt, store_.revision());
+            instance.ledger.onRecord(clockOf(instance), model, std::nullopt, store_.revision());
         instance.position = Revision(0, era);
         for (const auto& change : store_.list("", store_.revision()))
             apply(instance, change);
         instance.position = store_.revision();
     }
 
-    void setLifetime(Instance& instance) { instance.ledger.setLifetime(now_, mutation_ == Mutation::RemoveAtOnce ? -VersionLedger::settlingTime : lifetime); }
+    void setLifetime(Instance& instance) { instance.ledger.setLifetime(clockOf(instance), mutation_ == Mutation::RemoveAtOnce ? -VersionLedger::settlingTime : lifetime); }
 
     void apply(Instance& instance, const RecordChange& change)
     {
         if (const auto service = serviceOfVersionsKey(ownPrefix, change.key)) {
-            instance.ledger.onRecord(now_, *service, change.value ? parseVersions(*change.value, change.revision) : std::nullopt, change.revision);
+            instance.ledger.onRecord(clockOf(instance), *service, change.value ? parseVersions(*change.value, change.revision) : std::nullopt, change.revision);
             return;
         }
         if (!change.value) {
             const auto found = instance.servers.find(change.key);
             if (found != instance.servers.end() && !found->second.removedAt)
-                found->second.removedAt = now_;
+                found->second.removedAt = clockOf(instance);
             return;
         }
         Known known;
@@ -429,60 +486,67 @@
         instance.servers.insert_or_assign(change.key, known);
     }
 
-    bool reaches(const Instance& instance) const { return isStoreUp() && now_ >= instance.refusedUntil; }
+    bool reaches(const Instance& instance) const { return isStoreUp() && now_ >= instance.refusedUntil && !isCutOff(instance); }
+
+    // The store executes calls also while the instance that made them stands still.
+    void executeCalls(Instance& instance)
+    {
+        for (auto& call : instance.writes) {
+            if (call.isDone || now_ < call.arrivesAt)
+                continue;
+            call.isDone = true;
+            if (reaches(instance) && !call.isRefused)
+                execute(call);
+        }
+        if (!instance.read || instance.read->isDone || now_ < instance.read->arrivesAt)
+            return;
+        auto& read = *instance.read;
+        read.isDone = true;
+        if (!reaches(instance))
+            return;
+        read.position = store_.revision();
+        read.records.emplace();
+        if (entry(versionsKeyOf(ownPrefix, model)))
+            read.records->emplace(model, record());
+    }
 
     void advanceCalls(Instance& instance)
     {
         setLifetime(instance);
         for (auto& write : instance.writes)
-            advance(instance, write);
+            useReply(instance, write);
         std::erase_if(instance.writes, [this](const Write& write) { return now_ >= write.repliesAt && now_ >= write.arrivesAt; });
-        if (!instance.read)
+        if (!instance.read || now_ < instance.read->repliesAt)
             return;
-        auto& read = *instance.read;
-        if (!read.isDone && now_ >= read.arrivesAt) {
-            read.isDone = true;
-            if (reaches(instance)) {
-                read.position = store_.revision();
-                read.records.emplace();
-                const auto current = record();
-                if (entry(versionsKeyOf(ownPrefix, model)))
-                    read.records->emplace(model, current);
-            }
-        }
-        if (now_ < read.repliesAt)
-            return;
-        if (read.records && !isLost(0.05)) {
+        const auto& read = *instance.read;
+        const auto clock = clockOf(instance);
+        if (read.records && !isCutOff(instance) && !isLost(0.05)) {
             if (mutation_ == Mutation::IgnoreLostHistory && instance.position->era() < read.position.era())
                 onEra(instance, read.position.era());
-            instance.ledger.onRead(now_, read.startedAt, *read.records, read.position);
+            instance.ledger.onRead(clock, mutation_ == Mutation::ProveByTheTimeOfTheReply ? clock : read.startedAt, *read.records, read.position);
         } else {
-            instance.ledger.onReadFailed(now_);
+            instance.ledger.onReadFailed(clock);
         }
         instance.read.reset();
     }
 
-    void advance(Instance& instance, Write& call)
+    void useReply(Instance& instance, Write& call)
     {
-        if (!call.isDone && now_ >= call.arrivesAt) {
-            call.isDone = true;
-            if (reaches(instance) && !call.isRefused)
-                execute(call);
-        }
         if (now_ < call.repliesAt || call.write.service.isEmpty())
             return;
+        const auto clock = clockOf(instance);
         const auto service = std::exchange(call.write.service, ServiceId());
-        const bool isAnswered = call.isDone && (call.hasWritten || call.current) && !isLost(0.1);
+        const bool isAnswered = call.isDone && (call.hasWritten || call.current) && !isCutOff(instance) && !isLost(0.1);
         if (!isAnswered) {
-            instance.ledger.onWriteFailed(now_, service);
+            instance.ledger.onWriteFailed(clock, service);
             return;
         }
         if (call.hasWritten && call.write.listed.empty() && call.write.retiring.empty())
-            instance.ledger.onRecord(now_, service, std::nullopt, call.revision);
+            instance.ledger.onRecord(clock, service, std::nullopt, call.revision);
         else if (call.hasWritten)
-            instance.ledger.onRecord(now_, service, VersionRecord { call.write.listed, call.write.retiring, call.revision }, call.revision);
+            instance.ledger.onRecord(clock, service, VersionRecord { call.write.listed, call.write.retiring, call.revision }, call.revision);
         else
-            instance.ledger.onRecord(now_, service, call.current, call.current->revision);
+            instance.ledger.onRecord(clock, service, call.current, call.current->revision);
         instance.ledger.onWritten(service);
     }
 
@@ -504,7 +568,7 @@
 
     void beginStream(Instance& instance)
     {
-        if (isHealed_ || instance.servers.empty())
+        if (isHealed_ || instance.servers.empty() || standsStill(instance))
             return;
         const auto& known = std::next(instance.servers.begin(), static_cast<std::ptrdiff_t>(random_() % instance.servers.size()))->second.server;
         const auto runs = std::find_if(servers_.begin(), servers_.end(), [&](const Server& server) { return server.key == known.id.value() && (!server.leftAt || now_ - *server.leftAt < servingTime); });
@@ -524,20 +588,21 @@
             // The oldest and the newest are those for which the record may be wrong.
             const auto pick = random_() % 3;
             const auto& stream = pick == 0 ? streams_.front() : (pick == 1 ? streams_.back() : streams_[random_() % streams_.size()]);
-            const auto index = random_() % instanceCount;
-            resumptions_.push_back({ stream.version, index, now_ });
-            instances_[index].ledger.requestProof(now_);
+            arrive(stream.version, random_() % instanceCount);
         }
     }
 
     void checkProofs()
     {
         std::erase_if(resumptions_, [this](const Resumption& resumption) {
-            const auto since = mutation_ == Mutation::ProveByAnEarlierRead ? TimePoint::min() : resumption.since;
-            const auto proof = instances_[resumption.instance].ledger.onlyVersion(model, since);
+            const auto& instance = instances_[resumption.instance];
+            if (!resumption.since || standsStill(instance))
+                return false;
+            const auto since = mutation_ == Mutation::ProveByAnEarlierRead ? TimePoint::min() : *resumption.since;
+            const auto proof = instance.ledger.onlyVersion(model, since);
             if (proof)
                 ++(*proof == resumption.version ? proved_ : wrong_);
-            return proof || now_ - resumption.since > maxWait;
+            return proof || clockOf(instance) - *resumption.since > maxWait;
         });
     }
 
@@ -558,6 +623,7 @@
 
     std::mt19937_64 random_;
     Mutation mutation_;
+    Machines machines_;
     TimePoint now_ { 1h };
     Model::StoreModel store_;
     /// What the store has now.
@@ -581,10 +647,10 @@
     std::size_t begun_ { 0 };
 };
 
-bool isDetected(Mutation mutation)
+bool isDetected(Mutation mutation, Machines machines = Machines::InStep)
 {
-    return anyCaseSatisfies([mutation](std::uint64_t seed) {
-        VersionLedgerSimulation simulation(seed, mutation);
+    return anyCaseSatisfies([mutation, machines](std::uint64_t seed) {
+        VersionLedgerSimulation simulation(seed, mutation, machines);
         simulation.run();
         return simulation.wrong() > 0;
     },
@@ -641,4 +707,29 @@
     EXPECT_TRUE(isDetected(Mutation::IgnoreLostHistory));
 }
 
+// Guards against streams that go on at another version at an instance that was out of step while servers of a new version joined.
+TEST(VersionLedgerSchedule, ProvesOnlyTheVersionThatBeganAStreamAtInstancesOutOfStep)
+{
+    std::size_t proved = 0;
+    std::size_t begun = 0;
+    forEachCase([&](Random& random) {
+        VersionLedgerSimulation simulation(random(), Mutation::None, Machines::OutOfStep);
+        simulation.run();
+        EXPECT_EQ(simulation.wrong(), 0U);
+        EXPECT_TRUE(simulation.settles());
+        EXPECT_EQ(simulation.wrong(), 0U);
+        proved += simulation.proved();
+        begun += simulation.begun();
+    },
+        schedules);
+    fmt::print("begun={} proved={}\n", begun, proved);
+    EXPECT_GT(begun, schedules * 2000);
+    EXPECT_GT(proved, schedules * 100);
+}
+
+TEST(VersionLedgerSchedule, DetectsProofsByTheTimeOfTheReply)
+{
+    EXPECT_TRUE(isDetected(Mutation::ProveByTheTimeOfTheReply, Machines::OutOfStep));
+}
+
 } // namespace Ibisturn::Testing
