RequestRunner: Ask each server that a resumable stream is sent to for its process

What callers could see: a stream that goes on at another version than the one that began it (ORDER). At an instance that was out of step while a server was replaced under its id, the registry still named the former process and its version; the stream went to the new process and was joined from two versions, and a new stream was noted under the wrong version.

Cause: a server was asked which process it is only if its service has a cold rate. For the others, the version was that of the id.

Change: a server is asked on each new connection for a stream that may be resumed, and an idle connection is not used for it if its process is not known. Servers without a cold rate that do not say are used as before.

Measured: ResumedStreamTest.IsNotSentToAProcessThatTheRegistryDoesNotName (a resumption and a new stream, both answered 200 by the other process before) and ProcessCheckTest.AConnectionWhoseProcessIsUnknownIsNotReused failed before; GoesOnAtAServerThatDoesNotSayWhichProcessItIs held and stays.

--- a/Libraries/LibDecision/Placement/PlacementTable.cpp
+++ b/Libraries/LibDecision/Placement/PlacementTable.cpp
@@ -313,7 +313,9 @@
 
 bool PlacementTable::isRegistered(const Server& server, const std::optional<ServerProcess>& process)
 {
-    return !process || process->started == server.state.server.started;
+    // Servers without a cold rate need not say which process they are.
+    const bool isUntold = !process || (!process->started && server.coldRate <= 0);
+    return isUntold || process->started == server.state.server.started;
 }
 
 // A process that does not say which one it is may have just started, unless the connection to it is older than its cold period.
--- a/Libraries/LibHTTP/Backends/BackendClient.cpp
+++ b/Libraries/LibHTTP/Backends/BackendClient.cpp
@@ -118,7 +118,11 @@
     // The backend server may close a reused connection while we write, which leaves it unknown whether the request ran.
     // So a connection that may be closed soon is used only for idempotent requests.
     ConnectionPointer connection = idle_.take(SteadyClock().now(), server.endpoint, repeatability != Repeatability::Idempotent);
-    if (!connection && request.needsProcess && !dialect_.processTarget().empty())
+    const bool mustKnowProcess = request.needsProcess && !dialect_.processTarget().empty();
+    // A request that did not need to know the process may have made the connection.
+    if (connection && mustKnowProcess && !connection->process)
+        connection.reset();
+    if (!connection && mustKnowProcess)
         connection = co_await connectToKnownProcess(server.endpoint, request.deadline);
     else if (!connection)
         connection = co_await connect(server.endpoint, request.deadline);
--- a/Libraries/LibHTTP/Requests/RequestRunner.cpp
+++ b/Libraries/LibHTTP/Requests/RequestRunner.cpp
@@ -739,7 +739,9 @@
     const std::optional<BackendServer> record = findBackendServer(*snapshot, server, request);
     if (!record)
         throw Error(ResultCode::BackendUnreachable, Ran::No, "The backend server's record was withdrawn");
-    request.needsProcess = request.routed && tables_.placement.with([&](PlacementTable& table) { return table.mustKnowProcess(server); });
+    // The registry tells the version of the process that it names, and another one may run under its id by now.
+    const bool isBoundToVersion = request.routed && request.routed->resume == ResumeSupport::Supported;
+    request.needsProcess = request.routed && (isBoundToVersion || tables_.placement.with([&](PlacementTable& table) { return table.mustKnowProcess(server); }));
     co_await backends_.run(*record, request, repeatability, sink);
 }
 
--- a/Tests/LibHTTP/BackendClientTest.cpp
+++ b/Tests/LibHTTP/BackendClientTest.cpp
@@ -169,6 +169,21 @@
     EXPECT_EQ(processes_, (std::vector<std::optional<StartTime>> { StartTime(7), StartTime(7) }));
 }
 
+// Guards against a request that needs the process and takes a connection of one that did not ask.
+TEST_F(ProcessCheckTest, AConnectionWhoseProcessIsUnknownIsNotReused)
+{
+    ScriptedServer server(context_, { completeAnswer, processAnswer(7), completeAnswer, completeAnswer });
+    RecordingSink sink;
+    request_.needsProcess = false;
+    EXPECT_FALSE(send(server, sink));
+    request_.needsProcess = true;
+    EXPECT_FALSE(send(server, sink));
+    request_.needsProcess = false;
+    EXPECT_FALSE(send(server, sink));
+    EXPECT_EQ(processes_, (std::vector<std::optional<StartTime>> { std::nullopt, StartTime(7), StartTime(7) }));
+    EXPECT_EQ(server.connections(), 2U);
+}
+
 TEST_F(ProcessCheckTest, SendsNothingIfTheProcessIsRejected)
 {
     ScriptedServer server(context_, { processAnswer(7), completeAnswer });
--- a/Tests/Platform/ResumedStreamTest.cpp
+++ b/Tests/Platform/ResumedStreamTest.cpp
@@ -46,7 +46,10 @@
     return std::make_shared<const Snapshot>(revision, std::vector<Record> { { "services", "model", revision, service }, { "services", "other", revision, second }, { "routes", "long", revision, route } });
 }
 
-/// A backend server that echoes the id of each request and answers with the rest of a stream. Thread safety: the thread of the event loop.
+const StartTime registered(7);
+
+/// A backend server that echoes the id of each request and answers with the rest of a stream, and says which process it is.
+/// Thread safety: the thread of the event loop.
 class StreamServer {
 public:
     explicit StreamServer(Asio::io_context& context)
@@ -56,7 +59,10 @@
     }
 
     Endpoint endpoint() const { return { "127.0.0.1", acceptor_.local_endpoint().port() }; }
+    /// Those for streams.
     const std::vector<Http::request<Http::string_body>>& requests() const { return requests_; }
+    /// What it reports of itself from now on.
+    void setReport(std::string report) { report_ = std::move(report); }
 
 private:
     Task<void> acceptAll()
@@ -73,6 +79,12 @@
         Http::request<Http::string_body> request;
         boost::system::error_code error;
         co_await Http::async_read(socket, buffer, request, Asio::redirect_error(Asio::use_awaitable, error));
+        if (!error && request.target() == "/-/report") {
+            const std::string report = fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", report_.size(), report_);
+            co_await Asio::async_write(socket, Asio::buffer(report), Asio::redirect_error(Asio::use_awaitable, error));
+            request = {};
+            co_await Http::async_read(socket, buffer, request, Asio::redirect_error(Asio::use_awaitable, error));
+        }
         if (error)
             co_return;
         const std::string answer = fmt::format("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Ibisturn-Request-Id: {}\r\nX-Ibisturn-Server-Seal: s\r\n\r\nid: 1\ndata: b\n\n", std::string(request["X-Ibisturn-Request-Id"]));
@@ -82,6 +94,7 @@
 
     Asio::ip::tcp::acceptor acceptor_;
     std::vector<Http::request<Http::string_body>> requests_;
+    std::string report_ { fmt::format(R"({{"born":{}}})", registered) };
 };
 
 /// Serves callers' connections as an instance of a fleet does. Its route has two services with a server each, and the ledger lists one
@@ -113,6 +126,7 @@
             state.server.endpoint = endpoint;
             state.server.region = tables_.settings.identity.region;
             state.server.version = v1;
+            state.server.started = registered;
             state.server.slots = 8;
             states.push_back(state);
         }
@@ -224,4 +238,26 @@
     EXPECT_EQ(server.requests().back()["Last-Event-Id"], "0");
 }
 
+// An instance that was out of step knows the server's former process. Another one of a new version may run under its id.
+TEST_F(ResumedStreamTest, IsNotSentToAProcessThatTheRegistryDoesNotName)
+{
+    for (auto* server : { &first_, &second_ })
+        server->setReport(R"({"born":8})");
+    for (const auto* headers : { "Last-Event-Id: 0\r\nResumes: a\r\n", "" }) {
+        const auto answer = call("b", headers);
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+        EXPECT_NE(answer.find(R"("ran":"no")"), std::string::npos) << answer;
+    }
+    EXPECT_TRUE(first_.requests().empty());
+    EXPECT_TRUE(second_.requests().empty());
+}
+
+// Servers that are never cold need not say which process they are.
+TEST_F(ResumedStreamTest, GoesOnAtAServerThatDoesNotSayWhichProcessItIs)
+{
+    for (auto* server : { &first_, &second_ })
+        server->setReport("{}");
+    EXPECT_NE(call("b", "Last-Event-Id: 0\r\nResumes: a\r\n").find("id: 1"), std::string::npos);
+}
+
 } // namespace Ibisturn::Testing
