EtcdStoreClient: Read the items of replies one by one

The same cause as in the platform's client: an item without a readable key, value or revision made the whole reply fail, of a listing, a watch or a conflict, again and again; and a reply that acknowledges a write, but can't be read, ended in an exception that says nothing of its outcome.

Change: items go through makeStoreChange() and StoreListing, as those of the platform's store do. A listing of which the store says that it is not whole is not taken for one.

--- a/Plugins/EtcdStoreClient.cpp
+++ b/Plugins/EtcdStoreClient.cpp
@@ -1,8 +1,15 @@
 #include <LibCore/Base64.h>
 #include <LibCore/Error.h>
+#include <LibCore/SteadyClock.h>
 #include <LibKernel/HttpClient.h>
+#include <LibPlatform/OddItemLog.h>
 #include <LibPlatform/StoreClient.h>
+#include <LibPlatform/StoreItem.h>
+#include <LibPlatform/StoreListing.h>
 
+#include <algorithm>
+#include <charconv>
+#include <optional>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -17,21 +24,58 @@
 constexpr Duration watchTimeout = std::chrono::seconds(30);
 constexpr unsigned httpOk = 200;
 
-std::string requireBase64(const std::string& text)
+[[noreturn]] void failMalformed(ResultCode code = ResultCode::StoreUnavailable)
 {
-    auto bytes = decodeBase64(text);
-    if (!bytes)
-        throw Error(ResultCode::StoreUnavailable, Ran::No, "The store's reply is not valid base64");
-    return std::move(*bytes);
+    throw Error(code, Ran::No, "The store's reply is malformed");
 }
 
 // etcd's JSON gateway encodes 64-bit numbers as strings.
-Revision readRevision(const nlohmann::json& object, const char* field)
+std::optional<std::int64_t> readNumber(const nlohmann::json& object, const char* field)
+{
+    const auto found = object.is_object() ? object.find(field) : object.end();
+    if (!object.is_object() || found == object.end())
+        return std::nullopt;
+    if (found->is_number_integer())
+        return found->get<std::int64_t>();
+    if (!found->is_string())
+        return std::nullopt;
+    const auto& text = found->get_ref<const std::string&>();
+    std::int64_t number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    return error == std::errc {} && end == text.data() + text.size() ? std::optional(number) : std::nullopt;
+}
+
+Revision readHeader(const nlohmann::json& object, ResultCode code = ResultCode::StoreUnavailable)
+{
+    const auto header = object.is_object() ? object.find("header") : object.end();
+    const auto revision = object.is_object() && header != object.end() ? readNumber(*header, "revision") : std::nullopt;
+    if (!revision || *revision <= 0)
+        failMalformed(code);
+    return Revision(*revision);
+}
+
+// Returns an optional list; the gateway leaves out what is empty.
+const nlohmann::json& readList(const nlohmann::json& object, const char* field)
+{
+    static const nlohmann::json none = nlohmann::json::array();
+    const auto found = object.is_object() ? object.find(field) : object.end();
+    if (!object.is_object() || found == object.end())
+        return none;
+    if (!found->is_array())
+        failMalformed();
+    return *found;
+}
+
+bool readFlag(const nlohmann::json& object, const char* field)
+{
+    const auto found = object.is_object() ? object.find(field) : object.end();
+    return object.is_object() && found != object.end() && found->is_boolean() && found->get<bool>();
+}
+
+std::optional<std::string> readBytes(const nlohmann::json& object, const char* field)
 {
     const auto found = object.find(field);
-    if (found == object.end())
-        return Revision(0);
-    return Revision(found->is_string() ? std::stoll(found->get<std::string>()) : found->get<std::int64_t>());
+    return found != object.end() && found->is_string() ? decodeBase64(found->get_ref<const std::string&>()) : std::nullopt;
 }
 
 // The exclusive end of the range of keys with this prefix: the prefix with its last byte incremented.
@@ -41,9 +85,24 @@
     return prefix;
 }
 
-StoreEntry readEntry(const nlohmann::json& entry)
+StoreItem readItem(const nlohmann::json& entry)
 {
-    return { requireBase64(entry.at("key").get<std::string>()), requireBase64(entry.value("value", "")), readRevision(entry, "mod_revision") };
+    StoreItem item;
+    if (!entry.is_object())
+        return item;
+    item.key = readBytes(entry, "key");
+    item.value = entry.contains("value") ? readBytes(entry, "value") : std::string();
+    item.revision = readNumber(entry, "mod_revision");
+    return item;
+}
+
+StoreItem readEvent(const nlohmann::json& event)
+{
+    const auto entry = event.is_object() ? event.find("kv") : event.end();
+    StoreItem item = event.is_object() && entry != event.end() ? readItem(*entry) : StoreItem();
+    const auto type = event.is_object() ? event.find("type") : event.end();
+    item.isDeletion = event.is_object() && type != event.end() && *type == "DELETE";
+    return item;
 }
 
 nlohmann::json makeComparison(const std::string& plainKey, Revision expected)
@@ -79,43 +138,28 @@
     return { { "compare", compare }, { "success", success }, { "failure", failure } };
 }
 
-StoreWriteResult readTransactionReply(const nlohmann::json& reply)
+StoreWriteResult readTransactionReply(const nlohmann::json& reply, const std::vector<StoreWrite>& writes)
 {
     StoreWriteResult result;
-    result.revision = readRevision(reply.at("header"), "revision");
-    if (reply.value("succeeded", false)) {
+    result.revision = readHeader(reply, ResultCode::WriteOutcomeUnknown);
+    if (readFlag(reply, "succeeded")) {
         result.outcome = WriteOutcome::Written;
         return result;
     }
-    for (const auto& response : reply.value("responses", nlohmann::json::array())) {
-        const auto range = response.value("response_range", nlohmann::json::object());
-        for (const auto& entry : range.value("kvs", nlohmann::json::array()))
-            result.current.push_back(readEntry(entry));
+    for (const auto& response : readList(reply, "responses")) {
+        const auto range = response.is_object() ? response.find("response_range") : response.end();
+        if (!response.is_object() || range == response.end())
+            continue;
+        for (const auto& entry : readList(*range, "kvs")) {
+            auto item = readItem(entry);
+            const bool isAsked = item.key && std::any_of(writes.begin(), writes.end(), [&item](const StoreWrite& write) { return write.key == *item.key; });
+            if (isAsked && item.revision && *item.revision > 0)
+                result.current.push_back({ *std::move(item.key), std::move(item.value).value_or(std::string()), Revision(*item.revision) });
+        }
     }
     return result;
 }
 
-StoreChange readEvent(const nlohmann::json& event)
-{
-    const auto& entry = event.at("kv");
-    StoreChange change { requireBase64(entry.at("key").get<std::string>()), {}, readRevision(entry, "mod_revision") };
-    if (event.value("type", "PUT") != "DELETE")
-        change.value = requireBase64(entry.value("value", ""));
-    return change;
-}
-
-StoreChanges readWatchLine(std::string_view line)
-{
-    const auto result = nlohmann::json::parse(line).at("result");
-    if (result.value("canceled", false))
-        throw Error(ResultCode::StoreUnavailable, Ran::No, "The store ended the watch");
-    StoreChanges changes;
-    changes.revision = readRevision(result.at("header"), "revision");
-    for (const auto& event : result.value("events", nlohmann::json::array()))
-        changes.changes.push_back(readEvent(event));
-    return changes;
-}
-
 /// A store client that uses the JSON gateway of etcd v3 over HTTP.
 class EtcdStoreClient final : public StoreClient {
 public:
@@ -128,18 +172,24 @@
     {
         const nlohmann::json body { { "key", encodeBase64(prefix) }, { "range_end", encodeBase64(endOfPrefix(prefix)) } };
         const nlohmann::json reply = co_await call("/v3/kv/range", body.dump(), ResultCode::StoreUnavailable);
-        StoreRange range;
-        range.revision = readRevision(reply.at("header"), "revision");
-        for (const auto& entry : reply.value("kvs", nlohmann::json::array()))
-            range.entries.push_back(readEntry(entry));
-        co_return range;
+        const auto revision = readHeader(reply);
+        StoreListing listing;
+        for (const auto& entry : readList(reply, "kvs")) {
+            auto change = makeStoreChange(SteadyClock().now(), readItem(entry), { prefix, revision, revision }, oddItems_);
+            if (change)
+                listing.add({ std::move(change->key), std::move(change->value).value_or(std::string()), change->revision });
+        }
+        if (readFlag(reply, "more"))
+            throw Error(ResultCode::StoreUnavailable, Ran::No, "The store's listing is incomplete");
+        listing.endPage(false);
+        co_return StoreRange { revision, listing.take() };
     }
 
     Task<StoreWriteResult> transact(std::vector<StoreWrite> writes) override
     {
         const std::string body = makeTransaction(writes).dump();
         const nlohmann::json reply = co_await call("/v3/kv/txn", body, ResultCode::WriteOutcomeUnknown);
-        co_return readTransactionReply(reply);
+        co_return readTransactionReply(reply, writes);
     }
 
     Task<LeaseId> grantLease(Duration timeToLive) override
@@ -147,7 +197,10 @@
         const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(timeToLive).count();
         const nlohmann::json body { { "TTL", std::to_string(seconds) } };
         const nlohmann::json reply = co_await call("/v3/lease/grant", body.dump(), ResultCode::StoreUnavailable);
-        co_return LeaseId { readRevision(reply, "ID").number() };
+        const auto id = readNumber(reply, "ID");
+        if (!id || *id <= 0)
+            failMalformed();
+        co_return LeaseId { *id };
     }
 
     Task<void> renewLease(LeaseId lease) override
@@ -155,7 +208,7 @@
         const nlohmann::json body { { "ID", std::to_string(lease.number) } };
         const nlohmann::json reply = co_await call("/v3/lease/keepalive", body.dump(), ResultCode::StoreUnavailable);
         const auto result = reply.find("result");
-        if (result == reply.end() || readRevision(*result, "TTL") == Revision(0))
+        if (result == reply.end() || readNumber(*result, "TTL").value_or(0) <= 0)
             throw Error(ResultCode::RecordNotFound, Ran::No, "The lease has ended");
     }
 
@@ -170,7 +223,7 @@
         const nlohmann::json body { { "create_request", { { "key", encodeBase64(prefix) }, { "range_end", encodeBase64(endOfPrefix(prefix)) }, { "start_revision", std::to_string(after.next().number()) }, { "progress_notify", true } } } };
         HttpCall request = makeCall("/v3/watch", body.dump());
         request.timeout = watchTimeout;
-        std::function<void(std::string_view)> onLine = [&onChanges](std::string_view line) { onChanges(readWatchLine(line)); };
+        std::function<void(std::string_view)> onLine = [&](std::string_view line) { onChanges(readWatchLine(line, prefix, after)); };
         std::string problem;
         try {
             co_await readHttpLines(std::move(request), std::move(onLine));
@@ -182,6 +235,30 @@
     }
 
 private:
+    // Reads one line of a watch after the revision `after`, which it advances.
+    StoreChanges readWatchLine(std::string_view line, std::string_view prefix, Revision& after)
+    {
+        const auto message = nlohmann::json::parse(line, nullptr, false);
+        const auto result = message.is_object() ? message.find("result") : message.end();
+        if (!message.is_object() || result == message.end())
+            failMalformed();
+        if (readFlag(*result, "canceled"))
+            throw Error(ResultCode::StoreUnavailable, Ran::No, "The store ended the watch");
+        StoreChanges changes;
+        changes.revision = readHeader(*result);
+        auto previous = after;
+        for (const auto& event : readList(*result, "events")) {
+            const StoreItemBounds bounds { prefix, changes.revision, std::min(previous.next(), changes.revision) };
+            auto change = makeStoreChange(SteadyClock().now(), readEvent(event), bounds, oddItems_);
+            if (!change)
+                continue;
+            previous = std::max(previous, change->revision);
+            changes.changes.push_back(*std::move(change));
+        }
+        after = std::max(after, changes.revision);
+        return changes;
+    }
+
     HttpCall makeCall(std::string target, std::string body) const
     {
         HttpCall call;
@@ -223,6 +300,7 @@
 
     std::vector<Endpoint> endpoints_;
     std::size_t current_ { 0 };
+    OddItemLog oddItems_ { "item of the store" };
 };
 
 const PluginRegistration<StoreClientRegistry> registration("etcd", [](const Settings& settings) { return std::make_unique<EtcdStoreClient>(settings); });
