Log: Quote control characters in values, and cut long ones

What operators saw: a name from outside with control characters went to the terminal as it was, and a line with a value of more than 256 KB was dropped as a whole.

Cause: only blanks and line breaks made a value quoted, and no value was bounded.

Measured: both tests of Log failed before (a NUL and an escape sequence were written as they are; no line for a megabyte).

--- a/Libraries/LibCore/Log.cpp
+++ b/Libraries/LibCore/Log.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/LogWriter.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <chrono>
@@ -24,10 +25,14 @@
     return writer;
 }
 
+/// Longer values are cut: some come from outside.
+constexpr std::size_t maxValueLength = 4096;
+
 // Quotes values with spaces or special characters, so that the fields of a line can be parsed.
-void appendValue(std::string& line, const std::string& value)
+void appendValue(std::string& line, std::string_view value)
 {
-    if (!value.empty() && value.find_first_of(" \"=\\\n\r\t") == std::string::npos) {
+    const auto mustBeQuoted = [](char character) { return static_cast<unsigned char>(character) <= ' ' || character == '"' || character == '=' || character == '\\'; };
+    if (!value.empty() && std::none_of(value.begin(), value.end(), mustBeQuoted)) {
         line += value;
         return;
     }
@@ -94,7 +99,9 @@
         levelNames.at(static_cast<std::size_t>(level)), component_, message);
     for (const auto& field : fields) {
         fmt::format_to(std::back_inserter(line), " {}=", field.key);
-        appendValue(line, field.value);
+        appendValue(line, std::string_view(field.value).substr(0, maxValueLength));
+        if (field.value.size() > maxValueLength)
+            line += "...";
     }
     line += '\n';
     standardOutput().write(line);
