LibCore: Write JSON with names that are not UTF-8

What could happen: a name with bytes that are not UTF-8, from a store whose keys are bytes or from a peer, made the whole text fail: the list of records that an operator asks for, the list of models, or the notes of a region's streams, which were then tried again as long as that name was among them.

Change: toJsonText() replaces the bytes, at each place where names go into a text that others read. The record of a change and the condition of a write stay as they were: there another name would be another record.

Measured: StoredStreamNotes.ANameThatIsNotUtf8CostsItsOwnNotesAlone failed before with an exception. The other places were not tried each.

--- a/Libraries/LibCore/Span.cpp
+++ b/Libraries/LibCore/Span.cpp
@@ -1,6 +1,7 @@
 #include <LibCore/Span.h>
 
 #include <LibCore/Hexadecimal.h>
+#include <LibCore/JsonText.h>
 
 #include <algorithm>
 #include <array>
@@ -119,8 +120,7 @@
         { "endTimeUnixNano", nanosecondsSinceEpoch(end_.value_or(start_)) },
         { "attributes", std::move(attributes) },
     };
-    // Record names may contain invalid UTF-8, on which dump() would throw by default.
-    return span.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return toJsonText(span);
 }
 
 } // namespace Ibisturn
--- a/Libraries/LibHTTP/Callers/CallerSession.cpp
+++ b/Libraries/LibHTTP/Callers/CallerSession.cpp
@@ -1,5 +1,6 @@
 #include <LibHTTP/Callers/CallerSession.h>
 
+#include <LibCore/JsonText.h>
 #include <LibCore/SteadyClock.h>
 #include <LibDecision/Membership/EntryDirectory.h>
 #include <LibDecision/Requests/RequestTimeout.h>
@@ -254,7 +255,7 @@
             if (!route.model.isEmpty() && canUseRoute(route, workspace))
                 list.push_back({ { "id", route.model.value() }, { "object", "model" }, { "created", 0 }, { "owned_by", "ibisturn" } });
         }
-        std::string body = nlohmann::json { { "object", "list" }, { "data", std::move(list) } }.dump();
+        std::string body = toJsonText({ { "object", "list" }, { "data", std::move(list) } });
         co_return co_await respond(200, std::move(body), AfterRequest::KeepAlive);
     }
 
--- a/Libraries/LibHTTP/Callers/ErrorBody.cpp
+++ b/Libraries/LibHTTP/Callers/ErrorBody.cpp
@@ -1,5 +1,7 @@
 #include <LibHTTP/Callers/ErrorBody.h>
 
+#include <LibCore/JsonText.h>
+
 #include <nlohmann/json.hpp>
 
 namespace Ibisturn {
@@ -33,12 +35,12 @@
     };
     if (!entries.empty())
         body["entries"] = entriesToJson(entries);
-    return nlohmann::json { { "error", std::move(body) } }.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return toJsonText({ { "error", std::move(body) } });
 }
 
 std::string formatEntries(const std::vector<Member>& entries)
 {
-    return nlohmann::json { { "entries", entriesToJson(entries) } }.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return toJsonText({ { "entries", entriesToJson(entries) } });
 }
 
 } // namespace Ibisturn
--- a/Libraries/LibHTTP/Operators/OperatorInterface.cpp
+++ b/Libraries/LibHTTP/Operators/OperatorInterface.cpp
@@ -2,6 +2,7 @@
 
 #include <LibConfiguration/RecordSet.h>
 #include <LibCore/Digest.h>
+#include <LibCore/JsonText.h>
 #include <LibCore/RandomIdentity.h>
 #include <LibHTTP/Callers/ErrorBody.h>
 
@@ -186,7 +187,7 @@
         { "requests_under_way", tables_.requestsInFlight.load() },
         { "draining", tables_.isDraining.load() },
     };
-    co_return BufferedReply { 200, "application/json", status.dump() };
+    co_return BufferedReply { 200, "application/json", toJsonText(status) };
 }
 
 Task<BufferedReply> OperatorInterface::listRecords(OperatorRequest request)
@@ -206,7 +207,7 @@
     if (isOne && list.empty())
         throw Error(ResultCode::RecordNotFound, Ran::No, "There is no such record");
     const nlohmann::json body { { "revision", range.revision.number() }, { "records", std::move(list) } };
-    co_return BufferedReply { 200, "application/json", body.dump() };
+    co_return BufferedReply { 200, "application/json", toJsonText(body) };
 }
 
 Task<BufferedReply> OperatorInterface::putRecord(OperatorRequest request)
@@ -249,7 +250,7 @@
         list.push_back({ { "id", entry.id }, { "who", entry.who }, { "when", entry.when }, { "record", record } });
     }
     const nlohmann::json body { { "changes", std::move(list) } };
-    co_return BufferedReply { 200, "application/json", body.dump() };
+    co_return BufferedReply { 200, "application/json", toJsonText(body) };
 }
 
 Task<BufferedReply> OperatorInterface::changeLogLevel(OperatorRequest request)
@@ -291,7 +292,7 @@
     if (!isKeyWithdrawal)
         throw Error(*failure);
     const nlohmann::json body { { "change", id }, { "withdrawn", "where instances can be reached; the store follows when it answers" } };
-    co_return BufferedReply { 202, "application/json", body.dump() };
+    co_return BufferedReply { 202, "application/json", toJsonText(body) };
 }
 
 // A withdrawn key must stop working even while the store is unavailable, so it is withdrawn on the instances first.
@@ -307,14 +308,14 @@
 BufferedReply OperatorInterface::showResult(const std::string& changeId, const ChangeResult& result) const
 {
     if (result.code == ResultCode::Ok)
-        return { 200, "application/json", nlohmann::json { { "revision", result.revision.number() }, { "change", changeId } }.dump() };
+        return { 200, "application/json", toJsonText({ { "revision", result.revision.number() }, { "change", changeId } }) };
     BufferedReply reply = errorReply(Error(result.code, Ran::No, result.reason));
     auto body = nlohmann::json::parse(reply.body);
     auto current = nlohmann::json::array();
     for (const auto& text : result.current)
         current.push_back(entryToJson(tables_.settings.storePrefix, { text.key, text.value, text.revision }));
     body["error"]["current"] = std::move(current);
-    reply.body = body.dump();
+    reply.body = toJsonText(body);
     return reply;
 }
 
--- a/Libraries/LibHTTP/Operators/Tracer.cpp
+++ b/Libraries/LibHTTP/Operators/Tracer.cpp
@@ -1,5 +1,7 @@
 #include <LibHTTP/Operators/Tracer.h>
 
+#include <LibCore/JsonText.h>
+
 #include <cstdio>
 #include <utility>
 
@@ -21,7 +23,7 @@
     span.end();
     const auto resource = nlohmann::json { { "attributes", { { { "key", "service.name" }, { "value", { { "stringValue", service_ } } } } } } };
     destination_(fmt::format(R"({{"resourceSpans":[{{"resource":{},"scopeSpans":[{{"scope":{{"name":"ibisturn"}},"spans":[{}]}}]}}]}})",
-        resource.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace), span.toJson()));
+        toJsonText(resource), span.toJson()));
 }
 
 void Tracer::setDestination(Destination destination)
--- a/Libraries/LibPlatform/InstanceLease.cpp
+++ b/Libraries/LibPlatform/InstanceLease.cpp
@@ -1,6 +1,7 @@
 #include <LibPlatform/InstanceLease.h>
 
 #include <LibCore/Error.h>
+#include <LibCore/JsonText.h>
 #include <LibCore/Log.h>
 #include <LibCore/SteadyClock.h>
 #include <LibKernel/Pause.h>
@@ -109,7 +110,7 @@
 {
     const nlohmann::json entry { { "id", member.id.value() }, { "region", member.region.value() }, { "data_centre", member.dataCentre.value() },
         { "callers", member.callers.toString() }, { "peers", member.peers.toString() }, { "incarnation", member.incarnation.count() }, { "processor", member.processorShare } };
-    return entry.dump();
+    return toJsonText(entry);
 }
 
 std::optional<Member> parseMember(std::string_view value)
--- a/Libraries/LibPlatform/StoredStreamNotes.cpp
+++ b/Libraries/LibPlatform/StoredStreamNotes.cpp
@@ -1,5 +1,7 @@
 #include <LibPlatform/StoredStreamNotes.h>
 
+#include <LibCore/JsonText.h>
+
 #include <charconv>
 #include <map>
 #include <utility>
@@ -76,7 +78,7 @@
     auto groups = nlohmann::json::array();
     for (auto& [origin, digits] : keys)
         groups.push_back({ { serviceField, origin.service.value() }, { versionField, origin.version.value() }, { keysField, std::move(digits) } });
-    return groups.dump();
+    return toJsonText(groups);
 }
 
 std::optional<std::vector<StreamNote>> parseStreamNotes(std::string_view value)
--- a/Libraries/LibPlatform/VersionRecords.cpp
+++ b/Libraries/LibPlatform/VersionRecords.cpp
@@ -1,5 +1,7 @@
 #include <LibPlatform/VersionRecords.h>
 
+#include <LibCore/JsonText.h>
+
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -60,7 +62,7 @@
 std::string formatVersions(const std::set<SoftwareVersion>& listed, const std::set<SoftwareVersion>& retiring)
 {
     const nlohmann::json record { { listedField, toJson(listed) }, { retiringField, toJson(retiring) } };
-    return record.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return toJsonText(record);
 }
 
 std::optional<VersionRecord> parseVersions(std::string_view value, Revision revision)
--- a/Tests/LibPlatform/StoredStreamNotesTest.cpp
+++ b/Tests/LibPlatform/StoredStreamNotesTest.cpp
@@ -37,6 +37,17 @@
         EXPECT_FALSE(parseStreamNotes(value)) << value.substr(0, 80);
 }
 
+// Otherwise the notes of a region could not be written as long as one of them is there.
+TEST(StoredStreamNotes, ANameThatIsNotUtf8CostsItsOwnNotesAlone)
+{
+    const StreamOrigin odd { ServiceId("model"), SoftwareVersion("v\xff") };
+    const auto read = parseStreamNotes(formatStreamNotes({ { StreamKey(1), odd, {} }, { StreamKey(2), newOrigin, {} } }));
+    ASSERT_TRUE(read);
+    ASSERT_EQ(read->size(), 2U);
+    for (const auto& note : *read)
+        EXPECT_EQ(note.origin == newOrigin, note.key == StreamKey(2));
+}
+
 TEST(StoredStreamNotes, ProcessesOfOneInstanceWriteDifferentKeys)
 {
     const InstanceId instance("a");
