FleetState: Take an instance's entry only under its own name

What could happen: an entry of another writer in the list of instances that names an instance under another key counted as a second instance of that name, with addresses of its own, to which requests and control messages went.

Cause: the name was read from the value alone.

Change: an entry whose value names another instance than its key, or none, is odd and names no instance.

Measured: FleetStateTest.AnInstanceEntryUnderAnotherNameNamesNoInstance failed before (three instances, where one has an entry of its own).

--- a/Libraries/LibPlatform/FleetState.cpp
+++ b/Libraries/LibPlatform/FleetState.cpp
@@ -509,9 +509,18 @@
     return fmt::format("away:{}ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - *unavailableSince()).count());
 }
 
+std::optional<Member> FleetState::readMember(TimePoint now, const RecordChange& change)
+{
+    auto member = parseMember(*change.value);
+    if (member && change.key == instancesPrefix_ + member->id.value())
+        return member;
+    oddEntries_.report(now, change.key, member ? "it names another instance" : "it describes no instance");
+    return std::nullopt;
+}
+
 void FleetState::applyInstanceEntry(TimePoint now, const RecordChange& change, EntryOrigin origin)
 {
-    const auto member = change.value ? parseMember(*change.value) : std::nullopt;
+    const auto member = change.value ? readMember(now, change) : std::nullopt;
     if (member) {
         members_[change.key] = { *member, std::nullopt };
         return;
--- a/Libraries/LibPlatform/FleetState.h
+++ b/Libraries/LibPlatform/FleetState.h
@@ -172,6 +172,7 @@
     void adopt(const RecordChange& change, ConfigurationDocument document);
     std::optional<RegisteredServer> readServer(TimePoint now, const RecordChange& change);
     void applyServerEntry(TimePoint now, const RecordChange& change, EntryOrigin origin);
+    std::optional<Member> readMember(TimePoint now, const RecordChange& change);
     void applyInstanceEntry(TimePoint now, const RecordChange& change, EntryOrigin origin);
     void applyFleetSize(TimePoint now, const RecordChange& change);
     void applyQuarantine(TimePoint now, const RecordChange& change, EntryOrigin origin);
--- a/Tests/LibPlatform/FleetStateTest.cpp
+++ b/Tests/LibPlatform/FleetStateTest.cpp
@@ -505,6 +505,18 @@
     EXPECT_TRUE(disconnected_.registry().isEvacuated(DataCentreId("khomas-a")));
 }
 
+// Two entries of one name would count as two instances, and requests would be forwarded to the addresses of either.
+TEST_F(FleetStateTest, AnInstanceEntryUnderAnotherNameNamesNoInstance)
+{
+    list(connected_, 0s, 5, { written("own/instances/i1", entryOf("i1"), 3), written("own/instances/odd", entryOf("i1"), 4), written("own/instances/", entryOf("i2"), 4), written("own/instances/i3", "{}", 5) });
+    ASSERT_EQ(connected_.members().size(), 1U);
+    EXPECT_EQ(connected_.members().front().id, InstanceId("i1"));
+    connected_.onChanges(at(1s), { written("own/instances/odd", entryOf("odd"), 6), written("own/instances/i1", entryOf("odd"), 7) });
+    connected_.advance(at(20s));
+    ASSERT_EQ(connected_.members().size(), 1U);
+    EXPECT_EQ(connected_.members().front().id, InstanceId("odd"));
+}
+
 TEST_F(FleetStateTest, AConfigurationMayBeLarge)
 {
     const std::string large(900UL * 1024, 'x');
