--- a/Tests/Platform/KeyValueStoreClientTest.cpp
+++ b/Tests/Platform/KeyValueStoreClientTest.cpp
@@ -54,6 +54,7 @@
     std::vector<std::string> listedKeys(const std::vector<std::string>& pages)
     {
         std::vector<std::string> replies;
+        replies.reserve(pages.size());
         for (const auto& page : pages)
             replies.push_back(reply(1, fmt::format(R"({{"items":[{}],"MorePages":{},"CurrentRev":9}})", page, &page != &pages.back())));
         serve(std::move(replies));
@@ -170,13 +171,13 @@
 TEST_F(KeyValueStoreClientTest, AnOddItemOfAListingCostsItselfAlone)
 {
     for (const auto& odd : oddItems)
-        EXPECT_EQ(listedKeys({ item("s/a") + "," + odd, odd + "," + item("s/c") + "," + odd, item("s/d") }).size(), 3U) << odd;
+        EXPECT_EQ(listedKeys({ fmt::format("{},{}", item("s/a"), odd), fmt::format("{},{},{}", odd, item("s/c"), odd), item("s/d") }).size(), 3U) << odd;
 }
 
 TEST_F(KeyValueStoreClientTest, AnOddItemOfAWatchCostsItselfAlone)
 {
     for (const auto& odd : oddItems) {
-        const auto changes = watched(item("s/a", 5) + "," + odd + "," + item("s/c", 8));
+        const auto changes = watched(fmt::format("{},{},{}", item("s/a", 5), odd, item("s/c", 8)));
         ASSERT_EQ(changes.changes.size(), 2U) << odd;
         EXPECT_EQ(changes.changes.back().revision, Revision(8, StoreEra(1)));
         EXPECT_EQ(changes.revision, Revision(9, StoreEra(1)));
@@ -188,8 +189,8 @@
 {
     for (const auto* odd : { R"({"Key":"s/b","Revision":6})", R"({"Key":"s/b","Value":7,"Revision":6})", R"({"Key":"s/b","Value":"?","Revision":6})", R"({"Key":"s/b","Value":"eA=="})",
              R"({"Key":"s/b","Value":"eA==","Revision":"6"})", R"({"Key":"s/b","Value":"eA==","Revision":6,"Deleted":"yes"})" }) {
-        EXPECT_EQ(listedKeys({ item("s/a") + "," + odd }), (std::vector<std::string> { "s/a", "s/b" })) << odd;
-        const auto changes = watched(std::string(odd) + "," + item("s/c", 8)).changes;
+        EXPECT_EQ(listedKeys({ fmt::format("{},{}", item("s/a"), odd) }), (std::vector<std::string> { "s/a", "s/b" })) << odd;
+        const auto changes = watched(fmt::format("{},{}", odd, item("s/c", 8))).changes;
         ASSERT_EQ(changes.size(), 2U) << odd;
         EXPECT_EQ(changes.front().value, "") << odd;
         EXPECT_GT(changes.front().revision, Revision(4, StoreEra(1))) << odd;
