Metrics: Count the odd items of the store

Operators saw odd items in the log only, whose lines are bounded. ibisturn_odd_store_items counts all, of the store's replies and of entries that mean nothing under their keys.

Process.OddEntry.* asks that the metric counts the entry of each case. What the scripts of processes share stands in Tests/Process/checks.py.

--- a/Libraries/LibPlatform/FleetState.h
+++ b/Libraries/LibPlatform/FleetState.h
@@ -114,6 +114,9 @@
     /// The changes of the records of software versions since the last call.
     std::vector<VersionRecordChange> takeVersionRecordChanges() { return std::exchange(versionRecordChanges_, {}); }
 
+    /// How many entries were written that mean nothing under their keys.
+    std::uint64_t oddEntries() const { return oddEntries_.count(); }
+
     /// The largest number of instances that the fleet has had, according to the store.
     std::size_t fleetSize() const { return fleetSize_; }
 
--- a/Libraries/LibPlatform/StoreClient.h
+++ b/Libraries/LibPlatform/StoreClient.h
@@ -98,6 +98,9 @@
     /// Whether the store has come back from an older copy at least once before era().
     virtual bool hasComeBack() const { return false; }
 
+    /// How many items of the store's replies could not be used as they were.
+    virtual std::uint64_t oddItems() const { return 0; }
+
     /// Reads all entries below `prefix`, all in one era. Throws Error with StoreUnavailable.
     virtual Task<StoreRange> range(std::string prefix) = 0;
 
--- a/Plugins/EtcdStoreClient.cpp
+++ b/Plugins/EtcdStoreClient.cpp
@@ -168,6 +168,8 @@
     {
     }
 
+    std::uint64_t oddItems() const override { return oddItems_.count(); }
+
     Task<StoreRange> range(std::string prefix) override
     {
         const nlohmann::json body { { "key", encodeBase64(prefix) }, { "range_end", encodeBase64(endOfPrefix(prefix)) } };
--- a/Programs/ibisturn/FleetControlPlane.cpp
+++ b/Programs/ibisturn/FleetControlPlane.cpp
@@ -615,6 +615,7 @@
     metrics.set("ibisturn_backend_servers_restart_suspected", static_cast<double>(tables_.placement.with([now](PlacementTable& table) { return table.suspectedRestarts(now); })));
     metrics.set("ibisturn_configuration_revision", appliedSnapshot_ ? static_cast<double>(appliedSnapshot_->revision().number()) : 0);
     metrics.set("ibisturn_stream_origins_known", static_cast<double>(tables_.streamOrigins.size()));
+    metrics.set("ibisturn_odd_store_items", static_cast<double>(store_.oddItems() + fleetState_.oddEntries()));
     metrics.set("ibisturn_store_era", static_cast<double>(store_.era().count()));
     metrics.set("ibisturn_store_away_seconds", unavailableSince ? std::chrono::duration<double>(now - *unavailableSince).count() : 0);
 }
--- a/Tests/Process/OddEntryTest.py
+++ b/Tests/Process/OddEntryTest.py
@@ -7,15 +7,14 @@
 import http.client
 import json
 import os
-import socket
 import subprocess
 import sys
 import tempfile
-import time
 import urllib.parse
 
+from checks import Failure, await_that, free_port, require
+
 FOLDER, ENTRY, MOMENT = os.path.abspath(sys.argv[1]), sys.argv[2], sys.argv[3]
-TIMEOUT = 10
 PAGE = 10
 GOOD_ENTRIES = 35
 REQUESTS = 30
@@ -69,28 +68,6 @@
 }
 
 
-class Failure(Exception):
-    pass
-
-
-def require(condition, problem):
-    if not condition:
-        raise Failure(problem)
-
-
-def await_that(condition, problem):
-    end = time.monotonic() + TIMEOUT
-    while not condition():
-        require(time.monotonic() < end, problem)
-        time.sleep(0.05)
-
-
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 def call(address, method, target, body=None, headers=None):
     """Returns the status and the body, or no status if there is no answer."""
     connection = http.client.HTTPConnection(address, timeout=5)
@@ -175,6 +152,10 @@
         headers = {"Host": "barn.example", "X-Ibisturn-Request-Id": f"request-{self.sent}", "X-Ibisturn-Deadline-Ms": "3000"}
         return call(f"127.0.0.1:{self.ports['callers']}", "GET", f"/{path}/1", headers=headers)[0] == 200
 
+    def odd_items(self):
+        _, text = call(f"127.0.0.1:{self.ports['metrics']}", "GET", "/metrics")
+        return sum(float(line.split()[1]) for line in text.decode().splitlines() if line.startswith("ibisturn_odd_store_items "))
+
     def end(self):
         for process in self.processes:
             process.kill()
@@ -214,6 +195,7 @@
     await_that(lambda: fixture.is_served("new"), "a new server is not used")
     lines = sum("Odd item" in line or "is invalid" in line or "entry removed" in line for line in fixture.log("instance").splitlines())
     require(lines <= 20, f"the log has {lines} lines on odd entries")
+    await_that(lambda: fixture.odd_items() > 0, "no metric counts the odd entry")
 
 
 def main():
--- a/Tests/Process/StartTest.py
+++ b/Tests/Process/StartTest.py
@@ -12,33 +12,12 @@
 import urllib.error
 import urllib.request
 
+from checks import TIMEOUT, Failure, await_that, free_port, require
+
 PROGRAM = os.path.join(os.path.abspath(sys.argv[1]), "ibisturn")
-TIMEOUT = 10
 LISTENERS = ("callers", "peers", "readiness", "directory", "metrics")
 
 
-class Failure(Exception):
-    pass
-
-
-def require(condition, problem):
-    if not condition:
-        raise Failure(problem)
-
-
-def await_that(condition, problem):
-    end = time.monotonic() + TIMEOUT
-    while not condition():
-        require(time.monotonic() < end, problem)
-        time.sleep(0.02)
-
-
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class Store:
     """Counts the connections of the instance to its store, and closes them."""
 
