--- a/Libraries/LibDecision/Placement/PlacementTable.h
+++ b/Libraries/LibDecision/Placement/PlacementTable.h
@@ -216,7 +216,8 @@
     /// Must be called right before a request is written to a backend server, which may have left, become cold or been restarted since
     /// place() chose it. `process` is the process at the other end of the connection; unset if such servers can't be asked.
     /// Returns whether the request may be sent, and counts it if the server is cold. If `version` is set, that process must run that software
-    /// version, which the registry tells only of the process that it names.
+    /// version, which the registry tells only of the process that it names. A server without a cold rate that does not say which process it is
+    /// counts as the registered one.
     bool confirmSend(TimePoint now, const BackendServerId& server, const std::optional<ServerProcess>& process = std::nullopt, const std::optional<SoftwareVersion>& version = std::nullopt);
 
     /// Whether a new process of the backend server would be cold, so that the process at the other end of a new connection must be known.
--- a/Libraries/LibPlatform/OddItemLog.h
+++ b/Libraries/LibPlatform/OddItemLog.h
@@ -17,7 +17,7 @@
     static constexpr Duration period = std::chrono::seconds(30);
     static constexpr std::size_t linesPerPeriod = 8;
 
-    /// `kind` names the items, such as "Registry entry". Precondition: it outlives this object, usually as a string literal.
+    /// `kind` names the items, such as "entry". Precondition: it outlives this object, usually as a string literal.
     explicit OddItemLog(std::string_view kind)
         : kind_(kind)
     {
