StoreItem: Read the clock for odd items only

Each item of a reply cost a call of the clock, of which only the log of odd items has a use.

Change: makeStoreChange() takes the clock and reads it when it has to report an item.

Measured: the tests of both store clients and of LibPlatform pass.

--- a/Libraries/LibPlatform/StoreItem.h
+++ b/Libraries/LibPlatform/StoreItem.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/Clock.h>
 #include <LibPlatform/OddItemLog.h>
 #include <LibPlatform/StoreClient.h>
 
@@ -29,8 +30,9 @@
 };
 
 /// Makes a change of an item. An item without a value that can be read becomes a change to an empty value, which describes nothing, so that
-/// what the key meant before does not stay in force. Unset if the item names no key below the prefix. Odd items are reported to `oddItems`.
+/// what the key meant before does not stay in force. Unset if the item names no key below the prefix. Odd items are reported to `oddItems`; the clock
+/// is read for them only.
 /// Thread safety: as for `oddItems`.
-std::optional<StoreChange> makeStoreChange(TimePoint now, StoreItem item, const StoreItemBounds& bounds, OddItemLog& oddItems);
+std::optional<StoreChange> makeStoreChange(const Clock& clock, StoreItem item, const StoreItemBounds& bounds, OddItemLog& oddItems);
 
 } // namespace Ibisturn
--- a/Plugins/EtcdStoreClient.cpp
+++ b/Plugins/EtcdStoreClient.cpp
@@ -177,7 +177,7 @@
         const auto revision = readHeader(reply);
         StoreListing listing;
         for (const auto& entry : readList(reply, "kvs")) {
-            auto change = makeStoreChange(SteadyClock().now(), readItem(entry), { prefix, revision, revision }, oddItems_);
+            auto change = makeStoreChange(SteadyClock(), readItem(entry), { prefix, revision, revision }, oddItems_);
             if (change)
                 listing.add({ std::move(change->key), std::move(change->value).value_or(std::string()), change->revision });
         }
@@ -251,7 +251,7 @@
         auto previous = after;
         for (const auto& event : readList(*result, "events")) {
             const StoreItemBounds bounds { prefix, changes.revision, std::min(previous.next(), changes.revision) };
-            auto change = makeStoreChange(SteadyClock().now(), readEvent(event), bounds, oddItems_);
+            auto change = makeStoreChange(SteadyClock(), readEvent(event), bounds, oddItems_);
             if (!change)
                 continue;
             previous = std::max(previous, change->revision);
--- a/Tests/LibPlatform/StoreItemTest.cpp
+++ b/Tests/LibPlatform/StoreItemTest.cpp
@@ -1,5 +1,6 @@
 #include <LibKernel/Asio.h>
 
+#include <LibCore/ManualClock.h>
 #include <LibPlatform/StoreItem.h>
 
 #include <gtest/gtest.h>
@@ -14,8 +15,9 @@
 protected:
     static StoreItem whole() { return { "servers/a", "value", 5 }; }
 
-    std::optional<StoreChange> change(StoreItem item) { return makeStoreChange(TimePoint(1h), std::move(item), { "servers/", Revision(9), Revision(7) }, oddItems_); }
+    std::optional<StoreChange> change(StoreItem item) { return makeStoreChange(clock_, std::move(item), { "servers/", Revision(9), Revision(7) }, oddItems_); }
 
+    ManualClock clock_;
     OddItemLog oddItems_ { "item" };
 };
 
