Tests: Let the clocks of half of the schedules count the time of a pause

The product's clock counts the time for which a machine is suspended, and the schedules with instances out of step had clocks that do not. Now one half has one kind, the other half the other; an instance that goes on takes the store for available, since no call has failed, and may act on what it knew before.

The mutation is detected.

--- a/Tests/LibDecision/VersionLedgerScheduleTest.cpp
+++ b/Tests/LibDecision/VersionLedgerScheduleTest.cpp
@@ -62,8 +62,8 @@
 
 enum class Machines : std::uint8_t {
     InStep,
-    /// Now and then, mostly around a release, an instance stands still or is cut off for some seconds. Its clock does not count the time for
-    /// which it stands still.
+    /// Now and then, mostly around a release, an instance stands still or is cut off for some seconds. The clocks of half of the schedules do
+    /// not count the time for which an instance stands still.
     OutOfStep,
 };
 
@@ -75,6 +75,7 @@
         : random_(seed)
         , mutation_(mutation)
         , machines_(machines)
+        , clocksCountPauses_(seed % 2 == 0)
     {
         for (std::size_t index = 0; index < maxServers / 2; ++index)
             startServer();
@@ -349,7 +350,7 @@
         for (std::size_t index = 0; index < instanceCount; ++index) {
             executeCalls(instances_[index]);
             if (standsStill(instances_[index]))
-                instances_[index].stoodStill += step;
+                standStill(instances_[index]);
             else
                 advance(instances_[index], index);
         }
@@ -380,9 +381,21 @@
         std::erase_if(servers_, [this](const Server& server) { return server.leftAt && now_ - *server.leftAt > 60s && !entry(server.key); });
     }
 
+    // No call has failed meanwhile, so the instance takes the store for available when it goes on.
+    void standStill(Instance& instance) const
+    {
+        if (!clocksCountPauses_)
+            instance.stoodStill += step;
+        else
+            instance.lastContact += step;
+    }
+
     void advance(Instance& instance, std::size_t rank)
     {
-        follow(instance);
+        const bool hasJustStoodStill = now_ - instance.standsUntil < step;
+        // It may act on what it knew before it hears from the store.
+        if (!hasJustStoodStill || chance(0.5))
+            follow(instance);
         advanceCalls(instance);
         if (!instance.position)
             return;
@@ -624,6 +637,7 @@
     std::mt19937_64 random_;
     Mutation mutation_;
     Machines machines_;
+    bool clocksCountPauses_;
     TimePoint now_ { 1h };
     Model::StoreModel store_;
     /// What the store has now.
