--- a/review/6/case.py
+++ b/review/6/case.py
@@ -8,8 +8,8 @@
 import tempfile
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
-from stand_ins_2 import (CannotRun, Closed, Instance, Replica, Store, answer, ask, client_headers, configuration, free_ports, read_body,  # noqa: E402
-                         route, service)
+from stand_ins_2 import (CannotRun, Closed, Instance, Replica, Store, answer, client_headers, configuration, free_ports, read_answer,  # noqa: E402
+                         read_body, request_text, route, service)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ZONES = {"coast-a": "bc-coast", "island-a": "bc-island", "interior-a": "bc-interior"}
@@ -26,7 +26,7 @@
 
 async def work(replica, request, reader, writer):
     await read_body(reader, request, False)
-    await asyncio.sleep(0.1)
+    await asyncio.sleep(0.2)
     writer.write(answer(200, replica.marks(request), b"booked"))
     await writer.drain()
     return True
@@ -73,17 +73,31 @@
             await instance.end()
 
 
-async def client(fleet, number, counts):
-    for step in itertools.count():
+async def client(fleet, number, counts, lost, replicas):
+    """Sends requests one after the other on a kept connection, and goes to the next machine when it is closed."""
+    step = 0
+    while True:
         instance = fleet.instances[(number + step) % len(fleet.instances)]
-        request_id = f"{number:02}-{step:05}"
+        writer = None
         try:
-            reply = await ask(instance.callers, "POST", "/pule252/2f", client_headers(request_id), b"{}", 5)
-            counts[reply.status] = counts.get(reply.status, 0) + 1
-        except (Closed, OSError):
+            reader, writer = await asyncio.wait_for(asyncio.open_connection(*instance.callers.split(":"), limit=1 << 20), 1)
+            while instance in fleet.instances:
+                step += 1
+                request_id = f"{number:02}-{step:05}"
+                writer.write(request_text("POST", "/pule252/2f", client_headers(request_id), b"{}"))
+                reply = await asyncio.wait_for(read_answer(reader), 5)
+                counts[reply.status] = counts.get(reply.status, 0) + 1
+                await asyncio.sleep(0.3)
+        except (Closed, OSError, asyncio.TimeoutError):
             counts["no answer"] = counts.get("no answer", 0) + 1
-            if not instance.is_running():
-                note(f"{request_id}: {instance.name} at {instance.ip} closed without an answer")
+            ran = [replica.name for replica in replicas for run in replica.runs if run.get("X-Ibisturn-Request-Id") == request_id] if writer else []
+            if ran and instance in fleet.instances:
+                lost.append(request_id)
+                note(f"{request_id}: {instance.name} at {instance.ip} closed the connection without an answer; it ran at {ran}")
+        finally:
+            if writer:
+                writer.close()
+        step += 1
         await asyncio.sleep(0.2)
 
 
@@ -94,7 +108,7 @@
     await store.put("op/config", configuration(1, [route("pule252", "wuno96b", "non_idempotent")], [service("wuno96b")]))
     replicas = [await Replica(store, f"i-{zone}", "wuno96b", zone, work).start() for zone in ZONES]
     fleet = Fleet(folder, store)
-    counts = {}
+    counts, lost = {}, []
     tasks = []
     try:
         for zone in ZONES:
@@ -103,15 +117,15 @@
         for instance in fleet.instances:
             await instance.await_ready()
         await asyncio.sleep(3)
-        tasks = [asyncio.create_task(fleet.watch()), *(asyncio.create_task(client(fleet, number, counts)) for number in range(12))]
+        tasks = [asyncio.create_task(fleet.watch()), *(asyncio.create_task(client(fleet, number, counts, lost, replicas)) for number in range(36))]
         await asyncio.sleep(2)
         for _ in range(REPLACED):
             if TROUBLE:
                 await fleet.replace(next(instance for instance in fleet.instances if instance.zone == "island-a"))
             await asyncio.sleep(RUN_SECONDS)
         note(f"answers to clients: {counts}; {sum(len(replica.runs) for replica in replicas)} runs")
-        note(f"processes that ended by themselves: {len(fleet.ended)}")
-        return 1 if fleet.ended else 0
+        note(f"processes that ended by themselves: {len(fleet.ended)}; requests that ran and were never answered by running machines: {len(lost)}")
+        return 1 if fleet.ended or len(lost) > 3 else 0
     finally:
         for task in tasks:
             task.cancel()
