Review case 6: refused requests run, and answers go to the next request

Script: 850 users come at once to one machine, with heads that take a second to arrive, beside 20 clients that keep their connections.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,21 +1,22 @@
-"""A machine loses power for good, and another is added with the same name and role at a new address. See claim.txt."""
+"""Many users come at once, while others go on over the connections that they keep. See claim.txt."""
 
 import asyncio
-import itertools
 import os
-import signal
+import resource
 import sys
 import tempfile
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
-from stand_ins_2 import (CannotRun, Closed, Instance, Replica, Store, answer, client_headers, configuration, free_ports, read_answer,  # noqa: E402
+from stand_ins_2 import (CannotRun, Closed, Instance, Replica, Store, answer, client_headers, configuration, read_answer,  # noqa: E402
                          read_body, request_text, route, service)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-ZONES = {"coast-a": "bc-coast", "island-a": "bc-island", "interior-a": "bc-interior"}
-PER_ZONE = 3
-REPLACED = 1
-RUN_SECONDS = 12
+ZONE = "khomas-a"
+USERS = 850 if TROUBLE else 100
+LONG_WORK = 4.0
+HEAD_SECONDS = 1.0
+KEPT = 20
+REPLICAS = 12
 record = open("record.txt", "w", encoding="utf-8")
 started = None
 
@@ -26,115 +27,117 @@
 
 async def work(replica, request, reader, writer):
     await read_body(reader, request, False)
-    await asyncio.sleep(0.2)
-    writer.write(answer(200, replica.marks(request), b"booked"))
+    if request.start.split()[1].startswith("/lohu930/"):
+        await asyncio.sleep(LONG_WORK)
+    writer.write(answer(200, replica.marks(request), ("for " + request.get("X-Ibisturn-Request-Id")).encode()))
     await writer.drain()
     return True
 
 
-class Fleet:
-    def __init__(self, folder, store):
-        self.folder, self.store = folder, store
-        self.instances, self.removed, self.ended = [], [], []
-        hosts = itertools.product(range(1, len(ZONES) + 1), range(1, PER_ZONE + REPLACED + 1))
-        self.ports = free_ports([f"127.20.{zone}.{host}" for zone, host in hosts])
-        self.hosts = dict.fromkeys(ZONES, 0)
-
-    async def add(self, name, zone):
-        self.hosts[zone] += 1
-        ip = f"127.20.{list(ZONES).index(zone) + 1}.{self.hosts[zone]}"
-        listener = await self.store.listener(f"{name} at {ip}")
-        instance = Instance(self.folder, name, zone, ZONES, listener.address, ip, self.ports)
-        instance.zone = zone
-        await instance.start()
-        self.instances.append(instance)
-        return instance
-
-    async def replace(self, instance):
-        """The machine loses power: it falls silent, and nothing closes its connections. Another one takes over its name and its role."""
-        note(f"{instance.name} at {instance.ip} loses power for good")
-        instance.send(signal.SIGSTOP)
-        self.instances.remove(instance)
-        self.removed.append(instance)
-        await asyncio.sleep(1)
-        other = await self.add(instance.name, instance.zone)
-        note(f"{other.name} is added at {other.ip}")
-
-    async def watch(self):
-        while True:
-            await asyncio.sleep(0.05)
-            for instance in self.instances:
-                if not instance.is_running() and instance not in self.ended:
-                    self.ended.append(instance)
-                    note(f"{instance.name} at {instance.ip} ended by itself, status {instance.process.returncode}")
-
-    async def end(self):
-        for instance in self.instances + self.removed:
-            await instance.end()
-
-
-async def client(fleet, number, counts, lost, replicas):
-    """Sends requests one after the other on a kept connection, and goes to the next machine when it is closed."""
-    step = 0
-    while True:
-        instance = fleet.instances[(number + step) % len(fleet.instances)]
-        writer = None
-        try:
-            reader, writer = await asyncio.wait_for(asyncio.open_connection(*instance.callers.split(":"), limit=1 << 20), 1)
-            while instance in fleet.instances:
-                step += 1
-                request_id = f"{number:02}-{step:05}"
-                writer.write(request_text("POST", "/pule252/2f", client_headers(request_id), b"{}"))
-                reply = await asyncio.wait_for(read_answer(reader), 5)
-                counts[reply.status] = counts.get(reply.status, 0) + 1
-                await asyncio.sleep(0.3)
-        except (Closed, OSError, asyncio.TimeoutError):
-            counts["no answer"] = counts.get("no answer", 0) + 1
-            ran = [replica.name for replica in replicas for run in replica.runs if run.get("X-Ibisturn-Request-Id") == request_id] if writer else []
-            if ran and instance in fleet.instances:
-                lost.append(request_id)
-                note(f"{request_id}: {instance.name} at {instance.ip} closed the connection without an answer; it ran at {ran}")
-        finally:
-            if writer:
+async def user(instance, number, statuses):
+    """A user on a slow link, whose head takes HEAD_SECONDS to arrive."""
+    text = request_text("POST", "/lohu930/2f", client_headers(f"long-{number:04}", 12000), b"{}")
+    writer = None
+    try:
+        reader, writer = await asyncio.open_connection(*instance.callers.split(":"), limit=1 << 16)
+        writer.write(text[:40])
+        await asyncio.sleep(HEAD_SECONDS)
+        writer.write(text[40:])
+        status = (await asyncio.wait_for(read_answer(reader), 14)).status
+    except (Closed, OSError, asyncio.TimeoutError):
+        status = "no answer"
+    finally:
+        if writer:
+            writer.close()
+    statuses[status] = statuses.get(status, 0) + 1
+
+
+class Kept:
+    """A client that sends one request after the other over a connection that it keeps."""
+
+    def __init__(self, instance, number):
+        self.instance, self.number, self.step = instance, number, 0
+        self.wrong, self.refused, self.statuses = [], [], {}
+
+    async def run(self, end):
+        while asyncio.get_running_loop().time() < end:
+            try:
+                reader, writer = await asyncio.open_connection(*self.instance.callers.split(":"), limit=1 << 20)
+            except OSError:
+                await asyncio.sleep(0.1)
+                continue
+            try:
+                while asyncio.get_running_loop().time() < end:
+                    if not await self.exchange(reader, writer):
+                        break
+                    await asyncio.sleep(0.1)
+            except (Closed, ConnectionError, asyncio.TimeoutError) as error:
+                note(f"kept-{self.number:02}: the connection ended: {type(error).__name__}")
+            finally:
                 writer.close()
-        step += 1
-        await asyncio.sleep(0.2)
+
+    async def exchange(self, reader, writer):
+        self.step += 1
+        request_id = f"kept-{self.number:02}-{self.step:03}"
+        writer.write(request_text("POST", "/pule252/2f", client_headers(request_id)))
+        reply = await asyncio.wait_for(read_answer(reader), 5)
+        self.statuses[reply.status] = self.statuses.get(reply.status, 0) + 1
+        if reply.status in (429, 503, 408, 421):
+            self.refused.append(request_id)
+        named = reply.get("X-Ibisturn-Request-Id", request_id)
+        if named != request_id or (200 <= reply.status < 300 and reply.body != ("for " + request_id).encode()):
+            self.wrong.append(request_id)
+            note(f"{request_id}: answered {reply.status} with the answer of {named}, {reply.body.decode()!r}")
+            return False
+        if reply.status != 200:
+            note(f"{request_id}: answered {reply.status} {reply.body.decode()!r}, Connection: {reply.get('Connection')}")
+        return (reply.get("Connection") or "").lower() != "close"
 
 
 async def run(folder):
     global started
     started = asyncio.get_running_loop().time()
     store = Store()
-    await store.put("op/config", configuration(1, [route("pule252", "wuno96b", "non_idempotent")], [service("wuno96b")]))
-    replicas = [await Replica(store, f"i-{zone}", "wuno96b", zone, work).start() for zone in ZONES]
-    fleet = Fleet(folder, store)
-    counts, lost = {}, []
-    tasks = []
+    listener = await store.listener("front")
+    routes = [route("lohu930", "huvo11a"), route("pule252", "wuno96b", "non_idempotent", TimeoutMs=3000)]
+    await store.put("op/config", configuration(1, routes, [service("huvo11a", MaxConns=630), service("wuno96b")]))
+    models = [await Replica(store, f"i-model-{number}", "huvo11a", ZONE, work, slots=128).start() for number in range(REPLICAS)]
+    application = [await Replica(store, f"i-app-{number}", "wuno96b", ZONE, work).start() for number in range(3)]
+    instance = await Instance(folder, "front-khomas-a-1", ZONE, {ZONE: "khomas"}, listener.address).start()
+    statuses = {}
     try:
-        for zone in ZONES:
-            for number in range(PER_ZONE):
-                await fleet.add(f"front-{zone}-{number + 1}", zone)
-        for instance in fleet.instances:
-            await instance.await_ready()
-        await asyncio.sleep(3)
-        tasks = [asyncio.create_task(fleet.watch()), *(asyncio.create_task(client(fleet, number, counts, lost, replicas)) for number in range(36))]
+        await instance.await_ready()
+        await asyncio.sleep(1)
+        kept = [Kept(instance, number) for number in range(KEPT)]
+        tasks = [asyncio.create_task(client.run(started + 14)) for client in kept]
         await asyncio.sleep(2)
-        for _ in range(REPLACED):
-            if TROUBLE:
-                await fleet.replace(next(instance for instance in fleet.instances if instance.zone == "island-a"))
-            await asyncio.sleep(RUN_SECONDS)
-        note(f"answers to clients: {counts}; {sum(len(replica.runs) for replica in replicas)} runs")
-        note(f"processes that ended by themselves: {len(fleet.ended)}; requests that ran and were never answered by running machines: {len(lost)}")
-        return 1 if fleet.ended or len(lost) > 3 else 0
+        note(f"{USERS} users come at once")
+        await asyncio.gather(*(user(instance, number, statuses) for number in range(USERS)), *tasks)
+        note(f"answers to these users: {statuses}")
+        ran = {request.get("X-Ibisturn-Request-Id") for replica in application for request in replica.runs}
+        wrong = [request_id for client in kept for request_id in client.wrong]
+        untrue = sorted(request_id for client in kept for request_id in client.refused if request_id in ran)
+        totals = {}
+        for client in kept:
+            for status, count in client.statuses.items():
+                totals[status] = totals.get(status, 0) + count
+        note(f"answers to the clients that keep connections: {totals}")
+        note(f"MIXED, answers that belong to another request: {len(wrong)}: {wrong}")
+        note(f"REFUSED, requests that were refused as not run, and ran: {len(untrue)}: {untrue}")
+        if not instance.is_running():
+            note("the instance has ended")
+            return 1
+        return 1 if wrong or untrue else 0
     finally:
-        for task in tasks:
-            task.cancel()
-        await fleet.end()
-        for replica in replicas:
+        await instance.end()
+        for replica in models + application:
             await replica.end()
 
 
 def main():
+    # Both ends of each connection are in this process.
+    most = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (min(most, 8192) if most > 0 else 8192, most))
     with tempfile.TemporaryDirectory() as folder:
         try:
             result = asyncio.run(run(folder))
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -253,9 +253,9 @@
 class Replica:
     """A sound replica. `work`, if it is given, answers the requests that run."""
 
-    def __init__(self, store, name, service, zone, work=None, version="v1", engine=None):
+    def __init__(self, store, name, service, zone, work=None, version="v1", engine=None, slots=8):
         self.store, self.name, self.service, self.zone, self.work = store, name, service, zone, work
-        self.version, self.engine = version, engine
+        self.version, self.engine, self.slots = version, engine, slots
         self.state, self.sequence, self.running = "ready", 0, 0
         self.born = int(time.time() * 1000)
         self.runs = []
@@ -269,7 +269,7 @@
 
     async def beat(self):
         self.sequence += 1
-        entry = {"Service": self.service, "Addr": self.address, "Zone": self.zone, "Version": self.version, "Slots": 8,
+        entry = {"Service": self.service, "Addr": self.address, "Zone": self.zone, "Version": self.version, "Slots": self.slots,
                  "State": self.state, "ColdLeftMs": 0, "Seq": self.sequence, "born": self.born}
         if self.engine:
             entry |= {"Stage": "colocated", "Models": [{"Name": "m", "Version": 1, "Adapters": []}]}
@@ -290,7 +290,7 @@
         path = request.start.split()[1].partition("?")[0]
         if path == "/health":
             status = 200 if self.state == "ready" else 503
-            writer.write(answer(status, [("X-Ibisturn-Instance-Id", self.name), ("X-Ibisturn-Server-Load", f"{self.running},0,8")]))
+            writer.write(answer(status, [("X-Ibisturn-Instance-Id", self.name), ("X-Ibisturn-Server-Load", f"{self.running},0,{self.slots}")]))
             return True
         if path == "/-/report":
             report = {"Stage": "colocated", "Models": [{"Name": "m", "Version": 1, "Adapters": []}], "Busy": False, "Seq": 0, "Waiting": 0,
