--- a/review/6/case.py
+++ b/review/6/case.py
@@ -137,9 +137,12 @@
 def main():
     # Both ends of each connection are in this process.
     most = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
-    resource.setrlimit(resource.RLIMIT_NOFILE, (min(most, 8192) if most > 0 else 8192, most))
+    descriptors = min(most, 8192) if most > 0 else 8192
+    resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, most))
     with tempfile.TemporaryDirectory() as folder:
         try:
+            if descriptors < 4 * USERS:
+                raise CannotRun("too few descriptors")
             result = asyncio.run(run(folder))
         except CannotRun as problem:
             print(f"could not run: {problem}", file=record)
