CallerParser: Refuse a request whose end its fields do not tell

Cause: Beast reports a transfer coding that it does not know like none, so such a request ended with its head, and what followed was parsed as the next one. It also accepts chunks in HTTP/1.0, reads a list of codings up to its first mistake, and goes by a length beside an unknown coding.

Ruled out: chunk sizes, lengths that differ and lengths beside chunks, which were refused with 400 and still are.

Change: endOfRequest() says what tells a request's end, by RFC 9112, section 6. CallerParser, which all listeners use, asks it for each head and compares what Beast understood. `gzip, chunked` is refused too: its end is known, but nobody decodes its body. Listeners of operators and of the directory answer 400 to malformed requests, where they closed the connection, and become eager only after the head: an eager parser passes over an error in it. A refused head is logged with its request's id.

--- a/Libraries/LibHTTP/Callers/CallerParser.h
+++ b/Libraries/LibHTTP/Callers/CallerParser.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <LibKernel/MessageFraming.h>
+
 #include <cstdint>
 #include <functional>
 #include <utility>
@@ -8,7 +10,9 @@
 
 namespace Ibisturn {
 
-/// Parses a request into memory. The fields of a trailer are dropped: nobody uses them, and they must not pass for fields of the head.
+/// Parses a request into memory. A head that does not tell where the request ends is an error: what follows could be taken for another
+/// request. The fields of a trailer are dropped: nobody uses them, and they must not pass for fields of the head.
+/// Precondition: it becomes eager only once it has read the head. Before, Beast goes on to the body after an error in the head.
 /// Thread safety: one thread at a time.
 class CallerParser : public boost::beast::http::request_parser<boost::beast::http::string_body> {
 public:
@@ -35,6 +39,13 @@
         get().insert(name, text, value);
     }
 
+    void on_header_impl(boost::beast::error_code& error) override
+    {
+        error = {};
+        if (!hasEnd(*this, endOfRequest(get().version(), get())))
+            error = boost::beast::http::error::bad_transfer_encoding;
+    }
+
     std::function<bool(std::uint64_t)> reserve_;
     std::uint64_t used_ { 0 };
     std::uint64_t reserved_ { 0 };
--- a/Libraries/LibHTTP/Callers/RoutedSession.cpp
+++ b/Libraries/LibHTTP/Callers/RoutedSession.cpp
@@ -167,7 +167,7 @@
             co_return co_await refuse(std::move(*failure), parser);
         }
         if (error)
-            co_return co_await refuseHead(error);
+            co_return co_await refuseHead(error, parser);
         auto after = AfterRequest::Close;
         try {
             after = co_await serveRequest(parser, memory);
@@ -193,7 +193,7 @@
             stream_.close();
     }
 
-    Task<AfterRequest> refuseHead(boost::system::error_code error)
+    Task<AfterRequest> refuseHead(boost::system::error_code error, const CallerParser& parser)
     {
         if (error == Http::error::end_of_stream || error == Http::error::partial_message)
             co_return AfterRequest::Close;
@@ -209,9 +209,13 @@
         else if (error.category() != make_error_code(Http::error::bad_version).category())
             co_return AfterRequest::Close;
         pendingInput_ = PendingInput::Discard;
-        Error refusal(code, Ran::No, std::string(resultCodeEntry(code).meaning));
+        // The fields of a head that does not tell the request's end are known all the same.
+        if (parser.is_header_done())
+            readIdentity(parser);
+        Error refusal(code, Ran::No, fmt::format("{} ({})", resultCodeEntry(code).meaning, error.message()));
         if (code == ResultCode::MemoryUsedUp)
             refusal.setRetryAfter(tables_.connectionMemory.estimateWait(SteadyClock().now(), costOfConnection));
+        recordFailure(refusal);
         co_return co_await write(refusal, AfterRequest::Close);
     }
 
--- a/Libraries/LibHTTP/Operators/BufferedRequests.cpp
+++ b/Libraries/LibHTTP/Operators/BufferedRequests.cpp
@@ -1,9 +1,14 @@
 #include <LibHTTP/Operators/BufferedRequests.h>
 
+#include <LibCore/Log.h>
 #include <LibHTTP/Callers/BodyReading.h>
+#include <LibHTTP/Callers/ErrorBody.h>
 #include <LibHTTP/Requests/RequestMemory.h>
+#include <LibKernel/GracefulClose.h>
 #include <LibKernel/HttpLimits.h>
 
+#include <algorithm>
+#include <array>
 #include <optional>
 #include <utility>
 
@@ -16,6 +21,7 @@
 
 namespace {
 
+constexpr Log requestLog("request", LineKind::Request);
 constexpr int httpVersion11 = 11;
 constexpr std::size_t firstRead = 4096;
 
@@ -67,12 +73,41 @@
         if (!bytes.growBufferTo(capacity))
             throw Error(ResultCode::MemoryUsedUp, Ran::No, "Connections hold as many bytes as the instance's memory allows");
     };
-    parser.eager(true);
     parser.setFieldReservation([&bytes](std::uint64_t size) { return bytes.growFieldsTo(size); });
+    while (!parser.is_header_done() && !error)
+        co_await readSome(stream, buffer, parser, error, reserveBuffer);
+    parser.eager(true);
     while (!parser.is_done() && !error)
         co_await readSome(stream, buffer, parser, error, reserveBuffer);
 }
 
+Task<void> write(Beast::tcp_stream& stream, BufferedReply reply, AfterRequest after, boost::system::error_code& error)
+{
+    Http::response<Http::string_body> response(static_cast<Http::status>(reply.status), httpVersion11);
+    response.set(Http::field::content_type, reply.contentType);
+    response.keep_alive(after == AfterRequest::KeepAlive);
+    response.body() = std::move(reply.body);
+    response.prepare_payload();
+    co_await Http::async_write(stream, response, Asio::redirect_error(Asio::use_awaitable, error));
+}
+
+/// Whether `error` is about what was received, and not about its size or the connection.
+bool isMalformed(const boost::system::error_code& error)
+{
+    constexpr auto others = std::to_array<Http::error>({ Http::error::end_of_stream, Http::error::partial_message, Http::error::buffer_overflow, Http::error::header_limit, Http::error::body_limit });
+    return error.category() == make_error_code(Http::error::bad_value).category() && std::find(others.begin(), others.end(), error) == others.end();
+}
+
+Task<void> refuse(Beast::tcp_stream& stream, const boost::system::error_code& reason)
+{
+    requestLog.info("Request refused.", { { "code", resultCodeEntry(ResultCode::MalformedRequest).name }, { "reason", reason.message() } });
+    const Error refusal(ResultCode::MalformedRequest, Ran::No, "The request is not valid HTTP");
+    boost::system::error_code error;
+    BufferedReply reply { resultCodeEntry(refusal.code()).httpStatus, "application/json", formatErrorBody(refusal) };
+    co_await write(stream, std::move(reply), AfterRequest::Close, error);
+    co_await closeGracefully(stream, PendingInput::Discard);
+}
+
 } // namespace
 
 Task<void> serveBufferedRequests(Asio::ip::tcp::socket socket, BufferedRequestLimits limits, std::function<Task<BufferedReply>(const BufferedRequest&)> answer)
@@ -90,15 +125,12 @@
         if (error)
             co_return;
         co_await readRequest(stream, buffer, parser, bytes, error);
+        if (isMalformed(error))
+            co_return co_await refuse(stream, error);
         if (error)
             co_return;
         BufferedReply reply = co_await answer(parser.get());
-        Http::response<Http::string_body> response(static_cast<Http::status>(reply.status), httpVersion11);
-        response.set(Http::field::content_type, reply.contentType);
-        response.keep_alive(parser.keep_alive());
-        response.body() = std::move(reply.body);
-        response.prepare_payload();
-        co_await Http::async_write(stream, response, Asio::redirect_error(Asio::use_awaitable, error));
+        co_await write(stream, std::move(reply), parser.keep_alive() ? AfterRequest::KeepAlive : AfterRequest::Close, error);
         isOpen = !error && parser.keep_alive();
     }
 }
