AnswerParser: Refuse an answer whose end its fields do not tell

Beast takes a transfer coding that it does not know for none, so an answer with `Transfer-Encoding: gzip` and a length ended by the length, and its connection was used again with the rest of the body on it. One with a coding before `chunked`, and chunks in HTTP/1.0, were passed on. The body of a 204 or 304 that announces one may arrive after the connection was taken for the next request, where it passes for the answer.

Change: endOfAnswer() decides for answers of backend servers and of the store, in AnswerParser. An answer without a known end is invalid: the caller gets 502, a call to the store fails. A connection on which a body may still arrive is closed.

Ruled out: other bytes behind an answer. They keep a connection from being reused already (IdleConnectionPool), and calls to the store use each connection once.

Measured: BackendClientTest.AnAnswerWhoseEndIsNotKnownIsInvalid, .AConnectionOnWhichABodyMayStillArriveIsNotReused and HttpClient.AReplyWhoseEndIsNotKnownFailsTheCall fail without the checks and pass with them.

--- a/Libraries/LibHTTP/Backends/BackendClient.cpp
+++ b/Libraries/LibHTTP/Backends/BackendClient.cpp
@@ -175,7 +175,7 @@
     connection.stream.expires_after(std::min<Duration>(identificationTimeout, deadline - askedAt));
     boost::system::error_code error;
     co_await Http::async_write(connection.stream, question, Asio::redirect_error(Asio::use_awaitable, error));
-    Http::response_parser<Http::string_body> parser;
+    AnswerParser<Http::string_body> parser;
     parser.header_limit(answerHeadLimit);
     parser.body_limit(maxProcessAnswerBytes);
     if (!error)
@@ -191,7 +191,7 @@
         co_return Identification::NotTold;
     connection.process = ServerProcess { started, askedAt };
     connection.isReused = true;
-    co_return parser.keep_alive() && connection.buffer.size() == 0 ? Identification::Done : Identification::ConnectionUsedUp;
+    co_return parser.canKeepAlive() && connection.buffer.size() == 0 ? Identification::Done : Identification::ConnectionUsedUp;
 }
 
 Task<void> BackendClient::exchange(Connection& connection, const BackendServer& server, const GatewayRequest& request, AnswerSink& sink)
@@ -209,7 +209,7 @@
     // A backend server may refuse a long request before it has read all of it, and its answer then gives the reason.
     connection.hasWriteFailed = static_cast<bool>(writeError);
     for (int answers = 0; answers <= maxStrayAnswers; ++answers) {
-        AnswerParser parser;
+        RelayParser parser;
         parser.header_limit(answerHeadLimit);
         parser.body_limit(unlimitedBody);
         co_await readHead(connection, parser);
@@ -234,11 +234,14 @@
         if (headInfo.kind == AnswerKind::WrongServer)
             throw NotRunError(ResultCode::BackendReplaced, Ran::No, "Another backend server has the address");
         co_await discardBody(connection.stream, connection.buffer, parser);
+        // Nothing tells the next answer from a body that this one may not have.
+        if (announcesForbiddenBody(parser.get().result_int(), parser.get()))
+            throw InvalidAnswerError(ResultCode::OutcomeUnknown, Ran::Unknown, "The backend server announced a body in an answer without one");
     }
     throw Error(ResultCode::OutcomeUnknown, Ran::Unknown, "The backend server answered other requests");
 }
 
-Task<void> BackendClient::readHead(Connection& connection, AnswerParser& parser)
+Task<void> BackendClient::readHead(Connection& connection, RelayParser& parser)
 {
     boost::system::error_code error;
     co_await Http::async_read_header(connection.stream, connection.buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
@@ -256,7 +259,7 @@
         throw InvalidAnswerError(ResultCode::OutcomeUnknown, Ran::Unknown, "The status of the backend server's answer is not one of HTTP");
 }
 
-Task<void> BackendClient::relayAnswer(Connection& connection, const BackendServer& server, AnswerParser& parser, const AnswerHeadInfo& headInfo, AnswerSink& sink)
+Task<void> BackendClient::relayAnswer(Connection& connection, const BackendServer& server, RelayParser& parser, const AnswerHeadInfo& headInfo, AnswerSink& sink)
 {
     AnswerHead head;
     head.status = parser.get().result_int();
@@ -277,7 +280,7 @@
         throw ConnectionLostError(ResultCode::AnswerCut, Ran::Yes, "The connection failed while the request was written, so the end of an answer without a length is not known");
     if (!completeness.isComplete())
         throw Error(ResultCode::AnswerCut, Ran::Yes, "The backend server's stream ended before its end");
-    if (!parser.keep_alive())
+    if (!parser.canKeepAlive())
         connection.stream.close();
     co_await sink.writeEnd();
 }
--- a/Libraries/LibHTTP/Backends/BackendClient.h
+++ b/Libraries/LibHTTP/Backends/BackendClient.h
@@ -4,12 +4,12 @@
 #include <LibHTTP/Backends/BackendDialect.h>
 #include <LibHTTP/Backends/IdleConnectionPool.h>
 #include <LibHTTP/Requests/GatewayRequest.h>
+#include <LibKernel/AnswerParser.h>
 #include <LibKernel/AnswerSink.h>
 
 #include <functional>
 
 #include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
 
 namespace Ibisturn {
 
@@ -68,11 +68,11 @@
     };
     /// Asks which process is at the other end of a new connection.
     Task<Identification> identify(Connection& connection, Endpoint endpoint, TimePoint deadline);
-    using AnswerParser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+    using RelayParser = AnswerParser<boost::beast::http::buffer_body>;
 
     Task<void> exchange(Connection& connection, const BackendServer& server, const GatewayRequest& request, AnswerSink& sink);
-    Task<void> readHead(Connection& connection, AnswerParser& parser);
-    Task<void> relayAnswer(Connection& connection, const BackendServer& server, AnswerParser& parser, const AnswerHeadInfo& headInfo, AnswerSink& sink);
+    Task<void> readHead(Connection& connection, RelayParser& parser);
+    Task<void> relayAnswer(Connection& connection, const BackendServer& server, RelayParser& parser, const AnswerHeadInfo& headInfo, AnswerSink& sink);
 
     Limits limits_;
     const BackendDialect& dialect_;
--- a/Libraries/LibKernel/HttpClient.cpp
+++ b/Libraries/LibKernel/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include <LibKernel/HttpClient.h>
 
 #include <LibCore/Log.h>
+#include <LibKernel/AnswerParser.h>
 #include <LibKernel/HttpLimits.h>
 #include <LibKernel/SocketOptions.h>
 
@@ -80,7 +81,7 @@
     Beast::tcp_stream stream(executor);
     co_await connectAndSend(stream, call);
     Beast::flat_buffer buffer(maxUnparsedBytes);
-    Http::response_parser<Http::string_body> parser;
+    AnswerParser<Http::string_body> parser;
     parser.body_limit(call.replyLimit.count());
     boost::system::error_code error;
     co_await Http::async_read_header(stream, buffer, parser, Asio::redirect_error(Asio::use_awaitable, error));
@@ -110,7 +111,7 @@
     Beast::tcp_stream stream(executor);
     co_await connectAndSend(stream, call);
     Beast::flat_buffer buffer(maxUnparsedBytes);
-    Http::response_parser<Http::buffer_body> parser;
+    AnswerParser<Http::buffer_body> parser;
     parser.body_limit(unlimitedBody);
     co_await Http::async_read_header(stream, buffer, parser, Asio::use_awaitable);
     if (!isFinalStatus(parser.get().result_int()))
--- a/Tests/LibHTTP/BackendClientTest.cpp
+++ b/Tests/LibHTTP/BackendClientTest.cpp
@@ -504,4 +504,51 @@
     }
 }
 
+// Guards against an answer whose end is guessed: its body may be cut or coded, and the rest of it passes for the next answer.
+TEST_F(BackendClientTest, AnAnswerWhoseEndIsNotKnownIsInvalid)
+{
+    const std::vector<std::string> heads {
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nContent-Length: 2\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, gzip\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked;q=1\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding:\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n",
+        "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n",
+    };
+    for (const auto& head : heads) {
+        for (const auto* body : { "ok", "2\r\nok\r\n0\r\n\r\n" }) {
+            ScriptedServer server(context_, { head + "\r\n" + body, completeAnswer }, ScriptedServer::AfterAnswers::CloseAfterLast);
+            RecordingSink sink;
+            const auto failure = send(server, sink);
+            ASSERT_TRUE(failure) << head;
+            EXPECT_EQ(failure->ran(), Ran::Unknown) << head;
+            EXPECT_TRUE(isSpoiled_) << head;
+            EXPECT_EQ(sink.body, "") << head;
+            RecordingSink next;
+            EXPECT_FALSE(send(server, next)) << head;
+            EXPECT_EQ(next.body, "ok") << head;
+            EXPECT_EQ(server.connections(), 2U) << head;
+        }
+    }
+}
+
+// Guards against the body of an answer that may have none, which arrives later and passes for the next answer.
+TEST_F(BackendClientTest, AConnectionOnWhichABodyMayStillArriveIsNotReused)
+{
+    for (const auto* status : { "204 No Content", "304 Not Modified" }) {
+        for (const auto* fields : { "Content-Length: 38\r\n", "Transfer-Encoding: chunked\r\n", "" }) {
+            const auto announcing = fmt::format("HTTP/1.1 {}\r\nKeep-Alive: timeout=30\r\n{}\r\n", status, fields);
+            ScriptedServer server(context_, { announcing, completeAnswer });
+            RecordingSink first;
+            ASSERT_FALSE(send(server, first)) << announcing;
+            RecordingSink second;
+            ASSERT_FALSE(send(server, second)) << announcing;
+            EXPECT_EQ(second.body, "ok") << announcing;
+            EXPECT_EQ(server.connections(), *fields == '\0' ? 1U : 2U) << announcing;
+        }
+    }
+}
+
 } // namespace Ibisturn
--- a/Tests/LibKernel/HttpClientTest.cpp
+++ b/Tests/LibKernel/HttpClientTest.cpp
@@ -155,4 +155,25 @@
     }
 }
 
+// Guards against a reply of the store whose body is coded or cut, and passes for a whole one.
+TEST(HttpClient, AReplyWhoseEndIsNotKnownFailsTheCall)
+{
+    const std::vector<std::string> heads {
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nContent-Length: 3\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+        "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+    };
+    for (const auto& head : heads) {
+        for (const bool isLines : { false, true }) {
+            Asio::io_context context(1);
+            EndlessServer server(context, head + "3\r\nok\n\r\n0\r\n\r\n", "\r\n");
+            std::size_t lines = 0;
+            const auto error = isLines ? errorOf(context, readHttpLines(callTo(server), [&lines](std::string_view) { ++lines; })) : errorOf(context, exchangeHttp(callTo(server)));
+            EXPECT_EQ(error, make_error_code(boost::beast::http::error::bad_transfer_encoding)) << head << error.message();
+            EXPECT_EQ(lines, 0U) << head;
+        }
+    }
+}
+
 } // namespace Ibisturn
