RequestReader: Begin a request only behind the one before

Cause: to put a request's id into the refusal, identify() had the parser look at bytes that stayed in the buffer. The parser was then done with a request, so the connection was kept, and the next turn parsed the same bytes as a new request.

Ruled out: the drain itself, and answers of backend servers that change places; the log has two refusals of one id on one connection.

Change: RequestReader owns the buffer and the parser of a connection. What is parsed leaves the buffer, an error ends the reading, and a request begins only behind one that was consumed. It alone says whether a connection goes on, for callers with and without TLS, operators and the directory. A request that ends with its head is refused and consumed, so that its connection can be kept. Answers of the OpenAI interface on paths without a body say that the connection ends when the body is unread or the caller asked for it. The log line of a failed request says whether the connection was kept.

--- a/Libraries/LibHTTP/Callers/CallerSession.cpp
+++ b/Libraries/LibHTTP/Callers/CallerSession.cpp
@@ -5,10 +5,10 @@
 #include <LibDecision/Membership/EntryDirectory.h>
 #include <LibDecision/Requests/RequestTimeout.h>
 #include <LibDecision/Routing/HeadDecision.h>
-#include <LibHTTP/Callers/BodyReading.h>
 #include <LibHTTP/Callers/CallerCredentials.h>
 #include <LibHTTP/Callers/CallerSink.h>
 #include <LibHTTP/Callers/ErrorBody.h>
+#include <LibHTTP/Callers/RequestReader.h>
 #include <LibHTTP/Callers/SocketWatch.h>
 #include <LibHTTP/Peers/ForwardedRequest.h>
 #include <LibHTTP/Requests/InFlightRequest.h>
@@ -46,7 +46,6 @@
         : stream_(std::move(stream))
         , tables_(tables)
         , runner_(runner)
-        , buffer_(receiveBufferLimit(tables.settings.headLimit.count()))
     {
     }
 
@@ -72,15 +71,15 @@
 private:
     Task<AfterRequest> serveOne()
     {
-        CallerParser parser;
-        parser.header_limit(static_cast<std::uint32_t>(tables_.settings.headLimit.count()));
         // A residency refusal takes precedence over the body limit, so the limit applies only once the head was accepted.
-        parser.body_limit(unlimitedBody);
+        const auto reading = reader_.beginRequest({ static_cast<std::uint32_t>(tables_.settings.headLimit.count()), unlimitedBody });
+        if (!reading)
+            co_return AfterRequest::Close;
         expireAfter(tables_.settings.idleTimeout);
         boost::system::error_code error;
         {
             const IdleConnections::Scope idle(runner_.idleConnections(), Beast::get_lowest_layer(stream_).socket());
-            co_await Http::async_read_header(stream_, buffer_, parser, Asio::redirect_error(Asio::use_awaitable, error));
+            co_await reader_.readHead(stream_, error);
         }
         if (error == Asio::error::operation_aborted)
             Beast::get_lowest_layer(stream_).close();
@@ -89,10 +88,7 @@
         const InFlightRequest inFlight(tables_.requestsInFlight);
         const auto busy = runner_.callerConnections().beginRequest();
         const auto started = SteadyClock().now();
-        auto after = co_await serveParsedHead(parser);
-        // An unread body would be parsed as the next request.
-        if (!parser.is_done())
-            after = AfterRequest::Close;
+        const auto after = co_await serveParsedHead();
         tables_.metrics.observe("ibisturn_request_seconds", SteadyClock().now() - started);
         co_return after;
     }
@@ -107,9 +103,9 @@
         co_return AfterRequest::Close;
     }
 
-    Task<AfterRequest> serveParsedHead(CallerParser& parser)
+    Task<AfterRequest> serveParsedHead()
     {
-        const auto& head = parser.get();
+        const auto& head = reader_.request();
         Span span("entry", parseTraceparent(toView(head["traceparent"])));
         auto credentials = extractCredentials(toView(head[Http::field::authorization]), toView(head["X-Api-Key"]), toView(head.target()));
         const std::string path = credentials.target.substr(0, credentials.target.find('?'));
@@ -118,7 +114,7 @@
         std::optional<Error> failure;
         auto after = AfterRequest::Close;
         try {
-            after = co_await serveGateway(parser, std::move(credentials), span);
+            after = co_await serveGateway(std::move(credentials), span);
         } catch (const Error& error) {
             failure = error;
         } catch (const std::exception& error) {
@@ -132,7 +128,7 @@
         co_return after;
     }
 
-    Task<AfterRequest> serveGateway(CallerParser& parser, CallerCredentials credentials, Span& span)
+    Task<AfterRequest> serveGateway(CallerCredentials credentials, Span& span)
     {
         const auto snapshot = tables_.configuration.get();
         if (!snapshot)
@@ -154,29 +150,29 @@
             co_return co_await serveIdempotencyKey(verdict.workspace);
         if (tables_.isDraining)
             throw Error(ResultCode::Draining, Ran::No, "The instance is shutting down");
-        if (!isRoutableMethod(toView(parser.get().method_string())))
+        if (!isRoutableMethod(toView(reader_.request().method_string())))
             throw Error(ResultCode::MethodNotAllowed, Ran::No, "The path does not allow this method");
-        co_await readBody(parser);
+        co_await readBody();
         // Reading the body may have taken until the end of the shutdown, when the request would be cut.
         if (tables_.isRefusing)
             throw Error(ResultCode::Draining, Ran::No, "The instance is shutting down");
         request.workspace = verdict.workspace;
-        request.method = std::string(parser.get().method_string());
-        request.contentType = std::string(parser.get()[Http::field::content_type]);
-        request.idempotencyKey = IdempotencyKey(std::string(parser.get()["Idempotency-Key"]));
-        request.body = std::move(parser.get().body());
+        request.method = std::string(reader_.request().method_string());
+        request.contentType = std::string(reader_.request()[Http::field::content_type]);
+        request.idempotencyKey = IdempotencyKey(std::string(reader_.request()["Idempotency-Key"]));
+        request.body = std::move(reader_.body());
         request.parent = span.context();
         request.key = credentials.key;
-        setDeadline(request, parser);
+        setDeadline(request);
         span.setAttribute("workspace", request.workspace.value());
-        co_return co_await runRequest(std::move(request), parser.keep_alive());
+        co_return co_await runRequest(std::move(request));
     }
 
-    void setDeadline(GatewayRequest& request, const CallerParser& parser) const
+    void setDeadline(GatewayRequest& request) const
     {
         const auto now = SteadyClock().now();
         request.deadline = now + tables_.settings.requestTimeout;
-        const auto text = toView(parser.get()["X-Request-Timeout"]);
+        const auto text = toView(reader_.request()["X-Request-Timeout"]);
         if (text.empty())
             return;
         const auto timeout = parseRequestTimeout(text);
@@ -186,7 +182,7 @@
         request.deadline = std::min(request.deadline, *request.callerDeadline);
     }
 
-    Task<AfterRequest> runRequest(GatewayRequest request, bool keepAlive)
+    Task<AfterRequest> runRequest(GatewayRequest request)
     {
         CallerSink<Stream> sink(stream_, tables_.settings.idleTimeout, tables_.isDraining);
         request.cancellation = std::make_shared<Cancellation>();
@@ -201,7 +197,7 @@
         }
         if (!failure) {
             tables_.metrics.increment("ibisturn_requests_total{result=\"ok\"}");
-            co_return keepAlive && !tables_.isDraining ? AfterRequest::KeepAlive : AfterRequest::Close;
+            co_return reader_.canKeepAlive() && !tables_.isDraining ? AfterRequest::KeepAlive : AfterRequest::Close;
         }
         if (!sink.hasStarted())
             throw *failure;
@@ -212,15 +208,15 @@
         co_return AfterRequest::Close;
     }
 
-    Task<void> readBody(CallerParser& parser)
+    Task<void> readBody()
     {
         pendingInput_ = PendingInput::Discard;
         const auto bodyLimit = tables_.settings.bodyLimit.count();
-        if (parser.content_length().value_or(0) > bodyLimit)
+        if (reader_.contentLength().value_or(0) > bodyLimit)
             throw Error(ResultCode::BodyTooLarge, Ran::No, "The request's body exceeds the limit");
-        parser.body_limit(bodyLimit);
+        reader_.setBodyLimit(bodyLimit);
         expireAfter(tables_.settings.idleTimeout);
-        co_await readRequestBody(stream_, buffer_, parser);
+        co_await reader_.readBody(stream_);
     }
 
     Task<void> writeErrorEvent(CallerSink<Stream>& sink, Error failure)
@@ -282,7 +278,7 @@
 
     Task<AfterRequest> respond(unsigned status, std::string body, AfterRequest after, std::optional<std::chrono::milliseconds> retryAfter = {})
     {
-        if (tables_.isDraining)
+        if (tables_.isDraining || !reader_.canKeepAlive())
             after = AfterRequest::Close;
         Http::response<Http::string_body> response(static_cast<Http::status>(status), httpVersion11);
         response.set(Http::field::content_type, jsonType);
@@ -328,7 +324,7 @@
     Stream stream_;
     InstanceTables& tables_;
     RequestRunner& runner_;
-    Beast::flat_buffer buffer_;
+    RequestReader reader_;
     PendingInput pendingInput_ { PendingInput::LeaveUnread };
 };
 
--- a/Libraries/LibHTTP/Callers/RoutedSession.cpp
+++ b/Libraries/LibHTTP/Callers/RoutedSession.cpp
@@ -2,14 +2,13 @@
 
 #include <LibCore/SteadyClock.h>
 #include <LibDecision/Requests/ServiceChoice.h>
-#include <LibHTTP/Callers/BodyReading.h>
 #include <LibHTTP/Callers/CallerSink.h>
 #include <LibHTTP/Callers/ReadAheadSink.h>
+#include <LibHTTP/Callers/RequestReader.h>
 #include <LibHTTP/Callers/SocketWatch.h>
 #include <LibHTTP/Peers/ForwardedRequest.h>
 #include <LibHTTP/Requests/InFlightRequest.h>
 #include <LibKernel/GracefulClose.h>
-#include <LibKernel/HttpLimits.h>
 #include <LibKernel/Pause.h>
 #include <LibKernel/SocketOptions.h>
 
@@ -32,8 +31,6 @@
 constexpr Duration maxConfigurationWait = std::chrono::milliseconds(300);
 constexpr Duration configurationPollInterval = std::chrono::milliseconds(20);
 constexpr auto notReadyRetryAfter = std::chrono::milliseconds(300);
-/// What a connection that waits for a request may hold.
-constexpr std::size_t firstRead = 4096;
 /// A connection that is refused is given this long to send the head of its request, whose id the answer then carries.
 constexpr Duration refusalWait = std::chrono::milliseconds(500);
 
@@ -68,7 +65,7 @@
         if (refusal)
             co_await readRefusedHead();
         auto failure = connectionsUsedUpError();
-        recordFailure(failure);
+        recordFailure(failure, AfterRequest::Close);
         if (!refusal) {
             writeWithoutWaiting(failure);
             co_return;
@@ -80,38 +77,40 @@
 private:
     Task<void> readRefusedHead()
     {
-        CallerParser parser;
-        parser.header_limit(static_cast<std::uint32_t>(limits().head.count()));
-        buffer_.max_size(receiveBufferLimit(limits().head.count()));
+        const auto reading = reader_.beginRequest(readerLimits());
         stream_.expires_after(refusalWait);
         boost::system::error_code error;
-        co_await Http::async_read_header(stream_, buffer_, parser, Asio::redirect_error(Asio::use_awaitable, error));
-        if (error)
-            co_return;
-        readIdentity(parser);
+        co_await reader_.readHead(stream_, error);
+        readIdentity();
     }
 
-    void readIdentity(const CallerParser& parser)
+    // A malformed head names its request all the same, but nothing else of it is used.
+    void readIdentity()
     {
+        if (!reader_.hasHead())
+            return;
         try {
-            callerId_ = dialect_.readHead(parser.get()).callerId;
-            target_ = std::string(parser.get().target().data(), parser.get().target().size());
+            callerId_ = dialect_.readHead(reader_.request()).callerId;
+            target_ = targetOf(reader_.request());
         } catch (const Error&) {
             callerId_.clear();
         }
     }
 
-    // Finds the id of a request that is refused before its head was read, if the first read has the whole head.
-    void identify(CallerParser& parser)
+    // Reads the id of a request that is refused before its head was read, if the whole head has arrived. The connection goes on if the
+    // request ends with it.
+    void readArrivedHead()
     {
-        boost::system::error_code error;
-        parser.setFieldReservation(nullptr);
-        if (!parser.is_header_done())
-            parser.put(buffer_.data(), error);
-        if (parser.is_header_done())
-            readIdentity(parser);
+        reader_.setFieldReservation(nullptr);
+        reader_.parseArrivedHead();
+        readIdentity();
+        pendingInput_ = reader_.isConsumed() ? PendingInput::LeaveUnread : PendingInput::Discard;
     }
 
+    static std::string targetOf(const RequestReader::Request& request) { return { request.target().data(), request.target().size() }; }
+
+    RequestReader::Limits readerLimits() const { return { static_cast<std::uint32_t>(limits().head.count()), limits().body.count() }; }
+
     Error connectionsUsedUpError()
     {
         Error error(ResultCode::ConnectionsUsedUp, Ran::No, "Callers use all connections that the instance may have");
@@ -133,21 +132,21 @@
     {
         callerId_.clear();
         target_.clear();
-        // Outlives the parser, which holds the body while it is read.
+        // Outlives the reading of the request, which holds the body.
         auto memory = tables_.requestMemory.open();
         releaseConnectionMemory();
-        CallerParser parser;
-        parser.setFieldReservation([this](std::uint64_t bytes) { return reserveFields(bytes); });
-        parser.header_limit(static_cast<std::uint32_t>(limits().head.count()));
-        parser.body_limit(limits().body.count());
-        // The configuration may lower the limit while a pipelined request waits in the buffer.
-        buffer_.max_size(std::max(buffer_.size(), receiveBufferLimit(limits().head.count())));
+        const auto reading = reader_.beginRequest(readerLimits());
+        if (!reading)
+            co_return AfterRequest::Close;
+        reader_.setFieldReservation([this](std::uint64_t bytes) { return reserveFields(bytes); });
         boost::system::error_code error;
         {
             const IdleConnections::Scope idle(runner_.idleConnections(), stream_.socket());
             stream_.expires_after(limits().idleTimeout);
-            co_await awaitInput(error);
+            co_await reader_.awaitFirstByte(stream_, error);
         }
+        if (error == Asio::error::operation_aborted)
+            stream_.close();
         if (error)
             co_return AfterRequest::Close;
         const InFlightRequest inFlight(tables_.requestsInFlight);
@@ -156,21 +155,20 @@
         std::optional<Error> failure;
         try {
             reserveConnection();
-            while (!parser.is_header_done() && !error)
-                co_await readSome(stream_, buffer_, parser, error, [this](std::size_t capacity) { reserveBuffer(capacity); });
+            RequestReader::BeforeRead beforeRead = [this](std::size_t capacity) { reserveBuffer(capacity); };
+            co_await reader_.readHead(stream_, error, std::move(beforeRead));
         } catch (const Error& caught) {
             failure = caught;
         }
         if (failure) {
-            pendingInput_ = PendingInput::Discard;
-            identify(parser);
-            co_return co_await refuse(std::move(*failure), parser);
+            readArrivedHead();
+            co_return co_await refuse(std::move(*failure));
         }
         if (error)
-            co_return co_await refuseHead(error, parser);
+            co_return co_await refuseHead(error);
         auto after = AfterRequest::Close;
         try {
-            after = co_await serveRequest(parser, memory);
+            after = co_await serveRequest(memory);
         } catch (const Error& caught) {
             failure = caught;
         } catch (const std::exception& caught) {
@@ -178,22 +176,11 @@
             failure = Error(ResultCode::InternalError, Ran::Unknown, "Internal error in the gateway");
         }
         if (failure)
-            after = co_await refuse(std::move(*failure), parser);
+            after = co_await refuse(std::move(*failure));
         co_return after;
     }
 
-    // Waits for the first byte, so that a connection counts as idle until then.
-    Task<void> awaitInput(boost::system::error_code& error)
-    {
-        if (buffer_.size() > 0)
-            co_return;
-        const auto count = co_await stream_.async_read_some(buffer_.prepare(firstRead), Asio::redirect_error(Asio::use_awaitable, error));
-        buffer_.commit(count);
-        if (error == Asio::error::operation_aborted)
-            stream_.close();
-    }
-
-    Task<AfterRequest> refuseHead(boost::system::error_code error, const CallerParser& parser)
+    Task<AfterRequest> refuseHead(boost::system::error_code error)
     {
         if (error == Http::error::end_of_stream || error == Http::error::partial_message)
             co_return AfterRequest::Close;
@@ -209,31 +196,29 @@
         else if (error.category() != make_error_code(Http::error::bad_version).category())
             co_return AfterRequest::Close;
         pendingInput_ = PendingInput::Discard;
-        // The fields of a head that does not tell the request's end are known all the same.
-        if (parser.is_header_done())
-            readIdentity(parser);
+        readIdentity();
         Error refusal(code, Ran::No, fmt::format("{} ({})", resultCodeEntry(code).meaning, error.message()));
         if (code == ResultCode::MemoryUsedUp)
             refusal.setRetryAfter(tables_.connectionMemory.estimateWait(SteadyClock().now(), costOfConnection));
-        recordFailure(refusal);
+        recordFailure(refusal, AfterRequest::Close);
         co_return co_await write(refusal, AfterRequest::Close);
     }
 
-    Task<AfterRequest> serveRequest(CallerParser& parser, MemoryBudget::Reservation& memory)
+    Task<AfterRequest> serveRequest(MemoryBudget::Reservation& memory)
     {
         const auto arrived = SteadyClock().now();
         auto snapshot = tables_.configuration.get();
         for (; !snapshot && SteadyClock().now() < arrived + maxConfigurationWait; snapshot = tables_.configuration.get())
             co_await pause(configurationPollInterval);
-        CallerHead head = dialect_.readHead(parser.get());
+        CallerHead head = dialect_.readHead(reader_.request());
         callerId_ = head.callerId;
-        target_ = std::string(parser.get().target().data(), parser.get().target().size());
+        target_ = targetOf(reader_.request());
         if (!snapshot)
             throw notReadyError();
         refuseDuringShutdown();
         GatewayRequest request;
         request.target = target_;
-        request.method = std::string(parser.get().method_string().data(), parser.get().method_string().size());
+        request.method = std::string(reader_.request().method_string().data(), reader_.request().method_string().size());
         const auto* route = snapshot->findRouteByHostAndPath(head.host, request.path());
         if (!route)
             throw Error(ResultCode::RouteNotFound, Ran::No, "No route serves this host and path");
@@ -245,16 +230,16 @@
         request.resumeAfter = head.lastEventId;
         request.key = head.key;
         setDeadline(request, *route, head, arrived);
-        co_await readBody(parser, request.deadline, memory);
+        co_await readBody(request.deadline, memory);
         // Reading the body may have taken until the end of the shutdown, when the request would be cut.
         refuseDuringShutdown();
-        request.body = std::move(parser.get().body());
+        request.body = std::move(reader_.body());
         const WorkspaceId workspace = request.workspace;
         const auto tokens = takeAllowance(*snapshot, request, head.promptTokens.has_value());
         std::optional<Error> failure;
         auto after = AfterRequest::Close;
         try {
-            after = co_await runRequest(std::move(request), parser.keep_alive(), memory);
+            after = co_await runRequest(std::move(request), memory);
         } catch (const Error& error) {
             failure = error;
         }
@@ -337,28 +322,27 @@
     }
 
     // Throws MemoryUsedUp if there is no memory for the body, and RequestReadTimeout if it is not complete at the request's deadline.
-    Task<void> readBody(CallerParser& parser, TimePoint deadline, MemoryBudget::Reservation& memory)
+    Task<void> readBody(TimePoint deadline, MemoryBudget::Reservation& memory)
     {
         stream_.expires_after(std::min<Duration>(limits().headTimeout + limits().idleTimeout, deadline - SteadyClock().now()));
-        if (parser.is_done())
+        if (reader_.isConsumed())
             co_return;
         // A caller that sends the whole body before it reads must still receive a refusal.
         pendingInput_ = PendingInput::Discard;
-        if (const auto length = parser.content_length())
+        if (const auto length = reader_.contentLength())
             reserve(memory, *length);
-        std::function<void(CallerParser&)> beforePart = [this, &memory](CallerParser& reading) { reserveNextPart(reading, memory); };
-        std::function<void(std::size_t)> beforeRead = [this](std::size_t capacity) { reserveBuffer(capacity); };
-        co_await readRequestBody(stream_, buffer_, parser, std::move(beforePart), std::move(beforeRead));
+        RequestReader::BeforeRead beforeRead = [this](std::size_t capacity) { reserveBuffer(capacity); };
+        RequestReader::BeforePart beforePart = [this, &memory] { reserveNextPart(memory); };
+        co_await reader_.readBody(stream_, std::move(beforeRead), std::move(beforePart));
         pendingInput_ = PendingInput::LeaveUnread;
-        parser.get().body().shrink_to_fit();
-        memory.shrinkTo(costOfBody(parser.get().body().capacity()));
+        reader_.body().shrink_to_fit();
+        memory.shrinkTo(costOfBody(reader_.body().capacity()));
     }
 
     // An idle connection holds nothing but the bytes of a pipelined request.
     void releaseConnectionMemory()
     {
-        if (buffer_.size() == 0 && buffer_.capacity() > firstRead)
-            buffer_.shrink_to_fit();
+        reader_.shrinkBuffer();
         bufferBytes_ = 0;
         fieldBytes_ = 0;
         connectionMemory_ = tables_.connectionMemory.open();
@@ -377,7 +361,7 @@
     // Throws MemoryUsedUp if there is no memory for a buffer of `capacity` bytes.
     void reserveBuffer(std::size_t capacity)
     {
-        bufferBytes_ = capacity > firstRead ? capacity - firstRead : 0;
+        bufferBytes_ = capacity > RequestReader::firstRead ? capacity - RequestReader::firstRead : 0;
         reserveConnection();
     }
 
@@ -398,14 +382,14 @@
     }
 
     // The size of a chunked body is not known in advance. It grows here only, not while a part is read.
-    void reserveNextPart(CallerParser& parser, MemoryBudget::Reservation& memory)
+    void reserveNextPart(MemoryBudget::Reservation& memory)
     {
-        if (parser.content_length())
+        if (reader_.contentLength())
             return;
-        auto& body = parser.get().body();
+        auto& body = reader_.body();
         // Beast reads as much as fits into the buffer, and at least this.
         constexpr std::size_t minReadSize = 512;
-        const auto needed = body.size() + std::max(buffer_.capacity(), buffer_.size() + minReadSize);
+        const auto needed = body.size() + std::max(reader_.bufferCapacity(), reader_.bufferedBytes() + minReadSize);
         if (costOfBody(needed) <= memory.size())
             return;
         const auto capacity = std::max<std::size_t>(needed, std::min<std::size_t>(2 * body.size(), limits().body.count()));
@@ -413,7 +397,7 @@
         body.reserve(capacity);
     }
 
-    Task<AfterRequest> runRequest(GatewayRequest request, bool keepAlive, MemoryBudget::Reservation& memory)
+    Task<AfterRequest> runRequest(GatewayRequest request, MemoryBudget::Reservation& memory)
     {
         CallerSink<Beast::tcp_stream> sink(stream_, tables_.settings.idleTimeout, tables_.isDraining);
         ReadAheadSink answer(stream_.get_executor(), sink, tables_.requestMemory, runner_.heldAnswers(), callerId_, [this] { stream_.close(); });
@@ -445,26 +429,24 @@
         tables_.metrics.observe("ibisturn_request_seconds", SteadyClock().now() - started);
         if (!failure) {
             tables_.metrics.increment("ibisturn_requests_total{result=\"ok\"}");
-            co_return keepAlive && !tables_.isDraining ? AfterRequest::KeepAlive : AfterRequest::Close;
+            co_return reader_.canKeepAlive() && !tables_.isDraining ? AfterRequest::KeepAlive : AfterRequest::Close;
         }
         if (!sink.hasStarted())
             throw *failure;
         // The missing last chunk shows the caller that the answer is truncated.
-        recordFailure(*failure);
+        recordFailure(*failure, AfterRequest::Close);
         co_return AfterRequest::Close;
     }
 
-    Task<AfterRequest> refuse(Error failure, const CallerParser& parser)
+    Task<AfterRequest> refuse(Error failure)
     {
         // Peers don't say when to return.
         if (failure.code() == ResultCode::MemoryUsedUp && !failure.retryAfter())
             failure.setRetryAfter(tables_.requestMemory.estimateWait(SteadyClock().now(), ByteCount(0)));
-        recordFailure(failure);
-        if (failure.code() == ResultCode::CallerGone)
-            co_return AfterRequest::Close;
-        // An unread body would be parsed as the next request.
-        const bool isReusable = parser.is_done() && parser.keep_alive() && !tables_.isDraining;
-        co_return co_await write(failure, isReusable ? AfterRequest::KeepAlive : AfterRequest::Close);
+        const bool isGone = failure.code() == ResultCode::CallerGone;
+        const auto after = reader_.canKeepAlive() && !isGone && !tables_.isDraining ? AfterRequest::KeepAlive : AfterRequest::Close;
+        recordFailure(failure, after);
+        co_return isGone ? after : co_await write(failure, after);
     }
 
     Task<AfterRequest> write(const Error& failure, AfterRequest after)
@@ -476,12 +458,12 @@
         co_return error ? AfterRequest::Close : after;
     }
 
-    void recordFailure(const Error& failure) const
+    void recordFailure(const Error& failure, AfterRequest after) const
     {
         tables_.metrics.increment(fmt::format("ibisturn_requests_total{{result=\"{}\"}}", resultCodeEntry(failure.code()).name));
         const auto snapshot = tables_.configuration.get();
         const auto retryAfter = failure.retryAfter() ? failure.retryAfter()->count() : -1;
-        callerLog.info("Request failed.", { { "request", callerId_ }, { "code", resultCodeEntry(failure.code()).name }, { "ran", ranName(failure.ran()) }, { "reason", failure.what() }, { "retry_after_ms", retryAfter }, { "target", target_ }, { "configuration", snapshot ? snapshot->revision().number() : -1 }, { "store", tables_.storeUnavailableSince ? "away" : "followed" } });
+        callerLog.info("Request failed.", { { "request", callerId_ }, { "code", resultCodeEntry(failure.code()).name }, { "ran", ranName(failure.ran()) }, { "reason", failure.what() }, { "retry_after_ms", retryAfter }, { "connection", after == AfterRequest::KeepAlive ? "kept" : "closed" }, { "target", target_ }, { "configuration", snapshot ? snapshot->revision().number() : -1 }, { "store", tables_.storeUnavailableSince ? "away" : "followed" } });
     }
 
     const CallerLimits& limits() const { return tables_.callerLimits; }
@@ -490,9 +472,9 @@
     InstanceTables& tables_;
     RequestRunner& runner_;
     const CallerDialect& dialect_;
-    Beast::flat_buffer buffer_;
+    RequestReader reader_;
     MemoryBudget::Reservation connectionMemory_;
-    /// The parts of `connectionMemory_` for the capacity of `buffer_` beyond the first read, and for the fields of a head.
+    /// The parts of `connectionMemory_` for the capacity of the reader's buffer beyond the first read, and for the fields of a head.
     std::uint64_t bufferBytes_ { 0 };
     std::uint64_t fieldBytes_ { 0 };
     PendingInput pendingInput_ { PendingInput::LeaveUnread };
--- a/Libraries/LibHTTP/Operators/BufferedRequests.cpp
+++ b/Libraries/LibHTTP/Operators/BufferedRequests.cpp
@@ -1,11 +1,10 @@
 #include <LibHTTP/Operators/BufferedRequests.h>
 
 #include <LibCore/Log.h>
-#include <LibHTTP/Callers/BodyReading.h>
 #include <LibHTTP/Callers/ErrorBody.h>
+#include <LibHTTP/Callers/RequestReader.h>
 #include <LibHTTP/Requests/RequestMemory.h>
 #include <LibKernel/GracefulClose.h>
-#include <LibKernel/HttpLimits.h>
 
 #include <algorithm>
 #include <array>
@@ -23,7 +22,6 @@
 
 constexpr Log requestLog("request", LineKind::Request);
 constexpr int httpVersion11 = 11;
-constexpr std::size_t firstRead = 4096;
 
 /// What one request holds of the memory for all connections.
 class RequestBytes {
@@ -55,30 +53,25 @@
     std::uint64_t fields_ { 0 };
 };
 
-Task<void> awaitRequest(Beast::tcp_stream& stream, Beast::flat_buffer& buffer, IdleConnections* idle, boost::system::error_code& error)
+Task<void> awaitRequest(Beast::tcp_stream& stream, RequestReader& reader, IdleConnections* idle, boost::system::error_code& error)
 {
-    if (buffer.size() > 0)
-        co_return;
-    buffer.shrink_to_fit();
+    reader.shrinkBuffer();
     std::optional<IdleConnections::Scope> scope;
     if (idle)
         scope.emplace(*idle, stream.socket());
-    const auto count = co_await stream.async_read_some(buffer.prepare(firstRead), Asio::redirect_error(Asio::use_awaitable, error));
-    buffer.commit(count);
+    co_await reader.awaitFirstByte(stream, error);
 }
 
-Task<void> readRequest(Beast::tcp_stream& stream, Beast::flat_buffer& buffer, CallerParser& parser, RequestBytes& bytes, boost::system::error_code& error)
+Task<void> readRequest(Beast::tcp_stream& stream, RequestReader& reader, RequestBytes& bytes, boost::system::error_code& error)
 {
-    const auto reserveBuffer = [&bytes](std::size_t capacity) {
+    const RequestReader::BeforeRead reserveBuffer = [&bytes](std::size_t capacity) {
         if (!bytes.growBufferTo(capacity))
             throw Error(ResultCode::MemoryUsedUp, Ran::No, "Connections hold as many bytes as the instance's memory allows");
     };
-    parser.setFieldReservation([&bytes](std::uint64_t size) { return bytes.growFieldsTo(size); });
-    while (!parser.is_header_done() && !error)
-        co_await readSome(stream, buffer, parser, error, reserveBuffer);
-    parser.eager(true);
-    while (!parser.is_done() && !error)
-        co_await readSome(stream, buffer, parser, error, reserveBuffer);
+    reader.setFieldReservation([&bytes](std::uint64_t size) { return bytes.growFieldsTo(size); });
+    co_await reader.readHead(stream, error, reserveBuffer);
+    if (!error)
+        co_await reader.readRest(stream, error, reserveBuffer);
 }
 
 Task<void> write(Beast::tcp_stream& stream, BufferedReply reply, AfterRequest after, boost::system::error_code& error)
@@ -113,25 +106,25 @@
 Task<void> serveBufferedRequests(Asio::ip::tcp::socket socket, BufferedRequestLimits limits, std::function<Task<BufferedReply>(const BufferedRequest&)> answer)
 {
     Beast::tcp_stream stream(std::move(socket));
-    Beast::flat_buffer buffer(receiveBufferLimit(limits.head));
+    RequestReader reader;
     for (bool isOpen = true; isOpen;) {
-        CallerParser parser;
         RequestBytes bytes(limits.memory);
-        parser.header_limit(limits.head);
-        parser.body_limit(limits.body);
+        const auto reading = reader.beginRequest({ limits.head, limits.body });
+        if (!reading)
+            co_return;
         stream.expires_after(limits.idleTimeout);
         boost::system::error_code error;
-        co_await awaitRequest(stream, buffer, limits.idle, error);
+        co_await awaitRequest(stream, reader, limits.idle, error);
         if (error)
             co_return;
-        co_await readRequest(stream, buffer, parser, bytes, error);
+        co_await readRequest(stream, reader, bytes, error);
         if (isMalformed(error))
             co_return co_await refuse(stream, error);
         if (error)
             co_return;
-        BufferedReply reply = co_await answer(parser.get());
-        co_await write(stream, std::move(reply), parser.keep_alive() ? AfterRequest::KeepAlive : AfterRequest::Close, error);
-        isOpen = !error && parser.keep_alive();
+        BufferedReply reply = co_await answer(reader.request());
+        co_await write(stream, std::move(reply), reader.canKeepAlive() ? AfterRequest::KeepAlive : AfterRequest::Close, error);
+        isOpen = !error;
     }
 }
 
