--- a/Libraries/LibHTTP/Callers/RequestReader.cpp
+++ b/Libraries/LibHTTP/Callers/RequestReader.cpp
@@ -2,6 +2,8 @@
 
 #include <LibKernel/HttpLimits.h>
 
+#include <algorithm>
+
 namespace Ibisturn {
 
 namespace Http = boost::beast::http;
--- a/Libraries/LibHTTP/Callers/RequestReader.h
+++ b/Libraries/LibHTTP/Callers/RequestReader.h
@@ -4,7 +4,6 @@
 #include <LibHTTP/Callers/CallerParser.h>
 #include <LibKernel/Asio.h>
 
-#include <algorithm>
 #include <functional>
 #include <optional>
 #include <string>
@@ -123,9 +122,9 @@
     /// Parses as much of the head as has arrived.
     void parseArrivedHead();
 
-    /// Reads the rest of the current request. Precondition: hasHead(), and the stream's timeout is set.
+    /// Reads the rest of the current request; the callbacks may be empty. Precondition: hasHead(), and the stream's timeout is set.
     template <typename Stream>
-    Task<void> readRest(Stream& stream, boost::system::error_code& error, BeforeRead beforeRead, BeforePart beforePart = nullptr)
+    Task<void> readRest(Stream& stream, boost::system::error_code& error, const BeforeRead& beforeRead, const BeforePart& beforePart)
     {
         parser_->eager(true);
         while (!isConsumed() && !error) {
@@ -147,7 +146,7 @@
             co_await Http::async_write(stream, proceed, Asio::redirect_error(Asio::use_awaitable, error));
         }
         if (!error)
-            co_await readRest(stream, error, std::move(beforeRead), std::move(beforePart));
+            co_await readRest(stream, error, beforeRead, beforePart);
         throwBodyError(error);
     }
 
--- a/Libraries/LibHTTP/Operators/BufferedRequests.cpp
+++ b/Libraries/LibHTTP/Operators/BufferedRequests.cpp
@@ -70,8 +70,9 @@
     };
     reader.setFieldReservation([&bytes](std::uint64_t size) { return bytes.growFieldsTo(size); });
     co_await reader.readHead(stream, error, reserveBuffer);
+    const RequestReader::BeforePart nothing;
     if (!error)
-        co_await reader.readRest(stream, error, reserveBuffer);
+        co_await reader.readRest(stream, error, reserveBuffer, nothing);
 }
 
 Task<void> write(Beast::tcp_stream& stream, BufferedReply reply, AfterRequest after, boost::system::error_code& error)
--- a/Tests/LibHTTP/RequestEndTest.cpp
+++ b/Tests/LibHTTP/RequestEndTest.cpp
@@ -47,8 +47,9 @@
 /// Sends, for each framing without an end, requests with the text of `hidden` and with chunks behind their heads.
 void expectNothingHiddenIsServed(const Endpoint& endpoint, const std::string& target, const std::string& fields, const std::string& hidden)
 {
+    const std::vector<std::string> texts { hidden, chunkedBody, fmt::format("{}{}", chunkedBody, hidden) };
     for (const auto& framing : framingsWithoutEnd()) {
-        for (const auto& behind : { hidden, chunkedBody, chunkedBody + hidden }) {
+        for (const auto& behind : texts) {
             const auto head = fmt::format("POST {} {}\r\n{}{}\r\n", target, framing.version, fields, framing.fields);
             const auto received = exchangeRaw(endpoint, { head + behind });
             EXPECT_EQ(received.statuses(), std::vector<int> { 400 }) << head << behind << "\n-> " << received.bytes;
@@ -62,7 +63,7 @@
 {
     for (const auto& framing : framingsWithChunks) {
         const auto head = fmt::format("POST {} {}\r\n{}{}\r\n", target, framing.version, fields, framing.fields);
-        const auto received = exchangeRaw(endpoint, { head + body + next });
+        const auto received = exchangeRaw(endpoint, { fmt::format("{}{}{}", head, body, next) });
         EXPECT_EQ(received.statuses(), (std::vector<int> { 200, 200 })) << head << "\n-> " << received.bytes;
     }
 }
