--- a/review/14/case.py
+++ b/review/14/case.py
@@ -13,8 +13,8 @@
 sys.path.insert(0, os.path.dirname(HERE))
 from world_3 import BOUNDS, Replica, configuration, plain_service, route, run_case, run_plain  # noqa: E402
 
-CLIENTS = 6
-REQUEST_PAUSE_S = 0.05
+CLIENTS = 12
+REQUEST_PAUSE_S = 0.02
 BEFORE_S = 6
 # SITE kind roll_term: x = 1 at a time, gap_s = 1.3.
 GAP_S = 1.3
